--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Entry points of the project; `make help` lists them.
+
+BIN := bin
+PINNED_TOOLS := -modfile=$(CURDIR)/tools/go.mod
+SEED ?= 1
+MINUTES ?= 1
+
+.PHONY: help build test fmt lint vet unit
+
+help:
+	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
+
+build: ## build all programs into bin/
+	go build -o $(BIN)/ ./cmd/...
+
+test: fmt lint vet unit ## formatter, linter, vet and race tests
+
+fmt:
+	@out="$$(go tool $(PINNED_TOOLS) gofumpt -l $$(git ls-files -co --exclude-standard '*.go'))"; \
+	if [ -n "$$out" ]; then echo "run gofumpt -w on:"; echo "$$out"; exit 1; fi
+
+lint:
+	go tool $(PINNED_TOOLS) staticcheck ./...
+
+vet:
+	go vet ./...
+
+unit:
+	go test -race -timeout 600s ./...
--- /dev/null
+++ b/internal/invar/invar.go
@@ -0,0 +1,59 @@
+package invar
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+)
+
+// Violation describes one failed check.
+type Violation struct {
+	Module string
+	Detail string
+}
+
+// Handler receives failed checks outside of tests.
+type Handler func(Violation)
+
+var (
+	violations atomic.Uint64
+	handler    atomic.Pointer[Handler]
+	panics     atomic.Bool
+)
+
+func init() {
+	panics.Store(testing.Testing())
+}
+
+// OnViolation sets the handler of failed checks.
+func OnViolation(h Handler) {
+	handler.Store(&h)
+}
+
+// PanicOnViolation makes failed checks panic also outside of tests, for the soak and demo programs.
+func PanicOnViolation(enabled bool) {
+	panics.Store(enabled)
+}
+
+// Violations returns the number of failed checks since the start of the process.
+func Violations() uint64 {
+	return violations.Load()
+}
+
+// Check reports a violation of an invariant of the module unless the condition holds.
+func Check(holds bool, module, format string, args ...any) {
+	if holds {
+		return
+	}
+	report(Violation{Module: module, Detail: fmt.Sprintf(format, args...)})
+}
+
+func report(v Violation) {
+	violations.Add(1)
+	if panics.Load() {
+		panic("invariant violated in " + v.Module + ": " + v.Detail)
+	}
+	if h := handler.Load(); h != nil {
+		(*h)(v)
+	}
+}
