--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,125 @@
+package admin
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// Section is one named part of the state dump.
+type Section struct {
+	Name string
+	// Dump returns a value that encoding/json can encode; it may be called at any time.
+	Dump func() any
+}
+
+// Health tells whether the node serves requests of callers.
+type Health struct {
+	Ready  bool   `json:"ready"`
+	Reason string `json:"reason,omitempty"`
+}
+
+// NodeNumber is the number of the last ticket in force on one node.
+type NodeNumber struct {
+	Node   string `json:"node"`
+	Number uint64 `json:"number"`
+	Lag    uint64 `json:"lag"`
+}
+
+// TicketReport is the read-back of the tickets in force.
+type TicketReport struct {
+	Head  uint64       `json:"head"`
+	Nodes []NodeNumber `json:"nodes"`
+}
+
+// Config holds what the endpoints report.
+type Config struct {
+	// Token is the operator token; an empty token refuses every request but /health.
+	Token    string
+	Sections []Section
+	Health   func() Health
+	Tickets  func() TicketReport
+	Metrics  http.Handler
+}
+
+type server struct {
+	Config
+}
+
+// New returns the handler of the admin listener.
+func New(config Config) http.Handler {
+	s := &server{Config: config}
+	router := httprouter.New()
+	router.HandlerFunc(http.MethodGet, "/health", s.health)
+	router.Handler(http.MethodGet, "/state", s.authorized(http.HandlerFunc(s.state)))
+	router.Handler(http.MethodGet, "/tickets", s.authorized(http.HandlerFunc(s.tickets)))
+	if config.Metrics != nil {
+		router.Handler(http.MethodGet, "/metrics", s.authorized(config.Metrics))
+	}
+	return router
+}
+
+func (s *server) health(w http.ResponseWriter, _ *http.Request) {
+	health := s.Health()
+	status := http.StatusOK
+	if !health.Ready {
+		status = http.StatusServiceUnavailable
+	}
+	writeJSON(w, status, health)
+}
+
+func (s *server) state(w http.ResponseWriter, r *http.Request) {
+	wanted := r.URL.Query().Get("section")
+	dump := make(map[string]any, len(s.Sections))
+	for _, section := range s.Sections {
+		if wanted == "" || wanted == section.Name {
+			dump[section.Name] = section.Dump()
+		}
+	}
+	if len(dump) == 0 {
+		writeJSON(w, http.StatusNotFound, model.Answer{
+			Outcome: model.OutcomeNotRun,
+			Reason:  "no section " + wanted,
+			Remedy:  "call /state without a section to see all names",
+		})
+		return
+	}
+	writeJSON(w, http.StatusOK, dump)
+}
+
+func (s *server) tickets(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.Tickets())
+}
+
+func (s *server) authorized(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !s.isOperator(r) {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			writeJSON(w, http.StatusUnauthorized, model.Answer{
+				Outcome: model.OutcomeNotRun,
+				Reason:  "operator token missing or wrong",
+				Remedy:  "send the operator token of the settings as a bearer token",
+			})
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *server) isOperator(r *http.Request) bool {
+	want := "Bearer " + s.Token
+	got := r.Header.Get("Authorization")
+	return s.Token != "" && subtle.ConstantTimeCompare([]byte(got), []byte(want)) == 1
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(body) // The reader went away; there is nobody left to tell.
+}
--- /dev/null
+++ b/internal/admin/doc.go
@@ -0,0 +1,11 @@
+// Package admin serves the operator endpoints of a node: state dump, health, metrics and the tickets in force.
+//
+// Usage:
+//
+//	handler := admin.New(admin.Config{
+//		Token:    token,
+//		Sections: []admin.Section{{Name: "members", Dump: func() any { return peer.Snapshot() }}},
+//	})
+//
+// All paths but /health need the operator token as a bearer token.
+package admin
--- /dev/null
+++ b/internal/drain/shutdown_test.go
@@ -0,0 +1,51 @@
+package drain
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000, 0)
+
+// Guards against an exit that breaks off a request before the timeout, in any order of messages.
+func TestShutdownBreaksOffNothingBeforeTimeout(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New(Config{Timeout: 20 * time.Second, Linger: time.Second})
+		now := start
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "step")) * time.Millisecond)
+			for _, cmd := range s.Update(drawMsg(t, now)) {
+				exit, isExit := cmd.(ExitCmd)
+				if isExit && exit.Broken > 0 {
+					require.GreaterOrEqual(t, now.Sub(s.stopped), 20*time.Second)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a shutdown that hangs when no successor answers.
+func TestShutdownEndsWithoutSuccessor(t *testing.T) {
+	s := New(Config{})
+	require.Equal(t, []Cmd{AnnounceLeavingCmd{}}, s.Update(StopMsg{Now: start}))
+	require.Empty(t, s.Update(TickMsg{Now: start.Add(time.Second)}))
+	require.Equal(t, []Cmd{CloseListenersCmd{}}, s.Update(TickMsg{Now: start.Add(4 * time.Second), InFlight: 1}))
+	require.Empty(t, s.Update(TickMsg{Now: start.Add(5 * time.Second), InFlight: 1}))
+	require.Equal(t, []Cmd{HandOverKeysCmd{}}, s.Update(TickMsg{Now: start.Add(6 * time.Second)}))
+	require.Equal(t, []Cmd{ExitCmd{}}, s.Update(TickMsg{Now: start.Add(9 * time.Second)}))
+	require.Equal(t, StateExited, s.State())
+}
+
+func drawMsg(t *rapid.T, now time.Time) Msg {
+	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	case 0:
+		return StopMsg{Now: now}
+	case 1:
+		return HandedOverMsg{Now: now, InFlight: rapid.IntRange(0, 1).Draw(t, "late")}
+	default:
+		return TickMsg{Now: now, InFlight: rapid.IntRange(0, 2).Draw(t, "in-flight")}
+	}
+}
--- /dev/null
+++ b/internal/meter/meter_test.go
@@ -0,0 +1,24 @@
+package meter
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against instruments that are registered but missing from the scrape.
+func TestScrapeShowsInstruments(t *testing.T) {
+	m, err := New()
+	require.NoError(t, err)
+	m.Counter("auburnwinch.edge.retries", "retries sent by the edge", func() int64 { return 5 })
+	m.Gauge("auburnwinch.agent.in-flight", "requests in flight", func() int64 { return 2 })
+	m.Histogram("auburnwinch.eject.detection", "time to an ejection").Record(time.Second)
+	require.NoError(t, m.Err())
+	recorder := httptest.NewRecorder()
+	m.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	require.Contains(t, recorder.Body.String(), "auburnwinch_edge_retries_total")
+	require.Contains(t, recorder.Body.String(), "auburnwinch_eject_detection_seconds_sum")
+}
