Add the API of member and peer with a full record exchange

Calls, the mutual challenge, authenticated frames and the connection cache have their intended form.

Ruled out: gob for net/rpc, because it accepts messages up to 1 GiB and has no place for an authentication code per frame. Unexported argument types, because net/rpc skips methods that use them.

--- /dev/null
+++ b/internal/member/doc.go
@@ -0,0 +1,12 @@
+// Package member decides what a node believes about the other nodes of the fleet.
+//
+// It is deterministic: messages carry the time, randomness comes from a seed, and effects are returned as commands.
+//
+// Usage:
+//
+//	module := member.New(member.Config{Self: self, Seed: seed, Now: clock.Now()})
+//	for _, cmd := range module.Update(member.TickMsg{Now: clock.Now()}) {
+//		execute(cmd)
+//	}
+//	records := module.Snapshot().Records
+package member
--- /dev/null
+++ b/internal/peer/config.go
@@ -0,0 +1,75 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+
+	"github.com/auburnwinch/auburnwinch/internal/member"
+	"github.com/auburnwinch/auburnwinch/internal/timer"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+	"github.com/go-kit/log"
+	"github.com/rotisserie/eris"
+)
+
+// MinSecret is the least length of the fleet secret, in bytes.
+const MinSecret = 16
+
+// Service is an additional net/rpc receiver that the node serves to other nodes.
+type Service struct {
+	Name     string
+	Receiver any
+}
+
+// Config holds the parts from which New builds a peer; Self, Listen and Secret are required.
+type Config struct {
+	// Self describes the own node. A zero incarnation is drawn from the clock; an empty PeerAddress becomes the address
+	// on which the peer listens.
+	Self model.Node
+	// Listen is the address of the peers' listener, for UDP and TCP; it defaults to Self.PeerAddress.
+	Listen string
+	// Secret is the fleet secret, at least MinSecret bytes.
+	Secret []byte
+	// TLS enables TLS on the TCP side; set Certificates, RootCAs, ClientCAs and ClientAuth for mutual TLS.
+	TLS *tls.Config
+	// Seeds are peer addresses that are dialled when Registered is nil, fails or lists no other node.
+	Seeds []string
+	// Registered lists the nodes in the registry of the platform.
+	Registered func(context.Context) ([]model.Node, error)
+	Services   []Service
+	// OnChange receives each new snapshot, in order, on one goroutine.
+	OnChange func(*member.Snapshot)
+	// OnTicketBehind is called when a peer shows a larger number in force than the own record, once per number and peer
+	// second; it must not block.
+	OnTicketBehind func(peer model.Node, number uint64)
+	// Clock defaults to the clock of the process.
+	Clock timer.Service
+	// Logger defaults to no logging.
+	Logger log.Logger
+	// Seed makes the choice of peers repeatable; zero draws a random one.
+	Seed uint64
+}
+
+func (c *Config) complete() error {
+	if c.Self.Ref.ID == "" {
+		return eris.New("node has no ID; set Config.Self.Ref.ID")
+	}
+	if c.Listen == "" {
+		c.Listen = c.Self.PeerAddress
+	}
+	if c.Listen == "" {
+		return eris.New("peer has no listen address; set Config.Listen, for example 127.0.0.1:7400")
+	}
+	if len(c.Secret) < MinSecret {
+		return eris.Errorf("fleet secret has %d bytes; set one of at least %d", len(c.Secret), MinSecret)
+	}
+	if c.Clock == nil {
+		c.Clock = timer.NewReal()
+	}
+	if c.Logger == nil {
+		c.Logger = log.NewNopLogger()
+	}
+	if c.Self.Ref.Incarnation == 0 {
+		c.Self.Ref.Incarnation = uint64(c.Clock.Now().UnixMicro())
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peer/doc.go
@@ -0,0 +1,19 @@
+// Package peer connects a node to the other nodes of the fleet: it is the shell of the membership module and carries
+// the fleet's remote procedure calls.
+//
+// Usage:
+//
+//	p, err := peer.New(peer.Config{
+//		Self:     self,
+//		Secret:   secret,
+//		Seeds:    []string{"10.0.0.7:7400"},
+//		Services: []peer.Service{{Name: "Keys", Receiver: ledger}},
+//		OnChange: rebuildView,
+//	})
+//	if err != nil {
+//		return err
+//	}
+//	defer p.Close()
+//	p.SetLocal(member.Local{Ticket: number, Targets: targets})
+//	err = p.Call(ctx, node, "Keys.Fence", args, &reply)
+package peer
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,91 @@
+package peer
+
+import (
+	"crypto/tls"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/sourcegraph/conc"
+)
+
+// maxConnections bounds the inbound connections; 670 nodes keep at most one each, and a margin serves reconnects.
+const maxConnections = 2048
+
+// server accepts connections of other nodes and serves their calls.
+type server struct {
+	listener net.Listener
+	secret   []byte
+	tls      *tls.Config
+	counters *counters
+	reject   func(source string, err error)
+	rpc      *rpc.Server
+
+	workers conc.WaitGroup
+	mu      sync.Mutex
+	closed  bool
+	conns   map[net.Conn]struct{}
+}
+
+// accept serves connections until the listener is closed.
+func (s *server) accept() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		counted := &countedConn{Conn: conn, counters: s.counters}
+		if !s.add(counted) {
+			_ = conn.Close()
+			continue
+		}
+		s.workers.Go(func() { s.serve(counted) })
+	}
+}
+
+func (s *server) serve(raw net.Conn) {
+	defer s.remove(raw)
+	s.counters.bytesSent.Add(connectionOverhead / 2)
+	s.counters.bytesReceived.Add(connectionOverhead / 2)
+	conn := raw
+	if s.tls != nil {
+		conn = tls.Server(raw, s.tls)
+	}
+	source := raw.RemoteAddr().String()
+	keys, err := serverHandshake(conn, s.secret)
+	if err != nil {
+		s.reject(source, err)
+		return
+	}
+	frame := &frameConn{conn: conn, readKey: keys.toServer, writeKey: keys.toClient, idle: serverIdle}
+	s.rpc.ServeCodec(&serverCodec{frameCodec{frameConn: frame, reject: func(err error) { s.reject(source, err) }}})
+}
+
+func (s *server) add(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.conns) >= maxConnections {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	return true
+}
+
+func (s *server) remove(conn net.Conn) {
+	s.mu.Lock()
+	delete(s.conns, conn)
+	s.mu.Unlock()
+	_ = conn.Close()
+}
+
+// close ends all connections and waits for their goroutines.
+func (s *server) close() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	s.closed = true
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+	s.mu.Unlock()
+	s.workers.Wait()
+}
