Add the settings of a node

A node learns addresses, failure domain, secrets and the access to the platform from one YAML file. Listener addresses are also what the node announces to others, so port 0 and hosts for all interfaces are refused; a second set of announced addresses was ruled out until a deployment needs one. Secrets may stand in files of their own, relative to the settings file.

--- /dev/null
+++ b/internal/config/load.go
@@ -0,0 +1,74 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/auburnwinch/auburnwinch/internal/strict"
+)
+
+// Load reads, checks and completes the settings of a node; faults are reported as strict.Problems.
+// Relative paths in the file are taken from the directory of the file.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "read the settings; remedy: pass the path of a readable settings file")
+	}
+	return Parse(path, data)
+}
+
+// Parse checks and completes settings that were read from the named file.
+func Parse(path string, data []byte) (*Settings, error) {
+	var s Settings
+	document, err := strict.Decode(path, data, &s)
+	if err != nil {
+		return nil, err
+	}
+	s.setDefaults()
+	problems := s.resolveFiles(filepath.Dir(path))
+	problems = append(problems, s.problems()...)
+	if len(problems) > 0 {
+		return nil, document.Locate(problems)
+	}
+	return &s, nil
+}
+
+// resolveFiles reads the secrets that stand in files of their own and makes paths absolute to the settings file.
+func (s *Settings) resolveFiles(directory string) strict.Problems {
+	var problems strict.Problems
+	readSecret(&problems, "fleet-secret", directory, &s.FleetSecret, &s.FleetSecretFile)
+	readSecret(&problems, "operator-token", directory, &s.OperatorToken, &s.OperatorTokenFile)
+	if s.TLS != nil {
+		for _, path := range []*string{&s.TLS.Certificate, &s.TLS.Key, &s.TLS.Authority} {
+			*path = absolute(directory, *path)
+		}
+	}
+	return problems
+}
+
+func readSecret(problems *strict.Problems, field, directory string, value, file *string) {
+	if *file == "" {
+		return
+	}
+	if *value != "" {
+		problems.Add(field+"-file", "keep one of the two fields", "%s is given as well", field)
+		return
+	}
+	*file = absolute(directory, *file)
+	data, err := os.ReadFile(*file)
+	if err != nil {
+		problems.Add(field+"-file", "create the file or correct the path", "the file can't be read: %v", err)
+		return
+	}
+	*value = strings.TrimSpace(string(data))
+}
+
+func absolute(directory, path string) string {
+	if path == "" || filepath.IsAbs(path) {
+		return path
+	}
+	return filepath.Join(directory, path)
+}
--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,101 @@
+package config
+
+import (
+	"time"
+
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// Defaults of optional settings.
+const (
+	// DefaultShutdownTimeout is how long a node waits for requests in flight after SIGTERM.
+	DefaultShutdownTimeout = 60 * time.Second
+	// DefaultLogLevel is the level below which log lines are dropped.
+	DefaultLogLevel = LevelInfo
+	// DefaultPlatformRegion is the region name in request signatures to the platform.
+	DefaultPlatformRegion = "us-east-1"
+)
+
+// Level is the severity from which log lines are written.
+type Level string
+
+// The log levels.
+const (
+	LevelDebug Level = "debug"
+	LevelInfo  Level = "info"
+	LevelWarn  Level = "warn"
+	LevelError Level = "error"
+)
+
+// Settings is what one node learns from its settings file.
+type Settings struct {
+	Node              Place          `yaml:"node"`
+	Listeners         Listeners      `yaml:"listeners"`
+	Seeds             []string       `yaml:"seeds"`
+	FleetSecret       string         `yaml:"fleet-secret"`
+	FleetSecretFile   string         `yaml:"fleet-secret-file"`
+	OperatorToken     string         `yaml:"operator-token"`
+	OperatorTokenFile string         `yaml:"operator-token-file"`
+	TLS               *TLS           `yaml:"tls"`
+	Platform          Platform       `yaml:"platform"`
+	ShutdownTimeout   model.Duration `yaml:"shutdown-timeout"`
+	LogLevel          Level          `yaml:"log-level"`
+}
+
+// Place names a node and where it stands.
+type Place struct {
+	ID            string `yaml:"id"`
+	Region        string `yaml:"region"`
+	FailureDomain string `yaml:"failure-domain"`
+}
+
+// Listeners holds the addresses, `host:port`, on which the node listens and by which others reach it.
+type Listeners struct {
+	Callers string `yaml:"callers"`
+	Relay   string `yaml:"relay"`
+	Peers   string `yaml:"peers"`
+	Local   string `yaml:"local"`
+	Admin   string `yaml:"admin"`
+}
+
+// TLS names the PEM files for mutual TLS between nodes.
+type TLS struct {
+	Certificate string `yaml:"certificate"`
+	Key         string `yaml:"key"`
+	Authority   string `yaml:"authority"`
+}
+
+// Platform holds the access to the table service and to the object store.
+type Platform struct {
+	TableEndpoint   string `yaml:"table-endpoint"`
+	ObjectEndpoint  string `yaml:"object-endpoint"`
+	Region          string `yaml:"region"`
+	AccessKeyID     string `yaml:"access-key-id"`
+	SecretAccessKey string `yaml:"secret-access-key"`
+	Table           string `yaml:"table"`
+	Bucket          string `yaml:"bucket"`
+}
+
+// Self returns the node as it announces itself to the fleet.
+func (s *Settings) Self(incarnation uint64) model.Node {
+	return model.Node{
+		Ref:           model.NodeRef{ID: s.Node.ID, Incarnation: incarnation},
+		Domain:        s.Node.FailureDomain,
+		Region:        s.Node.Region,
+		PeerAddress:   s.Listeners.Peers,
+		RelayAddress:  s.Listeners.Relay,
+		CallerAddress: s.Listeners.Callers,
+	}
+}
+
+func (s *Settings) setDefaults() {
+	if s.ShutdownTimeout == 0 {
+		s.ShutdownTimeout = model.Duration(DefaultShutdownTimeout)
+	}
+	if s.LogLevel == "" {
+		s.LogLevel = DefaultLogLevel
+	}
+	if s.Platform.Region == "" {
+		s.Platform.Region = DefaultPlatformRegion
+	}
+}
--- /dev/null
+++ b/internal/config/validate.go
@@ -0,0 +1,206 @@
+package config
+
+import (
+	"net"
+	"net/netip"
+	"net/url"
+	"os"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/auburnwinch/auburnwinch/internal/strict"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+const (
+	// minSecretLength keeps the fleet secret at the strength of the HMAC that it keys.
+	minSecretLength = 32
+	// minTokenLength keeps the operator token out of reach of guessing over the network.
+	minTokenLength = 16
+	// maxShutdownTimeout is the longest drain that a replaced VM is given.
+	maxShutdownTimeout = time.Hour
+	maxSeeds           = 64
+)
+
+// Validate reports all faults of the settings as strict.Problems.
+func (s *Settings) Validate() error {
+	return s.problems().Err()
+}
+
+func (s *Settings) problems() strict.Problems {
+	var p strict.Problems
+	s.Node.check(&p)
+	s.Listeners.check(&p)
+	s.checkSeeds(&p)
+	s.checkSecrets(&p)
+	if s.TLS != nil {
+		s.TLS.check(&p)
+	}
+	s.Platform.check(&p)
+	s.checkRest(&p)
+	return p
+}
+
+func (n Place) check(p *strict.Problems) {
+	checkName(p, "node.id", n.ID)
+	checkName(p, "node.region", n.Region)
+	checkName(p, "node.failure-domain", n.FailureDomain)
+}
+
+func (l Listeners) check(p *strict.Problems) {
+	taken := make(map[string]string)
+	for _, listener := range []struct{ field, address string }{
+		{"listeners.callers", l.Callers},
+		{"listeners.relay", l.Relay},
+		{"listeners.peers", l.Peers},
+		{"listeners.local", l.Local},
+		{"listeners.admin", l.Admin},
+	} {
+		if !checkAddress(p, listener.field, listener.address) {
+			continue
+		}
+		if other, used := taken[listener.address]; used {
+			p.Add(listener.field, "give each listener a port of its own", "address %s is already used by %s", listener.address, other)
+			continue
+		}
+		taken[listener.address] = listener.field
+	}
+	l.checkLocal(p)
+}
+
+// checkLocal requires loopback because the announcements of targets carry no secret.
+func (l Listeners) checkLocal(p *strict.Problems) {
+	host, _, err := net.SplitHostPort(l.Local)
+	if err != nil || host == "localhost" {
+		return
+	}
+	if address, err := netip.ParseAddr(host); err == nil && !address.IsLoopback() {
+		p.Add("listeners.local", "use 127.0.0.1 or [::1] as the host", "%s is not a loopback address", host)
+	}
+}
+
+func (s *Settings) checkSeeds(p *strict.Problems) {
+	if len(s.Seeds) > maxSeeds {
+		p.Add("seeds", "keep at most 64; a few per region are enough", "%d seeds are listed", len(s.Seeds))
+		return
+	}
+	for i, seed := range s.Seeds {
+		field := "seeds[" + strconv.Itoa(i) + "]"
+		if checkAddress(p, field, seed) && slices.Contains(s.Seeds[:i], seed) {
+			p.Add(field, "list each seed once", "address %s is listed twice", seed)
+		}
+	}
+}
+
+func (s *Settings) checkSecrets(p *strict.Problems) {
+	checkSecret(p, "fleet-secret", s.FleetSecret, minSecretLength)
+	checkSecret(p, "operator-token", s.OperatorToken, minTokenLength)
+	if s.FleetSecret != "" && s.FleetSecret == s.OperatorToken {
+		p.Add("operator-token", "draw a token of its own", "the token equals the fleet secret")
+	}
+}
+
+func (t *TLS) check(p *strict.Problems) {
+	for _, file := range []struct{ field, path string }{
+		{"tls.certificate", t.Certificate},
+		{"tls.key", t.Key},
+		{"tls.authority", t.Authority},
+	} {
+		if file.path == "" {
+			p.Add(file.field, "name a PEM file, or remove the whole tls section", "the field is missing")
+			continue
+		}
+		if _, err := os.Stat(file.path); err != nil {
+			p.Add(file.field, "create the file or correct the path", "the file can't be read: %v", err)
+		}
+	}
+}
+
+func (f Platform) check(p *strict.Problems) {
+	checkEndpoint(p, "platform.table-endpoint", f.TableEndpoint)
+	checkEndpoint(p, "platform.object-endpoint", f.ObjectEndpoint)
+	for _, required := range []struct{ field, value string }{
+		{"platform.access-key-id", f.AccessKeyID},
+		{"platform.secret-access-key", f.SecretAccessKey},
+		{"platform.table", f.Table},
+		{"platform.bucket", f.Bucket},
+	} {
+		if required.value == "" {
+			p.Add(required.field, "set it as the platform's administrators gave it to you", "the field is missing")
+		}
+	}
+}
+
+func (s *Settings) checkRest(p *strict.Problems) {
+	timeout := time.Duration(s.ShutdownTimeout)
+	if timeout <= 0 || timeout > maxShutdownTimeout {
+		p.Add("shutdown-timeout", "choose more than 0s and at most 1h", "impossible value %s", timeout)
+	}
+	levels := []Level{LevelDebug, LevelInfo, LevelWarn, LevelError}
+	if !slices.Contains(levels, s.LogLevel) {
+		p.Add("log-level", "use debug, info, warn or error", "unknown level %q", s.LogLevel)
+	}
+}
+
+func checkName(p *strict.Problems, field, name string) {
+	if name == "" {
+		p.Add(field, "use "+model.NameRule, "the field is missing")
+		return
+	}
+	if !model.ValidName(name) {
+		p.Add(field, "use "+model.NameRule, "impossible name %q", name)
+	}
+}
+
+// checkAddress refuses hosts that stand for all interfaces and port 0, because the node announces the address to others.
+func checkAddress(p *strict.Problems, field, address string) bool {
+	const remedy = "write the host and port by which others reach the listener, for example 10.0.0.5:7400"
+	if address == "" {
+		p.Add(field, remedy, "the field is missing")
+		return false
+	}
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || host == "" {
+		p.Add(field, remedy, "impossible address %q", address)
+		return false
+	}
+	if number, err := strconv.ParseUint(port, 10, 16); err != nil || number == 0 {
+		p.Add(field, "use a port from 1 to 65535", "impossible port %q", port)
+		return false
+	}
+	if ip, err := netip.ParseAddr(host); err == nil && ip.IsUnspecified() {
+		p.Add(field, remedy, "%s stands for all interfaces and can't be announced", host)
+		return false
+	}
+	return true
+}
+
+func checkSecret(p *strict.Problems, field, value string, length int) {
+	if value == "" {
+		p.Add(field, "set "+field+" or "+field+"-file", "the field is missing")
+		return
+	}
+	if len(value) < length {
+		p.Add(field, "draw at least "+strconv.Itoa(length)+" random characters", "the value has %d characters", len(value))
+	}
+}
+
+func checkEndpoint(p *strict.Problems, field, text string) {
+	const remedy = "write a URL such as https://tables.example:8443"
+	if text == "" {
+		p.Add(field, remedy, "the field is missing")
+		return
+	}
+	endpoint, err := url.Parse(text)
+	if err != nil || endpoint.Host == "" || (endpoint.Scheme != "http" && endpoint.Scheme != "https") {
+		p.Add(field, remedy, "impossible endpoint %q", text)
+	}
+}
+
+// Validate reports all faults of the access to the platform as strict.Problems.
+func (f Platform) Validate() error {
+	var p strict.Problems
+	f.check(&p)
+	return p.Err()
+}
