Add the decision module of tickets

Apply is total, because every node must reach the same configuration from the same accepted tickets. Sources that are ahead are asked one at a time; a source that brings nothing new counts as failed, otherwise it would be asked in a loop. Applying an incomplete series to save time was ruled out by the rule that a number never goes back.

--- /dev/null
+++ b/internal/ticket/module.go
@@ -0,0 +1,256 @@
+package ticket
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/auburnwinch/auburnwinch/internal/invar"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// SnapshotEvery is the distance between snapshots in tickets.
+// At 750 tickets a day it makes 15 snapshots a day, and a starting node reads at most 49 tickets after one.
+const SnapshotEvery = 50
+
+const (
+	moduleName = "ticket"
+	// startPeers is how many peers a starting node hears besides the platform.
+	startPeers = 3
+	// startWait bounds the wait of a starting node for sources that do not answer.
+	startWait = 5 * time.Second
+	// maxPending bounds the tickets kept ahead of a missing one; the missing one is fetched in any case.
+	maxPending = 256
+	// maxLogTickets and maxLogRoutes bound the applied tickets kept for peers; whoever is further behind gets a snapshot.
+	maxLogTickets = 64
+	maxLogRoutes  = 10_000
+)
+
+// Config holds what the module needs from outside.
+type Config struct {
+	// Random spreads the reads of the nodes over time; nil means a fixed seed.
+	Random *rand.Rand
+	// Initial is the configuration to start from; nil means the empty one.
+	Initial *model.Configuration
+}
+
+// Module decides which configuration is in force; it is not safe for concurrent use.
+type Module struct {
+	now     time.Time
+	current *model.Configuration
+	pending map[uint64]early
+	applied []entry
+	reads   schedule
+	catchUp catchUp
+	start   starter
+}
+
+// entry is an applied ticket with its digest.
+type entry struct {
+	ticket model.Ticket
+	digest string
+}
+
+// early is a ticket that waits for an earlier one.
+type early struct {
+	entry
+	source Source
+}
+
+// New returns a module that holds the initial configuration.
+func New(c Config) *Module {
+	if c.Random == nil {
+		c.Random = rand.New(rand.NewPCG(1, 1))
+	}
+	if c.Initial == nil {
+		c.Initial = &model.Configuration{}
+	}
+	return &Module{
+		current: c.Initial,
+		pending: make(map[uint64]early),
+		reads:   schedule{random: c.Random},
+		start:   newStarter(),
+	}
+}
+
+// Configuration returns the configuration in force; it must not be modified.
+func (m *Module) Configuration() *model.Configuration {
+	return m.current
+}
+
+// Ready reports whether the node has heard the platform and enough peers to serve callers.
+func (m *Module) Ready() bool {
+	return m.start.done
+}
+
+// After returns what a peer that has applied the given number lacks: tickets, or a snapshot when they are not kept or
+// are larger.
+func (m *Module) After(number uint64) BatchMsg {
+	if number >= m.current.Number {
+		return BatchMsg{}
+	}
+	first := slices.IndexFunc(m.applied, func(e entry) bool { return e.ticket.Number == number+1 })
+	if first < 0 {
+		return BatchMsg{Snapshot: m.current}
+	}
+	var batch BatchMsg
+	routes := 0
+	for _, e := range m.applied[first:] {
+		batch.Tickets = append(batch.Tickets, e.ticket)
+		routes += countRoutes(e.ticket.Services)
+	}
+	if routes > countRoutes(m.current.Services) {
+		return BatchMsg{Snapshot: m.current}
+	}
+	return batch
+}
+
+// Update takes one message and returns the effects to carry out.
+func (m *Module) Update(msg Msg) []Cmd {
+	before := m.current.Number
+	cmds := m.handle(msg)
+	invar.Check(m.current.Number >= before, moduleName, "number in force went from %d to %d", before, m.current.Number)
+	return cmds
+}
+
+func (m *Module) handle(msg Msg) []Cmd {
+	switch msg := msg.(type) {
+	case TickMsg:
+		return m.tick(msg.Now)
+	case HeadMsg:
+		return m.hear(msg)
+	case BatchMsg:
+		return m.merge(msg)
+	case FailedMsg:
+		return m.fail(msg.Source)
+	case ReaderMsg:
+		m.reads.setReader(msg.Reader, m.now)
+	case PeersMsg:
+		return m.start.setPeers(msg.Peers, m.current.Number)
+	}
+	return nil
+}
+
+func (m *Module) tick(now time.Time) []Cmd {
+	m.now = now
+	var cmds []Cmd
+	if m.reads.due(now) {
+		cmds = append(cmds, ReadHeadCmd{})
+	}
+	cmds = append(cmds, m.catchUp.next(now, m.current.Number)...)
+	m.start.tick(now)
+	return cmds
+}
+
+func (m *Module) hear(msg HeadMsg) []Cmd {
+	if msg.Number <= m.current.Number {
+		m.start.answer(msg.Source)
+		return nil
+	}
+	m.catchUp.hear(msg.Source, msg.Number)
+	return m.catchUp.next(m.now, m.current.Number)
+}
+
+func (m *Module) fail(source Source) []Cmd {
+	cmds := m.start.fail(source, m.current.Number)
+	m.catchUp.fail(source)
+	return append(cmds, m.catchUp.next(m.now, m.current.Number)...)
+}
+
+func (m *Module) merge(msg BatchMsg) []Cmd {
+	m.catchUp.finish(msg.Source)
+	before := m.current
+	var cmds []Cmd
+	if msg.Snapshot != nil && msg.Snapshot.Number > m.current.Number {
+		m.current = msg.Snapshot
+		m.applied = nil
+	}
+	for _, t := range msg.Tickets {
+		cmds = append(cmds, m.keep(t, msg.Source)...)
+	}
+	cmds = append(cmds, m.drainPending()...)
+	if m.current.Number > before.Number {
+		cmds = append(cmds, ApplyCmd{Configuration: m.current})
+	}
+	if m.current == before {
+		// A source that is behind its own announcement would otherwise be asked again without a pause.
+		m.catchUp.fail(msg.Source)
+	}
+	m.start.answer(msg.Source)
+	return append(cmds, m.catchUp.next(m.now, m.current.Number)...)
+}
+
+// keep stores a ticket that may be applied later; of two with one number the platform's wins.
+func (m *Module) keep(t model.Ticket, source Source) []Cmd {
+	digest, err := Digest(t)
+	if err != nil {
+		return []Cmd{RejectCmd{Source: source, Number: t.Number, Reason: "the ticket can't be encoded: " + err.Error()}}
+	}
+	if t.Number <= m.current.Number {
+		return m.compareApplied(t.Number, digest, source)
+	}
+	if t.Number > m.current.Number+maxPending {
+		m.catchUp.hear(source, t.Number)
+		return nil
+	}
+	held, found := m.pending[t.Number]
+	if !found || source == Platform {
+		m.pending[t.Number] = early{entry: entry{ticket: t, digest: digest}, source: source}
+	}
+	if found && held.digest != digest {
+		return []Cmd{RejectCmd{Source: source, Number: t.Number, Reason: "two tickets of different content carry this number"}}
+	}
+	return nil
+}
+
+func (m *Module) compareApplied(number uint64, digest string, source Source) []Cmd {
+	for _, e := range m.applied {
+		if e.ticket.Number == number && e.digest != digest {
+			return []Cmd{RejectCmd{Source: source, Number: number, Reason: "another ticket with this number is in force"}}
+		}
+	}
+	return nil
+}
+
+// drainPending applies the kept tickets that follow the configuration in force without a gap.
+func (m *Module) drainPending() []Cmd {
+	var cmds []Cmd
+	for {
+		next, found := m.pending[m.current.Number+1]
+		if !found {
+			break
+		}
+		invar.Check(next.ticket.Number == m.current.Number+1, moduleName, "ticket %d follows %d", next.ticket.Number, m.current.Number)
+		m.current = Apply(m.current, next.ticket)
+		m.remember(next.entry)
+		if m.reads.reader && m.current.Number%SnapshotEvery == 0 {
+			cmds = append(cmds, SaveSnapshotCmd{Configuration: m.current})
+		}
+	}
+	for number := range m.pending {
+		if number <= m.current.Number {
+			delete(m.pending, number)
+		}
+	}
+	return cmds
+}
+
+func (m *Module) remember(e entry) {
+	m.applied = append(m.applied, e)
+	routes := 0
+	for i := len(m.applied) - 1; i >= 0; i-- {
+		routes += countRoutes(m.applied[i].ticket.Services)
+		if len(m.applied)-i > maxLogTickets || routes > maxLogRoutes {
+			m.applied = slices.Clone(m.applied[i+1:])
+			return
+		}
+	}
+}
+
+func countRoutes(services []model.ServiceSpec) int {
+	n := 0
+	for _, s := range services {
+		n += len(s.Routes)
+	}
+	return n
+}
