Add the stand-in of the platform with faults on request

Tests and the demo need a table service and an object store. The stand-in serves the part of the published protocols that the client uses, with real conditions and atomic transactions, and refuses parameters that it does not know, because ignoring one would change the meaning. A control endpoint makes it away, hanging, slow, throttled, or lose answers after the effect.

--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,20 @@
+// Command standin runs stand-ins of outside systems for tests and the demo.
+//
+// Usage:
+//
+//	standin platform --table-address 127.0.0.1:7001 --object-address 127.0.0.1:7002 --control-address 127.0.0.1:7003
+package main
+
+import "github.com/alecthomas/kong"
+
+// cli lists the subcommands; each has a file of its own.
+type cli struct {
+	Platform platformCmd `cmd:"" help:"Run a stand-in of the table service and of the object store."`
+}
+
+func main() {
+	var c cli
+	ctx := kong.Parse(&c, kong.Name("standin"), kong.Description("Stand-ins of outside systems for tests and the demo."),
+		kong.UsageOnError())
+	ctx.FatalIfErrorf(ctx.Run())
+}
--- /dev/null
+++ b/internal/fakes/fault/doc.go
@@ -0,0 +1,11 @@
+// Package fault makes the stand-ins of the platform fail on request.
+//
+// Usage:
+//
+//	faults := fault.New()
+//	server := &http.Server{Handler: faults.Wrap("table", operationOf, tableHandler)}
+//	control := &http.Server{Handler: faults.Control()}
+//
+// The control endpoint takes `PUT /v1/faults` with a JSON list of rules, `GET /v1/faults`, `DELETE /v1/faults` and
+// `GET /v1/counters`.
+package fault
--- /dev/null
+++ b/internal/fakes/object/doc.go
@@ -0,0 +1,9 @@
+// Package object is a stand-in of the object store: the part of the S3 protocol that package store uses.
+//
+// It serves PutObject, GetObject, HeadObject, DeleteObject and ListObjectsV2 on one bucket with path-style addresses. It
+// keeps everything in memory, checks the hash of the content and the access key, and not the signature.
+//
+// Usage:
+//
+//	server := httptest.NewServer(object.New(object.Config{Bucket: "auburnwinch", AccessKeyID: "key"}))
+package object
--- /dev/null
+++ b/internal/fakes/table/expression.go
@@ -0,0 +1,189 @@
+package table
+
+import (
+	"fmt"
+	"strings"
+	"text/scanner"
+)
+
+// names holds what an expression refers to.
+type names struct {
+	Names  map[string]string `json:"ExpressionAttributeNames"`
+	Values map[string]value  `json:"ExpressionAttributeValues"`
+}
+
+// condition tests one item; a missing item is nil.
+type condition func(item) bool
+
+// expression parses condition expressions by recursive descent.
+type expression struct {
+	names
+	scan  scanner.Scanner
+	token string
+}
+
+// parse compiles a condition; an empty text always holds.
+func (n names) parse(text string) (holds condition, err error) {
+	if text == "" {
+		return func(item) bool { return true }, nil
+	}
+	e := &expression{names: n}
+	e.scan.Init(strings.NewReader(text))
+	e.scan.Error = func(*scanner.Scanner, string) {}
+	e.scan.IsIdentRune = func(ch rune, i int) bool {
+		return ch == '_' || ch == '#' && i == 0 || ch == ':' && i == 0 || ch >= 'a' && ch <= 'z' || ch >= 'A' && ch <= 'Z' || ch >= '0' && ch <= '9' && i > 0
+	}
+	e.next()
+	defer func() {
+		if failure, ok := recover().(syntaxError); ok {
+			holds, err = nil, validationError("invalid expression %q: %s", text, string(failure))
+		}
+	}()
+	holds = e.or()
+	if e.token != "" {
+		e.fail("unexpected %q", e.token)
+	}
+	return holds, nil
+}
+
+type syntaxError string
+
+func (e *expression) fail(format string, args ...any) {
+	panic(syntaxError(fmt.Sprintf(format, args...)))
+}
+
+func (e *expression) next() {
+	if e.scan.Scan() == scanner.EOF {
+		e.token = ""
+		return
+	}
+	e.token = e.scan.TokenText()
+	if (e.token == "<" || e.token == ">") && (e.scan.Peek() == '=' || e.token == "<" && e.scan.Peek() == '>') {
+		e.scan.Scan()
+		e.token += e.scan.TokenText()
+	}
+}
+
+func (e *expression) accept(word string) bool {
+	if !strings.EqualFold(e.token, word) {
+		return false
+	}
+	e.next()
+	return true
+}
+
+func (e *expression) expect(word string) {
+	if !e.accept(word) {
+		e.fail("expected %q, found %q", word, e.token)
+	}
+}
+
+func (e *expression) or() condition {
+	left := e.and()
+	for e.accept("OR") {
+		first, second := left, e.and()
+		left = func(i item) bool { return first(i) || second(i) }
+	}
+	return left
+}
+
+func (e *expression) and() condition {
+	left := e.term()
+	for e.accept("AND") {
+		first, second := left, e.term()
+		left = func(i item) bool { return first(i) && second(i) }
+	}
+	return left
+}
+
+func (e *expression) term() condition {
+	switch {
+	case e.accept("NOT"):
+		inner := e.term()
+		return func(i item) bool { return !inner(i) }
+	case e.accept("("):
+		inner := e.or()
+		e.expect(")")
+		return inner
+	case e.accept("attribute_exists"):
+		name := e.argument()
+		return func(i item) bool { _, found := i[name]; return found }
+	case e.accept("attribute_not_exists"):
+		name := e.argument()
+		return func(i item) bool { _, found := i[name]; return !found }
+	default:
+		return e.comparison()
+	}
+}
+
+func (e *expression) argument() string {
+	e.expect("(")
+	name := e.name()
+	e.expect(")")
+	return name
+}
+
+func (e *expression) comparison() condition {
+	name := e.name()
+	operator := e.token
+	e.next()
+	if strings.EqualFold(operator, "BETWEEN") {
+		low := e.value()
+		e.expect("AND")
+		high := e.value()
+		return func(i item) bool { return test(i, name, ">=", low) && test(i, name, "<=", high) }
+	}
+	if !strings.Contains(" = <> < <= > >= ", " "+operator+" ") {
+		e.fail("unknown operator %q", operator)
+	}
+	operand := e.value()
+	return func(i item) bool { return test(i, name, operator, operand) }
+}
+
+func (e *expression) name() string {
+	name := e.token
+	e.next()
+	if !strings.HasPrefix(name, "#") {
+		e.fail("attribute %q must be given through ExpressionAttributeNames", name)
+	}
+	attribute, found := e.Names[name]
+	if !found {
+		e.fail("name %q is not defined", name)
+	}
+	return attribute
+}
+
+func (e *expression) value() value {
+	name := e.token
+	e.next()
+	v, found := e.Values[name]
+	if !found {
+		e.fail("value %q is not defined", name)
+	}
+	return v
+}
+
+func test(i item, name, operator string, operand value) bool {
+	v, found := i[name]
+	if !found {
+		return false
+	}
+	order, comparable := v.compare(operand)
+	if !comparable {
+		return operator == "<>"
+	}
+	switch operator {
+	case "=":
+		return order == 0
+	case "<>":
+		return order != 0
+	case "<":
+		return order < 0
+	case "<=":
+		return order <= 0
+	case ">":
+		return order > 0
+	default:
+		return order >= 0
+	}
+}
--- /dev/null
+++ b/internal/fakes/table/table.go
@@ -0,0 +1,311 @@
+package table
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// maxItem is the size limit of an item in bytes.
+	maxItem = 400 << 10
+	// maxPage is the size limit of a page of a query in bytes.
+	maxPage = 1 << 20
+	// maxTransaction is the largest number of writes in one transaction.
+	maxTransaction = 100
+	// tokenLifetime is how long the service recognizes a client request token.
+	tokenLifetime = 10 * time.Minute
+)
+
+// Table holds the rows; it is safe for concurrent use.
+type Table struct {
+	config Config
+	mu     sync.Mutex
+	rows   map[itemKey]item
+	tokens map[string]usedToken
+}
+
+type usedToken struct {
+	request string
+	at      time.Time
+}
+
+// Config names the table and the access key that is accepted.
+type Config struct {
+	Table string
+	// AccessKeyID is the only accepted access key; empty accepts all.
+	AccessKeyID string
+}
+
+type putInput struct {
+	names
+	TableName                           string
+	Item                                item
+	ConditionExpression                 string
+	ReturnValuesOnConditionCheckFailure string
+}
+
+type keyInput struct {
+	names
+	TableName           string
+	Key                 item
+	ConsistentRead      bool
+	ConditionExpression string
+}
+
+type queryInput struct {
+	names
+	TableName              string
+	KeyConditionExpression string
+	ExclusiveStartKey      item
+	Limit                  int
+	ScanIndexForward       *bool
+	ConsistentRead         bool
+}
+
+type transactInput struct {
+	ClientRequestToken string
+	TransactItems      []struct{ Put *putInput }
+}
+
+type itemOutput struct {
+	Item item `json:"Item,omitempty"`
+}
+
+type queryOutput struct {
+	Items            []item `json:"Items"`
+	Count            int    `json:"Count"`
+	ScannedCount     int    `json:"ScannedCount"`
+	LastEvaluatedKey item   `json:"LastEvaluatedKey,omitempty"`
+}
+
+// write is a checked put that waits to be carried out.
+type write struct {
+	key  itemKey
+	item item
+	fail *reason
+}
+
+// New returns an empty table.
+func New(c Config) *Table {
+	return &Table{config: c, rows: make(map[itemKey]item), tokens: make(map[string]usedToken)}
+}
+
+// Len returns the number of rows.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.rows)
+}
+
+func (t *Table) getItem(in keyInput) (any, error) {
+	key, err := in.Key.key()
+	if err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return itemOutput{Item: t.rows[key]}, nil
+}
+
+func (t *Table) putItem(in putInput) (any, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w, err := t.prepare(in)
+	if err != nil {
+		return nil, err
+	}
+	if w.fail != nil {
+		return nil, conditionError(w.fail.Item)
+	}
+	t.rows[w.key] = w.item
+	return struct{}{}, nil
+}
+
+func (t *Table) deleteItem(in keyInput) (any, error) {
+	key, err := in.Key.key()
+	if err != nil {
+		return nil, err
+	}
+	holds, err := in.parse(in.ConditionExpression)
+	if err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !holds(t.rows[key]) {
+		return nil, conditionError(nil)
+	}
+	delete(t.rows, key)
+	return struct{}{}, nil
+}
+
+// transactWrite checks all conditions and then carries out all writes or none.
+func (t *Table) transactWrite(in transactInput, request string) (any, error) {
+	if len(in.TransactItems) == 0 || len(in.TransactItems) > maxTransaction {
+		return nil, validationError("a transaction takes 1 to %d writes", maxTransaction)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if done, err := t.recall(in.ClientRequestToken, request); done || err != nil {
+		return struct{}{}, err
+	}
+	writes, err := t.prepareAll(in)
+	if err != nil {
+		return nil, err
+	}
+	for _, w := range writes {
+		t.rows[w.key] = w.item
+	}
+	if in.ClientRequestToken != "" {
+		t.tokens[in.ClientRequestToken] = usedToken{request: request, at: time.Now()}
+	}
+	return struct{}{}, nil
+}
+
+// recall reports whether a transaction with this token already took effect.
+func (t *Table) recall(token, request string) (bool, error) {
+	maps.DeleteFunc(t.tokens, func(_ string, u usedToken) bool { return time.Since(u.at) > tokenLifetime })
+	used, found := t.tokens[token]
+	if !found || token == "" {
+		return false, nil
+	}
+	if used.request != request {
+		return false, &protocolError{
+			Type:    errorPrefix + "IdempotentParameterMismatchException",
+			Message: "the request token was used with other parameters",
+		}
+	}
+	return true, nil
+}
+
+func (t *Table) prepareAll(in transactInput) ([]write, error) {
+	var writes []write
+	reasons := make([]reason, 0, len(in.TransactItems))
+	cancelled := false
+	touched := make(map[itemKey]bool)
+	for _, part := range in.TransactItems {
+		if part.Put == nil {
+			return nil, validationError("the stand-in supports only Put in transactions")
+		}
+		w, err := t.prepare(*part.Put)
+		if err != nil {
+			return nil, err
+		}
+		if touched[w.key] {
+			return nil, validationError("a transaction can't write one item twice")
+		}
+		touched[w.key] = true
+		writes = append(writes, w)
+		if w.fail == nil {
+			reasons = append(reasons, reason{Code: "None"})
+			continue
+		}
+		cancelled = true
+		reasons = append(reasons, *w.fail)
+	}
+	if !cancelled {
+		return writes, nil
+	}
+	codes := make([]string, 0, len(reasons))
+	for _, r := range reasons {
+		codes = append(codes, r.Code)
+	}
+	return nil, &protocolError{
+		Type:    errorPrefix + "TransactionCanceledException",
+		Message: fmt.Sprintf("Transaction cancelled, please refer cancellation reasons for specific reasons [%s]", strings.Join(codes, ", ")),
+		Reasons: reasons,
+	}
+}
+
+func (t *Table) prepare(in putInput) (write, error) {
+	if in.TableName != t.config.Table {
+		return write{}, t.notFound(in.TableName)
+	}
+	key, err := in.Item.key()
+	if err != nil {
+		return write{}, err
+	}
+	if in.Item.size() > maxItem {
+		return write{}, validationError("Item size has exceeded the maximum allowed size")
+	}
+	holds, err := in.parse(in.ConditionExpression)
+	if err != nil {
+		return write{}, err
+	}
+	w := write{key: key, item: in.Item}
+	if old := t.rows[key]; !holds(old) {
+		w.fail = &reason{Code: "ConditionalCheckFailed", Message: "The conditional request failed"}
+		if in.ReturnValuesOnConditionCheckFailure == "ALL_OLD" {
+			w.fail.Item = old
+		}
+	}
+	return w, nil
+}
+
+func (t *Table) query(in queryInput) (any, error) {
+	holds, err := in.parse(in.KeyConditionExpression)
+	if err != nil {
+		return nil, err
+	}
+	if in.KeyConditionExpression == "" {
+		return nil, validationError("a query needs a KeyConditionExpression")
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var found []item
+	for _, row := range t.rows {
+		if holds(row) {
+			found = append(found, row)
+		}
+	}
+	slices.SortFunc(found, func(a, b item) int { return strings.Compare(*a["sk"].S, *b["sk"].S) })
+	if in.ScanIndexForward != nil && !*in.ScanIndexForward {
+		slices.Reverse(found)
+	}
+	return in.page(found)
+}
+
+// page returns the rows after the start key, up to the limit of rows and bytes.
+func (in queryInput) page(found []item) (any, error) {
+	if in.ExclusiveStartKey != nil {
+		start, err := in.ExclusiveStartKey.key()
+		if err != nil {
+			return nil, err
+		}
+		at := slices.IndexFunc(found, func(i item) bool { return *i["sk"].S == start.sort })
+		found = found[at+1:]
+	}
+	out := queryOutput{Items: []item{}}
+	size := 0
+	for n, row := range found {
+		if size += row.size(); n > 0 && (in.Limit > 0 && n >= in.Limit || size > maxPage) {
+			last := out.Items[n-1]
+			out.LastEvaluatedKey = item{"pk": last["pk"], "sk": last["sk"]}
+			break
+		}
+		out.Items = append(out.Items, row)
+	}
+	out.Count, out.ScannedCount = len(out.Items), len(out.Items)
+	return out, nil
+}
+
+func (t *Table) notFound(name string) error {
+	return &protocolError{
+		Type:    errorPrefix + "ResourceNotFoundException",
+		Message: fmt.Sprintf("Requested resource not found: Table: %s not found", name),
+	}
+}
+
+// asProtocolError returns the error answer for an error.
+func asProtocolError(err error) *protocolError {
+	var p *protocolError
+	if errors.As(err, &p) {
+		return p
+	}
+	return validationError("%v", err)
+}
