--- /dev/null
+++ b/internal/store/doc.go
@@ -0,0 +1,21 @@
+// Package store is the client of the platform: the table service and the object store.
+//
+// Credentials and endpoints come from Config only. Every write can be repeated after a lost answer. A breaker per
+// service fails calls at once while the service is away.
+//
+// Usage:
+//
+//	s, err := store.New(store.Config{TableEndpoint: endpoint, Table: "auburnwinch" /* ... */})
+//	if err != nil {
+//		return err
+//	}
+//	receipt, err := s.FileTicket(ctx, t)
+//
+// Layout of the table, with string keys `pk` (partition) and `sk` (sort):
+//
+//	pk            sk                 content
+//	ticket        head               number and digest of the last accepted ticket
+//	ticket        t#<20 digits>      one accepted ticket
+//	key#<key>     claim              owner token of a plain idempotency key
+//	node          <node ID>          registry row of a node
+package store
--- /dev/null
+++ b/internal/store/nodes.go
@@ -0,0 +1,129 @@
+package store
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/aws/aws-sdk-go-v2/aws"
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// registryLifetime is how long a registry row stays after the last registration.
+// The table service removes the row by its attribute `expires`; nodes register again well within this time.
+const registryLifetime = 24 * time.Hour
+
+// registration is a registry row with the time of the last registration.
+type registration struct {
+	node model.Node
+	at   uint64
+}
+
+// RegisterNode writes the node into the registry; it fails with StaleError when a later incarnation is registered.
+func (s *Store) RegisterNode(ctx context.Context, n model.Node) error {
+	data, err := cbor.Marshal(n)
+	if err != nil {
+		return eris.Wrap(err, "encode the node")
+	}
+	item := key(partitionNode, n.Ref.ID)
+	now := s.seconds()
+	item[attrNumber], item[attrBody] = number(n.Ref.Incarnation), binary(pack(data))
+	item[attrAt], item[attrExpires] = number(now), number(now+uint64(registryLifetime/time.Second))
+	err = s.tableUse.write(ctx, "register the node", func(ctx context.Context) error {
+		_, err := s.table.PutItem(ctx, &dynamodb.PutItemInput{
+			TableName: &s.names.Table, Item: item,
+			ConditionExpression:       aws.String("attribute_not_exists(#pk) OR #number <= :own"),
+			ExpressionAttributeNames:  map[string]string{"#pk": attrPartition, "#number": attrNumber},
+			ExpressionAttributeValues: row{":own": number(n.Ref.Incarnation)},
+		})
+		return err
+	})
+	return staleOr(err, n.Ref)
+}
+
+// RemoveNode deletes the registry row of the node unless a later incarnation is registered.
+func (s *Store) RemoveNode(ctx context.Context, ref model.NodeRef) error {
+	err := s.tableUse.write(ctx, "remove the node", func(ctx context.Context) error {
+		_, err := s.table.DeleteItem(ctx, &dynamodb.DeleteItemInput{
+			TableName: &s.names.Table, Key: key(partitionNode, ref.ID),
+			ConditionExpression:       aws.String("attribute_not_exists(#pk) OR #number <= :own"),
+			ExpressionAttributeNames:  map[string]string{"#pk": attrPartition, "#number": attrNumber},
+			ExpressionAttributeValues: row{":own": number(ref.Incarnation)},
+		})
+		return err
+	})
+	return staleOr(err, ref)
+}
+
+// Nodes returns the registered nodes, the most recently registered first.
+func (s *Store) Nodes(ctx context.Context) ([]model.Node, error) {
+	var registered []registration
+	var start row
+	for {
+		output, err := s.queryNodes(ctx, start)
+		if err != nil {
+			return nil, err
+		}
+		for _, item := range output.Items {
+			r, err := decodeNode(item)
+			if err != nil {
+				return nil, err
+			}
+			registered = append(registered, r)
+		}
+		if start = output.LastEvaluatedKey; len(start) == 0 {
+			break
+		}
+	}
+	slices.SortStableFunc(registered, func(a, b registration) int { return cmp.Compare(b.at, a.at) })
+	nodes := make([]model.Node, 0, len(registered))
+	for _, r := range registered {
+		nodes = append(nodes, r.node)
+	}
+	return nodes, nil
+}
+
+func (s *Store) queryNodes(ctx context.Context, start row) (output *dynamodb.QueryOutput, err error) {
+	err = s.tableUse.read(ctx, "read the node registry", func(ctx context.Context) (err error) {
+		output, err = s.table.Query(ctx, &dynamodb.QueryInput{
+			TableName:                 &s.names.Table,
+			ExclusiveStartKey:         start,
+			KeyConditionExpression:    aws.String("#pk = :pk"),
+			ExpressionAttributeNames:  map[string]string{"#pk": attrPartition},
+			ExpressionAttributeValues: row{":pk": text(partitionNode)},
+		})
+		return err
+	})
+	return output, err
+}
+
+func decodeNode(r row) (registration, error) {
+	data, err := r.body()
+	if err != nil {
+		return registration{}, err
+	}
+	at, err := r.number(attrAt)
+	if err != nil {
+		return registration{}, err
+	}
+	var n model.Node
+	if err := cbor.Unmarshal(data, &n); err != nil {
+		return registration{}, eris.Wrapf(err, "decode the registry row of node %s; remedy: delete the row", r.text(attrSort))
+	}
+	return registration{node: n, at: at}, nil
+}
+
+func staleOr(err error, ref model.NodeRef) error {
+	var stale *types.ConditionalCheckFailedException
+	if errors.As(err, &stale) {
+		return &StaleError{Node: ref}
+	}
+	return err
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,122 @@
+package store
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/aws/aws-sdk-go-v2/aws"
+	"github.com/aws/aws-sdk-go-v2/aws/ratelimit"
+	"github.com/aws/aws-sdk-go-v2/aws/retry"
+	"github.com/aws/aws-sdk-go-v2/credentials"
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
+	"github.com/aws/aws-sdk-go-v2/service/s3"
+	"github.com/rotisserie/eris"
+
+	"github.com/auburnwinch/auburnwinch/internal/config"
+	"github.com/auburnwinch/auburnwinch/internal/timer"
+)
+
+const (
+	// DefaultTimeout bounds one attempt. A reader waits up to 1 s for its turn, then reads the head row and the ticket;
+	// with 2 s for each, 1 s of the 6 s within which a ticket is in force remains for the rumour.
+	DefaultTimeout = 2 * time.Second
+	// DefaultAttempts is the number of attempts of one call, the first included.
+	DefaultAttempts = 2
+	// maxBackoff bounds the wait between attempts.
+	maxBackoff = 250 * time.Millisecond
+	// maxConnections bounds the open connections to each service.
+	maxConnections = 8
+	idleTimeout    = 90 * time.Second
+)
+
+// Config holds the access to the platform.
+type Config struct {
+	Platform config.Platform
+	// Timeout bounds one attempt; 0 means DefaultTimeout.
+	Timeout time.Duration
+	// Attempts is the number of attempts of one call; 0 means DefaultAttempts.
+	Attempts int
+	// Clock drives the breakers; nil means the clock of the process.
+	Clock timer.Service
+}
+
+// Store is the client of the platform; it is safe for concurrent use.
+type Store struct {
+	table    *dynamodb.Client
+	objects  *s3.Client
+	names    config.Platform
+	clock    timer.Service
+	tableUse *service
+	blobUse  *service
+}
+
+// New returns a client; it fails when an endpoint, a credential or a name is missing. It opens no connection.
+func New(c Config) (*Store, error) {
+	if err := c.Platform.Validate(); err != nil {
+		return nil, eris.Wrap(err, "platform settings")
+	}
+	c.setDefaults()
+	keys := credentials.NewStaticCredentialsProvider(c.Platform.AccessKeyID, c.Platform.SecretAccessKey, "")
+	return &Store{
+		table: dynamodb.New(dynamodb.Options{
+			BaseEndpoint: aws.String(c.Platform.TableEndpoint),
+			Region:       c.Platform.Region,
+			Credentials:  keys,
+			HTTPClient:   c.newHTTPClient(),
+			Retryer:      c.newRetryer(),
+		}),
+		objects: s3.New(s3.Options{
+			BaseEndpoint:               aws.String(c.Platform.ObjectEndpoint),
+			Region:                     c.Platform.Region,
+			Credentials:                keys,
+			HTTPClient:                 c.newHTTPClient(),
+			Retryer:                    c.newRetryer(),
+			UsePathStyle:               true,
+			RequestChecksumCalculation: aws.RequestChecksumCalculationWhenRequired,
+			ResponseChecksumValidation: aws.ResponseChecksumValidationWhenRequired,
+		}),
+		names:    c.Platform,
+		clock:    c.Clock,
+		tableUse: newService("table", c.Clock),
+		blobUse:  newService("object store", c.Clock),
+	}, nil
+}
+
+func (c *Config) setDefaults() {
+	if c.Timeout == 0 {
+		c.Timeout = DefaultTimeout
+	}
+	if c.Attempts == 0 {
+		c.Attempts = DefaultAttempts
+	}
+	if c.Clock == nil {
+		c.Clock = timer.NewReal()
+	}
+	if c.Platform.Region == "" {
+		c.Platform.Region = config.DefaultPlatformRegion
+	}
+}
+
+// newHTTPClient ignores proxies of the environment, because the endpoints come from the settings only.
+func (c *Config) newHTTPClient() *http.Client {
+	return &http.Client{
+		Timeout: c.Timeout,
+		Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: c.Timeout}).DialContext,
+			TLSHandshakeTimeout: c.Timeout,
+			MaxConnsPerHost:     maxConnections,
+			MaxIdleConnsPerHost: maxConnections,
+			IdleConnTimeout:     idleTimeout,
+		},
+	}
+}
+
+// newRetryer repeats only what the service refused or did not answer; all writes of this package bear repetition.
+func (c *Config) newRetryer() aws.Retryer {
+	return retry.NewStandard(func(o *retry.StandardOptions) {
+		o.MaxAttempts = c.Attempts
+		o.MaxBackoff = maxBackoff
+		o.RateLimiter = ratelimit.None
+	})
+}
