Accept and write optional sections of the settings

The check of optional sections compared the pointer type itself, so a tls section was refused, and settings written by a program contained empty fields that the strict reader refuses. The check now looks at the pointed-to type, and optional fields are left out when empty. Accepting empty fields was ruled out: a field without a value is more often a mistake than an intention.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -31,15 +31,15 @@
 type Settings struct {
 	Node              Place          `yaml:"node"`
 	Listeners         Listeners      `yaml:"listeners"`
-	Seeds             []string       `yaml:"seeds"`
-	FleetSecret       string         `yaml:"fleet-secret"`
-	FleetSecretFile   string         `yaml:"fleet-secret-file"`
-	OperatorToken     string         `yaml:"operator-token"`
-	OperatorTokenFile string         `yaml:"operator-token-file"`
-	TLS               *TLS           `yaml:"tls"`
+	Seeds             []string       `yaml:"seeds,omitempty"`
+	FleetSecret       string         `yaml:"fleet-secret,omitempty"`
+	FleetSecretFile   string         `yaml:"fleet-secret-file,omitempty"`
+	OperatorToken     string         `yaml:"operator-token,omitempty"`
+	OperatorTokenFile string         `yaml:"operator-token-file,omitempty"`
+	TLS               *TLS           `yaml:"tls,omitempty"`
 	Platform          Platform       `yaml:"platform"`
-	ShutdownTimeout   model.Duration `yaml:"shutdown-timeout"`
-	LogLevel          Level          `yaml:"log-level"`
+	ShutdownTimeout   model.Duration `yaml:"shutdown-timeout,omitempty"`
+	LogLevel          Level          `yaml:"log-level,omitempty"`
 }
 
 // Place names a node and where it stands.
@@ -69,7 +69,7 @@
 type Platform struct {
 	TableEndpoint   string `yaml:"table-endpoint"`
 	ObjectEndpoint  string `yaml:"object-endpoint"`
-	Region          string `yaml:"region"`
+	Region          string `yaml:"region,omitempty"`
 	AccessKeyID     string `yaml:"access-key-id"`
 	SecretAccessKey string `yaml:"secret-access-key"`
 	Table           string `yaml:"table"`
--- a/internal/strict/check.go
+++ b/internal/strict/check.go
@@ -31,6 +31,9 @@
 		c.add(node, path, "write a value or remove the field", "the field has no value")
 		return
 	}
+	if kind.Kind() == reflect.Pointer {
+		kind = kind.Elem()
+	}
 	if reflect.PointerTo(kind).Implements(textUnmarshaler) {
 		c.text(node, kind, path)
 		return
