--- a/internal/store/snapshot.go
+++ b/internal/store/snapshot.go
@@ -88,6 +88,29 @@
 	return batch, err
 }
 
+// Configuration returns the configuration after the last accepted ticket.
+func (s *Store) Configuration(ctx context.Context) (*model.Configuration, error) {
+	c := &model.Configuration{}
+	for {
+		batch, err := s.Since(ctx, c.Number)
+		if err != nil {
+			return nil, err
+		}
+		if batch.Snapshot == nil && len(batch.Tickets) == 0 {
+			return c, nil
+		}
+		if batch.Snapshot != nil {
+			c = batch.Snapshot
+		}
+		for _, t := range batch.Tickets {
+			if t.Number != c.Number+1 {
+				return nil, eris.Errorf("ticket %d is missing in the table; remedy: restore the row from a backup", c.Number+1)
+			}
+			c = ticket.Apply(c, t)
+		}
+	}
+}
+
 func (s *Store) hasObject(ctx context.Context, name string) (bool, error) {
 	err := s.blobUse.read(ctx, "look for a snapshot", func(ctx context.Context) error {
 		_, err := s.objects.HeadObject(ctx, &s3.HeadObjectInput{Bucket: &s.names.Bucket, Key: &name})
