Add the commands to check, file, show and list tickets

Exit codes tell scripts whether a ticket was refused, not accepted because the platform is away, or possibly accepted.

--- /dev/null
+++ b/cmd/auburnwinch/main.go
@@ -0,0 +1,56 @@
+// Command auburnwinch is the node of the fleet and the tool of its operators.
+//
+// Usage:
+//
+//	auburnwinch ticket check change.yaml
+//	auburnwinch ticket file change.yaml --settings node.yaml
+//	auburnwinch ticket show 12 --settings node.yaml
+//	auburnwinch ticket list --settings node.yaml --node 10.0.0.5:7404
+//
+// Exit codes: 0 done; 1 other failure; 2 invalid file, settings or arguments; 3 conflict with another accepted ticket
+// or a number that does not follow the last one; 4 the platform or the node did not answer and nothing was accepted;
+// 5 it is not known whether the ticket was accepted, file it again; 6 no such ticket.
+package main
+
+import (
+	"io"
+	"os"
+
+	"github.com/alecthomas/kong"
+)
+
+// cli lists the subcommands; each has a file of its own.
+type cli struct {
+	Ticket ticketCmd `cmd:"" help:"Check, file and show tickets, the numbered configuration changes."`
+}
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// run parses the arguments, runs the selected command and returns the exit code.
+func run(args []string, stdout, stderr io.Writer) int {
+	var c cli
+	exited := -1
+	parser := kong.Must(
+		&c,
+		kong.Name("auburnwinch"),
+		kong.Description("Proxy fleet for targets that fail partially.\n\n"+exitCodes),
+		kong.Writers(stdout, stderr),
+		kong.Exit(func(code int) { exited = code }),
+		kong.BindTo(stdout, (*io.Writer)(nil)),
+	)
+	ctx, err := parser.Parse(args)
+	if exited >= 0 {
+		return exited
+	}
+	if err != nil {
+		parser.Errorf("%s", err)
+		return codeInvalid
+	}
+	if err := ctx.Run(); err != nil {
+		parser.Errorf("%s", err)
+		return exitCode(err)
+	}
+	return codeDone
+}
