router: add an immutable route table

Routes are looked up by host, then by the longest path prefix of whole segments, then by method. A lookup cuts the path at the depth of the deepest prefix, so that a long path costs no more map lookups than the table is deep. httprouter was ruled out here: it refuses overlapping patterns and has no prefixes per host. Paths with dot segments are refused, because a target that resolves them would serve a path of another route. Not measured yet.

--- /dev/null
+++ b/internal/router/table.go
@@ -0,0 +1,166 @@
+package router
+
+import (
+	"slices"
+	"strings"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// Match is the route of a request and the service to which it leads.
+type Match struct {
+	Service string
+	Route   *model.RouteSpec
+}
+
+// Table maps requests to routes; it is never modified.
+type Table struct {
+	number uint64
+	routes int
+	hosts  map[string]*prefixes
+	anyone *prefixes
+}
+
+// Cell holds the current table; readers load it without a lock.
+type Cell struct {
+	pointer atomic.Pointer[Table]
+}
+
+type prefixes struct {
+	byPath   map[string][]entry
+	maxDepth int
+}
+
+type entry struct {
+	match   Match
+	methods []string
+}
+
+// Load returns the current table; it is nil before the first Store.
+func (c *Cell) Load() *Table {
+	return c.pointer.Load()
+}
+
+// Store replaces the current table.
+func (c *Cell) Store(t *Table) {
+	c.pointer.Store(t)
+}
+
+// New builds the table; it fails with ErrInvalid when a prefix is malformed or two routes accept the same request.
+func New(c *model.Configuration) (*Table, error) {
+	t := &Table{hosts: make(map[string]*prefixes), anyone: newPrefixes()}
+	if c == nil {
+		return t, nil
+	}
+	t.number = c.Number
+	for i := range c.Services {
+		for j := range c.Services[i].Routes {
+			if err := t.add(c.Services[i].Name, &c.Services[i].Routes[j]); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return t, nil
+}
+
+// Number returns the number of the configuration from which the table was built.
+func (t *Table) Number() uint64 {
+	return t.number
+}
+
+// Len returns the number of routes.
+func (t *Table) Len() int {
+	return t.routes
+}
+
+// Match finds the route of a request; it fails with ErrNoRoute, ErrMethod or ErrPath.
+func (t *Table) Match(host, path, method string) (Match, error) {
+	if !validPath(path) {
+		return Match{}, ErrPath
+	}
+	if len(t.hosts) > 0 {
+		if p := t.hosts[hostName(host)]; p != nil {
+			if entries := p.find(path); entries != nil {
+				return choose(entries, method)
+			}
+		}
+	}
+	if entries := t.anyone.find(path); entries != nil {
+		return choose(entries, method)
+	}
+	return Match{}, ErrNoRoute
+}
+
+func (t *Table) add(service string, route *model.RouteSpec) error {
+	if !validPath(route.PathPrefix) || strings.ContainsAny(route.PathPrefix, "?#") {
+		return eris.Wrapf(ErrInvalid, "route %q of service %q: path-prefix %q must start with / and hold no dot segments",
+			route.Name, service, route.PathPrefix)
+	}
+	p := t.anyone
+	if route.Host != "" {
+		host := hostName(route.Host)
+		if p = t.hosts[host]; p == nil {
+			p = newPrefixes()
+			t.hosts[host] = p
+		}
+	}
+	t.routes++
+	return p.add(entry{match: Match{Service: service, Route: route}, methods: upperAll(route.Methods)})
+}
+
+func newPrefixes() *prefixes {
+	return &prefixes{byPath: make(map[string][]entry)}
+}
+
+func (p *prefixes) add(e entry) error {
+	path := trimSlash(e.match.Route.PathPrefix)
+	for _, other := range p.byPath[path] {
+		if overlap(e.methods, other.methods) {
+			return eris.Wrapf(ErrInvalid, "route %q of service %q and route %q of service %q accept the same requests; "+
+				"change the host, path-prefix or methods of one of them",
+				e.match.Route.Name, e.match.Service, other.match.Route.Name, other.match.Service)
+		}
+	}
+	p.byPath[path] = append(p.byPath[path], e)
+	p.maxDepth = max(p.maxDepth, strings.Count(path, "/"))
+	return nil
+}
+
+// find tries the prefixes of the path from the longest to the shortest. Paths are cut at the depth of the deepest
+// prefix first, so that a long path costs no more lookups than the table is deep.
+func (p *prefixes) find(path string) []entry {
+	for path = cutDepth(path, p.maxDepth); path != ""; {
+		if entries := p.byPath[path]; entries != nil {
+			return entries
+		}
+		path = path[:strings.LastIndexByte(path, '/')]
+	}
+	return p.byPath[""]
+}
+
+func choose(entries []entry, method string) (Match, error) {
+	for i := range entries {
+		if len(entries[i].methods) == 0 || slices.Contains(entries[i].methods, method) {
+			return entries[i].match, nil
+		}
+	}
+	return Match{}, ErrMethod
+}
+
+func overlap(a, b []string) bool {
+	if len(a) == 0 || len(b) == 0 {
+		return true
+	}
+	return slices.ContainsFunc(a, func(method string) bool { return slices.Contains(b, method) })
+}
+
+func upperAll(methods []string) []string {
+	upper := make([]string, 0, len(methods))
+	for _, method := range methods {
+		upper = append(upper, strings.ToUpper(method))
+	}
+	return upper
+}
