--- /dev/null
+++ b/internal/retry/budget.go
@@ -0,0 +1,68 @@
+package retry
+
+import "sync/atomic"
+
+const (
+	// tokenUnits are the units of one token; a first attempt earns a tenth of a token.
+	tokenUnits    = 10
+	earnedUnits   = 1
+	defaultBurst  = 20
+	defaultAtRest = 3
+)
+
+// Config sizes a budget; zero fields take the defaults.
+type Config struct {
+	// Burst is the largest number of retries that can be saved up; default 20.
+	Burst int
+	// Reserve is the number of retries that a new budget holds; default 3, none when negative.
+	Reserve int
+}
+
+// Budget is a token bucket that allows one retry per ten first attempts; the zero value starts empty.
+type Budget struct {
+	units    atomic.Int64
+	maxUnits int64
+}
+
+// NewBudget returns a budget that holds its reserve.
+func NewBudget(c Config) *Budget {
+	if c.Burst <= 0 {
+		c.Burst = defaultBurst
+	}
+	if c.Reserve == 0 {
+		c.Reserve = defaultAtRest
+	}
+	b := &Budget{maxUnits: int64(c.Burst) * tokenUnits}
+	b.units.Store(min(int64(max(c.Reserve, 0))*tokenUnits, b.maxUnits))
+	return b
+}
+
+// Begin counts a first attempt.
+func (b *Budget) Begin() {
+	for {
+		units := b.units.Load()
+		if units >= b.limit() || b.units.CompareAndSwap(units, units+earnedUnits) {
+			return
+		}
+	}
+}
+
+// Spend takes the token for one retry; it reports false when none is left.
+func (b *Budget) Spend() bool {
+	for {
+		units := b.units.Load()
+		if units < tokenUnits {
+			return false
+		}
+		if b.units.CompareAndSwap(units, units-tokenUnits) {
+			return true
+		}
+	}
+}
+
+func (b *Budget) limit() int64 {
+	if b.maxUnits == 0 {
+		return defaultBurst * tokenUnits
+	}
+	return b.maxUnits
+}
