relay: add the protocol between edge and agent and its connections

Edge and agent share headers, signature, checksum and client connections, hence a package of its own. net/http's Transport was ruled out: it repeats requests by itself when a reused connection breaks, hides which connection a request takes, and can't close the idle siblings of one suspect connection. The connections write requests and read answers by net/http's own codec on the goroutine of the request and send each request once.

pkg/model gets two headers between nodes: Auburnwinch-Route, from which the agent takes the class of the request, and Auburnwinch-Fingerprint for poison requests.

--- /dev/null
+++ b/internal/relay/conn.go
@@ -0,0 +1,348 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"os"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	bufferBytes = 16 << 10
+	// maxHeaderBytes bounds the header of an answer, interim answers included.
+	maxHeaderBytes = 256 << 10
+)
+
+// Request is one request on a connection. URI and Host are sent as they are.
+type Request struct {
+	Method string
+	URI    string
+	Host   string
+	Header http.Header
+	// Body is nil without a body. ContentLength -1 sends it chunked.
+	Body          io.Reader
+	ContentLength int64
+	// SilentReused and SilentAny bound the time without any byte from the peer before the answer starts; zero means
+	// no bound. SilentReused holds on a reused connection until its first byte.
+	SilentReused time.Duration
+	SilentAny    time.Duration
+	// WaitContinue sends the body only after a 100 answer, so that a refusal leaves the body untouched.
+	WaitContinue bool
+	// AbortBody makes a pending read of the body return, when the answer or the connection ends before the body.
+	AbortBody func()
+}
+
+// Conn is a connection that carries one request at a time and sends each request exactly once.
+type Conn struct {
+	conn      net.Conn
+	pool      *Pool
+	limit     headerLimit
+	reader    *bufio.Reader
+	writer    *bufio.Writer
+	reused    bool
+	idleSince time.Time
+	stop      func() bool
+	request   *Request
+	written   chan error
+	response  *http.Response
+}
+
+// headerLimit bounds the bytes read for a header.
+type headerLimit struct {
+	conn net.Conn
+	left int64
+}
+
+func newConn(conn net.Conn, p *Pool) *Conn {
+	c := &Conn{conn: conn, pool: p, limit: headerLimit{conn: conn}}
+	c.reader = bufio.NewReaderSize(&c.limit, bufferBytes)
+	c.writer = bufio.NewWriterSize(conn, bufferBytes)
+	return c
+}
+
+// Read reads from the connection; it fails when the header is larger than the limit.
+func (l *headerLimit) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, eris.New("the header of the answer is too large; lower the headers that the target sends")
+	}
+	n, err := l.conn.Read(p)
+	l.left -= int64(n)
+	return n, err
+}
+
+// Reused reports whether the connection has served a request before.
+func (c *Conn) Reused() bool {
+	return c.reused
+}
+
+// RoundTrip sends the request and returns the answer once its header is read. It fails with ErrNotSent, ErrSilent,
+// ErrBroken, ErrBody or the error of the context; the connection is closed then.
+func (c *Conn) RoundTrip(ctx context.Context, r *Request) (*http.Response, error) {
+	if err := ctx.Err(); err != nil {
+		c.Close()
+		return nil, eris.Wrap(ErrNotSent, err.Error())
+	}
+	c.request = r
+	c.stop = context.AfterFunc(ctx, func() { _ = c.conn.Close() })
+	response, err := c.exchange(r)
+	if err == nil {
+		c.response = response
+		return response, nil
+	}
+	c.Close()
+	if cause := ctx.Err(); cause != nil && !errors.Is(err, ErrNotSent) {
+		return nil, eris.Wrapf(ErrBroken, "%v", cause)
+	}
+	return nil, err
+}
+
+// Release returns the connection to its pool after the whole answer was read; otherwise it closes the connection.
+func (c *Conn) Release() {
+	if !c.finished() {
+		c.Close()
+		return
+	}
+	c.response = nil
+	c.request = nil
+	c.pool.put(c)
+}
+
+// Close closes the connection, which abandons the request on it. When it returns, the body of the request is no longer
+// read.
+func (c *Conn) Close() {
+	if c.stop != nil {
+		c.stop()
+	}
+	_ = c.conn.Close()
+	if c.written == nil {
+		return
+	}
+	if c.request.AbortBody != nil {
+		c.request.AbortBody()
+	}
+	<-c.written
+	c.written = nil
+}
+
+// SetReadTimeout bounds the time until the next bytes of the body arrive; zero removes the bound.
+func (c *Conn) SetReadTimeout(d time.Duration) {
+	if d <= 0 {
+		_ = c.conn.SetReadDeadline(time.Time{})
+		return
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(d))
+}
+
+func (c *Conn) finished() bool {
+	unsent := c.request != nil && c.request.WaitContinue && c.written == nil
+	if c.response == nil || c.response.Close || c.reader.Buffered() > 0 || unsent || !c.stop() {
+		return false
+	}
+	if c.written != nil {
+		select {
+		case err := <-c.written:
+			c.written = nil
+			if err != nil {
+				return false
+			}
+		default:
+			return false
+		}
+	}
+	return c.conn.SetReadDeadline(time.Time{}) == nil
+}
+
+func (c *Conn) exchange(r *Request) (*http.Response, error) {
+	c.limit.left = maxHeaderBytes
+	c.writeHeader(r)
+	if r.Body == nil || r.ContentLength == 0 {
+		return c.readAfterWrite(r, c.writer.Flush())
+	}
+	if r.ContentLength > 0 && r.ContentLength <= int64(c.writer.Available()) {
+		if _, err := io.CopyN(c.writer, r.Body, r.ContentLength); err != nil {
+			return nil, eris.Wrapf(ErrBody, "%v", err)
+		}
+		return c.readAfterWrite(r, c.writer.Flush())
+	}
+	if r.WaitContinue {
+		return c.readAfterWrite(r, c.writer.Flush())
+	}
+	c.startBody(r)
+	return c.readResponse(r)
+}
+
+func (c *Conn) startBody(r *Request) {
+	c.written = make(chan error, 1)
+	go c.writeBody(r, c.written)
+}
+
+func (c *Conn) readAfterWrite(r *Request, err error) (*http.Response, error) {
+	if err != nil {
+		return nil, eris.Wrapf(ErrBroken, "write: %v", err)
+	}
+	return c.readResponse(r)
+}
+
+func (c *Conn) writeHeader(r *Request) {
+	w := c.writer
+	for _, part := range [...]string{r.Method, " ", r.URI, " HTTP/1.1\r\nHost: ", r.Host, "\r\n"} {
+		_, _ = w.WriteString(part)
+	}
+	switch {
+	case r.Body != nil && r.ContentLength < 0:
+		_, _ = w.WriteString("Transfer-Encoding: chunked\r\n")
+	case r.Body != nil || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch:
+		var digits [20]byte
+		_, _ = w.WriteString("Content-Length: ")
+		_, _ = w.Write(strconv.AppendInt(digits[:0], r.ContentLength, 10))
+		_, _ = w.WriteString("\r\n")
+	}
+	if r.WaitContinue {
+		_, _ = w.WriteString("Expect: 100-continue\r\n")
+	}
+	_ = r.Header.Write(w)
+	_, _ = w.WriteString("\r\n")
+}
+
+// writeBody runs beside the reader, because the peer may answer before it has the whole body.
+func (c *Conn) writeBody(r *Request, written chan<- error) {
+	err := c.copyBody(r)
+	if err == nil {
+		err = c.writer.Flush()
+	}
+	written <- err
+	if errors.Is(err, ErrBody) {
+		// The peer must not take the body as complete, and waits for the rest of it.
+		_ = c.conn.Close()
+	}
+}
+
+func (c *Conn) copyBody(r *Request) error {
+	var target io.Writer = c.writer
+	body := &errorReader{reader: r.Body}
+	if r.ContentLength < 0 {
+		chunked := httputil.NewChunkedWriter(flushWriter{c.writer})
+		if _, err := io.Copy(chunked, body); err != nil {
+			return body.kind(err)
+		}
+		if err := chunked.Close(); err != nil {
+			return err
+		}
+		_, err := c.writer.WriteString("\r\n")
+		return err
+	}
+	if _, err := io.CopyN(target, body, r.ContentLength); err != nil {
+		return body.kind(err)
+	}
+	return nil
+}
+
+// flushWriter sends each piece of a body at once, because its sender may wait for an answer to it.
+type flushWriter struct {
+	*bufio.Writer
+}
+
+// Write writes and flushes.
+func (w flushWriter) Write(p []byte) (int, error) {
+	n, err := w.Writer.Write(p)
+	if err != nil {
+		return n, err
+	}
+	return n, w.Flush()
+}
+
+// errorReader remembers that reading failed, to tell it from a failed write.
+type errorReader struct {
+	reader io.Reader
+	failed bool
+}
+
+// Read reads from the body.
+func (e *errorReader) Read(p []byte) (int, error) {
+	n, err := e.reader.Read(p)
+	e.failed = err != nil
+	return n, err
+}
+
+func (e *errorReader) kind(err error) error {
+	if e.failed {
+		return eris.Wrapf(ErrBody, "%v", err)
+	}
+	return err
+}
+
+func (c *Conn) readResponse(r *Request) (*http.Response, error) {
+	silent := r.SilentAny
+	if c.reused && r.SilentReused > 0 {
+		silent = r.SilentReused
+	}
+	for {
+		response, err := c.readHeader(r, silent)
+		if err != nil {
+			return nil, c.readError(err)
+		}
+		if response.StatusCode >= 200 || response.StatusCode == http.StatusSwitchingProtocols {
+			c.limit.left = 1 << 62
+			return response, nil
+		}
+		silent = r.SilentAny
+		if response.StatusCode == http.StatusContinue && r.WaitContinue && c.written == nil {
+			c.startBody(r)
+		}
+	}
+}
+
+func (c *Conn) readHeader(r *Request, silent time.Duration) (*http.Response, error) {
+	c.SetReadTimeout(silent)
+	if _, err := c.reader.Peek(1); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+}
+
+func (c *Conn) readError(err error) error {
+	if c.written != nil {
+		select {
+		case cause := <-c.written:
+			c.written = nil
+			if errors.Is(cause, ErrBody) {
+				return cause
+			}
+		default:
+		}
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return eris.Wrap(ErrSilent, c.pool.config.Address)
+	}
+	return eris.Wrapf(ErrBroken, "%s: %v", c.pool.config.Address, err)
+}
+
+// alive reports whether an idle connection is still open and has nothing to read. A closed connection would otherwise
+// leave the outcome of the next request in doubt.
+func (c *Conn) alive() bool {
+	raw, ok := c.conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = control.Read(func(fd uintptr) bool {
+		var one [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = n <= 0 && (errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK))
+		return true
+	})
+	return err == nil && open
+}
--- /dev/null
+++ b/internal/relay/errors.go
@@ -0,0 +1,21 @@
+package relay
+
+import "github.com/rotisserie/eris"
+
+// The kinds of errors; the message names the remedy.
+var (
+	// ErrDial means that no connection was made, so that the request certainly did not run.
+	ErrDial = eris.New("connection refused or timed out; check the address and the network path")
+	// ErrNotSent means that nothing of the request was written.
+	ErrNotSent = eris.New("the request was not sent; send it again")
+	// ErrSilent means that the peer said nothing in time; the connection is closed.
+	ErrSilent = eris.New("the connection went silent; use a new connection")
+	// ErrBroken means that the connection broke after a part of the request was sent.
+	ErrBroken = eris.New("the connection broke before the whole answer arrived; ask for the outcome of the request")
+	// ErrChecksum means that length or checksum of a body do not match its trailer.
+	ErrChecksum = eris.New("the body does not match its length or checksum; discard it")
+	// ErrBody means that the request body could not be read from its sender.
+	ErrBody = eris.New("the request body ended early; send the whole body")
+	// ErrSignature means that a relayed request is not signed with the fleet secret.
+	ErrSignature = eris.New("the signature of the relayed request is wrong; check that all nodes have the same secret")
+)
--- /dev/null
+++ b/internal/relay/header.go
@@ -0,0 +1,109 @@
+package relay
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// ownPrefix starts the names of all headers that the fleet sets itself.
+const ownPrefix = "Auburnwinch-"
+
+// Reasons of an agent that refuses a request; each is a certain not-run unless it says otherwise.
+const (
+	ReasonUnknownTarget = "unknown-target"
+	ReasonDraining      = "draining"
+	ReasonLeaving       = "node-leaving"
+	ReasonNoSlot        = "no-slot"
+	ReasonAccountShare  = "account-share"
+	ReasonDeadline      = "deadline"
+	ReasonSignature     = "signature"
+	ReasonBadRequest    = "bad-request"
+	ReasonUnreachable   = "target-unreachable"
+	ReasonPoison        = "poison"
+	// ReasonKeySeen tells that an earlier attempt with this key has reached a target.
+	ReasonKeySeen = "key-seen"
+	// ReasonBroken tells that the target broke off before it answered, so that the request may have run.
+	ReasonBroken = "target-broken"
+	// ReasonTimeout tells that the time ran out while the target worked.
+	ReasonTimeout = "timeout"
+)
+
+// CopyHeader adds the end-to-end headers of src to dst: neither those of one hop nor those of the fleet.
+func CopyHeader(dst, src http.Header) {
+	connection := src["Connection"]
+	for name, values := range src {
+		if hopByHop(name) || strings.HasPrefix(name, ownPrefix) || listed(connection, name) {
+			continue
+		}
+		dst[name] = values
+	}
+}
+
+// FormatTarget writes a target reference as it stands in the header.
+func FormatTarget(ref model.TargetRef) string {
+	return ref.Service + "/" + ref.ID + "/" + strconv.FormatUint(ref.Incarnation, 10)
+}
+
+// ParseTarget reads a target reference from the header; ok is false when it is malformed.
+func ParseTarget(text string) (ref model.TargetRef, ok bool) {
+	service, rest, found := strings.Cut(text, "/")
+	if !found {
+		return ref, false
+	}
+	i := strings.LastIndexByte(rest, '/')
+	if i < 0 {
+		return ref, false
+	}
+	incarnation, err := strconv.ParseUint(rest[i+1:], 10, 64)
+	if err != nil || service == "" || i == 0 {
+		return ref, false
+	}
+	return model.TargetRef{Service: service, ID: rest[:i], Incarnation: incarnation}, true
+}
+
+// Load is the load that an agent reports for a target.
+type Load struct {
+	InFlight int
+	Limit    int
+}
+
+// String writes the load as `in-flight/limit`.
+func (l Load) String() string {
+	return strconv.Itoa(l.InFlight) + "/" + strconv.Itoa(l.Limit)
+}
+
+// ParseLoad reads `in-flight/limit`; ok is false when it is malformed.
+func ParseLoad(text string) (load Load, ok bool) {
+	inFlight, limit, found := strings.Cut(text, "/")
+	if !found {
+		return Load{}, false
+	}
+	var err1, err2 error
+	load.InFlight, err1 = strconv.Atoi(inFlight)
+	load.Limit, err2 = strconv.Atoi(limit)
+	return load, err1 == nil && err2 == nil
+}
+
+func hopByHop(name string) bool {
+	switch name {
+	case "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Te", "Trailer", "Upgrade",
+		"Proxy-Authenticate", "Proxy-Authorization", "Expect", "Content-Length", "Host":
+		return true
+	default:
+		return false
+	}
+}
+
+func listed(connection []string, name string) bool {
+	for _, value := range connection {
+		for token := range strings.SplitSeq(value, ",") {
+			if strings.EqualFold(strings.TrimSpace(token), name) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/relay/sign.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"hash"
+	"sync"
+)
+
+const nonceBytes = 16
+
+// Signer signs relayed requests with the fleet secret; the zero value signs nothing and accepts everything.
+type Signer struct {
+	secret []byte
+	hashes sync.Pool
+}
+
+// Signed are the parts of a relayed request that the signature covers.
+type Signed struct {
+	Exchange string
+	Method   string
+	URI      string
+	Target   string
+	Key      string
+}
+
+// NewSigner returns a signer; an empty secret signs nothing.
+func NewSigner(secret []byte) *Signer {
+	return &Signer{secret: secret}
+}
+
+// NewExchange returns a random nonce.
+func NewExchange() string {
+	var raw [nonceBytes]byte
+	_, _ = rand.Read(raw[:])
+	return hex.EncodeToString(raw[:])
+}
+
+// Sign returns the signature, or the empty string without a secret.
+func (s *Signer) Sign(parts Signed) string {
+	if len(s.secret) == 0 {
+		return ""
+	}
+	mac, ok := s.hashes.Get().(hash.Hash)
+	if !ok {
+		mac = hmac.New(sha256.New, s.secret)
+	}
+	mac.Reset()
+	for _, part := range [...]string{parts.Exchange, parts.Method, parts.URI, parts.Target, parts.Key} {
+		_, _ = mac.Write([]byte(part))
+		_, _ = mac.Write([]byte{0})
+	}
+	var sum [sha256.Size]byte
+	text := hex.EncodeToString(mac.Sum(sum[:0]))
+	s.hashes.Put(mac)
+	return text
+}
+
+// Verify fails with ErrSignature unless the signature belongs to the parts.
+func (s *Signer) Verify(parts Signed, signature string) error {
+	if len(s.secret) == 0 || hmac.Equal([]byte(s.Sign(parts)), []byte(signature)) {
+		return nil
+	}
+	return ErrSignature
+}
--- a/pkg/model/header.go
+++ b/pkg/model/header.go
@@ -19,6 +19,10 @@
 	HeaderChecksum  = "Auburnwinch-Checksum"
 	HeaderReason    = "Auburnwinch-Reason"
 	HeaderSignature = "Auburnwinch-Signature"
+	// HeaderRoute names the route, from which the agent takes class and idempotency of the request.
+	HeaderRoute = "Auburnwinch-Route"
+	// HeaderFingerprint holds the fingerprint of the request in hexadecimal, for the detection of poison requests.
+	HeaderFingerprint = "Auburnwinch-Fingerprint"
 )
 
 // Paths of the callers' listener that the fleet serves itself.
