agent: add the HTTP shell of the agent role

Verifies, admits and forwards relayed requests, sends interim answers, length and checksum, and takes announcements of targets. Limiter, ledger, tracker and poison are small interfaces that may be left out. Not measured yet.

--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,133 @@
+package agent
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/sourcegraph/conc"
+
+	"github.com/auburnwinch/auburnwinch/internal/relay"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// targetDialTimeout bounds the connection to a target, which runs on the same VM.
+const targetDialTimeout = 2 * time.Second
+
+// Agent admits relayed requests to the targets on this VM.
+type Agent struct {
+	config   Config
+	registry *registry
+	signer   *relay.Signer
+	leaving  atomic.Bool
+	inFlight atomic.Int64
+	stop     chan struct{}
+	stopped  atomic.Bool
+	group    conc.WaitGroup
+}
+
+// New starts an agent; Close stops it.
+func New(c Config) (*Agent, error) {
+	a := &Agent{
+		config: c.withDefaults(), registry: newRegistry(), signer: relay.NewSigner(c.Secret),
+		stop: make(chan struct{}),
+	}
+	a.group.Go(a.watchExpiry)
+	return a, nil
+}
+
+// Targets returns the targets on this VM in the order of their references.
+func (a *Agent) Targets() []model.Target {
+	return a.registry.targets()
+}
+
+// InFlight returns the number of relayed requests that are not answered yet.
+func (a *Agent) InFlight() int {
+	return int(a.inFlight.Load())
+}
+
+// SetLeaving makes the agent refuse new requests, because the node shuts down.
+func (a *Agent) SetLeaving(leaving bool) {
+	a.leaving.Store(leaving)
+}
+
+// Drain marks a target as draining, like a target's own announcement of it.
+func (a *Agent) Drain(service, id string) error {
+	changed, err := a.registry.drain(localKey{service: service, id: id})
+	if changed {
+		a.publish()
+	}
+	return err
+}
+
+// Close stops the background work and closes idle connections; requests in flight go on.
+func (a *Agent) Close() error {
+	if a.stopped.Swap(true) {
+		return nil
+	}
+	close(a.stop)
+	a.group.Wait()
+	for _, l := range a.registry.all() {
+		l.pool.Close()
+	}
+	return nil
+}
+
+func (a *Agent) watchExpiry() {
+	ticks := a.config.Clock.Subscribe(expiryCheck)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-a.stop:
+			return
+		case now := <-ticks.C:
+			a.expire(now)
+		}
+	}
+}
+
+func (a *Agent) expire(now time.Time) {
+	for _, l := range a.registry.all() {
+		l.pool.CloseExpired(now)
+	}
+	gone := a.registry.expire(now, a.config.Expiry)
+	for _, l := range gone {
+		_ = level.Warn(a.config.Logger).Log("msg", "target stopped announcing itself", "service",
+			l.target.Ref.Service, "target", l.target.Ref.ID)
+	}
+	if len(gone) > 0 {
+		a.publish()
+	}
+}
+
+func (a *Agent) publish() {
+	if a.config.OnTargets != nil {
+		a.config.OnTargets(a.registry.targets())
+	}
+}
+
+func (a *Agent) service(name string) (model.ServiceSpec, bool) {
+	if a.config.View == nil {
+		return model.ServiceSpec{Name: name}, true
+	}
+	v := a.config.View.Load()
+	if v == nil {
+		return model.ServiceSpec{Name: name}, true
+	}
+	s := v.Service(name)
+	if s == nil {
+		return model.ServiceSpec{}, false
+	}
+	return s.Spec, true
+}
+
+func (a *Agent) newLocal(body announcement, spec model.ServiceSpec) *local {
+	target := model.Target{
+		Ref:  model.TargetRef{Service: body.Service, ID: body.ID, Incarnation: body.Incarnation},
+		Node: a.config.Self, Slots: body.Slots, State: model.TargetServing,
+	}
+	return &local{
+		target: target, address: body.Address, spec: spec, shared: &shared{},
+		limiter: a.config.NewLimiter(target, spec), pool: newPool(body.Address, a.config.Dial),
+	}
+}
--- /dev/null
+++ b/internal/agent/config.go
@@ -0,0 +1,158 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/auburnwinch/auburnwinch/internal/relay"
+	"github.com/auburnwinch/auburnwinch/internal/timer"
+	"github.com/auburnwinch/auburnwinch/internal/view"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// Config holds the parts of an agent; each may be left out.
+type Config struct {
+	Self model.NodeRef
+	// View tells which services exist; without it every service is accepted.
+	View *view.Cell
+	// Secret verifies relayed requests; without it they are not verified.
+	Secret []byte
+	// NewLimiter makes the admission control of a target; without it the slots are the limit and nobody waits.
+	NewLimiter func(model.Target, model.ServiceSpec) Limiter
+	// Tracker receives start and end of each request for the detection of unhealthy targets.
+	Tracker Tracker
+	// Ledger refuses keys that were seen before and keeps answers.
+	Ledger Ledger
+	// Poison refuses requests that crash targets, and is told of crashes.
+	Poison Poison
+	// OnTargets is called with all targets after a change.
+	OnTargets func([]model.Target)
+	Clock     timer.Service
+	Logger    log.Logger
+	Dial      relay.DialFunc
+	// InterimInterval is the time between interim answers; default 1 s.
+	InterimInterval time.Duration
+	// Expiry is the time after which a target that no longer announces itself is dropped; default 6 s.
+	Expiry time.Duration
+}
+
+// Limiter admits requests to one target.
+type Limiter interface {
+	Acquire(ctx context.Context, r AdmitRequest) (Permit, error)
+	Load() relay.Load
+}
+
+// AdmitRequest is what admission needs to know of a request.
+type AdmitRequest struct {
+	Account  string
+	Deadline time.Time
+}
+
+// Permit holds a slot until it is released.
+type Permit interface {
+	Release(r Result)
+}
+
+// ResultKind classifies how a request ended.
+type ResultKind uint8
+
+// The kinds of results.
+const (
+	ResultOK ResultKind = iota + 1
+	// ResultError is an answer of the target with status 500 or above.
+	ResultError
+	// ResultReset means that the target broke the connection.
+	ResultReset
+	// ResultTimeout means that the time ran out.
+	ResultTimeout
+	// ResultCanceled means that the caller went away, which says nothing about the target.
+	ResultCanceled
+	// ResultNotSent means that the target could not be reached.
+	ResultNotSent
+	// ResultCrashed means that the target broke the connection and refuses new ones.
+	ResultCrashed
+)
+
+// Result is the end of a request at a target.
+type Result struct {
+	Kind     ResultKind
+	Duration time.Duration
+}
+
+// TrackRequest is what detection needs to know of a request.
+type TrackRequest struct {
+	Target     model.TargetRef
+	Class      string
+	Idempotent bool
+}
+
+// Handle tracks one request.
+type Handle interface {
+	Finish(r Result)
+}
+
+// Tracker observes the requests of all targets.
+type Tracker interface {
+	Start(r TrackRequest) Handle
+}
+
+// Answer is an answer that the ledger keeps for a resend.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Ledger keeps the keys of requests that were handed to a target.
+type Ledger interface {
+	Admit(key string) bool
+	// Finish records the answer; nil means that it is too large to keep.
+	Finish(key string, answer *Answer)
+	// Fail records that the request may have run and has no answer.
+	Fail(key string)
+}
+
+// Suspect is a request that was in flight when its target died.
+type Suspect struct {
+	Service     string
+	Fingerprint uint64
+	Idempotent  bool
+}
+
+// Poison knows the requests that crash targets.
+type Poison interface {
+	// Quarantined reports whether the request must not run.
+	Quarantined(service string, fingerprint uint64) bool
+	// Crashed reports a dead target and the requests that were in flight there.
+	Crashed(target model.TargetRef, suspects []Suspect)
+}
+
+const (
+	defaultInterim = time.Second
+	defaultExpiry  = 6 * time.Second
+	expiryCheck    = time.Second
+	// maxAnswerBytes bounds the answers that are kept for a resend, as the design page says.
+	maxAnswerBytes = 64 << 10
+)
+
+func (c Config) withDefaults() Config {
+	if c.NewLimiter == nil {
+		c.NewLimiter = newSlots
+	}
+	if c.Clock == nil {
+		c.Clock = timer.NewReal()
+	}
+	if c.Logger == nil {
+		c.Logger = log.NewNopLogger()
+	}
+	if c.InterimInterval <= 0 {
+		c.InterimInterval = defaultInterim
+	}
+	if c.Expiry <= 0 {
+		c.Expiry = defaultExpiry
+	}
+	return c
+}
--- /dev/null
+++ b/internal/agent/registry.go
@@ -0,0 +1,130 @@
+package agent
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/auburnwinch/auburnwinch/internal/relay"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// The kinds of refused announcements.
+var (
+	errStale   = eris.New("a newer incarnation of this target has announced itself; restart the target")
+	errUnknown = eris.New("no such target on this node; announce it first")
+)
+
+// registry holds the targets on this VM. Readers load the map without a lock; writers replace it.
+type registry struct {
+	current atomic.Pointer[map[localKey]*local]
+	mu      sync.Mutex
+}
+
+func newRegistry() *registry {
+	r := &registry{}
+	r.current.Store(&map[localKey]*local{})
+	return r
+}
+
+func (r *registry) find(service, id string) *local {
+	return (*r.current.Load())[localKey{service: service, id: id}]
+}
+
+func (r *registry) all() []*local {
+	return slices.Collect(maps.Values(*r.current.Load()))
+}
+
+// targets returns all targets in the order of their references.
+func (r *registry) targets() []model.Target {
+	targets := make([]model.Target, 0)
+	for _, l := range r.all() {
+		targets = append(targets, l.model())
+	}
+	slices.SortFunc(targets, func(a, b model.Target) int { return a.Ref.Compare(b.Ref) })
+	return targets
+}
+
+// announce adds or refreshes a target and reports whether the fleet has to know; it fails with errStale.
+func (r *registry) announce(next *local, now time.Time) (changed bool, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.find(next.target.Ref.Service, next.target.Ref.ID)
+	switch {
+	case known == nil || next.target.Ref.Incarnation > known.target.Ref.Incarnation:
+		next.shared.announced.Store(now.UnixNano())
+		r.replace(next)
+		if known != nil {
+			known.pool.Close()
+		}
+		return true, nil
+	case next.target.Ref.Incarnation < known.target.Ref.Incarnation:
+		return false, errStale
+	}
+	known.shared.announced.Store(now.UnixNano())
+	if known.target.Slots == next.target.Slots && known.address == next.address {
+		return false, nil
+	}
+	next.shared = known.shared
+	r.replace(next)
+	known.pool.Close()
+	return true, nil
+}
+
+// drain marks a target as draining and reports whether it was not; it fails with errUnknown.
+func (r *registry) drain(key localKey) (changed bool, err error) {
+	l := r.find(key.service, key.id)
+	if l == nil {
+		return false, errUnknown
+	}
+	return !l.shared.draining.Swap(true), nil
+}
+
+// withdraw removes a target; it fails with errUnknown.
+func (r *registry) withdraw(key localKey) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.find(key.service, key.id)
+	if l == nil {
+		return errUnknown
+	}
+	r.remove(l)
+	return nil
+}
+
+// expire removes and returns the targets that no longer announce themselves.
+func (r *registry) expire(now time.Time, expiry time.Duration) []*local {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var gone []*local
+	for _, l := range r.all() {
+		if l.expired(now, expiry) {
+			r.remove(l)
+			gone = append(gone, l)
+		}
+	}
+	return gone
+}
+
+func (r *registry) replace(l *local) {
+	next := maps.Clone(*r.current.Load())
+	next[l.key()] = l
+	r.current.Store(&next)
+}
+
+func (r *registry) remove(l *local) {
+	// A request that already found the target must be refused like any other to a leaving target.
+	l.shared.draining.Store(true)
+	next := maps.Clone(*r.current.Load())
+	delete(next, l.key())
+	r.current.Store(&next)
+	l.pool.Close()
+}
+
+func newPool(address string, dial relay.DialFunc) *relay.Pool {
+	return relay.NewPool(relay.PoolConfig{Address: address, Dial: dial, DialTimeout: targetDialTimeout})
+}
--- /dev/null
+++ b/internal/agent/serve.go
@@ -0,0 +1,348 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/rotisserie/eris"
+
+	"github.com/auburnwinch/auburnwinch/internal/relay"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+const (
+	// queuedInterim is the wait for a slot after which the edge is told that the request is queued. It is well below
+	// the 500 ms after which an edge takes a reused connection as silent.
+	queuedInterim = 200 * time.Millisecond
+	// retryAfterBusy is the smallest value that Retry-After can express.
+	retryAfterBusy = time.Second
+	// unboundedTime is the deadline of a request whose edge states none.
+	unboundedTime = time.Hour
+)
+
+// exchange is one relayed request.
+type exchange struct {
+	agent    *Agent
+	w        http.ResponseWriter
+	r        *http.Request
+	local    *local
+	key      string
+	route    string
+	started  time.Time
+	deadline time.Time
+	interim  interim
+	suspect  Suspect
+	// abort makes the server close the connection without ending the answer.
+	abort bool
+}
+
+// ServeHTTP serves a request that an edge relays.
+func (a *Agent) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	a.inFlight.Add(1)
+	defer a.inFlight.Add(-1)
+	x := &exchange{agent: a, w: w, r: r, key: r.Header.Get(model.HeaderKey), route: r.Header.Get(model.HeaderRoute)}
+	x.started = a.config.Clock.Now()
+	x.interim = interim{w: w, interval: a.config.InterimInterval}
+	w.Header()[model.HeaderExchange] = r.Header[model.HeaderExchange]
+	if refusal := x.check(); refusal != "" {
+		x.refuse(refusal, model.OutcomeNotRun)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	defer cancel()
+	x.serve(ctx)
+	if x.abort {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// check returns the reason to refuse the request, or nothing.
+func (x *exchange) check() string {
+	h := x.r.Header
+	text := h.Get(model.HeaderTarget)
+	err := x.agent.signer.Verify(relay.Signed{
+		Exchange: h.Get(model.HeaderExchange), Method: x.r.Method, URI: x.r.RequestURI, Target: text, Key: x.key,
+	}, h.Get(model.HeaderSignature))
+	if err != nil {
+		_ = level.Warn(x.agent.config.Logger).Log("msg", "relayed request refused", "peer", x.r.RemoteAddr, "err", err)
+		return relay.ReasonSignature
+	}
+	if x.agent.leaving.Load() {
+		return relay.ReasonLeaving
+	}
+	ref, ok := relay.ParseTarget(text)
+	if !ok || !x.readTimeout(h.Get(model.HeaderTimeout)) {
+		_ = level.Warn(x.agent.config.Logger).Log("msg", "relayed request is malformed", "peer", x.r.RemoteAddr,
+			"target", text, "timeout", h.Get(model.HeaderTimeout))
+		return relay.ReasonBadRequest
+	}
+	x.local = x.agent.registry.find(ref.Service, ref.ID)
+	if x.local == nil || x.local.target.Ref != ref {
+		return relay.ReasonUnknownTarget
+	}
+	return x.checkLocal(ref)
+}
+
+func (x *exchange) checkLocal(ref model.TargetRef) string {
+	if x.local.shared.draining.Load() {
+		return relay.ReasonDraining
+	}
+	x.suspect = Suspect{Service: ref.Service, Idempotent: x.local.idempotent(x.route)}
+	if text := x.r.Header.Get(model.HeaderFingerprint); text != "" {
+		fingerprint, err := strconv.ParseUint(text, 16, 64)
+		if err != nil {
+			return relay.ReasonBadRequest
+		}
+		x.suspect.Fingerprint = fingerprint
+		if p := x.agent.config.Poison; p != nil && p.Quarantined(ref.Service, fingerprint) {
+			return relay.ReasonPoison
+		}
+	}
+	return ""
+}
+
+func (x *exchange) readTimeout(text string) bool {
+	x.deadline = x.started.Add(unboundedTime)
+	if text == "" {
+		return true
+	}
+	timeout, err := time.ParseDuration(text)
+	x.deadline = x.started.Add(timeout)
+	return err == nil
+}
+
+func (x *exchange) serve(ctx context.Context) {
+	x.interim.start(queuedInterim)
+	defer x.interim.end()
+	permit, err := x.local.limiter.Acquire(ctx, AdmitRequest{
+		Account: x.r.Header.Get(model.HeaderAccount), Deadline: x.deadline,
+	})
+	if err != nil {
+		x.refuse(refusalOf(err), model.OutcomeNotRun)
+		return
+	}
+	result := Result{Kind: ResultNotSent}
+	defer func() { permit.Release(result) }()
+	if x.key != "" && x.agent.config.Ledger != nil && !x.agent.config.Ledger.Admit(x.key) {
+		x.refuse(relay.ReasonKeySeen, model.OutcomeUnknown)
+		return
+	}
+	result = x.run(ctx)
+}
+
+// run hands the request to the target and streams the answer.
+func (x *exchange) run(ctx context.Context) Result {
+	x.local.shared.begin(x)
+	defer x.local.shared.end(x)
+	var handle Handle
+	if t := x.agent.config.Tracker; t != nil {
+		handle = t.Start(TrackRequest{Target: x.local.target.Ref, Class: x.route, Idempotent: x.suspect.Idempotent})
+	}
+	x.admit()
+	begin := x.agent.config.Clock.Now()
+	kind := x.forward(ctx)
+	result := Result{Kind: kind, Duration: x.agent.config.Clock.Now().Sub(begin)}
+	if handle != nil {
+		handle.Finish(result)
+	}
+	return result
+}
+
+// admit tells the edge that the request is admitted. An edge that waits with the body gets 100 instead of 102.
+func (x *exchange) admit() {
+	if x.r.Header.Get("Expect") != "" {
+		x.interim.sendStatus(http.StatusContinue)
+		return
+	}
+	x.interim.send()
+}
+
+func (x *exchange) forward(ctx context.Context) ResultKind {
+	if x.r.ContentLength != 0 {
+		// The target may answer before it has read the whole body.
+		_ = http.NewResponseController(x.w).EnableFullDuplex()
+	}
+	conn, err := x.local.pool.Get(ctx, relay.ConnAny)
+	if err != nil {
+		x.notSent(err)
+		return ResultNotSent
+	}
+	response, err := conn.RoundTrip(ctx, x.request())
+	if err != nil {
+		return x.broken(ctx, err)
+	}
+	return x.answer(ctx, conn, response)
+}
+
+func (x *exchange) request() *relay.Request {
+	header := make(http.Header, len(x.r.Header))
+	relay.CopyHeader(header, x.r.Header)
+	if x.key != "" {
+		header[model.HeaderIdempotencyKey] = []string{x.key}
+	}
+	header["Auburnwinch-Timeout"] = []string{time.Until(x.deadline).Round(time.Millisecond).String()}
+	r := &relay.Request{
+		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: header, ContentLength: x.r.ContentLength,
+	}
+	if x.r.ContentLength != 0 {
+		r.Body = x.r.Body
+	}
+	return r
+}
+
+// notSent answers that no connection to the target could be made, so that the request did not run.
+func (x *exchange) notSent(err error) {
+	_ = level.Warn(x.agent.config.Logger).Log("msg", "target unreachable", "service", x.local.target.Ref.Service,
+		"target", x.local.target.Ref.ID, "err", err)
+	x.fail()
+	x.refuse(relay.ReasonUnreachable, model.OutcomeNotRun)
+}
+
+// broken answers for a request that was sent and has no answer.
+func (x *exchange) broken(ctx context.Context, err error) ResultKind {
+	x.fail()
+	switch {
+	case errors.Is(err, relay.ErrNotSent):
+		x.refuse(relay.ReasonDeadline, model.OutcomeNotRun)
+		return ResultCanceled
+	case x.r.Context().Err() != nil:
+		x.refuse(relay.ReasonBroken, model.OutcomeUnknown)
+		return ResultCanceled
+	case ctx.Err() != nil:
+		x.refuse(relay.ReasonTimeout, model.OutcomeUnknown)
+		return ResultTimeout
+	case errors.Is(err, relay.ErrBody):
+		x.refuse(relay.ReasonBadRequest, model.OutcomeUnknown)
+		return ResultCanceled
+	}
+	_ = level.Warn(x.agent.config.Logger).Log("msg", "target broke off", "service", x.local.target.Ref.Service,
+		"target", x.local.target.Ref.ID, "err", err)
+	x.refuse(relay.ReasonBroken, model.OutcomeUnknown)
+	return ResultReset
+}
+
+func (x *exchange) fail() {
+	if x.key != "" && x.agent.config.Ledger != nil {
+		x.agent.config.Ledger.Fail(x.key)
+	}
+}
+
+// answer streams the answer of the target with length and checksum.
+func (x *exchange) answer(ctx context.Context, conn *relay.Conn, response *http.Response) ResultKind {
+	x.interim.end()
+	x.writeHeader(response)
+	var sum relay.Checksum
+	kept, err := x.copyBody(response.Body, &sum)
+	if err != nil {
+		conn.Close()
+		x.fail()
+		return x.brokenBody(ctx, sum.Length, err)
+	}
+	if relay.BodyAllowed(x.r.Method, response.StatusCode) {
+		sum.WriteTrailer(x.w.Header())
+	}
+	conn.Release()
+	if x.key != "" && x.agent.config.Ledger != nil {
+		x.agent.config.Ledger.Finish(x.key, kept.answer(response))
+	}
+	if response.StatusCode >= http.StatusInternalServerError {
+		return ResultError
+	}
+	return ResultOK
+}
+
+// brokenBody makes the server close the connection, so that the edge can't take the body as complete.
+func (x *exchange) brokenBody(ctx context.Context, length int64, err error) ResultKind {
+	x.abort = true
+	switch {
+	case x.r.Context().Err() != nil || errors.Is(err, errWrite):
+		return ResultCanceled
+	case ctx.Err() != nil:
+		return ResultTimeout
+	}
+	_ = level.Warn(x.agent.config.Logger).Log("msg", "target broke off its answer", "service",
+		x.local.target.Ref.Service, "target", x.local.target.Ref.ID, "bytes", length, "err", err)
+	return ResultReset
+}
+
+func (x *exchange) writeHeader(response *http.Response) {
+	h := x.w.Header()
+	relay.CopyHeader(h, response.Header)
+	h[model.HeaderOutcome] = []string{string(model.OutcomeDone)}
+	h[model.HeaderLoad] = []string{x.local.limiter.Load().String()}
+	if response.ContentLength >= 0 {
+		h[model.HeaderLength] = []string{strconv.FormatInt(response.ContentLength, 10)}
+	}
+	if relay.BodyAllowed(x.r.Method, response.StatusCode) {
+		h["Trailer"] = []string{relay.Trailers}
+	}
+	x.w.WriteHeader(response.StatusCode)
+}
+
+// errWrite marks that the edge no longer takes the answer.
+var errWrite = eris.New("the edge closed the connection; nothing to do")
+
+func (x *exchange) copyBody(body io.Reader, sum *relay.Checksum) (*keptBody, error) {
+	block := relay.GetBlock()
+	defer relay.PutBlock(block)
+	kept := &keptBody{wanted: x.key != "" && x.agent.config.Ledger != nil}
+	flusher, _ := x.w.(http.Flusher)
+	for {
+		n, err := relay.ReadBlock(body, block[:])
+		if n > 0 {
+			sum.Add(block[:n])
+			kept.add(block[:n])
+			if _, err := x.w.Write(block[:n]); err != nil {
+				return nil, errWrite
+			}
+			if flusher != nil && n < len(block) {
+				flusher.Flush()
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return kept, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// refuse answers that the target gave no answer, with the reason for the edge.
+func (x *exchange) refuse(reason string, outcome model.Outcome) {
+	x.interim.end()
+	x.w.Header()[model.HeaderReason] = []string{reason}
+	if x.local != nil {
+		x.w.Header()[model.HeaderLoad] = []string{x.local.limiter.Load().String()}
+	}
+	if x.agent.leaving.Load() {
+		x.w.Header()["Connection"] = []string{"close"}
+	}
+	relay.WriteRefusal(x.w, relay.Refusal{
+		Status:     http.StatusServiceUnavailable,
+		Answer:     model.Answer{Outcome: outcome, Reason: reason, Remedy: "the edge decides on another attempt"},
+		RetryAfter: retryAfterBusy,
+	})
+}
+
+// reasoner is an error of the limiter that knows the reason for the edge.
+type reasoner interface {
+	Reason() string
+}
+
+func refusalOf(err error) string {
+	var r reasoner
+	switch {
+	case errors.As(err, &r):
+		return r.Reason()
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		return relay.ReasonDeadline
+	default:
+		return relay.ReasonNoSlot
+	}
+}
--- /dev/null
+++ b/internal/agent/target.go
@@ -0,0 +1,83 @@
+package agent
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/auburnwinch/auburnwinch/internal/relay"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// local is a target on this VM. The registry replaces it as a whole when its announcement changes; counters and
+// connections are carried over.
+type local struct {
+	target  model.Target
+	address string
+	spec    model.ServiceSpec
+	limiter Limiter
+	pool    *relay.Pool
+	shared  *shared
+}
+
+// shared is the part of a target that stays for its whole incarnation.
+type shared struct {
+	draining  atomic.Bool
+	inFlight  atomic.Int64
+	announced atomic.Int64
+
+	mu      sync.Mutex
+	running map[*exchange]struct{}
+}
+
+type localKey struct {
+	service string
+	id      string
+}
+
+func (l *local) key() localKey {
+	return localKey{service: l.target.Ref.Service, id: l.target.Ref.ID}
+}
+
+func (l *local) state() model.TargetState {
+	if l.shared.draining.Load() {
+		return model.TargetDraining
+	}
+	return model.TargetServing
+}
+
+func (l *local) model() model.Target {
+	t := l.target
+	t.State = l.state()
+	return t
+}
+
+func (l *local) expired(now time.Time, expiry time.Duration) bool {
+	return now.Sub(time.Unix(0, l.shared.announced.Load())) > expiry
+}
+
+func (l *local) idempotent(route string) bool {
+	for i := range l.spec.Routes {
+		if l.spec.Routes[i].Name == route {
+			return l.spec.Routes[i].Idempotent
+		}
+	}
+	return false
+}
+
+func (s *shared) begin(x *exchange) {
+	s.inFlight.Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running == nil {
+		s.running = make(map[*exchange]struct{})
+	}
+	s.running[x] = struct{}{}
+}
+
+func (s *shared) end(x *exchange) {
+	s.inFlight.Add(-1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.running, x)
+}
