edge: add the HTTP shell of the edge role

Matches routes, chooses targets, repeats attempts where that is safe, checks whole answers and answers the caller with outcome and remedy. Picker, tracker, keys and poison are small interfaces that may be left out. Not measured yet.

--- /dev/null
+++ b/internal/edge/attempt.go
@@ -0,0 +1,198 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/auburnwinch/auburnwinch/internal/relay"
+	"github.com/auburnwinch/auburnwinch/internal/retry"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// failure is an attempt that gave no whole answer.
+type failure struct {
+	result retry.Result
+	kind   ResultKind
+	reason string
+	// repeat is false when another target would refuse the request for the same reason.
+	repeat bool
+}
+
+// leg is one exchange with an agent.
+type leg struct {
+	request  *request
+	choice   Choice
+	pool     *relay.Pool
+	conn     *relay.Conn
+	response *http.Response
+	exchange string
+	load     Load
+	handle   Handle
+	started  time.Time
+}
+
+// attempt sends the request to one target and delivers the answer; it returns nil when the caller was answered.
+func (q *request) attempt(ctx context.Context, c Choice) *failure {
+	l := q.begin(c)
+	if q.owned() {
+		q.edge.config.Keys.StartAttempt(q.key, c.Candidate.Target.Ref, c.Candidate.Node)
+	}
+	f := l.send(ctx, q.header)
+	if f == nil {
+		f = q.deliver(ctx, l)
+	}
+	l.finish(f)
+	q.endAttempt(f)
+	return f
+}
+
+func (q *request) endAttempt(f *failure) {
+	switch {
+	case f == nil:
+		if q.owned() {
+			q.edge.config.Keys.FinishAttempt(q.key)
+		}
+		q.endKey(model.OutcomeDone)
+	case f.result == retry.NotRun && q.owned():
+		q.edge.config.Keys.RefuseAttempt(q.key)
+	case f.kind == ResultPathFailure:
+		q.reuse = relay.ConnNew
+	}
+}
+
+// begin starts the leg to a target.
+func (q *request) begin(c Choice) *leg {
+	l := &leg{request: q, choice: c, pool: q.edge.pool(c.Candidate.Node.RelayAddress), started: time.Now()}
+	if t := q.edge.config.Tracker; t != nil {
+		l.handle = t.Start(TrackRequest{
+			Target: c.Candidate.Target.Ref, Node: c.Candidate.Node.Ref, Class: q.match.Route.Name,
+			Idempotent: q.match.Route.Idempotent,
+		})
+	}
+	return l
+}
+
+// finish reports the end of the leg to picker and detection.
+func (l *leg) finish(f *failure) {
+	kind := ResultOK
+	switch {
+	case f != nil:
+		kind = f.kind
+	case l.response != nil && l.response.StatusCode >= http.StatusInternalServerError:
+		kind = ResultError
+	}
+	if l.handle != nil {
+		l.handle.Finish(Result{Kind: kind, Duration: time.Since(l.started)})
+	}
+	l.request.edge.config.Picker.Done(l.choice, l.load)
+}
+
+// send relays the request and reads the header of the answer.
+func (l *leg) send(ctx context.Context, header http.Header) *failure {
+	q := l.request
+	conn, err := l.pool.Get(ctx, q.reuse)
+	if err != nil {
+		return l.notSent(ctx, err)
+	}
+	l.conn = conn
+	l.response, err = conn.RoundTrip(ctx, l.relayed(header))
+	if err != nil {
+		return l.broken(ctx, err)
+	}
+	if l.response.Header.Get(model.HeaderExchange) != l.exchange {
+		conn.Close()
+		l.pool.CloseIdle()
+		l.log("answer belongs to another exchange", nil)
+		return &failure{result: retry.InDoubt, kind: ResultPathFailure, reason: "the answer was for another exchange", repeat: true}
+	}
+	if load, ok := relay.ParseLoad(l.response.Header.Get(model.HeaderLoad)); ok {
+		l.load = Load{Load: load, Known: true}
+	}
+	if model.Outcome(l.response.Header.Get(model.HeaderOutcome)) == model.OutcomeDone {
+		return nil
+	}
+	return l.refused()
+}
+
+func (l *leg) relayed(header http.Header) *relay.Request {
+	q := l.request
+	target := relay.FormatTarget(l.choice.Candidate.Target.Ref)
+	l.exchange = relay.NewExchange()
+	header[model.HeaderExchange] = []string{l.exchange}
+	header[model.HeaderTarget] = []string{target}
+	header[model.HeaderTimeout] = []string{q.remaining()}
+	signature := q.edge.signer.Sign(relay.Signed{
+		Exchange: l.exchange, Method: q.r.Method, URI: q.r.RequestURI, Target: target, Key: q.key,
+	})
+	if signature != "" {
+		header[model.HeaderSignature] = []string{signature}
+	}
+	r := &relay.Request{
+		Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host, Header: header,
+		SilentReused: q.edge.config.SilentReused, SilentAny: q.edge.config.SilentAny,
+	}
+	q.body.attach(r)
+	return r
+}
+
+// refused reads the refusal of the agent.
+func (l *leg) refused() *failure {
+	h := l.response.Header
+	f := &failure{result: retry.InDoubt, kind: ResultReset, reason: h.Get(model.HeaderReason), repeat: true}
+	if model.Outcome(h.Get(model.HeaderOutcome)) == model.OutcomeNotRun {
+		f.result, f.kind = retry.NotRun, ResultRefused
+	}
+	switch f.reason {
+	case relay.ReasonPoison, relay.ReasonAccountShare, relay.ReasonDeadline:
+		f.repeat = false
+	case relay.ReasonTimeout:
+		f.kind, f.repeat = ResultTimeout, false
+	case relay.ReasonSignature:
+		l.log("agent refused the signature", nil)
+	}
+	if _, err := io.Copy(io.Discard, l.response.Body); err != nil {
+		l.conn.Close()
+		return f
+	}
+	l.conn.Release()
+	return f
+}
+
+// notSent reports that the agent could not be reached, so that the request did not run.
+func (l *leg) notSent(ctx context.Context, err error) *failure {
+	if ctx.Err() != nil {
+		return &failure{result: retry.NotRun, kind: ResultCanceled, reason: relay.ReasonDeadline}
+	}
+	l.pool.CloseIdle()
+	l.log("agent unreachable", err)
+	return &failure{result: retry.NotRun, kind: ResultPathFailure, reason: "the node of the target can't be reached", repeat: true}
+}
+
+// broken reports that the connection ended before the answer started.
+func (l *leg) broken(ctx context.Context, err error) *failure {
+	switch {
+	case errors.Is(err, relay.ErrNotSent):
+		return &failure{result: retry.NotRun, kind: ResultCanceled, reason: relay.ReasonDeadline}
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return &failure{result: retry.InDoubt, kind: ResultTimeout, reason: relay.ReasonTimeout}
+	case ctx.Err() != nil:
+		return &failure{result: retry.InDoubt, kind: ResultCanceled, reason: "the caller went away"}
+	case errors.Is(err, relay.ErrBody):
+		return &failure{result: retry.InDoubt, kind: ResultCanceled, reason: "the request body ended early"}
+	}
+	// The siblings of a broken or silent connection go through the same path.
+	l.pool.CloseIdle()
+	l.log("connection to agent broke", err)
+	return &failure{result: retry.InDoubt, kind: ResultPathFailure, reason: "the connection to the target broke", repeat: true}
+}
+
+func (l *leg) log(event string, err error) {
+	_ = level.Warn(l.request.edge.config.Logger).Log("msg", event, "exchange", l.exchange, "node",
+		l.choice.Candidate.Node.Ref.ID, "address", l.choice.Candidate.Node.RelayAddress, "target",
+		l.choice.Candidate.Target.Ref.ID, "err", err)
+}
--- /dev/null
+++ b/internal/edge/deliver.go
@@ -0,0 +1,168 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/auburnwinch/auburnwinch/internal/relay"
+	"github.com/auburnwinch/auburnwinch/internal/retry"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// unknownLength is the length of a body that is told only by the trailer.
+const unknownLength = -1
+
+// errCaller means that the caller no longer takes the answer.
+var errCaller = eris.New("the caller closed the connection; nothing to do")
+
+// delivery copies the body of one leg to the caller.
+type delivery struct {
+	request *request
+	leg     *leg
+	length  int64
+	sum     relay.Checksum
+	idle    time.Duration
+}
+
+// deliver copies the answer to the caller; it returns nil when the caller has the whole answer.
+func (q *request) deliver(ctx context.Context, l *leg) *failure {
+	d := &delivery{request: q, leg: l, length: lengthOf(l.response.Header), idle: q.edge.config.BodyIdle}
+	if q.match.Route.Resumable {
+		d.idle = q.edge.config.BodyIdleRange
+	}
+	if !relay.BodyAllowed(q.r.Method, l.response.StatusCode) {
+		d.writeHeader()
+		l.conn.Release()
+		return nil
+	}
+	err := d.copy()
+	if err == nil {
+		l.conn.Release()
+		return nil
+	}
+	l.conn.Close()
+	return d.failed(ctx, err)
+}
+
+func (d *delivery) failed(ctx context.Context, err error) *failure {
+	switch {
+	case errors.Is(err, errCaller), errors.Is(ctx.Err(), context.Canceled):
+		return &failure{result: retry.InDoubt, kind: ResultCanceled, reason: "the caller went away"}
+	case ctx.Err() != nil:
+		return &failure{result: retry.InDoubt, kind: ResultTimeout, reason: relay.ReasonTimeout}
+	}
+	d.leg.log("answer broke off", err)
+	return &failure{result: retry.InDoubt, kind: ResultReset, reason: "the answer of the target broke off", repeat: true}
+}
+
+// copy holds back the end of a body of known length until its trailer is checked, because the caller takes the body as
+// complete with its last byte. A body of unknown length is complete only with the end that follows the check.
+func (d *delivery) copy() error {
+	block := relay.GetBlock()
+	defer relay.PutBlock(block)
+	held := 0
+	for {
+		d.leg.conn.SetReadTimeout(d.idle)
+		n, err := relay.ReadBlock(d.leg.response.Body, block[held:])
+		d.sum.Add(block[held : held+n])
+		held += n
+		if errors.Is(err, io.EOF) {
+			return d.end(block[:held])
+		}
+		if err != nil {
+			return err
+		}
+		if held == len(block) || !d.holdsBack() {
+			if d.sum.Length == d.length {
+				if err := d.checkEnd(); err != nil {
+					return err
+				}
+				return d.write(block[:held])
+			}
+			if err := d.write(block[:held]); err != nil {
+				return err
+			}
+			held = 0
+		}
+	}
+}
+
+// holdsBack reports whether the bytes read so far must wait for the rest of the body.
+func (d *delivery) holdsBack() bool {
+	return d.length >= 0 && (d.length <= relay.BlockBytes || d.sum.Length >= d.length)
+}
+
+// checkEnd reads the end of a body whose bytes all have been read, and checks the trailer.
+func (d *delivery) checkEnd() error {
+	var one [1]byte
+	n, err := d.leg.response.Body.Read(one[:])
+	if n > 0 || err == nil {
+		return eris.Wrap(relay.ErrChecksum, "the body is longer than announced")
+	}
+	if !errors.Is(err, io.EOF) {
+		return err
+	}
+	return d.verify()
+}
+
+func (d *delivery) end(held []byte) error {
+	if err := d.verify(); err != nil {
+		return err
+	}
+	return d.write(held)
+}
+
+func (d *delivery) verify() error {
+	if d.length >= 0 && d.sum.Length != d.length {
+		return eris.Wrapf(relay.ErrChecksum, "got %d of %d bytes", d.sum.Length, d.length)
+	}
+	return d.sum.Verify(d.leg.response.Trailer)
+}
+
+func (d *delivery) write(p []byte) error {
+	if !d.request.sentHeader {
+		d.writeHeader()
+	}
+	if len(p) == 0 {
+		return nil
+	}
+	if _, err := d.request.w.Write(p); err != nil {
+		return errCaller
+	}
+	if d.length < 0 {
+		if flusher, ok := d.request.w.(http.Flusher); ok {
+			flusher.Flush()
+		}
+	}
+	return nil
+}
+
+func (d *delivery) writeHeader() {
+	q := d.request
+	h := q.w.Header()
+	relay.CopyHeader(h, d.leg.response.Header)
+	h[model.HeaderOutcome] = []string{string(model.OutcomeDone)}
+	if d.length >= 0 {
+		h["Content-Length"] = []string{strconv.FormatInt(d.length, 10)}
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		// Keeps the server from guessing a type that the target did not state.
+		h["Content-Type"] = nil
+	}
+	q.sentHeader = true
+	q.w.WriteHeader(d.leg.response.StatusCode)
+}
+
+func lengthOf(h http.Header) int64 {
+	length, err := strconv.ParseInt(h.Get(model.HeaderLength), 10, 64)
+	if err != nil || length < 0 {
+		return unknownLength
+	}
+	return length
+}
--- /dev/null
+++ b/internal/edge/doc.go
@@ -0,0 +1,10 @@
+// Package edge is the HTTP shell of the edge role: it accepts requests of callers, chooses targets, repeats attempts
+// where that is safe, and answers the caller.
+//
+// Usage:
+//
+//	e, err := edge.New(edge.Config{View: cell, Secret: secret, Picker: picker, Tracker: tracker, Keys: owner})
+//	e.SetRoutes(table)
+//	server := edge.NewServer(e, logger)
+//	go server.Serve(edge.NewListener(listener, logger))
+package edge
--- /dev/null
+++ b/internal/edge/request.go
@@ -0,0 +1,194 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/auburnwinch/auburnwinch/internal/relay"
+	"github.com/auburnwinch/auburnwinch/internal/retry"
+	"github.com/auburnwinch/auburnwinch/internal/router"
+	"github.com/auburnwinch/auburnwinch/internal/view"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// request is one request of a caller.
+type request struct {
+	edge     *Edge
+	w        http.ResponseWriter
+	r        *http.Request
+	match    router.Match
+	service  *view.Service
+	body     body
+	key      string
+	header   http.Header
+	deadline time.Time
+	tried    []model.TargetRef
+	attempts int
+	reuse    relay.Reuse
+	// sentHeader tells that the caller has received the header of an answer.
+	sentHeader bool
+	// abort makes the server close the connection without ending the answer.
+	abort bool
+}
+
+func (q *request) serve() {
+	if refusal, ok := q.prepare(); !ok {
+		q.refuse(refusal)
+		return
+	}
+	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
+	defer cancel()
+	defer q.body.release()
+	if err := q.body.read(q.w, q.r); err != nil {
+		q.refuse(notRun(http.StatusBadRequest, "the request body is shorter than announced or malformed", remedyFix))
+		return
+	}
+	if refusal, ok := q.prepareHeader(); !ok {
+		q.refuse(refusal)
+		return
+	}
+	if !q.beginKey(ctx) {
+		return
+	}
+	q.edge.budget(q.match.Service).Begin()
+	q.run(ctx)
+}
+
+// prepare finds route, service and deadline.
+func (q *request) prepare() (relay.Refusal, bool) {
+	table, current := q.edge.routes.Load(), q.edge.config.View.Load()
+	if table == nil || current == nil {
+		return notRun(http.StatusServiceUnavailable, "this node has no configuration yet", remedyLater), false
+	}
+	match, err := table.Match(q.r.Host, q.r.URL.Path, q.r.Method)
+	if err != nil {
+		return q.noRoute(err), false
+	}
+	q.match = match
+	if q.service = current.Service(match.Service); q.service == nil {
+		return notRun(http.StatusServiceUnavailable, "the service of this route is not in force yet", remedyLater), false
+	}
+	timeout := time.Duration(match.Route.Timeout)
+	orDefault(&timeout, q.edge.config.DefaultTimeout)
+	if text := q.r.Header.Get(model.HeaderTimeout); text != "" {
+		own, err := time.ParseDuration(text)
+		if err != nil || own <= 0 {
+			return notRun(http.StatusBadRequest, "the header "+model.HeaderTimeout+" is no positive duration such as 2s",
+				remedyFix), false
+		}
+		timeout = min(timeout, own)
+	}
+	q.deadline = time.Now().Add(timeout)
+	return relay.Refusal{}, true
+}
+
+func (q *request) noRoute(err error) relay.Refusal {
+	_ = level.Info(q.edge.config.Logger).Log("msg", "no route", "host", q.r.Host, "path", q.r.URL.Path, "method",
+		q.r.Method, "err", err)
+	switch {
+	case errors.Is(err, router.ErrMethod):
+		return notRun(http.StatusMethodNotAllowed, "the route does not accept this method", remedyFix)
+	case errors.Is(err, router.ErrPath):
+		return notRun(http.StatusBadRequest, "the path holds dot segments", remedyFix)
+	default:
+		return notRun(http.StatusNotFound, "no route matches host and path", remedyFix)
+	}
+}
+
+// prepareHeader builds the part of the relayed header that all attempts share.
+func (q *request) prepareHeader() (relay.Refusal, bool) {
+	h := make(http.Header, len(q.r.Header)+8)
+	relay.CopyHeader(h, q.r.Header)
+	delete(h, model.HeaderIdempotencyKey)
+	h[model.HeaderRoute] = []string{q.match.Route.Name}
+	if account := q.r.Header[model.HeaderAccount]; len(account) > 0 {
+		h[model.HeaderAccount] = account[:1]
+	}
+	q.header = h
+	if p := q.edge.config.Poison; p != nil {
+		fingerprint := p.Fingerprint(PoisonRequest{
+			Service: q.match.Service, Method: q.r.Method, Path: q.r.URL.Path, Query: q.r.URL.RawQuery,
+			Body: q.body.held, Key: q.r.Header.Get(model.HeaderIdempotencyKey),
+		})
+		if p.Quarantined(q.match.Service, fingerprint) {
+			return poisoned(), false
+		}
+		h[model.HeaderFingerprint] = []string{strconv.FormatUint(fingerprint, 16)}
+	}
+	return relay.Refusal{}, true
+}
+
+// run sends attempts until one is answered or no further one is permitted.
+func (q *request) run(ctx context.Context) {
+	for {
+		choice, err := q.edge.config.Picker.Pick(PickRequest{
+			Service: q.service, Route: q.match.Route, Idempotent: q.match.Route.Idempotent, Tried: q.tried,
+		})
+		if err != nil {
+			q.endKey(model.OutcomeNotRun)
+			q.refuse(notRun(http.StatusServiceUnavailable, "no target of the service takes requests", remedyLater))
+			return
+		}
+		q.attempts++
+		q.tried = append(q.tried, choice.Candidate.Target.Ref)
+		f := q.attempt(ctx, choice)
+		if f == nil || q.resolve(ctx, f) {
+			return
+		}
+		if !q.mayRepeat(ctx, f) {
+			q.giveUp(ctx, f)
+			return
+		}
+	}
+}
+
+func (q *request) mayRepeat(ctx context.Context, f *failure) bool {
+	allowed := f.repeat && retry.Allowed(retry.Attempt{
+		Number: q.attempts, Result: f.result, Idempotent: q.match.Route.Idempotent, BodyHeld: q.body.repeatable(),
+		Answered: q.sentHeader,
+	})
+	return allowed && ctx.Err() == nil && q.edge.budget(q.match.Service).Spend()
+}
+
+// giveUp answers for the last attempt.
+func (q *request) giveUp(ctx context.Context, f *failure) {
+	switch {
+	case q.sentHeader:
+		q.endKey(model.OutcomeUnknown)
+		q.abort = true
+	case f.result == retry.NotRun:
+		q.endKey(model.OutcomeNotRun)
+		q.refuse(ofAgent(f.reason))
+	default:
+		q.endKey(model.OutcomeUnknown)
+		q.refuse(q.inDoubt(ctx, f))
+	}
+}
+
+func (q *request) inDoubt(ctx context.Context, f *failure) relay.Refusal {
+	remedy := remedyUnknown
+	if q.match.Route.Idempotent {
+		remedy = remedyResend
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) || f.reason == relay.ReasonTimeout {
+		return unknown(http.StatusGatewayTimeout, "the time of the request ran out", remedy)
+	}
+	return unknown(http.StatusBadGateway, f.reason, remedy)
+}
+
+func (q *request) refuse(r relay.Refusal) {
+	if !q.body.complete() && q.r.ContentLength != 0 {
+		q.w.Header()["Connection"] = []string{"close"}
+	}
+	relay.WriteRefusal(q.w, r)
+}
+
+// breakOff closes the connection so that the caller can't take the answer as complete.
+func (q *request) breakOff() {
+	panic(http.ErrAbortHandler)
+}
