--- /dev/null
+++ b/cmd/standin/target_fault.go
@@ -0,0 +1,214 @@
+package main
+
+import (
+	"encoding/json"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// fault is what the target does wrong; the zero value is a healthy target.
+type fault struct {
+	// Stall holds every request until the fault is taken back; probes are still answered.
+	Stall bool `json:"stall"`
+	// StallProbes holds probes as well.
+	StallProbes bool `json:"stall-probes"`
+	// SlowFactor multiplies the service time.
+	SlowFactor float64 `json:"slow-factor"`
+	// ErrorRatio is the share of requests that are answered with 500.
+	ErrorRatio float64 `json:"error-ratio"`
+	// ResetRatio is the share of requests whose connection is reset after the work.
+	ResetRatio float64 `json:"reset-ratio"`
+	// TruncateAfter breaks bodies off after this number of bytes; zero means never.
+	TruncateAfter int64 `json:"truncate-after"`
+	// StallAfter holds bodies after this number of bytes; zero means never.
+	StallAfter int64 `json:"stall-after"`
+	// CrashMark crashes the target on requests whose header Standin-Mark has this value.
+	CrashMark string `json:"crash-mark"`
+	// For takes the fault back after this time; zero keeps it.
+	For model.Duration `json:"for"`
+}
+
+// faults holds the current fault; a changed fault releases stalled requests.
+type faults struct {
+	mu      sync.Mutex
+	current fault
+	changed chan struct{}
+	number  uint64
+}
+
+// work draws service times.
+type work struct {
+	median time.Duration
+	spread float64
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+// records counts the runs of each request.
+type records struct {
+	inFlight atomic.Int64
+	total    atomic.Int64
+	mu       sync.Mutex
+	runs     map[string]*run
+}
+
+// run is what the target knows of one request.
+type run struct {
+	Request string `json:"request"`
+	Key     string `json:"key"`
+	Begun   int    `json:"begun"`
+	Ended   int    `json:"ended"`
+}
+
+type summary struct {
+	InFlight int64 `json:"in-flight"`
+	Total    int64 `json:"total"`
+	Fault    fault `json:"fault"`
+	Runs     []run `json:"runs"`
+}
+
+func newWork(median time.Duration, spread float64, seed uint64) *work {
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	return &work{median: median, spread: spread, random: rand.New(rand.NewPCG(seed, seed))}
+}
+
+func (w *work) draw() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Duration(float64(w.median) * math.Exp(w.spread*w.random.NormFloat64()))
+}
+
+func (w *work) hits(ratio float64) bool {
+	if ratio <= 0 {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.random.Float64() < ratio
+}
+
+func (f *faults) get() (fault, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.changed == nil {
+		f.changed = make(chan struct{})
+	}
+	return f.current, f.changed
+}
+
+func (f *faults) set(next fault) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.current = next
+	f.number++
+	if f.changed != nil {
+		close(f.changed)
+	}
+	f.changed = make(chan struct{})
+	if next.For > 0 {
+		number := f.number
+		time.AfterFunc(time.Duration(next.For), func() { f.clear(number) })
+	}
+}
+
+func (f *faults) clear(number uint64) {
+	f.mu.Lock()
+	same := f.number == number
+	f.mu.Unlock()
+	if same {
+		f.set(fault{})
+	}
+}
+
+func (r *records) begin(request, key string) {
+	r.inFlight.Add(1)
+	r.total.Add(1)
+	if request == "" {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.runs == nil {
+		r.runs = make(map[string]*run)
+	}
+	known := r.runs[request]
+	if known == nil {
+		known = &run{Request: request, Key: key}
+		r.runs[request] = known
+	}
+	known.Begun++
+}
+
+func (r *records) end(request string, whole bool) {
+	r.inFlight.Add(-1)
+	if request == "" || !whole {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs[request].Ended++
+}
+
+// find returns the runs whose request or key has the value; an empty value returns all.
+func (r *records) find(value string) []run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	found := make([]run, 0)
+	for _, known := range r.runs {
+		if value == "" || known.Request == value || known.Key == value {
+			found = append(found, *known)
+		}
+	}
+	return found
+}
+
+// controlHandler serves GET /runs?key=…, PUT /fault and POST /drain.
+func (t *target) controlHandler() http.Handler {
+	router := httprouter.New()
+	router.GET("/runs", t.serveRuns)
+	router.PUT("/fault", t.serveFault)
+	router.DELETE("/fault", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		t.faults.set(fault{})
+		w.WriteHeader(http.StatusNoContent)
+	})
+	router.POST("/drain", t.serveDrain)
+	return router
+}
+
+func (t *target) serveRuns(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	current, _ := t.faults.get()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(summary{
+		InFlight: t.records.inFlight.Load(), Total: t.records.total.Load(), Fault: current,
+		Runs: t.records.find(r.URL.Query().Get("key")),
+	})
+}
+
+func (t *target) serveFault(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var next fault
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&next); err != nil {
+		http.Error(w, "fault must be a JSON object with known fields: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	t.faults.set(next)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// serveDrain tells the node, and ends the process when nothing is in flight any more.
+func (t *target) serveDrain(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	t.tell(r.Context(), "/v1/drain", departure{Service: t.config.Service, ID: t.config.ID})
+	t.drain.Do(func() { close(t.drained) })
+	w.WriteHeader(http.StatusNoContent)
+}
