agent, edge: never answer not-run after an attempt in doubt; report crashes

A request whose first attempt broke off and whose second attempt was refused was answered not-run, although the first may have run. The edge now remembers attempts in doubt. The agent marks a key as seen only once it has a connection to the target, so that an unreachable target doesn't use the key up. A target that breaks off and refuses a new connection counts as crashed: it leaves the registry until it announces itself again, and the request is reported as suspect, once per fingerprint and death. A reset alone was ruled out as the sign of a crash, because a live target can reset too.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -1,7 +1,10 @@
 package agent
 
 import (
+	"context"
+	"errors"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -14,6 +17,9 @@
 // targetDialTimeout bounds the connection to a target, which runs on the same VM.
 const targetDialTimeout = 2 * time.Second
 
+// crashCheck bounds the connection by which a dead target is told from one that only broke a connection.
+const crashCheck = 500 * time.Millisecond
+
 // Agent admits relayed requests to the targets on this VM.
 type Agent struct {
 	config   Config
@@ -21,6 +27,8 @@
 	signer   *relay.Signer
 	leaving  atomic.Bool
 	inFlight atomic.Int64
+	// suspectRuns is the place for the one request that is suspect of crashing targets.
+	suspectRuns atomic.Bool
 	stop     chan struct{}
 	stopped  atomic.Bool
 	group    conc.WaitGroup
@@ -100,6 +108,36 @@
 	}
 }
 
+// crashed reports whether the target of a broken exchange is dead: it refuses new connections. Then the request becomes
+// suspect.
+func (a *Agent) crashed(x *exchange) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), crashCheck)
+	defer cancel()
+	conn, err := x.local.pool.Get(ctx, relay.ConnNew)
+	if err == nil {
+		conn.Discard()
+		return false
+	}
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return false
+	}
+	a.targetGone(x.local)
+	if a.config.Poison != nil && x.suspect.Fingerprint != 0 && x.local.shared.report(x.suspect.Fingerprint) {
+		a.config.Poison.Crashed(x.local.target.Ref, x.suspect)
+	}
+	return true
+}
+
+// targetGone removes a target that refuses connections; it comes back with its next announcement.
+func (a *Agent) targetGone(l *local) {
+	if !a.registry.removeRun(l) {
+		return
+	}
+	_ = level.Warn(a.config.Logger).Log("msg", "target refuses connections and is removed", "service",
+		l.target.Ref.Service, "target", l.target.Ref.ID, "incarnation", l.target.Ref.Incarnation)
+	a.publish()
+}
+
 func (a *Agent) publish() {
 	if a.config.OnTargets != nil {
 		a.config.OnTargets(a.registry.targets())
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -122,12 +122,23 @@
 	Idempotent  bool
 }
 
+// PoisonVerdict says whether a request may run.
+type PoisonVerdict uint8
+
+// The verdicts on a request.
+const (
+	PoisonClear PoisonVerdict = iota
+	// PoisonSuspect permits the request to run alone.
+	PoisonSuspect
+	PoisonQuarantined
+)
+
 // Poison knows the requests that crash targets.
 type Poison interface {
-	// Quarantined reports whether the request must not run.
-	Quarantined(service string, fingerprint uint64) bool
-	// Crashed reports a dead target and the requests that were in flight there.
-	Crashed(target model.TargetRef, suspects []Suspect)
+	Verdict(service string, fingerprint uint64) PoisonVerdict
+	// Crashed reports a request that was in flight when the target died, once per fingerprint and death. It returns
+	// when the suspicion was sent to the other agents of the service.
+	Crashed(target model.TargetRef, s Suspect)
 }
 
 const (
--- a/internal/agent/registry.go
+++ b/internal/agent/registry.go
@@ -96,6 +96,18 @@
 	return nil
 }
 
+// removeRun removes this incarnation of a target, if it is still there.
+func (r *registry) removeRun(l *local) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.find(l.target.Ref.Service, l.target.Ref.ID)
+	if known == nil || known.target.Ref != l.target.Ref {
+		return false
+	}
+	r.remove(known)
+	return true
+}
+
 // expire removes and returns the targets that no longer announce themselves.
 func (r *registry) expire(now time.Time, expiry time.Duration) []*local {
 	r.mu.Lock()
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -37,6 +38,8 @@
 	deadline time.Time
 	interim  interim
 	suspect  Suspect
+	// alone tells that this request holds the only place for suspect requests.
+	alone bool
 	// abort makes the server close the connection without ending the answer.
 	abort bool
 }
@@ -49,6 +52,7 @@
 	x.started = a.config.Clock.Now()
 	x.interim = interim{w: w, interval: a.config.InterimInterval}
 	w.Header()[model.HeaderExchange] = r.Header[model.HeaderExchange]
+	defer x.leave()
 	if refusal := x.check(); refusal != "" {
 		x.refuse(refusal, model.OutcomeNotRun)
 		return
@@ -61,6 +65,12 @@
 	}
 }
 
+func (x *exchange) leave() {
+	if x.alone {
+		x.agent.suspectRuns.Store(false)
+	}
+}
+
 // check returns the reason to refuse the request, or nothing.
 func (x *exchange) check() string {
 	h := x.r.Header
@@ -99,9 +109,25 @@
 			return relay.ReasonBadRequest
 		}
 		x.suspect.Fingerprint = fingerprint
-		if p := x.agent.config.Poison; p != nil && p.Quarantined(ref.Service, fingerprint) {
-			return relay.ReasonPoison
+		return x.checkPoison()
+	}
+	return ""
+}
+
+// checkPoison lets a request that is suspect of crashing targets run only while no other suspect one runs here.
+func (x *exchange) checkPoison() string {
+	if x.agent.config.Poison == nil {
+		return ""
+	}
+	switch x.agent.config.Poison.Verdict(x.suspect.Service, x.suspect.Fingerprint) {
+	case PoisonQuarantined:
+		return relay.ReasonPoison
+	case PoisonSuspect:
+		if !x.agent.suspectRuns.CompareAndSwap(false, true) {
+			return relay.ReasonSuspect
 		}
+		x.alone = true
+	case PoisonClear:
 	}
 	return ""
 }
@@ -128,24 +154,36 @@
 	}
 	result := Result{Kind: ResultNotSent}
 	defer func() { permit.Release(result) }()
-	if x.key != "" && x.agent.config.Ledger != nil && !x.agent.config.Ledger.Admit(x.key) {
+	conn, err := x.local.pool.Get(ctx, relay.ConnAny)
+	if err != nil {
+		x.notSent(ctx, err)
+		return
+	}
+	// The key is marked as seen only when the request is handed to the target.
+	if x.keyed() && !x.agent.config.Ledger.Admit(x.key) {
+		conn.Discard()
 		x.refuse(relay.ReasonKeySeen, model.OutcomeUnknown)
 		return
 	}
-	result = x.run(ctx)
+	result = x.run(ctx, conn)
+}
+
+// keyed reports whether the ledger follows the key; idempotent requests may run several times.
+func (x *exchange) keyed() bool {
+	return x.key != "" && x.agent.config.Ledger != nil && !x.suspect.Idempotent
 }
 
 // run hands the request to the target and streams the answer.
-func (x *exchange) run(ctx context.Context) Result {
-	x.local.shared.begin(x)
-	defer x.local.shared.end(x)
+func (x *exchange) run(ctx context.Context, conn *relay.Conn) Result {
+	x.local.shared.inFlight.Add(1)
+	defer x.local.shared.inFlight.Add(-1)
 	var handle Handle
 	if t := x.agent.config.Tracker; t != nil {
 		handle = t.Start(TrackRequest{Target: x.local.target.Ref, Class: x.route, Idempotent: x.suspect.Idempotent})
 	}
 	x.admit()
 	begin := x.agent.config.Clock.Now()
-	kind := x.forward(ctx)
+	kind := x.forward(ctx, conn)
 	result := Result{Kind: kind, Duration: x.agent.config.Clock.Now().Sub(begin)}
 	if handle != nil {
 		handle.Finish(result)
@@ -162,16 +200,11 @@
 	x.interim.send()
 }
 
-func (x *exchange) forward(ctx context.Context) ResultKind {
+func (x *exchange) forward(ctx context.Context, conn *relay.Conn) ResultKind {
 	if x.r.ContentLength != 0 {
 		// The target may answer before it has read the whole body.
 		_ = http.NewResponseController(x.w).EnableFullDuplex()
 	}
-	conn, err := x.local.pool.Get(ctx, relay.ConnAny)
-	if err != nil {
-		x.notSent(err)
-		return ResultNotSent
-	}
 	response, err := conn.RoundTrip(ctx, x.request())
 	if err != nil {
 		return x.broken(ctx, err)
@@ -196,10 +229,16 @@
 }
 
 // notSent answers that no connection to the target could be made, so that the request did not run.
-func (x *exchange) notSent(err error) {
+func (x *exchange) notSent(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		x.refuse(relay.ReasonDeadline, model.OutcomeNotRun)
+		return
+	}
 	_ = level.Warn(x.agent.config.Logger).Log("msg", "target unreachable", "service", x.local.target.Ref.Service,
 		"target", x.local.target.Ref.ID, "err", err)
-	x.fail()
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		x.agent.targetGone(x.local)
+	}
 	x.refuse(relay.ReasonUnreachable, model.OutcomeNotRun)
 }
 
@@ -222,12 +261,16 @@
 	}
 	_ = level.Warn(x.agent.config.Logger).Log("msg", "target broke off", "service", x.local.target.Ref.Service,
 		"target", x.local.target.Ref.ID, "err", err)
+	if x.agent.crashed(x) {
+		x.refuse(relay.ReasonCrashed, model.OutcomeUnknown)
+		return ResultCrashed
+	}
 	x.refuse(relay.ReasonBroken, model.OutcomeUnknown)
 	return ResultReset
 }
 
 func (x *exchange) fail() {
-	if x.key != "" && x.agent.config.Ledger != nil {
+	if x.keyed() {
 		x.agent.config.Ledger.Fail(x.key)
 	}
 }
@@ -247,7 +290,7 @@
 		sum.WriteTrailer(x.w.Header())
 	}
 	conn.Release()
-	if x.key != "" && x.agent.config.Ledger != nil {
+	if x.keyed() {
 		x.agent.config.Ledger.Finish(x.key, kept.answer(response))
 	}
 	if response.StatusCode >= http.StatusInternalServerError {
@@ -267,6 +310,9 @@
 	}
 	_ = level.Warn(x.agent.config.Logger).Log("msg", "target broke off its answer", "service",
 		x.local.target.Ref.Service, "target", x.local.target.Ref.ID, "bytes", length, "err", err)
+	if x.agent.crashed(x) {
+		return ResultCrashed
+	}
 	return ResultReset
 }
 
@@ -290,7 +336,7 @@
 func (x *exchange) copyBody(body io.Reader, sum *relay.Checksum) (*keptBody, error) {
 	block := relay.GetBlock()
 	defer relay.PutBlock(block)
-	kept := &keptBody{wanted: x.key != "" && x.agent.config.Ledger != nil}
+	kept := &keptBody{wanted: x.keyed()}
 	flusher, _ := x.w.(http.Flusher)
 	for {
 		n, err := relay.ReadBlock(body, block[:])
--- a/internal/agent/target.go
+++ b/internal/agent/target.go
@@ -26,8 +26,9 @@
 	inFlight  atomic.Int64
 	announced atomic.Int64
 
-	mu      sync.Mutex
-	running map[*exchange]struct{}
+	mu sync.Mutex
+	// reported are the fingerprints that were in flight when the target died.
+	reported map[uint64]struct{}
 }
 
 type localKey struct {
@@ -65,19 +66,16 @@
 	return false
 }
 
-func (s *shared) begin(x *exchange) {
-	s.inFlight.Add(1)
+// report notes a fingerprint that was in flight when the target died; it returns false when it is noted already.
+func (s *shared) report(fingerprint uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.running == nil {
-		s.running = make(map[*exchange]struct{})
+	if _, known := s.reported[fingerprint]; known {
+		return false
 	}
-	s.running[x] = struct{}{}
-}
-
-func (s *shared) end(x *exchange) {
-	s.inFlight.Add(-1)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.running, x)
+	if s.reported == nil {
+		s.reported = make(map[uint64]struct{})
+	}
+	s.reported[fingerprint] = struct{}{}
+	return true
 }
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -127,13 +127,13 @@
 	header[model.HeaderTarget] = []string{target}
 	header[model.HeaderTimeout] = []string{q.remaining()}
 	signature := q.edge.signer.Sign(relay.Signed{
-		Exchange: l.exchange, Method: q.r.Method, URI: q.r.RequestURI, Target: target, Key: q.key,
+		Exchange: l.exchange, Method: q.r.Method, URI: q.uri, Target: target, Key: q.key,
 	})
 	if signature != "" {
 		header[model.HeaderSignature] = []string{signature}
 	}
 	r := &relay.Request{
-		Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host, Header: header,
+		Method: q.r.Method, URI: q.uri, Host: q.r.Host, Header: header,
 		SilentReused: q.edge.config.SilentReused, SilentAny: q.edge.config.SilentAny,
 	}
 	q.body.attach(r)
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -24,12 +24,15 @@
 	match    router.Match
 	service  *view.Service
 	body     body
+	uri      string
 	key      string
 	header   http.Header
 	deadline time.Time
 	tried    []model.TargetRef
 	attempts int
 	reuse    relay.Reuse
+	// doubted tells that an earlier attempt may have run, so that no answer may say not-run any more.
+	doubted bool
 	// sentHeader tells that the caller has received the header of an answer.
 	sentHeader bool
 	// abort makes the server close the connection without ending the answer.
@@ -70,6 +73,10 @@
 		return q.noRoute(err), false
 	}
 	q.match = match
+	if q.uri = q.r.RequestURI; q.uri == "" || q.uri[0] != '/' {
+		// A caller may send the absolute form; targets get the usual one.
+		q.uri = q.r.URL.RequestURI()
+	}
 	if q.service = current.Service(match.Service); q.service == nil {
 		return notRun(http.StatusServiceUnavailable, "the service of this route is not in force yet", remedyLater), false
 	}
@@ -130,8 +137,7 @@
 			Service: q.service, Route: q.match.Route, Idempotent: q.match.Route.Idempotent, Tried: q.tried,
 		})
 		if err != nil {
-			q.endKey(model.OutcomeNotRun)
-			q.refuse(notRun(http.StatusServiceUnavailable, "no target of the service takes requests", remedyLater))
+			q.refuseAttempts(notRun(http.StatusServiceUnavailable, "no target of the service takes requests", remedyLater))
 			return
 		}
 		q.attempts++
@@ -140,6 +146,7 @@
 		if f == nil || q.resolve(ctx, f) {
 			return
 		}
+		q.doubted = q.doubted || f.result == retry.InDoubt
 		if !q.mayRepeat(ctx, f) {
 			q.giveUp(ctx, f)
 			return
@@ -162,19 +169,34 @@
 		q.endKey(model.OutcomeUnknown)
 		q.abort = true
 	case f.result == retry.NotRun:
-		q.endKey(model.OutcomeNotRun)
-		q.refuse(ofAgent(f.reason))
+		q.refuseAttempts(ofAgent(f.reason))
 	default:
 		q.endKey(model.OutcomeUnknown)
 		q.refuse(q.inDoubt(ctx, f))
 	}
 }
 
-func (q *request) inDoubt(ctx context.Context, f *failure) relay.Refusal {
-	remedy := remedyUnknown
+// refuseAttempts answers not-run, or unknown when an earlier attempt is in doubt.
+func (q *request) refuseAttempts(r relay.Refusal) {
+	if q.doubted {
+		r.Answer.Outcome, r.Answer.Remedy = model.OutcomeUnknown, q.remedyInDoubt()
+		if r.Status != http.StatusUnprocessableEntity {
+			r.Status = http.StatusBadGateway
+		}
+	}
+	q.endKey(r.Answer.Outcome)
+	q.refuse(r)
+}
+
+func (q *request) remedyInDoubt() string {
 	if q.match.Route.Idempotent {
-		remedy = remedyResend
+		return remedyResend
 	}
+	return remedyUnknown
+}
+
+func (q *request) inDoubt(ctx context.Context, f *failure) relay.Refusal {
+	remedy := q.remedyInDoubt()
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) || f.reason == relay.ReasonTimeout {
 		return unknown(http.StatusGatewayTimeout, "the time of the request ran out", remedy)
 	}
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -133,6 +133,11 @@
 	c.written = nil
 }
 
+// Discard returns a connection that was not used to its pool.
+func (c *Conn) Discard() {
+	c.pool.put(c)
+}
+
 // SetReadTimeout bounds the time until the next bytes of the body arrive; zero removes the bound.
 func (c *Conn) SetReadTimeout(d time.Duration) {
 	if d <= 0 {
@@ -290,7 +295,10 @@
 		if err != nil {
 			return nil, c.readError(err)
 		}
-		if response.StatusCode >= 200 || response.StatusCode == http.StatusSwitchingProtocols {
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, eris.Wrap(ErrBroken, "the peer switched protocols, which nobody asked for")
+		}
+		if response.StatusCode >= http.StatusOK {
 			c.limit.left = 1 << 62
 			return response, nil
 		}
@@ -329,7 +337,11 @@
 // alive reports whether an idle connection is still open and has nothing to read. A closed connection would otherwise
 // leave the outcome of the next request in doubt.
 func (c *Conn) alive() bool {
-	raw, ok := c.conn.(syscall.Conn)
+	conn := c.conn
+	if wrapped, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = wrapped.NetConn() // TLS
+	}
+	raw, ok := conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/internal/relay/errors.go
+++ b/internal/relay/errors.go
@@ -19,3 +19,19 @@
 	// ErrSignature means that a relayed request is not signed with the fleet secret.
 	ErrSignature = eris.New("the signature of the relayed request is wrong; check that all nodes have the same secret")
 )
+
+// DialError is an ErrDial with the cause that the operating system gave.
+type DialError struct {
+	Address string
+	Cause   error
+}
+
+// Error names address, cause and remedy.
+func (e *DialError) Error() string {
+	return e.Address + ": " + e.Cause.Error() + ": " + ErrDial.Error()
+}
+
+// Unwrap returns the kind and the cause.
+func (e *DialError) Unwrap() []error {
+	return []error{ErrDial, e.Cause}
+}
--- a/internal/relay/header.go
+++ b/internal/relay/header.go
@@ -23,10 +23,13 @@
 	ReasonBadRequest    = "bad-request"
 	ReasonUnreachable   = "target-unreachable"
 	ReasonPoison        = "poison"
+	ReasonSuspect       = "another-suspect-request-runs"
 	// ReasonKeySeen tells that an earlier attempt with this key has reached a target.
 	ReasonKeySeen = "key-seen"
 	// ReasonBroken tells that the target broke off before it answered, so that the request may have run.
 	ReasonBroken = "target-broken"
+	// ReasonCrashed tells that the target broke off and refuses connections, so that the request is suspect.
+	ReasonCrashed = "target-crashed"
 	// ReasonTimeout tells that the time ran out while the target worked.
 	ReasonTimeout = "timeout"
 )
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -5,8 +5,6 @@
 	"net"
 	"sync"
 	"time"
-
-	"github.com/rotisserie/eris"
 )
 
 const (
@@ -124,7 +122,7 @@
 	defer cancel()
 	conn, err := p.config.Dial(ctx, "tcp", p.config.Address)
 	if err != nil {
-		return nil, eris.Wrapf(ErrDial, "%s: %v", p.config.Address, err)
+		return nil, &DialError{Address: p.config.Address, Cause: err}
 	}
 	return newConn(conn, p), nil
 }
