--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,8 +1,9 @@
-// Command standin runs stand-ins of outside systems for tests and the demo.
+// Command standin runs stand-ins for the systems around the fleet, for tests and the demo.
 //
 // Usage:
 //
 //	standin platform --table-address 127.0.0.1:7001 --object-address 127.0.0.1:7002 --control-address 127.0.0.1:7003
+//	standin target --help
 package main
 
 import "github.com/alecthomas/kong"
@@ -10,6 +11,7 @@
 // cli lists the subcommands; each has a file of its own.
 type cli struct {
 	Platform platformCmd `cmd:"" help:"Run a stand-in of the table service and of the object store."`
+	Target   targetCmd   `cmd:"" help:"Run a target that announces itself to its node and shows faults on request."`
 }
 
 func main() {
