eject: add the judgement of targets and its tracker

The edge and the agent need verdicts on targets from real requests. The module holds evidence, cycle, floor and claims; Tracker feeds it from the request path with atomics only.

Ruled out: honouring smaller ejections after the first that does not fit the floor, because one more claim could then replace several others.

--- /dev/null
+++ b/internal/eject/inflight.go
@@ -0,0 +1,81 @@
+package eject
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// chunkSlots is the number of requests in flight that one chunk holds; most targets have fewer slots.
+const chunkSlots = 16
+
+// startTimes holds the start times of the requests in flight without a lock; a free slot is 0.
+type startTimes struct {
+	slots [chunkSlots]atomic.Int64
+	next  atomic.Pointer[startTimes]
+}
+
+// claim stores the start in a free slot and returns the slot.
+func (s *startTimes) claim(start int64) *atomic.Int64 {
+	for {
+		for i := range s.slots {
+			if s.slots[i].Load() == 0 && s.slots[i].CompareAndSwap(0, start) {
+				return &s.slots[i]
+			}
+		}
+		if s.next.Load() == nil {
+			s.next.CompareAndSwap(nil, &startTimes{})
+		}
+		s = s.next.Load()
+	}
+}
+
+// oldest returns the number of requests that started at or after since, and the earliest start among them.
+func (s *startTimes) oldest(since int64) (count int, start int64) {
+	for ; s != nil; s = s.next.Load() {
+		for i := range s.slots {
+			at := s.slots[i].Load()
+			if at == 0 || at < since {
+				continue
+			}
+			count++
+			if start == 0 || at < start {
+				start = at
+			}
+		}
+	}
+	return count, start
+}
+
+// results is a stack of finished requests that any number of requests push to and the ticker drains.
+type results struct {
+	head atomic.Pointer[finished]
+}
+
+type finished struct {
+	at         int64
+	duration   time.Duration
+	kind       Kind
+	idempotent bool
+	next       *finished
+}
+
+func (r *results) push(f *finished) {
+	for {
+		head := r.head.Load()
+		f.next = head
+		if r.head.CompareAndSwap(head, f) {
+			return
+		}
+	}
+}
+
+// drain removes all results and returns the oldest one first.
+func (r *results) drain() *finished {
+	var oldest *finished
+	for f := r.head.Swap(nil); f != nil; {
+		next := f.next
+		f.next = oldest
+		oldest, f = f, next
+	}
+	return oldest
+}
--- /dev/null
+++ b/internal/eject/module.go
@@ -0,0 +1,200 @@
+package eject
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// Module is the deterministic part: it owns the evidence and the state of all targets. It is not safe for concurrent use.
+type Module struct {
+	config    Config
+	rng       *rand.Rand
+	now       time.Time
+	services  []*service
+	byName    map[string]*service
+	histories map[historyKey]*history
+	claims    []model.Claim
+	snapshot  *Snapshot
+}
+
+type historyKey struct{ service, id string }
+
+type service struct {
+	spec       model.ServiceSpec
+	thresholds Thresholds
+	allowance  time.Duration
+	targets    []*target
+	byRef      map[model.TargetRef]*target
+	refs       map[string]*reference
+	// dirty tells that new evidence came since the last judgement.
+	dirty        bool
+	idempotentAt time.Time
+}
+
+// New returns a module without services.
+func New(c Config) *Module {
+	return &Module{
+		config: c, rng: rand.New(rand.NewPCG(c.Seed, uint64(c.Observer))), byName: make(map[string]*service),
+		histories: make(map[historyKey]*history), snapshot: &Snapshot{},
+	}
+}
+
+// Snapshot returns the current verdicts.
+func (m *Module) Snapshot() *Snapshot { return m.snapshot }
+
+// Claims returns the claims that the agent's observer publishes, sorted by target.
+func (m *Module) Claims() []model.Claim { return m.claims }
+
+// Update applies one message and returns its effects; a time before the latest one is taken as the latest one.
+func (m *Module) Update(msg Msg) []Cmd {
+	if msg.at().After(m.now) {
+		m.now = msg.at()
+	}
+	switch msg := msg.(type) {
+	case ServicesMsg:
+		m.replaceServices(msg.Services)
+	case ClaimMsg:
+		m.replaceClaims(msg.Claims)
+	case ResultMsg:
+		m.recordResult(msg)
+		return nil
+	case InFlightMsg:
+		m.recordInFlight(msg)
+		return nil
+	case TickMsg:
+		m.tick()
+	}
+	return m.publish()
+}
+
+func (m *Module) find(ref model.TargetRef) (*service, *target) {
+	s := m.byName[ref.Service]
+	if s == nil {
+		return nil, nil
+	}
+	return s, s.byRef[ref]
+}
+
+func (m *Module) replaceServices(list []Service) {
+	old := m.byName
+	first := len(old) == 0
+	m.byName = make(map[string]*service, len(list))
+	m.services = m.services[:0:0]
+	for _, item := range list {
+		s := m.newService(item, old[item.Spec.Name], first)
+		m.byName[item.Spec.Name] = s
+		m.services = append(m.services, s)
+	}
+	m.forgetHistories()
+}
+
+func (m *Module) newService(item Service, old *service, first bool) *service {
+	s := &service{
+		spec: item.Spec, thresholds: ThresholdsOf(item.Spec), allowance: edgeAllowance, dirty: true,
+		byRef: make(map[model.TargetRef]*target, len(item.Targets)),
+	}
+	if m.config.Observer == ObserverAgent {
+		s.allowance = agentAllowance
+	}
+	if old != nil {
+		s.refs, s.idempotentAt = old.refs, old.idempotentAt
+	}
+	for _, announced := range item.Targets {
+		t := m.adopt(announced, old, first)
+		if s.byRef[announced.Ref] == nil {
+			s.targets = append(s.targets, t)
+		}
+		s.byRef[announced.Ref] = t
+	}
+	slices.SortFunc(s.targets, func(a, b *target) int { return a.Ref.Compare(b.Ref) })
+	return s
+}
+
+// adopt keeps the state of a known target; a target that joins a running service begins with slow start.
+func (m *Module) adopt(announced model.Target, old *service, first bool) *target {
+	if old != nil {
+		if t := old.byRef[announced.Ref]; t != nil {
+			t.Target = announced
+			return t
+		}
+	}
+	key := historyKey{announced.Ref.Service, announced.Ref.ID}
+	if m.histories[key] == nil {
+		m.histories[key] = &history{}
+	}
+	t := &target{Target: announced, history: m.histories[key]}
+	if old != nil && !first {
+		t.readmit(m.now, ThresholdsOf(old.spec).SlowStart)
+	}
+	return t
+}
+
+func (m *Module) forgetHistories() {
+	for key, h := range m.histories {
+		s := m.byName[key.service]
+		known := s != nil && slices.ContainsFunc(s.targets, func(t *target) bool { return t.history == h })
+		if !known && m.now.Sub(h.lastEjected) > flapMemory {
+			delete(m.histories, key)
+		}
+	}
+}
+
+func (m *Module) replaceClaims(claims []model.Claim) {
+	fresh := make(map[model.TargetRef]model.Severity, len(claims))
+	for _, c := range claims {
+		fresh[c.Target] = max(fresh[c.Target], c.Severity)
+	}
+	for _, s := range m.services {
+		for _, t := range s.targets {
+			severity := fresh[t.Ref]
+			if t.claim == 0 && severity != 0 {
+				t.claimSince = m.now
+			}
+			t.claim = severity
+		}
+		m.advance(s)
+	}
+}
+
+func (m *Module) recordResult(msg ResultMsg) {
+	s, t := m.find(msg.Target)
+	if t == nil {
+		return
+	}
+	if msg.Idempotent {
+		s.idempotentAt = m.now
+	}
+	if msg.Kind == KindNone || m.now.Add(-msg.Duration).Before(t.evidenceFrom) {
+		return
+	}
+	limit, known := s.tooSlow(t, msg.Class, s.thresholds.SlowFactor)
+	slow := known && msg.Duration > limit
+	if msg.Kind == KindCanceled {
+		if !slow && msg.Duration < s.thresholds.StallAfter {
+			return
+		}
+		msg.Kind = KindTimeout
+	}
+	msg.Now = m.now
+	t.evidence.record(msg, slow, t.phase == StateHealthy && t.pending == 0)
+	s.dirty = true
+}
+
+func (m *Module) recordInFlight(msg InFlightMsg) {
+	s, t := m.find(msg.Target)
+	if t == nil {
+		return
+	}
+	c := t.evidence.class(msg.Class)
+	c.inFlight, c.oldestAge, c.oldestAt = msg.Count, msg.OldestAge, m.now
+	s.dirty = true
+}
+
+func (m *Module) tick() {
+	for _, s := range m.services {
+		m.advance(s)
+	}
+}
--- /dev/null
+++ b/internal/eject/settings.go
@@ -0,0 +1,106 @@
+package eject
+
+import (
+	"time"
+
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// Observer tells which role of the node feeds the module.
+type Observer uint8
+
+const (
+	// ObserverEdge judges paths and what the edge sees, honours claims, and publishes nothing.
+	ObserverEdge Observer = iota + 1
+	// ObserverAgent judges the local targets and publishes claims.
+	ObserverAgent
+)
+
+// Config constructs a module.
+type Config struct {
+	Observer Observer
+	// Seed spreads the waits, so that the choosers do not start probation at the same moment.
+	Seed uint64
+}
+
+// Thresholds decide when evidence becomes an ejection.
+type Thresholds struct {
+	StallAfter        time.Duration
+	ConsecutiveErrors int
+	ErrorRatio        float64
+	SlowFactor        float64
+	MinSamples        int
+	// Settle is how long a symptom must stand, so that a cause common to all targets shows at the others first.
+	Settle time.Duration
+	// ProbationSuccesses is the number of good requests in a row that end probation.
+	ProbationSuccesses int
+	// SlowStart is how long the weight grows to 1 after probation.
+	SlowStart time.Duration
+}
+
+const (
+	waitMin = 5 * time.Second
+	waitMax = 5 * time.Minute
+	// flapMemory is how long an ejection makes the next one longer.
+	flapMemory = 10 * time.Minute
+	// waitSpread is the largest random share that is added to a wait.
+	waitSpread = 0.1
+	// patience bounds a probation that no request can end, as in services without idempotent requests.
+	patience = 30 * time.Second
+	// evidenceMaxAge is the age after which an observation no longer counts as current.
+	evidenceMaxAge = 10 * time.Second
+	// retainedWeight is the weight of an unhealthy target that the floor keeps in service.
+	retainedWeight = 0.25
+	// slowStartFloor is the weight at the beginning of slow start.
+	slowStartFloor = 0.1
+	// edgeAllowance covers the round trip between regions (24 ms) twice, as the edge's durations contain the path.
+	edgeAllowance = 50 * time.Millisecond
+	// agentAllowance keeps short requests from looking slow through scheduling noise.
+	agentAllowance = 10 * time.Millisecond
+	// maxWindow is the number of results that a target remembers.
+	maxWindow = 64
+	// peersNeeded is the number of other targets whose median is a usable reference.
+	peersNeeded = 2
+	// widespreadMin is the number of observed targets from which a common cause can be told.
+	widespreadMin = 3
+	// baselineSamples is the number of samples after which the target's own baseline is usable.
+	baselineSamples = 50
+	// baselineGain is the share of a new sample in the baseline.
+	baselineGain = 1.0 / 256
+)
+
+// profileThresholds returns the thresholds of a profile; docs/measurements.md holds the curve they are chosen from.
+func profileThresholds(p model.Profile) Thresholds {
+	if p == model.ProfileDetection {
+		return Thresholds{
+			StallAfter: time.Second, ConsecutiveErrors: 3, ErrorRatio: 0.4, SlowFactor: 2.5, MinSamples: 10,
+			Settle: 100 * time.Millisecond, ProbationSuccesses: 2, SlowStart: 5 * time.Second,
+		}
+	}
+	return Thresholds{
+		StallAfter: 3 * time.Second, ConsecutiveErrors: 7, ErrorRatio: 0.5, SlowFactor: 4, MinSamples: 20,
+		Settle: time.Second, ProbationSuccesses: 3, SlowStart: 10 * time.Second,
+	}
+}
+
+// ThresholdsOf returns the thresholds of the profile with the overrides of the service.
+func ThresholdsOf(spec model.ServiceSpec) Thresholds {
+	t := profileThresholds(spec.Profile)
+	e := spec.Ejection
+	if e.StallAfter > 0 {
+		t.StallAfter = time.Duration(e.StallAfter)
+	}
+	if e.ConsecutiveErrors > 0 {
+		t.ConsecutiveErrors = e.ConsecutiveErrors
+	}
+	if e.ErrorRatio > 0 {
+		t.ErrorRatio = e.ErrorRatio
+	}
+	if e.SlowFactor > 0 {
+		t.SlowFactor = e.SlowFactor
+	}
+	if e.MinSamples > 0 {
+		t.MinSamples = min(e.MinSamples, maxWindow)
+	}
+	return t
+}
--- /dev/null
+++ b/internal/eject/snapshot.go
@@ -0,0 +1,84 @@
+package eject
+
+import (
+	"time"
+
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// State is the position of a target in the cycle of ejection and readmission.
+type State uint8
+
+const (
+	// StateHealthy gets requests without restriction.
+	StateHealthy State = iota
+	// StateEjected gets no requests.
+	StateEjected
+	// StateProbation gets idempotent requests only, one at a time.
+	StateProbation
+	// StateSlowStart gets requests by its growing weight.
+	StateSlowStart
+	// StateRetained is unhealthy but stays in service because of the floor; it is chosen last.
+	StateRetained
+)
+
+// Verdict tells a chooser how to treat a target.
+type Verdict struct {
+	State    State          `json:"state"`
+	Severity model.Severity `json:"severity"`
+	// Weight is the share of the usual load, from 0 to 1.
+	Weight float64 `json:"weight"`
+	// EvidenceFrom is the time before whose start requests no longer count as evidence.
+	EvidenceFrom time.Time `json:"evidence-from"`
+}
+
+// TargetVerdict is the verdict on one target, for the state dump.
+type TargetVerdict struct {
+	Target  model.TargetRef `json:"target"`
+	Verdict Verdict         `json:"verdict"`
+}
+
+// Snapshot holds the verdicts at one moment; it is never modified.
+type Snapshot struct {
+	// Verdicts lists the targets whose verdict differs from the default, sorted by target.
+	Verdicts []TargetVerdict `json:"verdicts"`
+	index    map[model.TargetRef]Verdict
+}
+
+// Verdict returns the verdict on a target; a target without evidence is healthy.
+func (s *Snapshot) Verdict(ref model.TargetRef) Verdict {
+	if s != nil {
+		if v, found := s.index[ref]; found {
+			return v
+		}
+	}
+	return Verdict{State: StateHealthy, Weight: 1}
+}
+
+// InService reports whether the verdict leaves the target open for all requests.
+func (v Verdict) InService() bool {
+	return v.State != StateEjected && v.State != StateProbation
+}
+
+// String returns the name of the state as it stands in logs and state dumps.
+func (s State) String() string {
+	switch s {
+	case StateHealthy:
+		return "healthy"
+	case StateEjected:
+		return "ejected"
+	case StateProbation:
+		return "probation"
+	case StateSlowStart:
+		return "slow-start"
+	case StateRetained:
+		return "retained"
+	default:
+		return "invalid"
+	}
+}
+
+// MarshalText encodes the state by its name.
+func (s State) MarshalText() ([]byte, error) {
+	return []byte(s.String()), nil
+}
--- /dev/null
+++ b/internal/eject/tracker.go
@@ -0,0 +1,261 @@
+package eject
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/auburnwinch/auburnwinch/internal/timer"
+	"github.com/auburnwinch/auburnwinch/internal/view"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// defaultInterval is the time between two judgements; it adds at most that much to the detection time.
+const defaultInterval = 50 * time.Millisecond
+
+// TrackerConfig constructs a tracker; Observer and Clock are required.
+type TrackerConfig struct {
+	Config
+	Clock timer.Service
+	// Interval is the time between two judgements; zero means 50 ms.
+	Interval time.Duration
+	// OnClaims receives the agent's claims whenever they change; it must not call the tracker.
+	OnClaims func([]model.Claim)
+	// OnVerdict receives each change of a published state; it must not call the tracker.
+	OnVerdict func(VerdictCmd)
+}
+
+// Request describes a request that goes to a target.
+type Request struct {
+	Target model.TargetRef
+	// Class names requests of comparable duration, such as the route.
+	Class      string
+	Idempotent bool
+}
+
+// Result describes how a request ended.
+type Result struct{ Kind Kind }
+
+// Tracker is the concurrent shell of Module; requests touch atomics only.
+type Tracker struct {
+	config   TrackerConfig
+	base     time.Time
+	cells    sync.Map
+	snapshot atomic.Pointer[Snapshot]
+	claims   atomic.Pointer[[]model.Claim]
+
+	mu     sync.Mutex
+	module *Module
+
+	ticks     *timer.Subscription
+	done      chan struct{}
+	closeOnce sync.Once
+	wg        conc.WaitGroup
+}
+
+type cellKey struct {
+	target model.TargetRef
+	class  string
+}
+
+// cell collects what the requests of one class at one target report.
+type cell struct {
+	starts   startTimes
+	results  results
+	reported bool
+}
+
+// Handle is one request in flight.
+type Handle struct {
+	tracker    *Tracker
+	cell       *cell
+	slot       *atomic.Int64
+	start      int64
+	idempotent bool
+	finished   atomic.Bool
+}
+
+// NewTracker returns a running tracker; Close stops it.
+func NewTracker(c TrackerConfig) *Tracker {
+	if c.Interval <= 0 {
+		c.Interval = defaultInterval
+	}
+	t := &Tracker{config: c, base: c.Clock.Now(), module: New(c.Config), done: make(chan struct{})}
+	t.snapshot.Store(t.module.Snapshot())
+	t.ticks = c.Clock.Subscribe(c.Interval)
+	t.wg.Go(t.run)
+	return t
+}
+
+// Close stops the judgement and waits for its goroutine.
+func (t *Tracker) Close() {
+	t.closeOnce.Do(func() {
+		t.ticks.Stop()
+		close(t.done)
+	})
+	t.wg.Wait()
+}
+
+// Start begins to observe a request; its handle must be finished.
+func (t *Tracker) Start(r Request) *Handle {
+	key := cellKey{r.Target, r.Class}
+	found, ok := t.cells.Load(key)
+	if !ok {
+		found, _ = t.cells.LoadOrStore(key, &cell{})
+	}
+	c := found.(*cell)
+	start := t.elapsed()
+	return &Handle{tracker: t, cell: c, slot: c.starts.claim(start), start: start, idempotent: r.Idempotent}
+}
+
+// Progress tells that the target still works on the request, as when a part of a download arrives.
+func (h *Handle) Progress() {
+	if !h.finished.Load() {
+		h.slot.Store(h.tracker.elapsed())
+	}
+}
+
+// Finish ends the request; later calls have no effect. It must not run concurrently with Progress.
+func (h *Handle) Finish(r Result) {
+	if !h.finished.CompareAndSwap(false, true) {
+		return
+	}
+	h.slot.Store(0)
+	now := h.tracker.elapsed()
+	h.cell.results.push(&finished{
+		at: now, duration: time.Duration(now - h.start), kind: r.Kind, idempotent: h.idempotent,
+	})
+}
+
+// Snapshot returns the current verdicts.
+func (t *Tracker) Snapshot() *Snapshot { return t.snapshot.Load() }
+
+// Verdict returns the current verdict on a target.
+func (t *Tracker) Verdict(ref model.TargetRef) Verdict { return t.snapshot.Load().Verdict(ref) }
+
+// Claims returns the claims to publish in the node's record.
+func (t *Tracker) Claims() []model.Claim {
+	if claims := t.claims.Load(); claims != nil {
+		return *claims
+	}
+	return nil
+}
+
+// SetView takes services, targets and claims from the view; an agent's tracker keeps the targets of its own node.
+func (t *Tracker) SetView(v *view.View) {
+	services := make([]Service, 0, len(v.Services))
+	var claims []model.Claim
+	for _, s := range v.Services {
+		item := Service{Spec: s.Spec}
+		for _, c := range s.Candidates {
+			if t.config.Observer != ObserverAgent || c.Target.Node == v.Self.Ref {
+				item.Targets = append(item.Targets, c.Target)
+			}
+		}
+		services = append(services, item)
+		claims = append(claims, s.Claims...)
+	}
+	t.SetServices(services)
+	if t.config.Observer == ObserverEdge {
+		t.SetClaims(claims)
+	}
+}
+
+// SetServices replaces the services and their announced targets.
+func (t *Tracker) SetServices(services []Service) {
+	t.update(ServicesMsg{Now: t.config.Clock.Now(), Services: services})
+	known := make(map[model.TargetRef]struct{})
+	for _, s := range services {
+		for _, target := range s.Targets {
+			known[target.Ref] = struct{}{}
+		}
+	}
+	t.cells.Range(func(key, _ any) bool {
+		if _, found := known[key.(cellKey).target]; !found {
+			t.cells.Delete(key)
+		}
+		return true
+	})
+}
+
+// SetClaims replaces the claims of all agents.
+func (t *Tracker) SetClaims(claims []model.Claim) {
+	t.update(ClaimMsg{Now: t.config.Clock.Now(), Claims: claims})
+}
+
+// elapsed returns the time since the tracker's start in nanoseconds plus one, as 0 marks a free slot.
+func (t *Tracker) elapsed() int64 {
+	return int64(t.config.Clock.Now().Sub(t.base)) + 1
+}
+
+func (t *Tracker) run() {
+	for {
+		select {
+		case now := <-t.ticks.C:
+			t.collect(now)
+		case <-t.done:
+			return
+		}
+	}
+}
+
+// collect feeds what the requests reported to the module and lets it judge.
+func (t *Tracker) collect(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	snapshot := t.snapshot.Load()
+	t.cells.Range(func(key, value any) bool {
+		k, c := key.(cellKey), value.(*cell)
+		for f := c.results.drain(); f != nil; f = f.next {
+			t.module.Update(ResultMsg{
+				Now: t.base.Add(time.Duration(f.at)), Target: k.target, Class: k.class,
+				Duration: f.duration, Kind: f.kind, Idempotent: f.idempotent,
+			})
+		}
+		t.collectInFlight(now, k, c, snapshot.Verdict(k.target).EvidenceFrom)
+		return true
+	})
+	t.apply(t.module.Update(TickMsg{Now: now}))
+}
+
+func (t *Tracker) collectInFlight(now time.Time, k cellKey, c *cell, from time.Time) {
+	var since int64
+	if !from.IsZero() {
+		since = int64(from.Sub(t.base))
+	}
+	count, start := c.starts.oldest(since)
+	if count == 0 && !c.reported {
+		return
+	}
+	c.reported = count > 0
+	msg := InFlightMsg{Now: now, Target: k.target, Class: k.class, Count: count}
+	if count > 0 {
+		msg.OldestAge = max(0, now.Sub(t.base.Add(time.Duration(start))))
+	}
+	t.module.Update(msg)
+}
+
+func (t *Tracker) update(msg Msg) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.apply(t.module.Update(msg))
+}
+
+func (t *Tracker) apply(cmds []Cmd) {
+	t.snapshot.Store(t.module.Snapshot())
+	for _, c := range cmds {
+		switch c := c.(type) {
+		case ClaimsCmd:
+			t.claims.Store(&c.Claims)
+			if t.config.OnClaims != nil {
+				t.config.OnClaims(c.Claims)
+			}
+		case VerdictCmd:
+			if t.config.OnVerdict != nil {
+				t.config.OnVerdict(c)
+			}
+		}
+	}
+}
