limit: admit by slots with a bounded queue and shares by account

A refusal is decided in the call that asks, from the queue length and the mean duration, so it is never held back until the deadline.

Not yet tested.

--- /dev/null
+++ b/internal/limit/module.go
@@ -0,0 +1,218 @@
+package limit
+
+import (
+	"time"
+
+	"github.com/auburnwinch/auburnwinch/internal/invar"
+)
+
+const (
+	// contentionMemory is how long a refused or queued request of one account limits the others to their share.
+	contentionMemory = time.Second
+	// usualDuration stands for the duration of requests until the first one has ended.
+	usualDuration = 100 * time.Millisecond
+	// durationGain is the share of a new sample in the mean duration.
+	durationGain = 1.0 / 32
+	retryMin     = 10 * time.Millisecond
+	retryMax     = 30 * time.Second
+)
+
+// Module is the deterministic part of the admission to one target. It is not safe for concurrent use.
+type Module struct {
+	settings Settings
+	now      time.Time
+	learner  learner
+	running  map[uint64]running
+	queue    queue
+	accounts map[string]*account
+	// denied holds the two latest accounts that had to wait or were refused, the latest first.
+	denied [2]denial
+	mean   time.Duration
+}
+
+type running struct {
+	account  *account
+	since    time.Time
+	inFlight int
+}
+
+type denial struct {
+	account string
+	at      time.Time
+}
+
+// NewModule returns a module with nothing in flight.
+func NewModule(s Settings) *Module {
+	m := &Module{
+		running: make(map[uint64]running), accounts: make(map[string]*account),
+		queue: queue{byID: make(map[uint64]*waiter)}, mean: usualDuration,
+	}
+	m.configure(s)
+	return m
+}
+
+// Load returns the present use.
+func (m *Module) Load() Load {
+	return Load{InFlight: len(m.running), Waiting: m.queue.len(), Limit: m.learner.value()}
+}
+
+// Update applies one message and returns its effects; a time before the latest one is taken as the latest one.
+func (m *Module) Update(msg Msg) []Cmd {
+	if msg.at().After(m.now) {
+		m.now = msg.at()
+	}
+	cmds := m.expire()
+	switch msg := msg.(type) {
+	case SettingsMsg:
+		m.configure(msg.Settings)
+	case AcquireMsg:
+		cmds = append(cmds, m.acquire(msg))
+	case ReleaseMsg:
+		m.release(msg)
+	case CancelMsg:
+		if w := m.queue.remove(msg.ID); w != nil {
+			m.forget(w.account)
+		}
+	}
+	return append(cmds, m.dispatch()...)
+}
+
+func (m *Module) configure(s Settings) {
+	m.settings = s.normal()
+	m.learner.resize(m.settings.Slots)
+}
+
+func (m *Module) acquire(msg AcquireMsg) Cmd {
+	a := m.accounts[msg.Account]
+	if a == nil {
+		a = &account{name: msg.Account}
+		m.accounts[msg.Account] = a
+	}
+	defer m.forget(a)
+	if !msg.Deadline.IsZero() && !msg.Deadline.After(m.now) {
+		return m.refuse(msg.ID, ReasonDeadline)
+	}
+	if m.free() > 0 && m.queue.len() == 0 && m.mayRun(a) {
+		return m.grant(msg.ID, a)
+	}
+	return m.enqueue(msg, a)
+}
+
+// enqueue queues the request or refuses it at once if it has no place or would not be done in time.
+func (m *Module) enqueue(msg AcquireMsg, a *account) Cmd {
+	places := m.settings.Places
+	overShare := m.contended(a) && len(a.waiters) >= m.settings.shareOf(places)
+	m.deny(a)
+	if places == 0 && !m.mayRun(a) || places > 0 && overShare {
+		return m.refuse(msg.ID, ReasonShare)
+	}
+	if m.queue.len() >= places {
+		return m.refuse(msg.ID, ReasonFull)
+	}
+	expires := m.now.Add(m.settings.Wait)
+	if !msg.Deadline.IsZero() {
+		latest := msg.Deadline.Add(-m.mean)
+		if m.now.Add(m.expectedWait()).After(latest) {
+			return m.refuse(msg.ID, ReasonDeadline)
+		}
+		if latest.Before(expires) {
+			expires = latest
+		}
+	}
+	if m.expectedWait() > m.settings.Wait {
+		return m.refuse(msg.ID, ReasonFull)
+	}
+	m.queue.push(&waiter{id: msg.ID, account: a, expires: expires})
+	invar.Check(m.queue.len() <= places, "limit", "%d requests wait in %d places", m.queue.len(), places)
+	return WaitCmd{ID: msg.ID, Until: expires}
+}
+
+// expectedWait estimates when one more waiter would start.
+func (m *Module) expectedWait() time.Duration {
+	return m.mean * time.Duration(m.queue.len()+1) / time.Duration(m.learner.value())
+}
+
+func (m *Module) refuse(id uint64, reason Reason) Cmd {
+	after := min(retryMax, max(retryMin, m.expectedWait()))
+	if reason == ReasonShare {
+		after = max(after, contentionMemory)
+	}
+	return RefuseCmd{ID: id, Reason: reason, RetryAfter: after}
+}
+
+func (m *Module) grant(id uint64, a *account) Cmd {
+	a.inFlight++
+	m.running[id] = running{account: a, since: m.now, inFlight: len(m.running) + 1}
+	invar.Check(len(m.running) <= m.settings.Slots, "limit", "%d requests run in %d slots", len(m.running), m.settings.Slots)
+	return GrantCmd{ID: id}
+}
+
+func (m *Module) release(msg ReleaseMsg) {
+	r, found := m.running[msg.ID]
+	if !found {
+		return
+	}
+	delete(m.running, msg.ID)
+	r.account.inFlight--
+	m.forget(r.account)
+	if msg.Result.OK {
+		took := m.now.Sub(r.since)
+		m.mean += time.Duration(durationGain * float64(took-m.mean))
+		m.learner.observe(took, r.inFlight)
+	}
+}
+
+// dispatch starts waiting requests in the free slots.
+func (m *Module) dispatch() []Cmd {
+	var cmds []Cmd
+	for m.free() > 0 && m.queue.len() > 0 {
+		w := m.queue.next(m.mayRun)
+		if w == nil {
+			break
+		}
+		cmds = append(cmds, m.grant(w.id, w.account))
+	}
+	return cmds
+}
+
+func (m *Module) expire() []Cmd {
+	var cmds []Cmd
+	for _, w := range m.queue.expired(m.now) {
+		m.queue.remove(w.id)
+		m.deny(w.account)
+		m.forget(w.account)
+		cmds = append(cmds, m.refuse(w.id, ReasonWait))
+	}
+	return cmds
+}
+
+func (m *Module) free() int {
+	return m.learner.value() - len(m.running)
+}
+
+// mayRun reports whether the account is below its share, or no other account wants the slots.
+func (m *Module) mayRun(a *account) bool {
+	return !m.contended(a) || a.inFlight < m.settings.shareOf(m.learner.value())
+}
+
+func (m *Module) contended(a *account) bool {
+	for _, d := range m.denied {
+		if d.account != a.name && !d.at.IsZero() && m.now.Sub(d.at) < contentionMemory {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Module) deny(a *account) {
+	if m.denied[0].account != a.name {
+		m.denied[1] = m.denied[0]
+	}
+	m.denied[0] = denial{account: a.name, at: m.now}
+}
+
+func (m *Module) forget(a *account) {
+	if a.inFlight == 0 && len(a.waiters) == 0 {
+		delete(m.accounts, a.name)
+	}
+}
--- /dev/null
+++ b/internal/limit/queue.go
@@ -0,0 +1,91 @@
+package limit
+
+import "time"
+
+// waiter is a request in the queue.
+type waiter struct {
+	id      uint64
+	account *account
+	expires time.Time
+}
+
+// account holds what the requests of one caller account use.
+type account struct {
+	name     string
+	inFlight int
+	waiters  []*waiter
+}
+
+// queue serves the waiting accounts round robin, and the requests of one account in order of arrival.
+type queue struct {
+	ring []*account
+	byID map[uint64]*waiter
+}
+
+func (q *queue) len() int { return len(q.byID) }
+
+func (q *queue) push(w *waiter) {
+	if len(w.account.waiters) == 0 {
+		q.ring = append(q.ring, w.account)
+	}
+	w.account.waiters = append(w.account.waiters, w)
+	q.byID[w.id] = w
+}
+
+// next removes and returns the next waiter whose account may start a request; it is nil when there is none.
+func (q *queue) next(allowed func(*account) bool) *waiter {
+	for i, a := range q.ring {
+		if allowed(a) {
+			w := a.waiters[0]
+			q.ring = append(q.ring[:i:i], q.ring[i+1:]...)
+			a.waiters = a.waiters[1:]
+			if len(a.waiters) > 0 {
+				q.ring = append(q.ring, a)
+			}
+			delete(q.byID, w.id)
+			return w
+		}
+	}
+	return nil
+}
+
+func (q *queue) remove(id uint64) *waiter {
+	w := q.byID[id]
+	if w == nil {
+		return nil
+	}
+	delete(q.byID, id)
+	a := w.account
+	for i, other := range a.waiters {
+		if other == w {
+			a.waiters = append(a.waiters[:i:i], a.waiters[i+1:]...)
+			break
+		}
+	}
+	if len(a.waiters) == 0 {
+		q.dropAccount(a)
+	}
+	return w
+}
+
+func (q *queue) dropAccount(a *account) {
+	for i, other := range q.ring {
+		if other == a {
+			q.ring = append(q.ring[:i:i], q.ring[i+1:]...)
+			return
+		}
+	}
+}
+
+// expired returns the waiters whose time is over, in order of the accounts' turns.
+func (q *queue) expired(now time.Time) []*waiter {
+	var list []*waiter
+	for _, a := range q.ring {
+		for _, w := range a.waiters {
+			if !now.Before(w.expires) {
+				list = append(list, w)
+			}
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/limit/settings.go
@@ -0,0 +1,105 @@
+package limit
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// Reason tells why a request was refused.
+type Reason uint8
+
+const (
+	// ReasonFull means that all slots and queue places are taken.
+	ReasonFull Reason = iota + 1
+	// ReasonDeadline means that the deadline would pass before the request could finish.
+	ReasonDeadline
+	// ReasonShare means that the account holds its share while other accounts wait.
+	ReasonShare
+	// ReasonWait means that no slot came free within the bounded wait.
+	ReasonWait
+)
+
+// Settings bound the admission to one target.
+type Settings struct {
+	Slots int
+	// Places is the number of queue places; it is cut to Slots.
+	Places int
+	// Wait bounds the time in the queue; zero means no queue.
+	Wait time.Duration
+	// AccountShare is the share of slots and places that one account may hold under contention; zero means all.
+	AccountShare float64
+}
+
+// Request asks for admission.
+type Request struct {
+	Account string
+	// Deadline is when the caller stops waiting; the zero value means never.
+	Deadline time.Time
+}
+
+// Result tells how the admitted request ended.
+type Result struct {
+	// OK tells that the target answered; only such durations teach the limit.
+	OK bool
+}
+
+// Load is the present use of a limiter.
+type Load struct {
+	InFlight int `json:"in-flight"`
+	Waiting  int `json:"waiting"`
+	Limit    int `json:"limit"`
+}
+
+// RefusedError reports a refusal; the request certainly did not run.
+type RefusedError struct {
+	Reason Reason
+	// RetryAfter is when a repeat makes sense.
+	RetryAfter time.Duration
+}
+
+// SettingsOf returns the settings of a target from the specification of its service.
+func SettingsOf(spec model.ServiceSpec, slots int) Settings {
+	return Settings{
+		Slots: slots, Places: spec.Queue.Places, Wait: time.Duration(spec.Queue.Wait), AccountShare: spec.AccountShare,
+	}
+}
+
+// Error names the reason and the remedy.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("not admitted: %s; repeat after %s", e.Reason, e.RetryAfter)
+}
+
+// String returns the text of the reason as it stands in answers.
+func (r Reason) String() string {
+	switch r {
+	case ReasonFull:
+		return "all slots and queue places are taken"
+	case ReasonDeadline:
+		return "the deadline would pass before the request could finish"
+	case ReasonShare:
+		return "the account holds its share"
+	case ReasonWait:
+		return "no slot came free in time"
+	default:
+		return "invalid"
+	}
+}
+
+func (s Settings) normal() Settings {
+	s.Slots = max(1, s.Slots)
+	s.Places = max(0, min(s.Places, s.Slots))
+	if s.Wait <= 0 {
+		s.Places = 0
+	}
+	if s.AccountShare <= 0 || s.AccountShare > 1 {
+		s.AccountShare = 1
+	}
+	return s
+}
+
+// shareOf returns how many of n slots or places one account may hold under contention; at least one.
+func (s Settings) shareOf(n int) int {
+	return max(1, int(s.AccountShare*float64(n)))
+}
