eject: bound ejections with a common cause and test the cycle

More than half of a service affected means overload or a shared dependency. A hard switch at one half would make two choosers that differ by one claim differ by the whole set, so the allowance shrinks by one per further affected target. An ejection that is not honoured is judged on the requests that still come and is pardoned without lengthening the next wait.

Ruled out: leaving the wait when the agent withdraws its claim, because a flapping target would then come back at a constant pace.

--- a/internal/eject/cycle.go
+++ b/internal/eject/cycle.go
@@ -25,7 +25,11 @@
 	phaseEnds    time.Time
 	evidenceFrom time.Time
 	honoured     bool
-	history      *history
+	// suspicious tells that the target approaches a threshold at the present judgement.
+	suspicious bool
+	// commonUntil is the time up to which the target's symptom is taken as common to the service.
+	commonUntil time.Time
+	history     *history
 }
 
 // history outlives a target's restarts, so that a target that crashes again and again waits longer.
@@ -78,7 +82,7 @@
 	t.phaseEnds = now.Add(slowStart)
 }
 
-// pardon undoes an ejection whose cause turned out to be common to the service.
+// pardon undoes an ejection that was never honoured, or whose cause was common to the service.
 func (t *target) pardon(now time.Time) {
 	t.enter(StateHealthy, now)
 	t.own, t.severity = 0, 0
--- a/internal/eject/decide.go
+++ b/internal/eject/decide.go
@@ -7,104 +7,98 @@
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
-// findings holds the symptoms of a service's targets at one moment, in the order of the targets.
-type findings struct {
-	symptoms []symptom
-	// ownCommon and claimsCommon tell that more than half of the targets are affected, by own sight or by claims.
-	ownCommon    bool
-	claimsCommon bool
-}
-
 // advance judges the evidence of one service and moves its targets through the cycle.
 func (m *Module) advance(s *service) {
 	if s.dirty {
 		s.refs = s.references()
 		s.dirty = false
 	}
-	found := m.examineAll(s)
+	symptoms, common := m.examineAll(s)
 	for i, t := range s.targets {
-		m.step(s, t, found.symptoms[i], found)
+		t.suspicious = symptoms[i].suspicious
+		if common && t.claim == 0 && t.severity != model.SeverityCrashed {
+			t.commonUntil = m.now.Add(waitMin)
+		}
+		if t.out() {
+			m.stepOut(s, t, symptoms[i].severity)
+		} else {
+			m.stepIn(s, t, symptoms[i].severity, common)
+		}
 	}
 }
 
-func (m *Module) examineAll(s *service) findings {
-	f := findings{symptoms: make([]symptom, len(s.targets))}
-	observed, suspicious, claimed := 0, 0, 0
+// examineAll returns the symptoms and whether more than half of the targets that an edge observes are affected.
+func (m *Module) examineAll(s *service) (symptoms []symptom, common bool) {
+	symptoms = make([]symptom, len(s.targets))
+	observed, affected := 0, 0
 	for i, t := range s.targets {
-		f.symptoms[i] = s.examine(t, m.now)
-		if t.claim != 0 && t.claim != model.SeverityCrashed {
-			claimed++
-		}
+		symptoms[i] = s.examine(t, m.now)
 		if t.evidence.fresh(m.now) || t.own != 0 {
 			observed++
 		}
-		if f.symptoms[i].suspicious || t.own != 0 {
-			suspicious++
+		if symptoms[i].suspicious || t.own != 0 {
+			affected++
 		}
 	}
-	f.ownCommon = observed >= widespreadMin && 2*suspicious > observed
-	f.claimsCommon = len(s.targets) >= widespreadMin && 2*claimed > len(s.targets)
-	return f
+	enough := observed >= max(widespreadMin, len(s.targets)/widespreadShare)
+	return symptoms, m.config.Observer == ObserverEdge && enough && 2*affected > observed
 }
 
-// cause returns the severity for which a target has to be out of service now; it is 0 when there is none.
-func (m *Module) cause(s *service, t *target, found symptom, f findings) model.Severity {
-	own := t.own
-	if !t.out() {
-		own = t.settled(found.severity, m.now, s.thresholds.Settle)
-	}
-	if f.ownCommon && own != model.SeverityCrashed {
+// stepIn ejects a target in service when its own symptom or the claim of its agent has stood for the settling time.
+func (m *Module) stepIn(s *service, t *target, found model.Severity, common bool) {
+	own := t.settled(found, m.now, s.thresholds.Settle)
+	if common && own != model.SeverityCrashed {
 		own = 0
 	}
 	claim := t.claim
-	if f.claimsCommon && claim != model.SeverityCrashed {
-		claim = 0
-	}
 	if claim != model.SeverityCrashed && m.now.Sub(t.claimSince) < s.thresholds.Settle {
 		claim = 0
 	}
-	return max(own, claim)
+	switch {
+	case own != 0 || claim != 0:
+		t.own = own
+		t.eject(m.now, max(own, claim), m.rng)
+	case t.phase == StateSlowStart && !m.now.Before(t.phaseEnds):
+		t.phase = StateHealthy
+	}
 }
 
-func (m *Module) step(s *service, t *target, found symptom, f findings) {
-	cause := m.cause(s, t, found, f)
-	switch t.phase {
-	case StateEjected, StateProbation:
-		m.stepOut(s, t, cause, found)
-	default:
-		if cause != 0 {
-			t.own = found.severity
-			t.eject(m.now, cause, m.rng)
-		} else if t.phase == StateSlowStart && !m.now.Before(t.phaseEnds) {
-			t.phase = StateHealthy
-		}
+// stepOut moves a target that is ejected or in probation; found is its symptom since the phase began.
+func (m *Module) stepOut(s *service, t *target, found model.Severity) {
+	switch {
+	case !t.honoured:
+		m.stepRetained(s, t, found)
+	case t.phase == StateProbation:
+		m.stepProbation(s, t, found)
+	case !m.now.Before(t.phaseEnds):
+		t.enter(StateProbation, m.now)
 	}
 }
 
-func (m *Module) stepOut(s *service, t *target, cause model.Severity, found symptom) {
+// stepRetained judges a target that still gets requests, as its ejection is not honoured or the observer is the agent.
+func (m *Module) stepRetained(s *service, t *target, found model.Severity) {
+	recovered := found == 0 && t.evidence.good >= s.thresholds.MinSamples/2
+	if m.config.Observer == ObserverAgent {
+		// Only probation requests may reach the target, too few to clear the window of the error ratio and the median.
+		recovered = found < model.SeverityStalled && t.evidence.good >= s.thresholds.ProbationSuccesses
+	}
 	switch {
-	case cause == 0 && (t.own != 0 || t.claim != 0):
+	case t.claim != 0:
+		t.severity = max(t.own, t.claim)
+	case t.own == 0 && m.config.Observer == ObserverEdge, recovered, m.outOfPatience(s, t):
 		t.pardon(m.now)
-	case cause == 0:
-		t.readmit(m.now, s.thresholds.SlowStart)
-	case t.phase == StateEjected && !m.now.Before(t.phaseEnds):
-		t.enter(StateProbation, m.now)
-	case t.phase == StateProbation:
-		m.stepProbation(s, t, cause, found)
 	}
 }
 
-func (m *Module) stepProbation(s *service, t *target, cause model.Severity, found symptom) {
+func (m *Module) stepProbation(s *service, t *target, found model.Severity) {
+	succeeded := t.evidence.good >= s.thresholds.ProbationSuccesses
 	switch {
-	case t.evidence.bad || found.severity != 0:
-		t.own = max(t.own, found.severity, model.SeveritySlow)
-		t.eject(m.now, max(cause, found.severity), m.rng)
+	case t.evidence.bad || found != 0:
+		t.own = max(t.own, found, model.SeveritySlow)
+		t.eject(m.now, max(t.severity, found), m.rng)
 	case t.claim != 0:
 		// The agent sees all requests of the target and withdraws its claim; until then probation goes on.
-		if t.evidence.good >= s.thresholds.ProbationSuccesses {
-			t.own = 0
-		}
-	case t.evidence.good >= s.thresholds.ProbationSuccesses || m.outOfPatience(s, t):
+	case succeeded || m.outOfPatience(s, t):
 		t.readmit(m.now, s.thresholds.SlowStart)
 	}
 }
@@ -115,8 +109,8 @@
 	if s.idempotentAt.After(since) {
 		since = s.idempotentAt
 	}
-	if t.evidence.lastAt.After(since) {
-		since = t.evidence.lastAt
+	if t.evidence.fresh(m.now) {
+		return false
 	}
 	return m.now.Sub(since) >= patience
 }
@@ -126,7 +120,9 @@
 	next := &Snapshot{index: make(map[model.TargetRef]Verdict)}
 	var claims []model.Claim
 	for _, s := range m.services {
-		s.honour()
+		if m.config.Observer == ObserverEdge {
+			s.honour(m.now)
+		}
 		for _, t := range s.targets {
 			next.add(t, s.thresholds, m.now)
 			if t.out() {
--- a/internal/eject/evidence.go
+++ b/internal/eject/evidence.go
@@ -33,7 +33,7 @@
 	outcomes    uint64
 	outcomeSeen int
 	lastAt      time.Time
-	// good counts the good results since the evidence was reset.
+	// good counts the good results in a row.
 	good int
 	// bad tells that a bad result was seen since the evidence was reset.
 	bad bool
@@ -56,7 +56,7 @@
 	e.lastAt = m.Now
 	if m.Kind == KindPathFailure {
 		e.paths++
-		e.bad = true
+		e.spoil()
 		return
 	}
 	e.paths = 0
@@ -73,13 +73,18 @@
 	} else {
 		e.resets = 0
 	}
+	e.spoil()
+}
+
+func (e *evidence) spoil() {
 	e.bad = true
+	e.good = 0
 }
 
 func (e *evidence) recordOK(m ResultMsg, slow, learn bool) {
 	e.errors, e.resets = 0, 0
 	if slow {
-		e.bad = true
+		e.spoil()
 	} else {
 		e.good++
 	}
--- a/internal/eject/floor.go
+++ b/internal/eject/floor.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/auburnwinch/auburnwinch/internal/invar"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
@@ -13,18 +14,22 @@
 //
 // It takes the ranked ejections up to the first that does not fit. Taking smaller ones after it would let one more
 // claim replace several others, and the choosers would differ by more than their inputs.
-func (s *service) honour() {
-	inService := s.servingSlots()
-	floor := s.floor()
-	candidates := s.unhealthy()
+func (s *service) honour(now time.Time) {
+	announced := s.servingSlots()
+	inService, floor, allowed := announced, s.floor(), s.allowance()
 	for _, t := range s.targets {
 		t.honoured = false
 	}
-	announced := inService
-	for _, t := range candidates {
+	for _, t := range s.unhealthy() {
 		if inService-t.Slots < floor {
 			break
 		}
+		if !allowed.take(t.severity) {
+			t.commonUntil = now.Add(waitMin)
+		}
+		if now.Before(t.commonUntil) {
+			continue
+		}
 		t.honoured = true
 		inService -= t.Slots
 	}
@@ -32,6 +37,44 @@
 		"service %s: %d slots in service, floor %d, announced %d", s.spec.Name, inService, floor, announced)
 }
 
+// allowance bounds the ejections that may have a common cause; crashes are not bounded by it.
+type allowance struct{ slow, all int }
+
+// allowance shrinks by one with each further affected target, without a step, so that choosers whose inputs differ by
+// one claim do not differ by the whole set. No slow target is ejected when more than half look slow, and no target at
+// all, except for crashes, when every target is affected.
+func (s *service) allowance() allowance {
+	serving, slow, all := 0, 0, 0
+	for _, t := range s.targets {
+		if t.State != model.TargetServing {
+			continue
+		}
+		serving++
+		switch {
+		case !t.out() && t.suspicious, t.out() && t.severity == model.SeveritySlow:
+			slow++
+			all++
+		case t.out() && t.severity != model.SeverityCrashed:
+			all++
+		}
+	}
+	return allowance{slow: max(0, serving/2+1-slow), all: max(0, serving-all)}
+}
+
+func (a *allowance) take(severity model.Severity) bool {
+	if severity == model.SeverityCrashed {
+		return true
+	}
+	if a.all == 0 || severity == model.SeveritySlow && a.slow == 0 {
+		return false
+	}
+	a.all--
+	if severity == model.SeveritySlow {
+		a.slow--
+	}
+	return true
+}
+
 // floor returns the slots that stay in service; at least one, because a service without targets helps nobody.
 func (s *service) floor() int {
 	return max(1, s.spec.FloorSlots)
--- a/internal/eject/judge.go
+++ b/internal/eject/judge.go
@@ -79,7 +79,7 @@
 }
 
 func (s *service) scaled(usual time.Duration, factor float64) time.Duration {
-	return time.Duration(factor*float64(usual)) + s.allowance
+	return time.Duration(factor*float64(usual)) + s.slack
 }
 
 // examine derives the symptom of one target from its evidence.
--- a/internal/eject/module.go
+++ b/internal/eject/module.go
@@ -25,10 +25,11 @@
 type service struct {
 	spec       model.ServiceSpec
 	thresholds Thresholds
-	allowance  time.Duration
-	targets    []*target
-	byRef      map[model.TargetRef]*target
-	refs       map[string]*reference
+	// slack is added to the duration from which a request counts as slow.
+	slack   time.Duration
+	targets []*target
+	byRef   map[model.TargetRef]*target
+	refs    map[string]*reference
 	// dirty tells that new evidence came since the last judgement.
 	dirty        bool
 	idempotentAt time.Time
@@ -93,11 +94,11 @@
 
 func (m *Module) newService(item Service, old *service, first bool) *service {
 	s := &service{
-		spec: item.Spec, thresholds: ThresholdsOf(item.Spec), allowance: edgeAllowance, dirty: true,
+		spec: item.Spec, thresholds: ThresholdsOf(item.Spec), slack: edgeSlack, dirty: true,
 		byRef: make(map[model.TargetRef]*target, len(item.Targets)),
 	}
 	if m.config.Observer == ObserverAgent {
-		s.allowance = agentAllowance
+		s.slack = agentSlack
 	}
 	if old != nil {
 		s.refs, s.idempotentAt = old.refs, old.idempotentAt
--- /dev/null
+++ b/internal/eject/module_test.go
@@ -0,0 +1,408 @@
+package eject
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+const testService = "courtview"
+
+var testStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// rig drives one module in simulated time.
+type rig struct {
+	module  *Module
+	now     time.Time
+	spec    model.ServiceSpec
+	targets []model.Target
+}
+
+func ref(i int) model.TargetRef {
+	return model.TargetRef{Service: testService, ID: fmt.Sprintf("t%02d", i), Incarnation: 1}
+}
+
+func newRig(observer Observer, count, slots, floor int, profile model.Profile) *rig {
+	r := &rig{
+		module: New(Config{Observer: observer, Seed: 1}), now: testStart,
+		spec: model.ServiceSpec{Name: testService, FloorSlots: floor, Profile: profile},
+	}
+	for i := range count {
+		r.targets = append(r.targets, model.Target{Ref: ref(i), Slots: slots, State: model.TargetServing})
+	}
+	r.announce()
+	return r
+}
+
+func (r *rig) announce() {
+	r.module.Update(ServicesMsg{Now: r.now, Services: []Service{{Spec: r.spec, Targets: r.targets}}})
+}
+
+func (r *rig) result(i int, kind Kind, took time.Duration) {
+	r.module.Update(ResultMsg{Now: r.now, Target: ref(i), Class: "read", Duration: took, Kind: kind, Idempotent: true})
+}
+
+func (r *rig) tick(d time.Duration) {
+	r.now = r.now.Add(d)
+	r.module.Update(TickMsg{Now: r.now})
+}
+
+func (r *rig) claim(severity model.Severity, targets ...int) {
+	msg := ClaimMsg{Now: r.now}
+	for _, i := range targets {
+		msg.Claims = append(msg.Claims, model.Claim{Target: ref(i), Severity: severity})
+	}
+	r.module.Update(msg)
+}
+
+func (r *rig) state(i int) State { return r.module.Snapshot().Verdict(ref(i)).State }
+
+// warm lets all targets answer for a while, so that medians and baselines exist.
+func (r *rig) warm() {
+	for range 60 {
+		for i := range r.targets {
+			r.result(i, KindOK, 20*time.Millisecond)
+		}
+		r.tick(50 * time.Millisecond)
+	}
+}
+
+// serve gives each target that is in service one result per 50 ms, by the given behaviour.
+func (r *rig) serve(d time.Duration, behave func(i int) (Kind, time.Duration)) {
+	for end := r.now.Add(d); r.now.Before(end); r.tick(50 * time.Millisecond) {
+		for i := range r.targets {
+			if s := r.state(i); s != StateEjected {
+				kind, took := behave(i)
+				r.result(i, kind, took)
+			}
+		}
+	}
+}
+
+func healthy(int) (Kind, time.Duration) { return KindOK, 20 * time.Millisecond }
+
+func failing(bad ...int) func(int) (Kind, time.Duration) {
+	return func(i int) (Kind, time.Duration) {
+		for _, b := range bad {
+			if i == b {
+				return KindError, time.Millisecond
+			}
+		}
+		return healthy(i)
+	}
+}
+
+// Guards against ejecting below the floor, and against ejecting at all when fewer slots than the floor are announced.
+func TestFloorHoldsUnderAnyFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.SampledFrom([]int{1, 3, 7}).Draw(t, "slots")
+		floor := rapid.IntRange(0, 14*slots).Draw(t, "floor")
+		r := newRig(ObserverEdge, 12, slots, floor, rapid.SampledFrom([]model.Profile{"capacity", "detection"}).Draw(t, "profile"))
+		for range rapid.IntRange(10, 120).Draw(t, "steps") {
+			r.randomStep(t)
+			r.checkFloor(t)
+		}
+	})
+}
+
+func (r *rig) randomStep(t *rapid.T) {
+	i := rapid.IntRange(0, 11).Draw(t, "target")
+	switch rapid.IntRange(0, 6).Draw(t, "step") {
+	case 0: // Targets restart, leave, join or change size.
+		r.randomAnnouncement(t)
+	case 1:
+		claims := rapid.SliceOfNDistinct(rapid.IntRange(0, 11), 0, 12, rapid.ID[int]).Draw(t, "claims")
+		r.claim(model.Severity(rapid.IntRange(1, 4).Draw(t, "severity")), claims...)
+	case 2, 3:
+		kind := Kind(rapid.IntRange(0, 6).Draw(t, "kind"))
+		for range rapid.IntRange(1, 30).Draw(t, "results") {
+			r.result(i, kind, time.Duration(rapid.IntRange(0, 5000).Draw(t, "took"))*time.Millisecond)
+		}
+	case 4:
+		r.module.Update(InFlightMsg{
+			Now: r.now, Target: ref(i), Class: "read", Count: rapid.IntRange(0, 3).Draw(t, "count"),
+			OldestAge: time.Duration(rapid.IntRange(0, 9000).Draw(t, "age")) * time.Millisecond,
+		})
+	case 5: // The clock of a paused VM may go back.
+		r.tick(time.Duration(rapid.IntRange(-5000, 0).Draw(t, "back")) * time.Millisecond)
+	default:
+		r.tick(time.Duration(rapid.IntRange(1, 60000).Draw(t, "forward")) * time.Millisecond)
+	}
+}
+
+func (r *rig) randomAnnouncement(t *rapid.T) {
+	r.targets = nil
+	for i := range 12 {
+		if rapid.IntRange(0, 4).Draw(t, "present") == 0 {
+			continue
+		}
+		target := model.Target{Ref: ref(i), Slots: rapid.IntRange(1, 7).Draw(t, "size"), State: model.TargetServing}
+		target.Ref.Incarnation = rapid.Uint64Range(1, 2).Draw(t, "incarnation")
+		if rapid.IntRange(0, 5).Draw(t, "draining") == 0 {
+			target.State = model.TargetDraining
+		}
+		r.targets = append(r.targets, target)
+	}
+	r.announce()
+}
+
+func (r *rig) checkFloor(t require.TestingT) {
+	announced, inService := 0, 0
+	for _, target := range r.targets {
+		if target.State != model.TargetServing {
+			continue
+		}
+		announced += target.Slots
+		if r.module.Snapshot().Verdict(target.Ref).InService() {
+			inService += target.Slots
+		}
+	}
+	require.GreaterOrEqual(t, inService, min(announced, max(1, r.spec.FloorSlots)))
+}
+
+// Guards against a rolling restart that lets the ejections of the other targets break the floor.
+func TestFloorHoldsDuringRollingRestart(t *testing.T) {
+	r := newRig(ObserverEdge, 12, 7, 50, model.ProfileDetection)
+	r.claim(model.SeverityCrashed, 0, 1, 2, 3, 4, 5)
+	r.tick(time.Second)
+	all := r.targets
+	for gone := range all {
+		r.targets = append(append([]model.Target{}, all[:gone]...), all[gone+1:]...)
+		r.announce()
+		r.checkFloor(t)
+		all[gone].Ref.Incarnation++
+		r.targets = all
+		r.announce()
+		r.tick(time.Second)
+		r.checkFloor(t)
+	}
+}
+
+// Guards against choosers with slightly different claims ejecting very different sets. Below the common-cause bound one
+// differing claim may replace one other; in its range it may in addition take one place away.
+func TestChoosersDifferNoMoreThanTheirInputs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		floor := rapid.IntRange(0, 84).Draw(t, "floor")
+		severities := rapid.SliceOfN(rapid.IntRange(0, 4), 12, 12).Draw(t, "severities")
+		changed := rapid.SliceOfNDistinct(rapid.IntRange(0, 11), 0, 3, rapid.ID[int]).Draw(t, "changed")
+		other := append([]int{}, severities...)
+		for _, i := range changed {
+			other[i] = rapid.IntRange(0, 4).Draw(t, "other")
+		}
+		a, b := ejectedBy(severities, floor), ejectedBy(other, floor)
+		require.LessOrEqual(t, max(missing(a, b), missing(b, a)), 2*len(changed))
+		if onlyCrashes(severities) && onlyCrashes(other) {
+			require.LessOrEqual(t, max(missing(a, b), missing(b, a)), len(changed))
+		}
+	})
+}
+
+func onlyCrashes(severities []int) bool {
+	for _, s := range severities {
+		if s != 0 && s != int(model.SeverityCrashed) {
+			return false
+		}
+	}
+	return true
+}
+
+func ejectedBy(severities []int, floor int) map[int]bool {
+	r := newRig(ObserverEdge, 12, 7, floor, model.ProfileCapacity)
+	msg := ClaimMsg{Now: r.now}
+	for i, s := range severities {
+		if s != 0 {
+			msg.Claims = append(msg.Claims, model.Claim{Target: ref(i), Severity: model.Severity(s)})
+		}
+	}
+	r.module.Update(msg)
+	r.tick(2 * time.Second)
+	set := make(map[int]bool)
+	for i := range severities {
+		if !r.module.Snapshot().Verdict(ref(i)).InService() {
+			set[i] = true
+		}
+	}
+	return set
+}
+
+func missing(a, b map[int]bool) int {
+	n := 0
+	for i := range a {
+		if !b[i] {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a target that probes would find healthy staying in service although real requests fail or stall.
+func TestEachFaultIsEjected(t *testing.T) {
+	faults := map[string]func(int) (Kind, time.Duration){
+		"failing": failing(3),
+		"half failing": func() func(int) (Kind, time.Duration) {
+			n := 0
+			return func(i int) (Kind, time.Duration) {
+				if i == 3 {
+					if n++; n%2 == 0 {
+						return KindError, time.Millisecond
+					}
+				}
+				return healthy(i)
+			}
+		}(),
+		"reset": func(i int) (Kind, time.Duration) {
+			if i == 3 {
+				return KindReset, 0
+			}
+			return healthy(i)
+		},
+		"slow": func(i int) (Kind, time.Duration) {
+			if i == 3 {
+				return KindOK, 400 * time.Millisecond
+			}
+			return healthy(i)
+		},
+		"path": func(i int) (Kind, time.Duration) {
+			if i == 3 {
+				return KindPathFailure, 0
+			}
+			return healthy(i)
+		},
+	}
+	for _, profile := range []model.Profile{model.ProfileCapacity, model.ProfileDetection} {
+		for name, fault := range faults {
+			t.Run(string(profile)+" "+name, func(t *testing.T) {
+				r := newRig(ObserverEdge, 12, 7, 50, profile)
+				r.warm()
+				r.serve(4*time.Second, fault)
+				require.Contains(t, []State{StateEjected, StateProbation}, r.state(3))
+				require.Equal(t, StateHealthy, r.state(4))
+			})
+		}
+	}
+}
+
+// Guards against missing a target that accepts requests and never answers.
+func TestStalledTargetIsEjected(t *testing.T) {
+	r := newRig(ObserverEdge, 12, 7, 50, model.ProfileDetection)
+	r.warm()
+	for i := range 30 {
+		age := time.Duration(i) * 50 * time.Millisecond
+		r.module.Update(InFlightMsg{Now: r.now, Target: ref(3), Class: "read", Count: 2, OldestAge: age})
+		r.tick(50 * time.Millisecond)
+	}
+	require.Equal(t, StateEjected, r.state(3))
+}
+
+// Guards against taking a long request at a target that answers others for a stall.
+func TestOneLongRequestIsNoStall(t *testing.T) {
+	r := newRig(ObserverEdge, 12, 7, 50, model.ProfileDetection)
+	r.warm()
+	for i := range 200 {
+		age := time.Duration(i) * 50 * time.Millisecond
+		r.module.Update(InFlightMsg{Now: r.now, Target: ref(3), Class: "read", Count: 2, OldestAge: age})
+		r.result(3, KindOK, 20*time.Millisecond)
+		r.tick(50 * time.Millisecond)
+	}
+	require.Equal(t, StateHealthy, r.state(3))
+}
+
+// Guards against ejecting targets when a shared dependency makes all of them slow, fail or stall.
+func TestCommonCauseEjectsNothing(t *testing.T) {
+	common := map[string]func(int) (Kind, time.Duration){
+		"slow":    func(int) (Kind, time.Duration) { return KindOK, 400 * time.Millisecond },
+		"failing": func(int) (Kind, time.Duration) { return KindError, time.Millisecond },
+		"timeout": func(int) (Kind, time.Duration) { return KindTimeout, 2 * time.Second },
+	}
+	for name, behave := range common {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(ObserverEdge, 12, 7, 50, model.ProfileDetection)
+			r.warm()
+			r.serve(20*time.Second, func(i int) (Kind, time.Duration) {
+				for j := range r.targets {
+					require.True(t, r.module.Snapshot().Verdict(ref(j)).InService())
+				}
+				return behave(i)
+			})
+			r.serve(20*time.Second, healthy)
+			for i := range r.targets {
+				require.Equal(t, StateHealthy, r.state(i))
+			}
+		})
+	}
+}
+
+// Guards against a recovered target staying out, with many requests, with one request in ten seconds, and with none.
+func TestRecoveredTargetIsReadmitted(t *testing.T) {
+	for name, interval := range map[string]time.Duration{"busy": 50 * time.Millisecond, "quiet": 10 * time.Second, "none": 0} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(ObserverEdge, 12, 7, 50, model.ProfileCapacity)
+			r.warm()
+			r.serve(4*time.Second, failing(3))
+			require.NotEqual(t, StateHealthy, r.state(3))
+			next := r.now
+			for end := r.now.Add(3 * time.Minute); r.now.Before(end); r.tick(50 * time.Millisecond) {
+				if interval > 0 && !r.now.Before(next) && r.state(3) != StateEjected {
+					r.result(3, KindOK, 20*time.Millisecond)
+					next = r.now.Add(interval)
+				}
+			}
+			require.Equal(t, StateHealthy, r.state(3))
+		})
+	}
+}
+
+// Guards against a flapping target coming back at the same pace for ever.
+func TestFlappingLengthensTheWait(t *testing.T) {
+	r := newRig(ObserverEdge, 12, 7, 50, model.ProfileDetection)
+	r.warm()
+	var waits []time.Duration
+	var ejectedAt time.Time
+	for len(waits) < 8 {
+		before := r.state(3)
+		r.serve(50*time.Millisecond, failing(3))
+		switch after := r.state(3); {
+		case before != StateEjected && after == StateEjected:
+			ejectedAt = r.now
+		case before == StateEjected && after != StateEjected:
+			waits = append(waits, r.now.Sub(ejectedAt))
+		}
+	}
+	for i := 1; i < 6; i++ {
+		require.Greater(t, waits[i], waits[i-1]*3/2)
+	}
+	require.LessOrEqual(t, waits[7], waitMax+waitMax/8)
+}
+
+// Guards against a restart that clears the memory of a target that crashes again and again.
+func TestRestartKeepsTheWait(t *testing.T) {
+	r := newRig(ObserverEdge, 12, 7, 50, model.ProfileDetection)
+	for range 3 {
+		r.claim(model.SeverityCrashed, 3)
+		r.claim(model.SeverityCrashed)
+		r.targets[3].Ref.Incarnation++
+		r.announce()
+	}
+	require.Equal(t, 1, r.module.byName[testService].targets[3].history.ejections, "claims on an old incarnation must not count")
+	r.module.Update(ClaimMsg{Now: r.now, Claims: []model.Claim{{Target: r.targets[3].Ref, Severity: model.SeverityCrashed}}})
+	require.Equal(t, 2, r.module.byName[testService].targets[3].history.ejections)
+}
+
+// Guards against an agent whose claim outlives the fault, or never appears.
+func TestAgentClaims(t *testing.T) {
+	r := newRig(ObserverAgent, 1, 7, 50, model.ProfileDetection)
+	r.warm()
+	r.serve(2*time.Second, failing(0))
+	require.Equal(t, []model.Claim{{Target: ref(0), Severity: model.SeverityFailing}}, r.module.Claims())
+	r.tick(50 * time.Millisecond)
+	for range 3 {
+		r.result(0, KindOK, 20*time.Millisecond)
+	}
+	r.tick(50 * time.Millisecond)
+	require.Empty(t, r.module.Claims())
+}
--- a/internal/eject/settings.go
+++ b/internal/eject/settings.go
@@ -53,16 +53,18 @@
 	retainedWeight = 0.25
 	// slowStartFloor is the weight at the beginning of slow start.
 	slowStartFloor = 0.1
-	// edgeAllowance covers the round trip between regions (24 ms) twice, as the edge's durations contain the path.
-	edgeAllowance = 50 * time.Millisecond
-	// agentAllowance keeps short requests from looking slow through scheduling noise.
-	agentAllowance = 10 * time.Millisecond
+	// edgeSlack covers the round trip between regions (24 ms) twice, as the edge's durations contain the path.
+	edgeSlack = 50 * time.Millisecond
+	// agentSlack keeps short requests from looking slow through scheduling noise.
+	agentSlack = 10 * time.Millisecond
 	// maxWindow is the number of results that a target remembers.
 	maxWindow = 64
 	// peersNeeded is the number of other targets whose median is a usable reference.
 	peersNeeded = 2
 	// widespreadMin is the number of observed targets from which a common cause can be told.
 	widespreadMin = 3
+	// widespreadShare is the divisor of the announced targets that must be observed for the same purpose.
+	widespreadShare = 3
 	// baselineSamples is the number of samples after which the target's own baseline is usable.
 	baselineSamples = 50
 	// baselineGain is the share of a new sample in the baseline.
--- /dev/null
+++ b/internal/eject/tracker_test.go
@@ -0,0 +1,98 @@
+package eject
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwinch/auburnwinch/internal/timer"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// Guards against lost results and stale ages when many requests start and end while the tracker judges.
+func TestTrackerUnderConcurrentRequests(t *testing.T) {
+	var ejected atomic.Bool
+	tracker := NewTracker(TrackerConfig{
+		Config: Config{Observer: ObserverEdge}, Clock: timer.NewReal(), Interval: time.Millisecond,
+		OnVerdict: func(c VerdictCmd) { ejected.Store(ejected.Load() || c.To == StateEjected && c.Target == ref(0)) },
+	})
+	defer tracker.Close()
+	service := Service{Spec: model.ServiceSpec{Name: testService, FloorSlots: 7, Profile: model.ProfileDetection}}
+	for i := range 6 {
+		service.Targets = append(service.Targets, model.Target{Ref: ref(i), Slots: 7, State: model.TargetServing})
+	}
+	tracker.SetServices([]Service{service})
+	var wg sync.WaitGroup
+	for i := range 6 {
+		for range 4 {
+			wg.Go(func() { runRequests(tracker, i) })
+		}
+	}
+	wg.Wait()
+	require.Eventually(t, ejected.Load, 5*time.Second, time.Millisecond)
+	for i := 1; i < 6; i++ {
+		require.True(t, tracker.Verdict(ref(i)).InService())
+	}
+}
+
+func runRequests(tracker *Tracker, i int) {
+	for range 400 {
+		handle := tracker.Start(Request{Target: ref(i), Class: "read", Idempotent: true})
+		handle.Progress()
+		time.Sleep(500 * time.Microsecond)
+		if i == 0 {
+			handle.Finish(Result{Kind: KindError})
+		} else {
+			handle.Finish(Result{Kind: KindOK})
+		}
+		handle.Finish(Result{Kind: KindError}) // A second Finish must not count.
+	}
+}
+
+// Guards against in-flight requests that the chunk list loses, counts twice, or never frees.
+func TestStartTimes(t *testing.T) {
+	var s startTimes
+	var slots []*atomic.Int64
+	for i := range 3 * chunkSlots {
+		slots = append(slots, s.claim(int64(i+1)))
+	}
+	count, start := s.oldest(10)
+	require.Equal(t, 3*chunkSlots-9, count)
+	require.EqualValues(t, 10, start)
+	for _, slot := range slots {
+		slot.Store(0)
+	}
+	count, _ = s.oldest(0)
+	require.Zero(t, count)
+}
+
+// Guards against a stalled target that no finished request ever reports.
+func TestTrackerSeesTheAgeInFlight(t *testing.T) {
+	clock := timer.NewManual(testStart)
+	tracker := NewTracker(TrackerConfig{Config: Config{Observer: ObserverAgent}, Clock: clock})
+	defer tracker.Close()
+	tracker.SetServices([]Service{{
+		Spec:    model.ServiceSpec{Name: testService, Profile: model.ProfileDetection},
+		Targets: []model.Target{{Ref: ref(0), Slots: 7, State: model.TargetServing}},
+	}})
+	handle := tracker.Start(Request{Target: ref(0), Class: "read"})
+	require.Eventually(t, func() bool {
+		clock.Advance(100 * time.Millisecond)
+		return len(tracker.Claims()) == 1
+	}, 5*time.Second, time.Millisecond)
+	require.Equal(t, model.SeverityStalled, tracker.Claims()[0].Severity)
+	handle.Finish(Result{Kind: KindTimeout})
+}
+
+func BenchmarkTracker(b *testing.B) {
+	tracker := NewTracker(TrackerConfig{Config: Config{Observer: ObserverEdge}, Clock: timer.NewReal()})
+	defer tracker.Close()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			tracker.Start(Request{Target: ref(1), Class: "read"}).Finish(Result{Kind: KindOK})
+		}
+	})
+}
