--- /dev/null
+++ b/internal/once/ledger.go
@@ -0,0 +1,179 @@
+package once
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+
+	"github.com/auburnwinch/auburnwinch/internal/timer"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// shards divides the keys among independent modules, so that requests rarely wait for one another.
+const shards = 16
+
+// Bounds of what a node keeps. At the design size a node sees 180,000/670 = 270 requests/s, which makes 180,000 keys in
+// eleven minutes; the bound leaves a factor of three for skew.
+const (
+	defaultRetention  = 10 * time.Minute
+	defaultMaxKeys    = 540_000
+	defaultMaxFloors  = 8_192
+	maxAnswerBytes    = 64 << 10
+	maxAnswersInTotal = 32 << 20
+	expireInterval    = 10 * time.Second
+)
+
+// LedgerConfig configures a ledger; only Self is required.
+type LedgerConfig struct {
+	Self  model.NodeRef
+	Clock timer.Service
+	// Retention is how long a key is remembered at least, unless MaxKeys is reached.
+	Retention time.Duration
+	MaxKeys   int
+}
+
+// Ledger is the agent's record of the keys that reached its targets.
+type Ledger struct {
+	config LedgerConfig
+	shards [shards]ledgerShard
+	ticker ticker
+}
+
+type ledgerShard struct {
+	mu     sync.Mutex
+	module *ledgerModule
+	_      [48]byte // keeps the locks of two shards off one cache line
+}
+
+// ticker runs a function at every tick until it is closed.
+type ticker struct {
+	stop chan struct{}
+	once sync.Once
+	wg   conc.WaitGroup
+}
+
+// NewLedger returns a ledger that forgets old epochs until Close.
+func NewLedger(c LedgerConfig) (*Ledger, error) {
+	if c.Self.IsZero() {
+		return nil, eris.New("once: the ledger needs the reference of its node; set LedgerConfig.Self")
+	}
+	if c.Clock == nil {
+		c.Clock = timer.NewReal()
+	}
+	c.Retention = orDefault(c.Retention, defaultRetention)
+	c.MaxKeys = orDefault(c.MaxKeys, defaultMaxKeys)
+	l := &Ledger{config: c}
+	for i := range l.shards {
+		l.shards[i].module = newLedgerModule(ledgerConfig{
+			Self:           c.Self,
+			MaxRecords:     max(c.MaxKeys/shards, 1),
+			MaxFloors:      defaultMaxFloors,
+			MaxAnswer:      maxAnswerBytes,
+			MaxAnswerTotal: maxAnswersInTotal / shards,
+		})
+	}
+	l.ticker.start(c.Clock, expireInterval, l.expire)
+	return l, nil
+}
+
+// Admit reports whether the attempt may be handed to a target; a refusal is no proof that the key did not run.
+func (l *Ledger) Admit(attempt string) bool {
+	id, err := parseAttempt(attempt)
+	if err != nil {
+		return false
+	}
+	return l.update(id.Key, AdmitMsg{Now: l.config.Clock.Now(), ID: id}) != nil
+}
+
+// Release takes back an admitted attempt that certainly did not reach the target.
+func (l *Ledger) Release(attempt string) {
+	if id, err := parseAttempt(attempt); err == nil {
+		l.update(id.Key, ReleaseMsg{ID: id})
+	}
+}
+
+// Finish records that the target gave its whole answer; a nil or too large answer is not kept.
+func (l *Ledger) Finish(attempt string, a *Answer) {
+	if id, err := parseAttempt(attempt); err == nil {
+		l.update(id.Key, CompleteMsg{Now: l.config.Clock.Now(), ID: id, Answer: a})
+	}
+}
+
+// Fail records that the target broke off after it got the request.
+func (l *Ledger) Fail(attempt string) {
+	if id, err := parseAttempt(attempt); err == nil {
+		l.update(id.Key, CompleteMsg{Now: l.config.Clock.Now(), ID: id, Broken: true})
+	}
+}
+
+// Close stops the expiry of epochs.
+func (l *Ledger) Close() {
+	l.ticker.close()
+}
+
+func (l *Ledger) fence(msg FenceMsg) EvidenceCmd {
+	msg.Now = l.config.Clock.Now()
+	return l.update(msg.ID, msg).(EvidenceCmd)
+}
+
+func (l *Ledger) lookup(msg LookupMsg) EvidenceCmd {
+	s := l.shard(msg.ID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.module.Lookup(msg)
+}
+
+func (l *Ledger) update(id keyID, msg Msg) Cmd {
+	s := l.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.module.Update(msg)
+}
+
+func (l *Ledger) shard(id keyID) *ledgerShard {
+	return &l.shards[id.Digest.shard()]
+}
+
+func (l *Ledger) expire(now time.Time) {
+	for i := range l.shards {
+		s := &l.shards[i]
+		s.mu.Lock()
+		s.module.Update(ExpireMsg{Before: now.Add(-l.config.Retention)})
+		s.mu.Unlock()
+	}
+}
+
+func (d digest) shard() int {
+	return int(d[0]) % shards
+}
+
+func (t *ticker) start(clock timer.Service, interval time.Duration, f func(time.Time)) {
+	t.stop = make(chan struct{})
+	ticks := clock.Subscribe(interval)
+	t.wg.Go(func() {
+		defer ticks.Stop()
+		for {
+			select {
+			case now := <-ticks.C:
+				f(now)
+			case <-t.stop:
+				return
+			}
+		}
+	})
+}
+
+func (t *ticker) close() {
+	t.once.Do(func() { close(t.stop) })
+	t.wg.Wait()
+}
+
+func orDefault[T comparable](v, fallback T) T {
+	var zero T
+	if v == zero {
+		return fallback
+	}
+	return v
+}
--- /dev/null
+++ b/internal/once/owner.go
@@ -0,0 +1,535 @@
+package once
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+
+	"github.com/auburnwinch/auburnwinch/internal/timer"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+const (
+	epochInterval = time.Minute
+	// epochsInBound starts a new epoch early, so that dropping one epoch frees at most a tenth of the bound.
+	epochsInBound = 10
+	// maxHops bounds how often a send follows a key from one holder to the next.
+	maxHops = 4
+	// reservedMark starts the unique part of the keys that the edge gives to sends without a key.
+	reservedMark = "!"
+)
+
+// Times after which a resend of the same key may learn more.
+const (
+	retryRunning  = time.Second
+	retryAgent    = 2 * time.Second
+	retryPlatform = 5 * time.Second
+)
+
+// Peers calls net/rpc methods of other nodes.
+type Peers interface {
+	Call(ctx context.Context, node model.Node, method string, args, reply any) error
+}
+
+// Claims writes the row of a plain key unless it exists, and returns the owner token that the row holds afterwards.
+type Claims interface {
+	ClaimKey(ctx context.Context, row, token string) (string, error)
+}
+
+// Directory finds the nodes of the fleet.
+type Directory interface {
+	// Node returns the addresses of the node incarnation, if it is known and not dead.
+	Node(ref model.NodeRef) (model.Node, bool)
+	// Successor returns the node that the leaving record of the node incarnation names.
+	Successor(ref model.NodeRef) (model.Node, bool)
+	// Agents returns the nodes that have targets of the service.
+	Agents(service string) []model.Node
+}
+
+// Config configures an owner; Self, Peers, Claims and Directory are required.
+type Config struct {
+	Self      model.Node
+	Peers     Peers
+	Claims    Claims
+	Directory Directory
+	// Ledger answers for the agent role of the same node without a call.
+	Ledger *Ledger
+	Clock  timer.Service
+	// Retention is how long a key is remembered at least, unless MaxKeys is reached.
+	Retention time.Duration
+	MaxKeys   int
+	// EpochKeys is the number of new keys that starts an epoch before its minute is over.
+	EpochKeys int
+}
+
+// Owner decides where requests with keys run, for all sends that arrive at this node.
+type Owner struct {
+	config Config
+	shards [shards]ownerShard
+	token  atomic.Pointer[string]
+	unique atomic.Uint64
+	fresh  atomic.Int64
+	epochs sync.Mutex
+	epoch  uint64
+	begun  time.Time
+	ticker ticker
+}
+
+type ownerShard struct {
+	mu     sync.Mutex
+	module *ownerModule
+	_      [48]byte // keeps the locks of two shards off one cache line
+}
+
+// errand is one send, query or resolve call and what was learned for it so far.
+type errand struct {
+	key    string
+	id     keyID
+	send   Send
+	query  bool
+	answer *Answer
+	hops   int
+}
+
+// NewOwner returns an owner in epoch 1 that starts and drops epochs until Close.
+func NewOwner(c Config) (*Owner, error) {
+	if c.Self.Ref.IsZero() || c.Peers == nil || c.Claims == nil || c.Directory == nil {
+		return nil, eris.New("once: the owner needs Config.Self, Peers, Claims and Directory")
+	}
+	if c.Clock == nil {
+		c.Clock = timer.NewReal()
+	}
+	c.Retention = orDefault(c.Retention, defaultRetention)
+	c.MaxKeys = orDefault(c.MaxKeys, defaultMaxKeys)
+	c.EpochKeys = orDefault(c.EpochKeys, max(c.MaxKeys/epochsInBound, 1))
+	o := &Owner{config: c}
+	for i := range o.shards {
+		o.shards[i].module = newOwnerModule(ownerConfig{
+			Self:       c.Self.Ref,
+			MaxRecords: max(c.MaxKeys/shards, 1),
+			MaxFloors:  defaultMaxFloors,
+		})
+	}
+	o.startEpoch(c.Clock.Now())
+	o.ticker.start(c.Clock, expireInterval, o.tick)
+	return o, nil
+}
+
+// Token returns the owner token of the current epoch.
+func (o *Owner) Token() string {
+	return *o.token.Load()
+}
+
+// Begin decides about a send. After KindRun the edge makes attempts and calls End exactly once.
+func (o *Owner) Begin(ctx context.Context, s Send) Decision {
+	key, refusal := o.issuedForm(ctx, s)
+	if refusal != nil {
+		return *refusal
+	}
+	id, err := parseKey(key)
+	if err != nil {
+		return Decision{Kind: KindNotRun, Key: key, Reason: ReasonKeyInvalid}
+	}
+	e := &errand{key: key, id: id, send: s}
+	return o.carryOut(ctx, e, o.update(id, BeginMsg{Now: o.now(), ID: id, Fingerprint: s.Fingerprint}))
+}
+
+// StartAttempt records an attempt and returns the value of Auburnwinch-Key; it must be sent at most once, to this node.
+// It fails when the key was dropped or handed over meanwhile; the edge then calls ResolveAttempt.
+func (o *Owner) StartAttempt(key string, _ model.TargetRef, node model.Node) (attempt string, ok bool) {
+	id, err := parseKey(key)
+	if err != nil {
+		return "", false
+	}
+	run, ok := o.update(id, StartMsg{Now: o.now(), ID: id, Agent: &node}).(RunCmd)
+	if !ok {
+		return "", false
+	}
+	return formatAttempt(key, run.Fingerprint, node.Ref.Incarnation), true
+}
+
+// RefuseAttempt reports that the agent read the attempt, refused it and never ran it.
+func (o *Owner) RefuseAttempt(key string) {
+	if id, err := parseKey(key); err == nil {
+		o.update(id, RefuseMsg{Now: o.now(), ID: id})
+	}
+}
+
+// FinishAttempt reports that the whole answer of the attempt arrived.
+func (o *Owner) FinishAttempt(key string) {
+	if id, err := parseKey(key); err == nil {
+		o.update(id, FinishMsg{Now: o.now(), ID: id})
+	}
+}
+
+// ResolveAttempt fences an attempt whose outcome is in doubt; KindRun permits another attempt.
+func (o *Owner) ResolveAttempt(ctx context.Context, key string) Decision {
+	id, err := parseKey(key)
+	if err != nil {
+		return Decision{Kind: KindNotRun, Key: key, Reason: ReasonKeyInvalid}
+	}
+	return o.carryOut(ctx, &errand{key: key, id: id}, o.update(id, DoubtMsg{Now: o.now(), ID: id}))
+}
+
+// End releases the key after the send that got KindRun was answered with the outcome.
+func (o *Owner) End(key string, outcome model.Outcome) {
+	if id, err := parseKey(key); err == nil {
+		o.update(id, EndMsg{Now: o.now(), ID: id, Outcome: outcome})
+	}
+}
+
+// Query tells the outcome of an issued key without changing it; KindAnswer comes without the answer itself.
+func (o *Owner) Query(ctx context.Context, key string) Decision {
+	id, err := parseKey(key)
+	if err != nil {
+		return Decision{Kind: KindUnknown, Key: key, Reason: ReasonKeyInvalid}
+	}
+	return o.carryOut(ctx, &errand{key: key, id: id, query: true}, o.query(id))
+}
+
+// Handover ends the ownership of all keys and gives them to the successor; call it when no send is in flight.
+func (o *Owner) Handover(ctx context.Context, successor model.Node) error {
+	for i := range o.shards {
+		s := &o.shards[i]
+		s.mu.Lock()
+		cmd := only(s.module.Update(SealMsg{Successor: &successor}))
+		s.mu.Unlock()
+		estate, ok := cmd.(EstateCmd)
+		if !ok {
+			continue
+		}
+		args := HandoverArgs{Successor: successor.Ref, Shard: i, Estate: estate.Estate}
+		if err := o.config.Peers.Call(ctx, successor, methodHandover, args, &HandoverReply{}); err != nil {
+			return eris.Wrapf(err, "once: hand over keys to %s; resends of these keys get the outcome unknown", successor.Ref)
+		}
+	}
+	return nil
+}
+
+// Close stops the epochs.
+func (o *Owner) Close() {
+	o.ticker.close()
+}
+
+func (o *Owner) now() time.Time {
+	return o.config.Clock.Now()
+}
+
+func (o *Owner) update(id keyID, msg Msg) Cmd {
+	s := &o.shards[id.Digest.shard()]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return only(s.module.Update(msg))
+}
+
+func (o *Owner) query(id keyID) Cmd {
+	s := &o.shards[id.Digest.shard()]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return only(s.module.Query(QueryMsg{ID: id}))
+}
+
+// only returns the command of an update; the module gives at most one.
+func only(cmds []Cmd) Cmd {
+	if len(cmds) == 0 {
+		return nil
+	}
+	return cmds[0]
+}
+
+// issuedForm returns the issued form of the send's key, or the decision that refuses the send.
+func (o *Owner) issuedForm(ctx context.Context, s Send) (string, *Decision) {
+	o.countFresh()
+	switch {
+	case s.Key == "":
+		return o.Token() + "." + reservedMark + strconv.FormatUint(o.unique.Add(1), 10), nil
+	case IsIssued(s.Key):
+		if strings.Contains(s.Key, "."+reservedMark) {
+			return "", &Decision{Kind: KindNotRun, Reason: ReasonKeyInvalid}
+		}
+		return s.Key, nil
+	}
+	row := plainRow(s.Account, s.Key)
+	token, err := o.claim(ctx, row)
+	if err != nil {
+		// An earlier send may have claimed and run the key, so this is no `not-run`.
+		return "", &Decision{Kind: KindUnknown, Reason: ReasonPlatformAway, RetryAfter: retryPlatform}
+	}
+	return token + "." + row, nil
+}
+
+// claim repeats a failed write once: the conditional write returns the row when the first one took effect.
+func (o *Owner) claim(ctx context.Context, row string) (string, error) {
+	token, err := o.config.Claims.ClaimKey(ctx, row, o.Token())
+	if err != nil {
+		token, err = o.config.Claims.ClaimKey(ctx, row, o.Token())
+	}
+	return token, err
+}
+
+func (o *Owner) carryOut(ctx context.Context, e *errand, cmd Cmd) Decision {
+	for {
+		switch c := cmd.(type) {
+		case RunCmd:
+			return Decision{Kind: KindRun, Key: e.key}
+		case DecideCmd:
+			return e.decision(c.Kind, c.Reason)
+		case FenceCmd:
+			cmd = o.fence(ctx, e, c)
+		case FetchCmd:
+			return o.fetch(ctx, e, c)
+		case AskCmd:
+			next, decision := o.ask(ctx, e, c)
+			if next == nil {
+				return decision
+			}
+			cmd = next
+		default:
+			return e.decision(KindUnknown, ReasonOwnerGone)
+		}
+	}
+}
+
+func (e *errand) decision(k Kind, reason string) Decision {
+	d := Decision{Kind: k, Key: e.key, Reason: reason}
+	switch {
+	case k == KindAnswer && e.query:
+	case k == KindAnswer && e.answer == nil:
+		d.Kind, d.Reason = KindUnknown, ReasonAnswerNotKept
+	case k == KindAnswer:
+		d.Answer = e.answer
+	case k == KindInProgress:
+		d.RetryAfter = retryRunning
+	case reason == ReasonAgentGone, reason == ReasonOwnerGone, reason == ReasonNeverSeen, reason == ReasonLeaving:
+		d.RetryAfter = retryAgent
+	}
+	return d
+}
+
+func (o *Owner) fence(ctx context.Context, e *errand, c FenceCmd) Cmd {
+	reply := o.fenceCall(ctx, e, *c.Agent)
+	e.answer = reply.Answer
+	return o.update(e.id, FenceReplyMsg{
+		Now: o.now(), ID: e.id, Purpose: c.Purpose, State: reply.State, Requester: c.Requester,
+	})
+}
+
+func (o *Owner) fenceCall(ctx context.Context, e *errand, agent model.Node) FenceReply {
+	fingerprint := o.fingerprint(e)
+	if o.local(agent) {
+		return FenceReply(o.config.Ledger.fence(FenceMsg{ID: e.id, Agent: agent.Ref, Fingerprint: fingerprint}))
+	}
+	reply := FenceReply{}
+	args := FenceArgs{Agent: agent.Ref, Key: e.key, Fingerprint: fingerprint}
+	if err := o.config.Peers.Call(ctx, agent, methodFence, args, &reply); err != nil {
+		return FenceReply{State: FenceFailed}
+	}
+	return reply
+}
+
+// fingerprint returns the one of the record, since ResolveAttempt does not carry the request.
+func (o *Owner) fingerprint(e *errand) uint64 {
+	s := &o.shards[e.id.Digest.shard()]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.module.shelf.get(e.id)
+	if !ok {
+		return e.send.Fingerprint
+	}
+	return r.Fingerprint
+}
+
+func (o *Owner) fetch(ctx context.Context, e *errand, c FetchCmd) Decision {
+	reply, err := o.lookupCall(ctx, e, *c.Agent, o.fingerprint(e))
+	switch {
+	case err != nil:
+		return e.decision(KindUnknown, ReasonAgentGone)
+	case reply.State == FenceRunning:
+		return e.decision(KindInProgress, ReasonRunning)
+	case reply.State == FenceDone:
+		e.answer = reply.Answer
+		return e.decision(KindAnswer, "")
+	default:
+		return e.decision(KindUnknown, ReasonAnswerNotKept)
+	}
+}
+
+func (o *Owner) lookupCall(ctx context.Context, e *errand, agent model.Node, fingerprint uint64) (FenceReply, error) {
+	if o.local(agent) {
+		msg := LookupMsg{ID: e.id, Fingerprint: fingerprint, AnyRequest: e.query}
+		return FenceReply(o.config.Ledger.lookup(msg)), nil
+	}
+	reply := FenceReply{}
+	args := LookupArgs{Key: e.key, Fingerprint: fingerprint, AnyRequest: e.query}
+	err := o.config.Peers.Call(ctx, agent, methodLookup, args, &reply)
+	return reply, err
+}
+
+func (o *Owner) local(agent model.Node) bool {
+	return o.config.Ledger != nil && agent.Ref == o.config.Self.Ref
+}
+
+// ask returns the next command, or the decision when there is none.
+func (o *Owner) ask(ctx context.Context, e *errand, c AskCmd) (Cmd, Decision) {
+	if e.hops++; e.hops > maxHops {
+		return nil, e.decision(KindUnknown, ReasonOwnerGone)
+	}
+	if c.Holder == o.config.Self.Ref {
+		if e.query || c.Generation == 0 {
+			return nil, e.decision(KindUnknown, ReasonNeverSeen)
+		}
+		return o.granted(e, c.Generation), Decision{}
+	}
+	reply, ok := o.resolveCall(ctx, e, c)
+	switch {
+	case !ok:
+		return o.withoutHolder(ctx, e, c)
+	case reply.Granted:
+		return o.granted(e, reply.Generation), Decision{}
+	case reply.Moved:
+		return AskCmd{Holder: reply.Holder, Generation: reply.Generation}, Decision{}
+	default:
+		e.answer = reply.Answer
+		return nil, e.decision(reply.Kind, reply.Reason)
+	}
+}
+
+func (o *Owner) granted(e *errand, generation uint32) Cmd {
+	return o.update(e.id, GrantMsg{
+		Now: o.now(), ID: e.id, Fingerprint: e.send.Fingerprint, Generation: generation,
+	})
+}
+
+func (o *Owner) resolveCall(ctx context.Context, e *errand, c AskCmd) (ResolveReply, bool) {
+	node, ok := o.config.Directory.Node(c.Holder)
+	if !ok {
+		return ResolveReply{}, false
+	}
+	args := ResolveArgs{
+		Holder: c.Holder, Requester: o.config.Self.Ref, Key: e.key,
+		Fingerprint: e.send.Fingerprint, Generation: c.Generation, Query: e.query,
+	}
+	reply := ResolveReply{}
+	err := o.config.Peers.Call(ctx, node, methodResolve, args, &reply)
+	return reply, err == nil && !reply.Gone
+}
+
+// withoutHolder asks the successor of a holder that is gone, or the agents of the service for evidence.
+func (o *Owner) withoutHolder(ctx context.Context, e *errand, c AskCmd) (Cmd, Decision) {
+	if successor, ok := o.config.Directory.Successor(c.Holder); ok && successor.Ref != c.Holder {
+		return AskCmd{Holder: successor.Ref}, Decision{}
+	}
+	agents := o.config.Directory.Agents(e.send.Service)
+	replies := make([]FenceReply, len(agents))
+	var wg conc.WaitGroup
+	for i, agent := range agents {
+		wg.Go(func() {
+			if reply, err := o.lookupCall(ctx, e, agent, e.send.Fingerprint); err == nil {
+				replies[i] = reply
+			}
+		})
+	}
+	wg.Wait()
+	return nil, e.evidence(replies)
+}
+
+// evidence decides by what the agents know; without a positive answer the key may have run at an agent that is gone.
+func (e *errand) evidence(replies []FenceReply) Decision {
+	decision := e.decision(KindUnknown, ReasonOwnerGone)
+	for _, r := range replies {
+		switch r.State {
+		case FenceDone:
+			e.answer = r.Answer
+			return e.decision(KindAnswer, "")
+		case FenceRunning:
+			return e.decision(KindInProgress, ReasonRunning)
+		case FenceBroken, FenceMismatch:
+			decision = e.decision(KindUnknown, r.State.reason())
+		}
+	}
+	return decision
+}
+
+// serve answers a requester's Keys.Resolve.
+func (o *Owner) serve(ctx context.Context, id keyID, args ResolveArgs) ResolveReply {
+	e := &errand{key: args.Key, id: id, query: args.Query, send: Send{Fingerprint: args.Fingerprint}}
+	var cmd Cmd
+	if args.Query {
+		cmd = o.query(id)
+	} else {
+		cmd = o.update(id, ResolveMsg{
+			Now: o.now(), ID: id, Fingerprint: args.Fingerprint,
+			Requester: args.Requester, Generation: args.Generation,
+		})
+	}
+	if f, ok := cmd.(FenceCmd); ok {
+		cmd = o.fence(ctx, e, f)
+	}
+	switch c := cmd.(type) {
+	case GrantCmd:
+		return ResolveReply{Granted: true, Generation: c.Generation}
+	case MovedCmd:
+		return ResolveReply{Moved: true, Holder: c.Holder, Generation: c.Generation}
+	case AskCmd:
+		return ResolveReply{Moved: true, Holder: c.Holder, Generation: c.Generation}
+	case FetchCmd:
+		return e.reply(o.fetch(ctx, e, c))
+	case DecideCmd:
+		return e.reply(e.decision(c.Kind, c.Reason))
+	default:
+		return ResolveReply{Kind: KindUnknown, Reason: ReasonOwnerGone}
+	}
+}
+
+func (e *errand) reply(d Decision) ResolveReply {
+	return ResolveReply{Kind: d.Kind, Reason: d.Reason, Answer: d.Answer}
+}
+
+func (o *Owner) inherit(shard int, estate Estate) {
+	s := &o.shards[shard]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.module.Update(InheritMsg{Now: o.now(), Estate: estate})
+}
+
+func (o *Owner) countFresh() {
+	if o.fresh.Add(1) >= int64(o.config.EpochKeys) {
+		o.startEpoch(o.now())
+	}
+}
+
+// startEpoch tells the modules first, so that no caller holds a token that they don't know yet.
+func (o *Owner) startEpoch(now time.Time) {
+	o.epochs.Lock()
+	defer o.epochs.Unlock()
+	if o.epoch > 0 && o.fresh.Load() < int64(o.config.EpochKeys) && now.Sub(o.begun) < epochInterval {
+		return
+	}
+	o.epoch++
+	o.begun = now
+	o.fresh.Store(0)
+	for i := range o.shards {
+		s := &o.shards[i]
+		s.mu.Lock()
+		s.module.Update(EpochMsg{Epoch: o.epoch})
+		s.mu.Unlock()
+	}
+	token := FormatToken(o.config.Self.Ref, o.epoch)
+	o.token.Store(&token)
+}
+
+func (o *Owner) tick(now time.Time) {
+	o.startEpoch(now)
+	for i := range o.shards {
+		s := &o.shards[i]
+		s.mu.Lock()
+		s.module.Update(ExpireMsg{Before: now.Add(-o.config.Retention)})
+		s.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/once/owner_test.go
@@ -0,0 +1,175 @@
+package once
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwinch/auburnwinch/internal/timer"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+var errAway = errors.New("unreachable")
+
+// fleet connects nodes without a network; a node whose reference is in gone does not answer.
+type fleet struct {
+	nodes map[model.NodeRef]*testNode
+	gone  map[model.NodeRef]bool
+	next  map[model.NodeRef]model.NodeRef
+	rows  map[string]string
+	// lost makes the next claims take effect without an answer.
+	lost  int
+	away  bool
+	clock *timer.Manual
+}
+
+type testNode struct {
+	fleet  *fleet
+	self   model.Node
+	owner  *Owner
+	ledger *Ledger
+	keys   *Keys
+}
+
+func newFleet() *fleet {
+	return &fleet{
+		nodes: map[model.NodeRef]*testNode{}, gone: map[model.NodeRef]bool{}, next: map[model.NodeRef]model.NodeRef{},
+		rows: map[string]string{}, clock: timer.NewManual(time.Unix(1_700_000_000, 0)),
+	}
+}
+
+func (f *fleet) start(t testing.TB, id string, incarnation uint64) *testNode {
+	n := &testNode{fleet: f, self: model.Node{Ref: model.NodeRef{ID: id, Incarnation: incarnation}}}
+	var err error
+	n.ledger, err = NewLedger(LedgerConfig{Self: n.self.Ref, Clock: f.clock})
+	require.NoError(t, err)
+	n.owner, err = NewOwner(Config{Self: n.self, Peers: f, Claims: f, Directory: f, Ledger: n.ledger, Clock: f.clock})
+	require.NoError(t, err)
+	n.keys = NewKeys(n.owner, n.ledger)
+	f.nodes[n.self.Ref] = n
+	t.Cleanup(func() { n.owner.Close(); n.ledger.Close() })
+	return n
+}
+
+func (f *fleet) Call(_ context.Context, node model.Node, method string, args, reply any) error {
+	n := f.nodes[node.Ref]
+	if n == nil || f.gone[node.Ref] {
+		return errAway
+	}
+	switch method {
+	case methodFence:
+		return n.keys.Fence(args.(FenceArgs), reply.(*FenceReply))
+	case methodResolve:
+		return n.keys.Resolve(args.(ResolveArgs), reply.(*ResolveReply))
+	case methodLookup:
+		return n.keys.Lookup(args.(LookupArgs), reply.(*FenceReply))
+	default:
+		return n.keys.Handover(args.(HandoverArgs), reply.(*HandoverReply))
+	}
+}
+
+func (f *fleet) ClaimKey(_ context.Context, row, token string) (string, error) {
+	if f.away {
+		return "", errAway
+	}
+	if f.rows[row] == "" {
+		f.rows[row] = token
+	}
+	if f.lost > 0 {
+		f.lost--
+		return "", errAway
+	}
+	return f.rows[row], nil
+}
+
+func (f *fleet) Node(ref model.NodeRef) (model.Node, bool) {
+	return model.Node{Ref: ref}, f.nodes[ref] != nil && !f.gone[ref]
+}
+
+func (f *fleet) Successor(ref model.NodeRef) (model.Node, bool) {
+	next, ok := f.next[ref]
+	return model.Node{Ref: next}, ok
+}
+
+func (f *fleet) Agents(string) []model.Node {
+	var agents []model.Node
+	for _, n := range f.nodes {
+		agents = append(agents, n.self)
+	}
+	return agents
+}
+
+// run makes one attempt at the agent that runs and answers.
+func (n *testNode) run(t testing.TB, key string, agent *testNode, body string) {
+	attempt, ok := n.owner.StartAttempt(key, model.TargetRef{}, agent.self)
+	require.True(t, ok)
+	require.True(t, agent.ledger.Admit(attempt))
+	agent.ledger.Finish(attempt, &Answer{Status: http.StatusOK, Body: []byte(body)})
+	n.owner.FinishAttempt(key)
+	n.owner.End(key, model.OutcomeDone)
+}
+
+// Guards against a resend at another node that runs the key again or gets no answer.
+func TestResendAtAnotherNodeGetsStoredAnswer(t *testing.T) {
+	f, ctx := newFleet(), t.Context()
+	a, b := f.start(t, "a", 1), f.start(t, "b", 1)
+	send := Send{Key: a.owner.Token() + ".one", Fingerprint: 7}
+	d := a.owner.Begin(ctx, send)
+	require.Equal(t, KindRun, d.Kind)
+	a.run(t, d.Key, b, "paid")
+	for _, n := range []*testNode{a, b} {
+		d = n.owner.Begin(ctx, send)
+		require.Equal(t, KindAnswer, d.Kind, d.Reason)
+		require.Equal(t, "paid", string(d.Answer.Body))
+	}
+}
+
+// Guards against a key that two nodes run after it was granted.
+func TestGrantMovesKey(t *testing.T) {
+	f, ctx := newFleet(), t.Context()
+	a, b := f.start(t, "a", 1), f.start(t, "b", 1)
+	send := Send{Key: a.owner.Token() + ".one", Fingerprint: 7}
+	d := b.owner.Begin(ctx, send)
+	require.Equal(t, KindRun, d.Kind, d.Reason)
+	require.Equal(t, KindInProgress, a.owner.Begin(ctx, send).Kind)
+	b.run(t, d.Key, a, "paid")
+	require.Equal(t, KindAnswer, a.owner.Begin(ctx, send).Kind)
+}
+
+// Guards against a second run after a fence found the key running or seen.
+func TestResolveAttempt(t *testing.T) {
+	f, ctx := newFleet(), t.Context()
+	a, b := f.start(t, "a", 1), f.start(t, "b", 1)
+	d := a.owner.Begin(ctx, Send{Key: a.owner.Token() + ".one"})
+	lost, ok := a.owner.StartAttempt(d.Key, model.TargetRef{}, b.self)
+	require.True(t, ok)
+	d = a.owner.ResolveAttempt(ctx, d.Key)
+	require.Equal(t, KindRun, d.Kind)
+	require.False(t, b.ledger.Admit(lost), "the fenced attempt arrives late")
+	second, ok := a.owner.StartAttempt(d.Key, model.TargetRef{}, a.self)
+	require.True(t, ok)
+	require.True(t, a.ledger.Admit(second))
+	d = a.owner.ResolveAttempt(ctx, d.Key)
+	require.Equal(t, KindInProgress, d.Kind)
+	a.owner.End(d.Key, model.OutcomeUnknown)
+}
+
+// Guards against a plain key that runs twice because the answer of its claim was lost.
+func TestPlainKeyClaimAnswerLost(t *testing.T) {
+	f, ctx := newFleet(), t.Context()
+	a, b := f.start(t, "a", 1), f.start(t, "b", 1)
+	send := Send{Key: "order-17", Account: "x"}
+	f.lost = 1
+	d := a.owner.Begin(ctx, send)
+	require.Equal(t, KindRun, d.Kind)
+	require.Equal(t, KindInProgress, b.owner.Begin(ctx, send).Kind)
+	a.run(t, d.Key, b, "ok")
+	f.away = true
+	d = b.owner.Begin(ctx, send)
+	require.Equal(t, KindUnknown, d.Kind, "the key ran, so not-run would be false")
+	require.Equal(t, ReasonPlatformAway, d.Reason)
+}
