search: add an exhaustive search over small models

The at-most-once protocol is to be checked over every order of its steps. The engine explores a transition system breadth first on all cores and reports a shortest sequence of steps to a wrong state.

--- /dev/null
+++ b/internal/search/search.go
@@ -0,0 +1,216 @@
+package search
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+// Print identifies a state; two states with one print are taken for the same state.
+type Print [2]uint64
+
+// Model describes a transition system. The methods are called from several goroutines and must not modify states.
+type Model[S any] interface {
+	// Initial returns the state in which the search starts.
+	Initial() S
+	// Next calls visit for every state that one step reaches.
+	Next(s S, visit func(label string, next S))
+	// Print identifies the state.
+	Print(s S) Print
+	// Check returns what is wrong with the state, or an empty string.
+	Check(s S) string
+}
+
+// Options bound a search; the zero value explores everything on all cores.
+type Options struct {
+	Workers int
+	// Limit ends the search after the level in which this number of states is reached.
+	Limit int
+}
+
+// Violation is a shortest sequence of steps that leads to a state that is wrong.
+type Violation struct {
+	Problem string
+	Steps   []string
+}
+
+// Result tells what a search reached.
+type Result struct {
+	States      int
+	Transitions int
+	Depth       int
+	// Complete is set when every reachable state was explored.
+	Complete  bool
+	Elapsed   time.Duration
+	Violation *Violation
+}
+
+// origin tells how a state was reached first.
+type origin struct {
+	parent Print
+	label  string
+}
+
+const stripes = 64
+
+// visited is the set of reached states, divided into stripes with a lock each.
+type visited struct {
+	stripes [stripes]stripe
+}
+
+type stripe struct {
+	mu      sync.Mutex
+	origins map[Print]origin
+}
+
+type explorer[S any] struct {
+	model       Model[S]
+	options     Options
+	visited     visited
+	states      atomic.Int64
+	transitions atomic.Int64
+	mu          sync.Mutex
+	bad         *found
+}
+
+// found is the first wrong state of a level in the order of prints, so that equal runs report the same one.
+type found struct {
+	print   Print
+	problem string
+}
+
+// Explore visits the reachable states level by level and stops after the level of the first violation.
+func Explore[S any](m Model[S], o Options) Result {
+	if o.Workers == 0 {
+		o.Workers = runtime.GOMAXPROCS(0)
+	}
+	x := &explorer[S]{model: m, options: o}
+	for i := range x.visited.stripes {
+		x.visited.stripes[i].origins = make(map[Print]origin)
+	}
+	start := time.Now()
+	first := m.Initial()
+	x.reach(first, Print{}, "")
+	frontier, depth := []S{first}, 0
+	for len(frontier) > 0 && x.bad == nil && (o.Limit == 0 || int(x.states.Load()) < o.Limit) {
+		frontier = x.level(frontier)
+		depth++
+	}
+	return Result{
+		States:      int(x.states.Load()),
+		Transitions: int(x.transitions.Load()),
+		Depth:       depth,
+		Complete:    len(frontier) == 0,
+		Elapsed:     time.Since(start),
+		Violation:   x.violation(),
+	}
+}
+
+// level explores all states of the frontier and returns the next one.
+func (x *explorer[S]) level(frontier []S) []S {
+	const chunk = 64
+	var cursor atomic.Int64
+	parts := make([][]S, x.options.Workers)
+	var wg conc.WaitGroup
+	for w := range x.options.Workers {
+		wg.Go(func() {
+			for {
+				end := int(cursor.Add(chunk))
+				if end-chunk >= len(frontier) {
+					return
+				}
+				for _, s := range frontier[end-chunk : min(end, len(frontier))] {
+					parts[w] = x.expand(s, parts[w])
+				}
+			}
+		})
+	}
+	wg.Wait()
+	var next []S
+	for _, p := range parts {
+		next = append(next, p...)
+	}
+	return next
+}
+
+func (x *explorer[S]) expand(s S, out []S) []S {
+	parent := x.model.Print(s)
+	x.model.Next(s, func(label string, next S) {
+		x.transitions.Add(1)
+		if x.reach(next, parent, label) {
+			out = append(out, next)
+		}
+	})
+	return out
+}
+
+// reach reports whether the state is new.
+func (x *explorer[S]) reach(s S, parent Print, label string) bool {
+	p := x.model.Print(s)
+	if !x.visited.add(p, origin{parent: parent, label: label}) {
+		return false
+	}
+	x.states.Add(1)
+	if problem := x.model.Check(s); problem != "" {
+		x.report(found{print: p, problem: problem})
+	}
+	return true
+}
+
+func (x *explorer[S]) report(f found) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.bad == nil || f.print[0] < x.bad.print[0] {
+		x.bad = &f
+	}
+}
+
+func (x *explorer[S]) violation() *Violation {
+	if x.bad == nil {
+		return nil
+	}
+	v := &Violation{Problem: x.bad.problem}
+	for p := x.bad.print; ; {
+		o := x.visited.origin(p)
+		if o.label == "" {
+			break
+		}
+		v.Steps = append([]string{o.label}, v.Steps...)
+		p = o.parent
+	}
+	return v
+}
+
+func (v *visited) add(p Print, o origin) bool {
+	s := &v.stripes[p[0]%stripes]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.origins[p]; ok {
+		return false
+	}
+	s.origins[p] = o
+	return true
+}
+
+func (v *visited) origin(p Print) origin {
+	s := &v.stripes[p[0]%stripes]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.origins[p]
+}
+
+// String lists the problem and the steps that lead to it.
+func (v *Violation) String() string {
+	return fmt.Sprintf("%s:\n  %s", v.Problem, strings.Join(v.Steps, "\n  "))
+}
+
+// String summarizes the result on one line.
+func (r Result) String() string {
+	return fmt.Sprintf("states %d, transitions %d, depth %d, complete %t, %.1f s, %.0f states/s",
+		r.States, r.Transitions, r.Depth, r.Complete, r.Elapsed.Seconds(), float64(r.States)/r.Elapsed.Seconds())
+}
