Compose the node and serve the whole path as separate processes

cmd/auburnwinch gets node, state and version; cmd/standin demo starts a platform stand-in, 6 nodes and 48 targets per deployment, kills one target, stalls another under load and compares every answer with what the targets ran.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 MINUTES ?= 1
 
-.PHONY: help build test fmt lint vet unit
+.PHONY: help build demo test fmt lint vet unit
 
 help:
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
@@ -13,6 +13,9 @@
 build: ## build all programs into bin/
 	go build -o $(BIN)/ ./cmd/...
 
+demo: build ## serve both deployments through faults and check every answer
+	$(BIN)/standin demo
+
 test: fmt lint vet unit ## formatter, linter, vet and race tests
 
 fmt:
--- a/cmd/auburnwinch/main.go
+++ b/cmd/auburnwinch/main.go
@@ -2,6 +2,8 @@
 //
 // Usage:
 //
+//	auburnwinch node --settings node.yaml
+//	auburnwinch state --settings node.yaml --section members
 //	auburnwinch ticket check change.yaml
 //	auburnwinch ticket file change.yaml --settings node.yaml
 //	auburnwinch ticket show 12 --settings node.yaml
@@ -21,7 +23,10 @@
 
 // cli lists the subcommands; each has a file of its own.
 type cli struct {
-	Ticket ticketCmd `cmd:"" help:"Check, file and show tickets, the numbered configuration changes."`
+	Node    nodeCmd    `cmd:"" help:"Run the node of this VM."`
+	Ticket  ticketCmd  `cmd:"" help:"Check, file and show tickets, the numbered configuration changes."`
+	State   stateCmd   `cmd:"" help:"Print the state dump of a node as JSON."`
+	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
 func main() {
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -11,6 +11,7 @@
 // cli lists the subcommands; each has a file of its own.
 type cli struct {
 	Platform platformCmd `cmd:"" help:"Run a stand-in of the table service and of the object store."`
+	Demo     demoCmd     `cmd:"" help:"Start both deployments, serve requests through faults, check every answer."`
 	Target   targetCmd   `cmd:"" help:"Run a target that announces itself to its node and shows faults on request."`
 }
 
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -215,9 +215,6 @@
 func (x *exchange) request() *relay.Request {
 	header := make(http.Header, len(x.r.Header))
 	relay.CopyHeader(header, x.r.Header)
-	if x.key != "" {
-		header[model.HeaderIdempotencyKey] = []string{x.key}
-	}
 	header["Auburnwinch-Timeout"] = []string{time.Until(x.deadline).Round(time.Millisecond).String()}
 	r := &relay.Request{
 		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: header, ContentLength: x.r.ContentLength,
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -39,10 +39,10 @@
 // attempt sends the request to one target and delivers the answer; it returns nil when the caller was answered.
 func (q *request) attempt(ctx context.Context, c Choice) *failure {
 	l := q.begin(c)
-	if q.owned() {
-		q.edge.config.Keys.StartAttempt(q.key, c.Candidate.Target.Ref, c.Candidate.Node)
+	f := q.startAttempt(c)
+	if f == nil {
+		f = l.send(ctx, q.header)
 	}
-	f := l.send(ctx, q.header)
 	if f == nil {
 		f = q.deliver(ctx, l)
 	}
@@ -51,6 +51,20 @@
 	return f
 }
 
+// startAttempt records the attempt at the key owner before anything is sent.
+func (q *request) startAttempt(c Choice) *failure {
+	if !q.owned() {
+		return nil
+	}
+	attempt, ok := q.edge.config.Keys.StartAttempt(q.key, c.Candidate.Target.Ref, c.Candidate.Node)
+	if !ok {
+		return &failure{result: retry.InDoubt, kind: ResultCanceled, reason: "the key may no longer run on this node"}
+	}
+	q.attemptKey = attempt
+	q.header[model.HeaderKey] = []string{attempt}
+	return nil
+}
+
 func (q *request) endAttempt(f *failure) {
 	switch {
 	case f == nil:
@@ -127,7 +141,7 @@
 	header[model.HeaderTarget] = []string{target}
 	header[model.HeaderTimeout] = []string{q.remaining()}
 	signature := q.edge.signer.Sign(relay.Signed{
-		Exchange: l.exchange, Method: q.r.Method, URI: q.uri, Target: target, Key: q.key,
+		Exchange: l.exchange, Method: q.r.Method, URI: q.uri, Target: target, Key: q.attemptKey,
 	})
 	if signature != "" {
 		header[model.HeaderSignature] = []string{signature}
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -120,8 +120,15 @@
 // Send is a request as the key owner sees it.
 type Send struct {
 	// Key is the caller's key; it is empty when the request has none.
-	Key        string
-	Service    string
+	Key string
+	// Account scopes plain keys.
+	Account string
+	Service string
+	Method  string
+	Path    string
+	Query   string
+	// Body is the start of the body; with the fields above it tells two requests apart that carry the same key.
+	Body       []byte
 	Idempotent bool
 }
 
@@ -157,13 +164,16 @@
 	Reason     string
 	Answer     *Answer
 	RetryAfter time.Duration
+	// BadKey tells that the key is malformed or belongs to another request, so that a repeat makes no sense.
+	BadKey bool
 }
 
 // Keys is the owner of idempotency keys.
 type Keys interface {
 	Token() string
 	Begin(ctx context.Context, s Send) Decision
-	StartAttempt(key string, target model.TargetRef, node model.Node)
+	// StartAttempt returns the value of Auburnwinch-Key for this attempt; ok is false when the key may no longer run here.
+	StartAttempt(key string, target model.TargetRef, node model.Node) (attempt string, ok bool)
 	RefuseAttempt(key string)
 	FinishAttempt(key string)
 	ResolveAttempt(ctx context.Context, key string) Decision
--- a/internal/edge/keys.go
+++ b/internal/edge/keys.go
@@ -22,7 +22,10 @@
 		q.setKey(own)
 		return true
 	}
-	d := q.edge.config.Keys.Begin(ctx, Send{Key: own, Service: q.match.Service})
+	d := q.edge.config.Keys.Begin(ctx, Send{
+		Key: own, Account: q.r.Header.Get(model.HeaderAccount), Service: q.match.Service, Method: q.r.Method,
+		Path: q.r.URL.Path, Query: q.r.URL.RawQuery, Body: q.body.held,
+	})
 	if d.Kind == DecisionRun {
 		q.setKey(d.Key)
 		return true
@@ -36,7 +39,6 @@
 		return
 	}
 	q.key = key
-	q.header[model.HeaderKey] = []string{key}
 }
 
 // owned reports whether the key owner follows the attempts of this request.
@@ -82,7 +84,9 @@
 		r = unknown(http.StatusConflict, "an earlier send of this key still runs", remedyUnknown)
 		r.RetryAfter = retrySoon
 	case DecisionNotRun:
-		r = notRun(http.StatusServiceUnavailable, d.Reason, remedyLater)
+		if r = notRun(http.StatusServiceUnavailable, d.Reason, remedyLater); d.BadKey {
+			r = notRun(http.StatusBadRequest, d.Reason, remedyFix)
+		}
 	default:
 		r = unknown(http.StatusBadGateway, d.Reason, remedyUnknown)
 	}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -18,19 +18,21 @@
 
 // request is one request of a caller.
 type request struct {
-	edge     *Edge
-	w        http.ResponseWriter
-	r        *http.Request
-	match    router.Match
-	service  *view.Service
-	body     body
-	uri      string
-	key      string
-	header   http.Header
-	deadline time.Time
-	tried    []model.TargetRef
-	attempts int
-	reuse    relay.Reuse
+	edge    *Edge
+	w       http.ResponseWriter
+	r       *http.Request
+	match   router.Match
+	service *view.Service
+	body    body
+	uri     string
+	key     string
+	// attemptKey is the value of Auburnwinch-Key for the current attempt.
+	attemptKey string
+	header     http.Header
+	deadline   time.Time
+	tried      []model.TargetRef
+	attempts   int
+	reuse      relay.Reuse
 	// doubted tells that an earlier attempt may have run, so that no answer may say not-run any more.
 	doubted bool
 	// sentHeader tells that the caller has received the header of an answer.
@@ -111,7 +113,6 @@
 func (q *request) prepareHeader() (relay.Refusal, bool) {
 	h := make(http.Header, len(q.r.Header)+8)
 	relay.CopyHeader(h, q.r.Header)
-	delete(h, model.HeaderIdempotencyKey)
 	h[model.HeaderRoute] = []string{q.match.Route.Name}
 	if account := q.r.Header[model.HeaderAccount]; len(account) > 0 {
 		h[model.HeaderAccount] = account[:1]
--- /dev/null
+++ b/internal/node/admission.go
@@ -0,0 +1,70 @@
+package node
+
+import (
+	"context"
+	"errors"
+
+	"github.com/auburnwinch/auburnwinch/internal/agent"
+	"github.com/auburnwinch/auburnwinch/internal/limit"
+	"github.com/auburnwinch/auburnwinch/internal/relay"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// admission adapts the limiter of one target to the agent.
+type admission struct {
+	limiter *limit.Limiter
+}
+
+type admissionPermit struct {
+	permit limit.Permit
+}
+
+// admissionError carries the reason of a refusal to the edge.
+type admissionError struct {
+	*limit.RefusedError
+	reason string
+}
+
+func newAdmission(target model.Target, spec model.ServiceSpec) agent.Limiter {
+	return admission{limit.New(limit.Config{Settings: limit.SettingsOf(spec, target.Slots)})}
+}
+
+// Acquire admits the request or fails with the reason of the refusal.
+func (a admission) Acquire(ctx context.Context, r agent.AdmitRequest) (agent.Permit, error) {
+	permit, err := a.limiter.Acquire(ctx, limit.Request{Account: r.Account, Deadline: r.Deadline})
+	var refused *limit.RefusedError
+	if errors.As(err, &refused) {
+		return nil, &admissionError{RefusedError: refused, reason: reasonOf(refused.Reason)}
+	}
+	if err != nil {
+		return nil, err
+	}
+	return admissionPermit{permit}, nil
+}
+
+// Load returns the present use.
+func (a admission) Load() relay.Load {
+	load := a.limiter.Load()
+	return relay.Load{InFlight: load.InFlight + load.Waiting, Limit: load.Limit}
+}
+
+// Release gives the slot back.
+func (p admissionPermit) Release(r agent.Result) {
+	p.permit.Release(limit.Result{OK: r.Kind == agent.ResultOK})
+}
+
+// Reason names the refusal for the edge.
+func (e *admissionError) Reason() string {
+	return e.reason
+}
+
+func reasonOf(reason limit.Reason) string {
+	switch reason {
+	case limit.ReasonDeadline:
+		return relay.ReasonDeadline
+	case limit.ReasonShare:
+		return relay.ReasonAccountShare
+	default:
+		return relay.ReasonNoSlot
+	}
+}
--- /dev/null
+++ b/internal/node/doc.go
@@ -0,0 +1,10 @@
+// Package node composes the edge, the agent, membership and the ticket reader into the process that runs on each VM.
+//
+// Usage:
+//
+//	n, err := node.New(node.Config{Settings: settings, Logger: logger})
+//	if err != nil {
+//		return err
+//	}
+//	err = n.Run(ctx) // until ctx ends, then a graceful shutdown
+package node
--- /dev/null
+++ b/internal/node/keys.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"context"
+
+	"github.com/auburnwinch/auburnwinch/internal/agent"
+	"github.com/auburnwinch/auburnwinch/internal/edge"
+	"github.com/auburnwinch/auburnwinch/internal/once"
+	"github.com/auburnwinch/auburnwinch/internal/store"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// keys adapts the owner of idempotency keys to the edge.
+type keys struct {
+	owner *once.Owner
+}
+
+// ledger adapts the record of keys at the agent.
+type ledger struct {
+	*once.Ledger
+}
+
+// claims adapts the rows of plain keys in the platform's table.
+type claims struct {
+	store *store.Store
+}
+
+// Token returns the owner token of the current epoch.
+func (k keys) Token() string {
+	return k.owner.Token()
+}
+
+// Begin decides about a send.
+func (k keys) Begin(ctx context.Context, s edge.Send) edge.Decision {
+	return edgeDecision(k.owner.Begin(ctx, once.Send{
+		Key: s.Key, Account: s.Account, Service: s.Service,
+		Fingerprint: once.Fingerprint(s.Account, s.Service, s.Method, s.Path, s.Query, s.Body),
+	}))
+}
+
+// StartAttempt records an attempt and returns the value of Auburnwinch-Key.
+func (k keys) StartAttempt(key string, target model.TargetRef, node model.Node) (string, bool) {
+	return k.owner.StartAttempt(key, target, node)
+}
+
+// RefuseAttempt reports that the agent never ran the attempt.
+func (k keys) RefuseAttempt(key string) {
+	k.owner.RefuseAttempt(key)
+}
+
+// FinishAttempt reports that the whole answer arrived.
+func (k keys) FinishAttempt(key string) {
+	k.owner.FinishAttempt(key)
+}
+
+// ResolveAttempt fences an attempt whose outcome is in doubt.
+func (k keys) ResolveAttempt(ctx context.Context, key string) edge.Decision {
+	return edgeDecision(k.owner.ResolveAttempt(ctx, key))
+}
+
+// End releases the key after the send was answered.
+func (k keys) End(key string, outcome model.Outcome) {
+	k.owner.End(key, outcome)
+}
+
+// Query tells the outcome of a key without changing it.
+func (k keys) Query(ctx context.Context, key string) edge.Decision {
+	return edgeDecision(k.owner.Query(ctx, key))
+}
+
+// Finish records the whole answer of the target.
+func (l ledger) Finish(key string, answer *agent.Answer) {
+	if answer == nil {
+		l.Ledger.Finish(key, nil)
+		return
+	}
+	l.Ledger.Finish(key, &once.Answer{Status: answer.Status, Header: answer.Header, Body: answer.Body})
+}
+
+// ClaimKey writes the row of a plain key unless it exists and returns the token that it holds.
+func (c claims) ClaimKey(ctx context.Context, row, token string) (string, error) {
+	claim, err := c.store.ClaimKey(ctx, row, token)
+	return claim.Token, err
+}
+
+func edgeDecision(d once.Decision) edge.Decision {
+	decision := edge.Decision{Kind: edgeDecisionKind(d.Kind), Key: d.Key, Reason: d.Reason, RetryAfter: d.RetryAfter}
+	if d.Answer != nil {
+		decision.Answer = &edge.Answer{Status: d.Answer.Status, Header: d.Answer.Header, Body: d.Answer.Body}
+	}
+	switch d.Reason {
+	case once.ReasonKeyInvalid, once.ReasonKeyReused:
+		decision.BadKey = true
+	}
+	return decision
+}
+
+func edgeDecisionKind(kind once.Kind) edge.DecisionKind {
+	switch kind {
+	case once.KindRun:
+		return edge.DecisionRun
+	case once.KindAnswer:
+		return edge.DecisionAnswer
+	case once.KindInProgress:
+		return edge.DecisionInProgress
+	case once.KindNotRun:
+		return edge.DecisionNotRun
+	default:
+		return edge.DecisionUnknown
+	}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,247 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+
+	"github.com/auburnwinch/auburnwinch/internal/agent"
+	"github.com/auburnwinch/auburnwinch/internal/edge"
+	"github.com/auburnwinch/auburnwinch/internal/eject"
+	"github.com/auburnwinch/auburnwinch/internal/invar"
+	"github.com/auburnwinch/auburnwinch/internal/member"
+	"github.com/auburnwinch/auburnwinch/internal/meter"
+	"github.com/auburnwinch/auburnwinch/internal/once"
+	"github.com/auburnwinch/auburnwinch/internal/peer"
+	"github.com/auburnwinch/auburnwinch/internal/picker"
+	"github.com/auburnwinch/auburnwinch/internal/router"
+	"github.com/auburnwinch/auburnwinch/internal/store"
+	"github.com/auburnwinch/auburnwinch/internal/view"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// Node is the process that runs on each VM.
+type Node struct {
+	config Config
+	logger log.Logger
+	self   model.Node
+	began  time.Time
+
+	store     *store.Store
+	fleet     *fleet
+	viewer    *viewer
+	record    *ownRecord
+	tickets   *ticketReader
+	edge      *edge.Edge
+	agent     *agent.Agent
+	picker    *picker.Picker
+	paths     *eject.Tracker
+	targets   *eject.Tracker
+	owner     *once.Owner
+	ledger    *once.Ledger
+	suspicion *suspicion
+	peer      *peer.Peer
+	peers     *lateCaller
+	meter     *meter.Meter
+	detection *meter.DurationHistogram
+
+	listeners listeners
+	cancel    context.CancelFunc
+	group     conc.WaitGroup
+	closing   sync.Once
+	counts    *outcomes
+}
+
+type listeners struct {
+	callers *listener
+	relay   *listener
+	local   *listener
+	admin   *listener
+}
+
+// New builds all parts and opens the listeners; Run serves.
+func New(c Config) (*Node, error) {
+	c = c.withDefaults()
+	n := &Node{config: c, began: c.Clock.Now(), fleet: &fleet{}, record: &ownRecord{}, peers: &lateCaller{}, counts: &outcomes{}}
+	n.self = c.Settings.Self(uint64(n.began.UnixMicro()))
+	n.logger = log.With(c.Logger, "node", n.self.Ref.ID)
+	invar.OnViolation(n.logViolation)
+	for _, build := range []func() error{
+		n.buildStore, n.buildMeter, n.buildHealth, n.buildKeys, n.buildAgent, n.buildEdge, n.buildTickets, n.openListeners,
+		n.buildPeer, n.registerMetrics,
+	} {
+		if err := build(); err != nil {
+			n.close()
+			return nil, err
+		}
+	}
+	return n, nil
+}
+
+// Self returns the node as it announces itself to the fleet.
+func (n *Node) Self() model.Node {
+	return n.self
+}
+
+func (n *Node) buildStore() (err error) {
+	n.store, err = store.New(store.Config{Platform: n.config.Settings.Platform, Clock: n.config.Clock})
+	return err
+}
+
+func (n *Node) buildMeter() (err error) {
+	n.meter, err = meter.New()
+	if err != nil {
+		return err
+	}
+	n.detection = n.meter.Histogram("auburnwinch.eject.evidence", "time from the first evidence of a request to the ejection")
+	return nil
+}
+
+func (n *Node) buildHealth() error {
+	n.viewer = newViewer(n.self, n.config.Clock, n.publishView)
+	n.paths = eject.NewTracker(eject.TrackerConfig{
+		Config:    eject.Config{Observer: eject.ObserverEdge, Seed: n.self.Ref.Incarnation},
+		Clock:     n.config.Clock,
+		OnVerdict: n.logVerdict("edge"),
+	})
+	n.targets = eject.NewTracker(eject.TrackerConfig{
+		Config:    eject.Config{Observer: eject.ObserverAgent, Seed: n.self.Ref.Incarnation},
+		Clock:     n.config.Clock,
+		OnClaims:  n.record.setClaims,
+		OnVerdict: n.logVerdict("agent"),
+	})
+	n.picker = picker.New(picker.Config{Health: n.paths, Now: n.config.Clock.Now, Seed: n.self.Ref.Incarnation})
+	n.suspicion = newSuspicion(&suspicion{
+		self: n.self.Ref, peers: n.peers, fleet: n.fleet, clock: n.config.Clock, logger: n.logger, publish: n.record.setPoison,
+	})
+	return nil
+}
+
+func (n *Node) buildKeys() (err error) {
+	n.ledger, err = once.NewLedger(once.LedgerConfig{Self: n.self.Ref, Clock: n.config.Clock})
+	if err != nil {
+		return err
+	}
+	n.owner, err = once.NewOwner(once.Config{
+		Self: n.self, Peers: n.peers, Claims: claims{n.store}, Directory: n.fleet, Ledger: n.ledger, Clock: n.config.Clock,
+	})
+	return err
+}
+
+func (n *Node) buildAgent() (err error) {
+	n.agent, err = agent.New(agent.Config{
+		Self: n.self.Ref, View: &n.fleet.view, Secret: n.secret(), NewLimiter: newAdmission,
+		Tracker: agentTracker{n.targets}, Ledger: ledger{n.ledger}, Poison: n.suspicion,
+		OnTargets: n.record.setTargets, Clock: n.config.Clock, Logger: n.logger,
+	})
+	return err
+}
+
+func (n *Node) buildEdge() (err error) {
+	n.edge, err = edge.New(edge.Config{
+		View: &n.fleet.view, Secret: n.secret(), Picker: picks{n.picker}, Tracker: edgeTracker{n.paths},
+		Keys: keys{n.owner}, Poison: n.suspicion, Clock: n.config.Clock, Logger: n.logger,
+	})
+	return err
+}
+
+func (n *Node) buildTickets() error {
+	n.tickets = newTicketReader(&ticketReader{
+		platform: n.store, peers: n.peers, fleet: n.fleet, clock: n.config.Clock, logger: n.logger, apply: n.applyConfiguration,
+	})
+	return nil
+}
+
+func (n *Node) openListeners() (err error) {
+	addresses := n.config.Settings.Listeners
+	open := func(name, address string, into **listener, build func() (*listener, error)) {
+		if err == nil {
+			*into, err = build()
+		}
+	}
+	open("callers", addresses.Callers, &n.listeners.callers, func() (*listener, error) {
+		return n.listen("callers", addresses.Callers, n.counts.around(n.edge))
+	})
+	open("relay", addresses.Relay, &n.listeners.relay, func() (*listener, error) {
+		return n.listen("relay", addresses.Relay, n.agent)
+	})
+	open("local", addresses.Local, &n.listeners.local, func() (*listener, error) {
+		return n.listen("local", addresses.Local, n.agent.Local())
+	})
+	open("admin", addresses.Admin, &n.listeners.admin, func() (*listener, error) {
+		return n.listen("admin", addresses.Admin, n.adminHandler())
+	})
+	return err
+}
+
+func (n *Node) buildPeer() (err error) {
+	tlsConfig, err := loadTLS(n.config.Settings.TLS)
+	if err != nil {
+		return err
+	}
+	n.peer, err = peer.New(peer.Config{
+		Self: n.self, Secret: n.secret(), TLS: tlsConfig, Seeds: n.config.Settings.Seeds, Registered: n.store.Nodes,
+		Services: []peer.Service{
+			{Name: once.ServiceName, Receiver: once.NewKeys(n.owner, n.ledger)},
+			{Name: ticketsService, Receiver: &Tickets{reader: n.tickets}},
+			{Name: poisonService, Receiver: &Poison{suspicion: n.suspicion}},
+		},
+		OnChange: n.membersChanged, OnTicketBehind: n.tickets.behind, Clock: n.config.Clock, Logger: n.logger,
+	})
+	if err != nil {
+		return eris.Wrap(err, "open the peers' listener")
+	}
+	n.peers.connect(n.peer)
+	n.record.connect(n.peer)
+	return nil
+}
+
+func (n *Node) secret() []byte {
+	return []byte(n.config.Settings.FleetSecret)
+}
+
+func (n *Node) membersChanged(snapshot *member.Snapshot) {
+	n.fleet.members.Store(snapshot)
+	n.viewer.setMembers(snapshot)
+	n.tickets.setMembers(snapshot)
+	n.suspicion.learn(snapshot)
+}
+
+// applyConfiguration puts a configuration in force.
+func (n *Node) applyConfiguration(c *model.Configuration) {
+	table, err := router.New(c)
+	if err != nil {
+		_ = level.Error(n.logger).Log("msg", "routes of the configuration are invalid; the previous routes stay", "number", c.Number, "err", err)
+		return
+	}
+	n.edge.SetRoutes(table)
+	n.viewer.setConfiguration(c)
+	n.viewer.refresh()
+	n.record.setTicket(c.Number)
+	_ = level.Info(n.logger).Log("msg", "configuration in force", "number", c.Number, "services", len(c.Services), "routes", table.Len())
+}
+
+// publishView hands a new view to the request path.
+func (n *Node) publishView(v *view.View) {
+	n.paths.SetView(v)
+	n.targets.SetView(v)
+	n.picker.SetView(v)
+	n.fleet.view.Store(v)
+}
+
+func (n *Node) logVerdict(role string) func(eject.VerdictCmd) {
+	return func(cmd eject.VerdictCmd) {
+		n.counts.verdict(cmd)
+		_ = level.Info(n.logger).Log("msg", "verdict changed", "role", role, "service", cmd.Target.Service, "target", cmd.Target.ID,
+			"from", cmd.From, "to", cmd.To, "severity", cmd.Severity)
+	}
+}
+
+func (n *Node) logViolation(v invar.Violation) {
+	_ = level.Error(n.logger).Log("msg", "invariant violated", "module", v.Module, "detail", v.Detail)
+}
--- /dev/null
+++ b/internal/node/run.go
@@ -0,0 +1,188 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/auburnwinch/auburnwinch/internal/drain"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+const (
+	shutdownTick     = 50 * time.Millisecond
+	registryInterval = 30 * time.Second
+	registryTimeout  = 5 * time.Second
+	handoverTimeout  = 2 * time.Second
+	closeTimeout     = time.Second
+)
+
+// Run serves until the context ends, then leaves the fleet gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, n.cancel = context.WithCancel(ctx)
+	defer n.cancel()
+	for _, l := range []*listener{n.listeners.callers, n.listeners.relay, n.listeners.local, n.listeners.admin} {
+		n.serve(l)
+	}
+	n.tickets.start()
+	n.group.Go(func() { n.register(ctx) })
+	_ = level.Info(n.logger).Log("msg", "node started", "incarnation", n.self.Ref.Incarnation, "version", n.config.Version,
+		"callers", n.self.CallerAddress, "relay", n.self.RelayAddress, "peers", n.self.PeerAddress)
+	<-ctx.Done()
+	n.leave()
+	n.close()
+	n.group.Wait()
+	return nil
+}
+
+// register keeps the registry row of this node, by which starting nodes find peers.
+func (n *Node) register(ctx context.Context) {
+	ticks := n.config.Clock.Subscribe(registryInterval)
+	defer ticks.Stop()
+	for !n.registerOnce(ctx) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C:
+		}
+	}
+}
+
+func (n *Node) registerOnce(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, registryTimeout)
+	defer cancel()
+	if err := n.store.RegisterNode(ctx, n.self); err != nil {
+		_ = level.Warn(n.logger).Log("msg", "node not registered at the platform; repeating", "err", err)
+		return false
+	}
+	return true
+}
+
+// leave carries out the graceful shutdown.
+func (n *Node) leave() {
+	shutdown := drain.New(drain.Config{Timeout: time.Duration(n.config.Settings.ShutdownTimeout)})
+	ticks := n.config.Clock.Subscribe(shutdownTick)
+	defer ticks.Stop()
+	cmds := shutdown.Update(drain.StopMsg{Now: n.config.Clock.Now()})
+	for {
+		for len(cmds) > 0 {
+			next := n.leaveStep(cmds[0])
+			cmds = cmds[1:]
+			if next != nil {
+				cmds = append(cmds, shutdown.Update(next)...)
+			}
+		}
+		if shutdown.State() == drain.StateExited {
+			return
+		}
+		cmds = shutdown.Update(drain.TickMsg{Now: <-ticks.C, InFlight: n.inFlight()})
+	}
+}
+
+// leaveStep carries out one command of the shutdown and returns the message that follows, if any.
+func (n *Node) leaveStep(cmd drain.Cmd) drain.Msg {
+	switch cmd := cmd.(type) {
+	case drain.AnnounceLeavingCmd:
+		n.announceLeaving()
+	case drain.CloseListenersCmd:
+		n.closeCallers()
+	case drain.HandOverKeysCmd:
+		n.handOver()
+		return drain.HandedOverMsg{Now: n.config.Clock.Now(), InFlight: n.inFlight()}
+	case drain.ExitCmd:
+		_ = level.Info(n.logger).Log("msg", "node stopped", "broken", cmd.Broken)
+	}
+	return nil
+}
+
+func (n *Node) announceLeaving() {
+	successor, _ := n.successor()
+	_ = level.Info(n.logger).Log("msg", "node leaves the fleet", "successor", successor.Ref)
+	n.agent.SetLeaving(true)
+	n.edge.SetLeaving(true)
+	n.record.setLeaving(successor.Ref)
+}
+
+// closeCallers stops accepting connections and closes the idle ones; requests in flight go on.
+func (n *Node) closeCallers() {
+	n.group.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n.config.Settings.ShutdownTimeout))
+		defer cancel()
+		_ = n.listeners.callers.server.Shutdown(ctx) // The requests in flight are counted by the edge itself.
+	})
+}
+
+func (n *Node) handOver() {
+	successor, ok := n.successor()
+	if !ok {
+		_ = level.Warn(n.logger).Log("msg", "no node takes over the idempotency keys; their resends get the outcome unknown")
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
+	defer cancel()
+	if err := n.owner.Handover(ctx, successor); err != nil {
+		_ = level.Warn(n.logger).Log("msg", "idempotency keys not handed over", "successor", successor.Ref, "err", err)
+	}
+}
+
+func (n *Node) successor() (model.Node, bool) {
+	return n.peer.Snapshot().SuccessorFor(n.self)
+}
+
+func (n *Node) inFlight() int {
+	return n.edge.InFlight() + n.agent.InFlight()
+}
+
+// close ends all parts that were built; it is safe at any point of the construction.
+func (n *Node) close() {
+	n.closing.Do(func() {
+		n.closeListeners()
+		n.closeParts()
+	})
+}
+
+func (n *Node) closeListeners() {
+	for _, l := range []*listener{n.listeners.callers, n.listeners.relay, n.listeners.local, n.listeners.admin} {
+		if l == nil {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		if l.server.Shutdown(ctx) != nil {
+			_ = l.server.Close() // The time for a graceful end is over.
+		}
+		cancel()
+		_ = l.socket.Close() // Closed already unless serving never began.
+	}
+}
+
+func (n *Node) closeParts() {
+	if n.tickets != nil {
+		n.tickets.close()
+	}
+	if n.edge != nil {
+		_ = n.edge.Close() // It only closes idle connections.
+	}
+	if n.agent != nil {
+		_ = n.agent.Close() // It only closes idle connections.
+	}
+	if n.owner != nil {
+		n.owner.Close()
+	}
+	if n.ledger != nil {
+		n.ledger.Close()
+	}
+	if n.suspicion != nil {
+		n.suspicion.close()
+	}
+	if n.peer != nil {
+		_ = n.peer.Close() // The process ends; peers detect the closed sockets.
+	}
+	if n.viewer != nil {
+		n.viewer.close()
+	}
+	if n.paths != nil {
+		n.paths.Close()
+		n.targets.Close()
+	}
+}
--- /dev/null
+++ b/internal/node/state.go
@@ -0,0 +1,110 @@
+package node
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/auburnwinch/auburnwinch/internal/admin"
+	"github.com/auburnwinch/auburnwinch/internal/invar"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+type processState struct {
+	Self       model.Node `json:"self"`
+	Version    string     `json:"version"`
+	Uptime     string     `json:"uptime"`
+	Violations uint64     `json:"violations"`
+}
+
+type requestState struct {
+	EdgeInFlight  int            `json:"edge-in-flight"`
+	AgentInFlight int            `json:"agent-in-flight"`
+	Done          int64          `json:"done"`
+	NotRun        int64          `json:"not-run"`
+	Unknown       int64          `json:"unknown"`
+	Broken        int64          `json:"broken"`
+	Targets       []model.Target `json:"targets"`
+}
+
+type ticketState struct {
+	Number uint64 `json:"number"`
+	Head   uint64 `json:"head"`
+	Ready  bool   `json:"ready"`
+}
+
+type platformState struct {
+	Table   any `json:"table"`
+	Objects any `json:"objects"`
+}
+
+func (n *Node) adminHandler() http.Handler {
+	return admin.New(admin.Config{
+		Token:    n.config.Settings.OperatorToken,
+		Sections: n.sections(),
+		Health:   n.health,
+		Tickets:  n.ticketReport,
+		Metrics:  n.meter.Handler(),
+	})
+}
+
+func (n *Node) sections() []admin.Section {
+	return []admin.Section{
+		{Name: "process", Dump: func() any {
+			return processState{
+				Self: n.self, Version: n.config.Version, Violations: invar.Violations(),
+				Uptime: n.config.Clock.Now().Sub(n.began).Round(time.Second).String(),
+			}
+		}},
+		{Name: "requests", Dump: n.requestState},
+		{Name: "tickets", Dump: func() any {
+			return ticketState{Number: n.tickets.number(), Head: n.tickets.head.Load(), Ready: n.tickets.ready.Load()}
+		}},
+		{Name: "members", Dump: func() any { return n.peer.Snapshot() }},
+		{Name: "view", Dump: func() any { return n.fleet.view.Load() }},
+		{Name: "edge-verdicts", Dump: func() any { return n.paths.Snapshot() }},
+		{Name: "agent-verdicts", Dump: func() any { return n.targets.Snapshot() }},
+		{Name: "control", Dump: func() any { return n.peer.Stats() }},
+		{Name: "platform", Dump: func() any {
+			return platformState{Table: n.store.TableStats(), Objects: n.store.ObjectStats()}
+		}},
+	}
+}
+
+func (n *Node) requestState() any {
+	return requestState{
+		EdgeInFlight: n.edge.InFlight(), AgentInFlight: n.agent.InFlight(), Done: n.counts.done.Load(),
+		NotRun: n.counts.notRun.Load(), Unknown: n.counts.unknown.Load(), Broken: n.counts.broken.Load(),
+		Targets: n.agent.Targets(),
+	}
+}
+
+func (n *Node) health() admin.Health {
+	switch {
+	case !n.tickets.ready.Load():
+		return admin.Health{Reason: "the configuration was not compared with the platform or enough peers yet"}
+	case n.fleet.view.Load() == nil:
+		return admin.Health{Reason: "no ticket is in force; file the first one"}
+	default:
+		return admin.Health{Ready: true}
+	}
+}
+
+func (n *Node) ticketLag() uint64 {
+	number := n.tickets.number()
+	return max(n.tickets.head.Load(), number) - number
+}
+
+// ticketReport tells the number in force on each node that is alive, as far as its latest record says.
+func (n *Node) ticketReport() admin.TicketReport {
+	report := admin.TicketReport{Head: max(n.tickets.head.Load(), n.tickets.number())}
+	snapshot := n.peer.Snapshot()
+	for i := range snapshot.Records {
+		record := &snapshot.Records[i]
+		report.Head = max(report.Head, record.Ticket)
+		report.Nodes = append(report.Nodes, admin.NodeNumber{Node: record.Node.Ref.ID, Number: record.Ticket})
+	}
+	for i := range report.Nodes {
+		report.Nodes[i].Lag = report.Head - report.Nodes[i].Number
+	}
+	return report
+}
--- /dev/null
+++ b/internal/node/tracking.go
@@ -0,0 +1,81 @@
+package node
+
+import (
+	"github.com/auburnwinch/auburnwinch/internal/agent"
+	"github.com/auburnwinch/auburnwinch/internal/edge"
+	"github.com/auburnwinch/auburnwinch/internal/eject"
+)
+
+// edgeTracker adapts the detection of unhealthy targets and paths to the edge.
+type edgeTracker struct {
+	tracker *eject.Tracker
+}
+
+type edgeHandle struct {
+	handle *eject.Handle
+}
+
+// agentTracker adapts the detection of unhealthy targets to the agent.
+type agentTracker struct {
+	tracker *eject.Tracker
+}
+
+type agentHandle struct {
+	handle *eject.Handle
+}
+
+// Start begins to observe an attempt.
+func (t edgeTracker) Start(r edge.TrackRequest) edge.Handle {
+	return edgeHandle{t.tracker.Start(eject.Request{Target: r.Target, Class: r.Class, Idempotent: r.Idempotent})}
+}
+
+// Finish ends the observation of an attempt.
+func (h edgeHandle) Finish(r edge.Result) {
+	h.handle.Finish(eject.Result{Kind: edgeKind(r.Kind)})
+}
+
+// Start begins to observe a request.
+func (t agentTracker) Start(r agent.TrackRequest) agent.Handle {
+	return agentHandle{t.tracker.Start(eject.Request{Target: r.Target, Class: r.Class, Idempotent: r.Idempotent})}
+}
+
+// Finish ends the observation of a request.
+func (h agentHandle) Finish(r agent.Result) {
+	h.handle.Finish(eject.Result{Kind: agentKind(r.Kind)})
+}
+
+func edgeKind(kind edge.ResultKind) eject.Kind {
+	switch kind {
+	case edge.ResultOK:
+		return eject.KindOK
+	case edge.ResultError:
+		return eject.KindError
+	case edge.ResultReset:
+		return eject.KindReset
+	case edge.ResultTimeout:
+		return eject.KindTimeout
+	case edge.ResultCanceled:
+		return eject.KindCanceled
+	case edge.ResultPathFailure:
+		return eject.KindPathFailure
+	default:
+		return eject.KindNone
+	}
+}
+
+func agentKind(kind agent.ResultKind) eject.Kind {
+	switch kind {
+	case agent.ResultOK:
+		return eject.KindOK
+	case agent.ResultError:
+		return eject.KindError
+	case agent.ResultReset, agent.ResultCrashed:
+		return eject.KindReset
+	case agent.ResultTimeout:
+		return eject.KindTimeout
+	case agent.ResultCanceled:
+		return eject.KindCanceled
+	default:
+		return eject.KindNone
+	}
+}
--- /dev/null
+++ b/internal/procs/doc.go
@@ -0,0 +1,9 @@
+// Package procs runs a whole deployment as separate processes on loopback addresses, for the demo and for tests.
+//
+// Usage:
+//
+//	plan, err := procs.LoadPlan("examples/instituto", procs.PlanConfig{Programs: "bin", Directory: dir, Network: 31})
+//	fleet, err := procs.Start(ctx, plan)
+//	defer fleet.Close()
+//	err = fleet.Targets[3].Kill()
+package procs
--- /dev/null
+++ b/internal/procs/plan.go
@@ -0,0 +1,209 @@
+package procs
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/rotisserie/eris"
+
+	"github.com/auburnwinch/auburnwinch/internal/config"
+	"github.com/auburnwinch/auburnwinch/internal/ticket"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// Ports of the processes; every node and the platform have an address of their own.
+const (
+	callersPort  = 8080
+	peersPort    = 7401
+	relayPort    = 7402
+	localPort    = 7403
+	adminPort    = 7404
+	tablePort    = 7001
+	objectPort   = 7002
+	controlPort  = 7003
+	targetPort   = 9000
+	targetFaults = 9500
+)
+
+const (
+	ticketFile     = "ticket-1.yaml"
+	accessKey      = "standin"
+	secretKey      = "standin-secret"
+	platformName   = "auburnwinch"
+	demoShutdown   = 20 * time.Second
+	settingsAccess = 0o600
+)
+
+// PlanConfig says where a deployment runs.
+type PlanConfig struct {
+	// Programs is the directory of the built programs.
+	Programs string
+	// Directory takes settings and logs.
+	Directory string
+	// Network is the second byte of all loopback addresses, 127.<network>.x.y.
+	Network int
+	// TargetsPerService defaults to 12.
+	TargetsPerService int
+	// ServiceTime is the median time of work of a target; default 5 ms.
+	ServiceTime time.Duration
+	// LogLevel of the nodes; default info.
+	LogLevel config.Level
+}
+
+// Plan lists the processes of a deployment.
+type Plan struct {
+	PlanConfig
+	Name    string
+	Ticket  model.Ticket
+	Nodes   []NodePlan
+	Targets []TargetPlan
+}
+
+// NodePlan is one node with its settings.
+type NodePlan struct {
+	Settings config.Settings
+	Path     string
+}
+
+// TargetPlan is one target beside a node.
+type TargetPlan struct {
+	Service string
+	ID      string
+	Slots   int
+	Node    int
+	Address string
+	Control string
+}
+
+// LoadPlan reads the example settings and the first ticket of a deployment and moves them to loopback addresses.
+func LoadPlan(examples string, c PlanConfig) (*Plan, error) {
+	if c.TargetsPerService == 0 {
+		c.TargetsPerService = 12
+	}
+	if c.ServiceTime == 0 {
+		c.ServiceTime = 5 * time.Millisecond
+	}
+	if c.LogLevel == "" {
+		c.LogLevel = config.LevelInfo
+	}
+	p := &Plan{PlanConfig: c, Name: filepath.Base(examples)}
+	if err := p.loadTicket(examples); err != nil {
+		return nil, err
+	}
+	if err := p.loadNodes(examples); err != nil {
+		return nil, err
+	}
+	p.planTargets()
+	return p, nil
+}
+
+// PlatformControl returns the address of the control endpoint of the platform stand-in.
+func (p *Plan) PlatformControl() string {
+	return p.address(0, controlPort)
+}
+
+func (p *Plan) loadTicket(examples string) error {
+	path := filepath.Join(examples, ticketFile)
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return eris.Wrap(err, "read the first ticket")
+	}
+	p.Ticket, err = ticket.Parse(path, data)
+	return err
+}
+
+func (p *Plan) loadNodes(examples string) error {
+	files, err := filepath.Glob(filepath.Join(examples, "*.yaml"))
+	if err != nil {
+		return eris.Wrap(err, "list the example settings")
+	}
+	slices.Sort(files)
+	for _, file := range files {
+		if strings.HasPrefix(filepath.Base(file), "ticket") {
+			continue
+		}
+		settings, err := config.Load(file)
+		if err != nil {
+			return err
+		}
+		p.addNode(settings)
+	}
+	for i := range p.Nodes {
+		p.Nodes[i].Settings.Seeds = []string{p.address(1, peersPort), p.address(3, peersPort), p.address(5, peersPort)}
+	}
+	return nil
+}
+
+func (p *Plan) addNode(s *config.Settings) {
+	host := len(p.Nodes) + 1
+	s.Listeners = config.Listeners{
+		Callers: p.address(host, callersPort),
+		Relay:   p.address(host, relayPort),
+		Peers:   p.address(host, peersPort),
+		Local:   p.address(host, localPort),
+		Admin:   p.address(host, adminPort),
+	}
+	s.Platform = config.Platform{
+		TableEndpoint:   "http://" + p.address(0, tablePort),
+		ObjectEndpoint:  "http://" + p.address(0, objectPort),
+		Region:          config.DefaultPlatformRegion,
+		AccessKeyID:     accessKey,
+		SecretAccessKey: secretKey,
+		Table:           platformName,
+		Bucket:          platformName,
+	}
+	s.FleetSecretFile, s.OperatorTokenFile = "", ""
+	s.ShutdownTimeout = model.Duration(demoShutdown)
+	s.LogLevel = p.LogLevel
+	p.Nodes = append(p.Nodes, NodePlan{Settings: *s, Path: filepath.Join(p.Directory, s.Node.ID+".yaml")})
+}
+
+// planTargets spreads the targets of each service evenly over the nodes.
+func (p *Plan) planTargets() {
+	perNode := make([]int, len(p.Nodes))
+	for s, spec := range p.Ticket.Services {
+		for i := range p.TargetsPerService {
+			node := (i + s) % len(p.Nodes)
+			p.Targets = append(p.Targets, TargetPlan{
+				Service: spec.Name,
+				ID:      fmt.Sprintf("%s-%02d", spec.Name, i+1),
+				Slots:   p.slots(),
+				Node:    node,
+				Address: p.address(node+1, targetPort+perNode[node]),
+				Control: p.address(node+1, targetFaults+perNode[node]),
+			})
+			perNode[node]++
+		}
+	}
+}
+
+// slots returns the slots per target: those of the brief's deployments.
+func (p *Plan) slots() int {
+	if p.Name == "kleefwerk" {
+		return 3
+	}
+	return 7
+}
+
+func (p *Plan) address(host, port int) string {
+	return fmt.Sprintf("127.%d.%d.1:%d", p.Network, host, port)
+}
+
+// write stores the settings of all nodes.
+func (p *Plan) write() error {
+	for _, n := range p.Nodes {
+		data, err := yaml.Marshal(n.Settings)
+		if err != nil {
+			return eris.Wrapf(err, "encode the settings of %s", n.Settings.Node.ID)
+		}
+		if err := os.WriteFile(n.Path, data, settingsAccess); err != nil {
+			return eris.Wrapf(err, "write the settings of %s", n.Settings.Node.ID)
+		}
+	}
+	return nil
+}
