Move the callers of the demo into a package that tests can use

The demo and the coming tests with real processes need the same callers and the same comparison of answers with the targets' records. No change of behaviour.

--- /dev/null
+++ b/cmd/standin/demo_scenario.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/auburnwinch/auburnwinch/internal/load"
+	"github.com/auburnwinch/auburnwinch/internal/procs"
+)
+
+// errUntrue reports that the demo found an answer that was not true.
+var errUntrue = errors.New("an answer was not true, not whole, or an operation ran twice; see the table and the logs")
+
+// runScenario kills one target and stalls another under load, then checks every answer.
+func runScenario(ctx context.Context, fleet *procs.Fleet, duration time.Duration) error {
+	killed, stalled := 0, len(fleet.Targets)/2
+	runner := load.New(load.Config{Fleet: fleet})
+	loadContext, stop := context.WithTimeout(ctx, duration)
+	defer stop()
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		runner.Run(loadContext)
+	}()
+	if !sleep(ctx, duration/4) {
+		return ctx.Err()
+	}
+	fmt.Printf("%s: killing target %s\n", fleet.Plan.Name, fleet.Targets[killed].Name)
+	if err := fleet.Targets[killed].Kill(); err != nil {
+		return err
+	}
+	if !sleep(ctx, duration/4) {
+		return ctx.Err()
+	}
+	fmt.Printf("%s: stalling target %s; it still answers probes\n", fleet.Plan.Name, fleet.Targets[stalled].Name)
+	if err := load.SetFault(ctx, fleet.Plan.Targets[stalled], load.Fault{Stall: true}); err != nil {
+		return err
+	}
+	<-finished
+	runs, err := load.CollectRuns(ctx, fleet)
+	if err != nil {
+		return err
+	}
+	report := load.Check(fleet.Plan, runner.Operations(), runs)
+	if err := report.Print(os.Stdout); err != nil {
+		return err
+	}
+	if len(report.Untrue) > 0 {
+		return errUntrue
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/internal/load/control.go
@@ -0,0 +1,108 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/auburnwinch/auburnwinch/internal/procs"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// Fault is what a stand-in target does wrong; the zero value is a healthy target.
+type Fault struct {
+	Stall         bool           `json:"stall"`
+	StallProbes   bool           `json:"stall-probes"`
+	SlowFactor    float64        `json:"slow-factor"`
+	ErrorRatio    float64        `json:"error-ratio"`
+	ResetRatio    float64        `json:"reset-ratio"`
+	TruncateAfter int64          `json:"truncate-after"`
+	StallAfter    int64          `json:"stall-after"`
+	CrashMark     string         `json:"crash-mark"`
+	For           model.Duration `json:"for"`
+}
+
+// PlatformRule is a fault of the platform stand-in.
+type PlatformRule struct {
+	Service   string         `json:"service,omitempty"`
+	Operation string         `json:"operation,omitempty"`
+	Kind      string         `json:"kind"`
+	Delay     model.Duration `json:"delay,omitempty"`
+	Count     int            `json:"count,omitempty"`
+	Share     float64        `json:"share,omitempty"`
+}
+
+// Run is what one target knows of one request.
+type Run struct {
+	Request string `json:"request"`
+	Key     string `json:"key"`
+	Begun   int    `json:"begun"`
+	Ended   int    `json:"ended"`
+}
+
+type targetRecords struct {
+	Runs []Run `json:"runs"`
+}
+
+// SetFault changes the fault of a stand-in target.
+func SetFault(ctx context.Context, target procs.TargetPlan, fault Fault) error {
+	return put(ctx, "http://"+target.Control+"/fault", fault)
+}
+
+// SetPlatform replaces the faults of the platform stand-in; no rules mean a healthy platform.
+func SetPlatform(ctx context.Context, plan *procs.Plan, rules ...PlatformRule) error {
+	if rules == nil {
+		rules = []PlatformRule{}
+	}
+	return put(ctx, "http://"+plan.PlatformControl()+"/v1/faults", rules)
+}
+
+// CollectRuns returns the records of the targets that still run.
+func CollectRuns(ctx context.Context, fleet *procs.Fleet) ([]Run, error) {
+	var runs []Run
+	for i, t := range fleet.Plan.Targets {
+		if !fleet.Targets[i].Running() {
+			continue
+		}
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.Control+"/runs", nil)
+		if err != nil {
+			return nil, eris.Wrap(err, "build the request")
+		}
+		var records targetRecords
+		if err := exchange(request, &records); err != nil {
+			return nil, eris.Wrapf(err, "read the records of target %s", t.ID)
+		}
+		runs = append(runs, records.Runs...)
+	}
+	return runs, nil
+}
+
+func put(ctx context.Context, url string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return eris.Wrap(err, "encode the fault")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(data))
+	if err != nil {
+		return eris.Wrap(err, "build the request")
+	}
+	return exchange(request, nil)
+}
+
+func exchange(request *http.Request, into any) error {
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return eris.Wrap(err, "ask a stand-in")
+	}
+	defer func() { _ = response.Body.Close() }() // The body is read in full or not needed.
+	if response.StatusCode >= http.StatusBadRequest {
+		return eris.Errorf("%s %s: %s", request.Method, request.URL, response.Status)
+	}
+	if into == nil {
+		return nil
+	}
+	return eris.Wrap(json.NewDecoder(response.Body).Decode(into), "decode the answer")
+}
--- /dev/null
+++ b/internal/load/operation.go
@@ -0,0 +1,45 @@
+package load
+
+import (
+	"time"
+
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// Kind is what an operation does.
+type Kind uint8
+
+// The kinds of operations.
+const (
+	KindRead Kind = iota
+	KindDownload
+	KindWrite
+)
+
+// Operation is one thing that a caller wants done, with all of its sends.
+type Operation struct {
+	ID       string
+	Service  string
+	Key      string
+	Kind     Kind
+	Outcome  model.Outcome
+	Status   int
+	Sends    int
+	Begun    time.Time
+	Duration time.Duration
+	// Fault tells why the answer was not whole or belonged to another operation.
+	Fault string
+	// NotRun counts the sends that were answered with `not-run`.
+	NotRun int
+}
+
+func kindOf(route model.RouteSpec) Kind {
+	switch {
+	case !route.Idempotent:
+		return KindWrite
+	case route.Resumable:
+		return KindDownload
+	default:
+		return KindRead
+	}
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,131 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/auburnwinch/auburnwinch/internal/procs"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// Row sums up the operations of one service.
+type Row struct {
+	Service string
+	Sends   int
+	Done    int
+	// Failed counts whole answers of a target with status 500 or above.
+	Failed    int
+	NotRun    int
+	Unknown   int
+	Untrue    int
+	Durations []time.Duration
+}
+
+// Report is the result of a run: a row for each service and every operation whose answer was not true.
+type Report struct {
+	Rows   []*Row
+	Untrue []string
+}
+
+// Check compares the answers with the records of the targets.
+func Check(plan *procs.Plan, operations []Operation, runs []Run) *Report {
+	report := &Report{}
+	for _, spec := range plan.Ticket.Services {
+		report.Rows = append(report.Rows, &Row{Service: spec.Name})
+	}
+	begun := make(map[string]int)
+	for _, run := range runs {
+		begun[run.Request] += run.Begun
+	}
+	for _, op := range operations {
+		report.add(op, begun[op.ID])
+	}
+	return report
+}
+
+// Print writes the report as a table.
+func (r *Report) Print(out io.Writer) error {
+	for _, line := range r.Untrue {
+		if _, err := fmt.Fprintln(out, line); err != nil {
+			return err
+		}
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "SERVICE\tOPERATIONS\tSENDS\tDONE\tTARGET ERROR\tNOT RUN\tUNKNOWN\tMEDIAN\tP99\tUNTRUE")
+	for _, row := range r.Rows {
+		row.print(w)
+	}
+	return w.Flush()
+}
+
+// Total returns the sum of all rows.
+func (r *Report) Total() Row {
+	var total Row
+	for _, row := range r.Rows {
+		total.Sends += row.Sends
+		total.Done += row.Done
+		total.Failed += row.Failed
+		total.NotRun += row.NotRun
+		total.Unknown += row.Unknown
+		total.Untrue += row.Untrue
+		total.Durations = append(total.Durations, row.Durations...)
+	}
+	return total
+}
+
+// Quantile returns the duration below which the share of the operations ended; it is zero without operations.
+func (r *Row) Quantile(share float64) time.Duration {
+	if len(r.Durations) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(r.Durations))
+	return sorted[min(int(float64(len(sorted))*share), len(sorted)-1)]
+}
+
+func (r *Report) add(op Operation, runs int) {
+	i := slices.IndexFunc(r.Rows, func(row *Row) bool { return row.Service == op.Service })
+	row := r.Rows[i]
+	row.Sends += op.Sends
+	row.Durations = append(row.Durations, op.Duration)
+	switch {
+	case op.Outcome == model.OutcomeDone && op.Status >= http.StatusInternalServerError:
+		row.Failed++
+	case op.Outcome == model.OutcomeDone:
+		row.Done++
+	case op.Outcome == model.OutcomeNotRun:
+		row.NotRun++
+	default:
+		row.Unknown++
+	}
+	if fault := faultOf(op, runs); fault != "" {
+		row.Untrue++
+		r.Untrue = append(r.Untrue, fmt.Sprintf("operation %s of %s, key %s, outcome %s after %d sends: %s",
+			op.ID, op.Service, op.Key, op.Outcome, op.Sends, fault))
+	}
+}
+
+// faultOf compares an answer with what the targets ran.
+func faultOf(op Operation, runs int) string {
+	switch {
+	case op.Fault != "":
+		return op.Fault
+	case op.Kind != KindWrite:
+		return ""
+	case runs > 1:
+		return fmt.Sprintf("ran %d times", runs)
+	case op.Outcome == model.OutcomeNotRun && runs > 0:
+		return "the answer says not-run, but it ran"
+	default:
+		return ""
+	}
+}
+
+func (r *Row) print(w io.Writer) {
+	const precision = 100 * time.Microsecond
+	_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%d\n", r.Service, len(r.Durations), r.Sends, r.Done, r.Failed,
+		r.NotRun, r.Unknown, r.Quantile(0.5).Round(precision), r.Quantile(0.99).Round(precision), r.Untrue)
+}
--- /dev/null
+++ b/internal/load/runner.go
@@ -0,0 +1,273 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+
+	"github.com/auburnwinch/auburnwinch/internal/procs"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+const (
+	// headerRequest identifies the operation in the records of the stand-in targets; they echo it.
+	headerRequest   = "Standin-Request"
+	defaultCallers  = 24
+	defaultPause    = 20 * time.Millisecond
+	defaultSends    = 5
+	defaultDownload = 256 << 10
+	resendPause     = 300 * time.Millisecond
+	sendTimeout     = 12 * time.Second
+	// patternPeriod is the period of the bytes that stand-in targets send.
+	patternPeriod = 251
+)
+
+// Config sizes the load; zero fields take defaults.
+type Config struct {
+	Fleet *procs.Fleet
+	// Callers is the number of callers that send one operation after the other.
+	Callers int
+	// Pause is the time between two operations of a caller.
+	Pause time.Duration
+	// Sends bounds how often one operation is sent.
+	Sends int
+	// DownloadBytes is the size of downloads.
+	DownloadBytes int
+	// Services restricts the load to these services.
+	Services []string
+	// Prefix starts the identifiers of all operations; it must differ between runners of one deployment.
+	Prefix string
+	// SendTimeout bounds one send.
+	SendTimeout time.Duration
+	// PlainKeys uses plain keys instead of issued ones.
+	PlainKeys bool
+}
+
+// Runner is a set of callers.
+type Runner struct {
+	config Config
+	client *http.Client
+	routes []serviceRoute
+
+	mu         sync.Mutex
+	operations []Operation
+}
+
+type serviceRoute struct {
+	service string
+	route   model.RouteSpec
+}
+
+// answer is the body of a stand-in target.
+type answer struct {
+	Request string `json:"request"`
+	Target  string `json:"target"`
+}
+
+// New returns callers that have not begun.
+func New(c Config) *Runner {
+	c.Callers = orDefault(c.Callers, defaultCallers)
+	c.Sends = orDefault(c.Sends, defaultSends)
+	c.DownloadBytes = orDefault(c.DownloadBytes, defaultDownload)
+	c.Pause = orDefault(c.Pause, defaultPause)
+	c.SendTimeout = orDefault(c.SendTimeout, sendTimeout)
+	if c.Prefix == "" {
+		c.Prefix = c.Fleet.Plan.Name
+	}
+	r := &Runner{
+		config: c,
+		client: &http.Client{Timeout: c.SendTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: c.Callers}},
+	}
+	r.routes = routesOf(c)
+	return r
+}
+
+// Run sends until the context ends and returns when every operation has its final answer.
+func (r *Runner) Run(ctx context.Context) {
+	var callers conc.WaitGroup
+	for i := range r.config.Callers {
+		callers.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				r.operate(fmt.Sprintf("%s-%d-%d", r.config.Prefix, i, n))
+				time.Sleep(r.config.Pause)
+			}
+		})
+	}
+	callers.Wait()
+	r.client.CloseIdleConnections()
+}
+
+// Operations returns the operations that have ended.
+func (r *Runner) Operations() []Operation {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Operation(nil), r.operations...)
+}
+
+func routesOf(c Config) []serviceRoute {
+	var routes []serviceRoute
+	for _, service := range c.Fleet.Plan.Ticket.Services {
+		if !wanted(c.Services, service.Name) {
+			continue
+		}
+		for _, route := range service.Routes {
+			routes = append(routes, serviceRoute{service: service.Name, route: route})
+		}
+	}
+	return routes
+}
+
+func wanted(services []string, name string) bool {
+	if len(services) == 0 {
+		return true
+	}
+	for _, s := range services {
+		if s == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Runner) operate(id string) {
+	chosen := r.routes[rand.IntN(len(r.routes))]
+	op := Operation{ID: id, Service: chosen.service, Kind: kindOf(chosen.route), Begun: time.Now()}
+	for op.Sends < r.config.Sends {
+		op.Sends++
+		if r.send(&op, chosen.route) {
+			break
+		}
+		time.Sleep(resendPause)
+	}
+	op.Duration = time.Since(op.Begun)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.operations = append(r.operations, op)
+}
+
+// send sends the operation once, through any node, and reports whether its outcome is final.
+func (r *Runner) send(op *Operation, route model.RouteSpec) bool {
+	nodes := r.config.Fleet.Plan.Nodes
+	address := nodes[rand.IntN(len(nodes))].Settings.Listeners.Callers
+	request, err := r.request(op, route, address)
+	if err != nil {
+		// Nothing was sent; the outcome of an earlier send stays.
+		if op.Outcome == "" {
+			op.Outcome = model.OutcomeNotRun
+		}
+		return false
+	}
+	response, err := r.client.Do(request)
+	if err != nil {
+		op.Outcome = model.OutcomeUnknown
+		return false
+	}
+	defer func() { _ = response.Body.Close() }() // The body is read in full or given up.
+	op.Status = response.StatusCode
+	op.Outcome = model.Outcome(response.Header.Get(model.HeaderOutcome))
+	if op.Outcome == model.OutcomeDone {
+		return r.checkBody(op, response)
+	}
+	if op.Outcome == model.OutcomeNotRun {
+		op.NotRun++
+	}
+	_, _ = io.Copy(io.Discard, response.Body) // Only the outcome counts.
+	return false
+}
+
+func (r *Runner) request(op *Operation, route model.RouteSpec, address string) (*http.Request, error) {
+	method, target := http.MethodGet, "http://"+address+route.PathPrefix+"/"+op.ID
+	var body io.Reader
+	switch op.Kind {
+	case KindDownload:
+		target += fmt.Sprintf("?bytes=%d", r.config.DownloadBytes)
+	case KindWrite:
+		method, body = http.MethodPost, strings.NewReader("operation "+op.ID)
+		if err := r.takeKey(op, address); err != nil {
+			return nil, err
+		}
+	case KindRead:
+	}
+	request, err := http.NewRequest(method, target, body)
+	if err != nil {
+		return nil, eris.Wrap(err, "build the request")
+	}
+	request.Host = route.Host
+	request.Header.Set(headerRequest, op.ID)
+	request.Header.Set(model.HeaderAccount, "account-"+op.ID[len(op.ID)-1:])
+	if op.Key != "" {
+		request.Header.Set(model.HeaderIdempotencyKey, op.Key)
+	}
+	return request, nil
+}
+
+// takeKey makes the key of the operation from the owner token of the first node that answers.
+func (r *Runner) takeKey(op *Operation, address string) error {
+	if op.Key != "" {
+		return nil
+	}
+	if r.config.PlainKeys {
+		op.Key = op.ID
+		return nil
+	}
+	response, err := r.client.Get("http://" + address + model.PathOwner)
+	if err != nil {
+		return eris.Wrap(err, "ask for an owner token")
+	}
+	defer func() { _ = response.Body.Close() }() // Only the header is needed.
+	token := response.Header.Get(model.HeaderOwner)
+	if token == "" {
+		return eris.New("the node gave no owner token")
+	}
+	op.Key = token + "." + op.ID
+	return nil
+}
+
+// checkBody verifies that the answer is whole and belongs to the operation.
+func (r *Runner) checkBody(op *Operation, response *http.Response) bool {
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		op.Outcome = model.OutcomeUnknown
+		return false
+	}
+	if response.StatusCode >= http.StatusInternalServerError {
+		return true
+	}
+	if op.Kind == KindDownload {
+		op.Fault = checkDownload(body, r.config.DownloadBytes)
+		return true
+	}
+	var a answer
+	if err := json.Unmarshal(body, &a); err != nil || a.Request != op.ID {
+		op.Fault = fmt.Sprintf("answer is not whole or belongs to %q", a.Request)
+	}
+	return true
+}
+
+func checkDownload(body []byte, size int) string {
+	if len(body) != size {
+		return fmt.Sprintf("download has %d of %d bytes", len(body), size)
+	}
+	for i, b := range body {
+		if b != byte(i%patternPeriod) {
+			return fmt.Sprintf("download is wrong from byte %d", i)
+		}
+	}
+	return ""
+}
+
+func orDefault[T int | time.Duration](value, fallback T) T {
+	if value <= 0 {
+		return fallback
+	}
+	return value
+}
