Replace the full record exchange with gossip and anti-entropy

The exchange of all records with all nodes costs O(n) per node and second and cannot reach 670 nodes. The membership module now holds each record as the join of two registers that only grow, (version, status) and content, so that updates can arrive in any order; SWIM probes, rumours, pushes of urgent changes and bucketed anti-entropy carry them.

Ruled out: taking over the word of another node that a third one is dead. A node that was cut off holds everyone dead and would take all targets out of service when it returns; such a word starts a suspicion instead.

--- /dev/null
+++ b/internal/member/rumour.go
@@ -0,0 +1,175 @@
+package member
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/auburnwinch/auburnwinch/internal/invar"
+)
+
+const (
+	// sendFactor times log10(n+1) is how often a node passes a rumour on.
+	sendFactor = 3
+	// pushFanout is the number of nodes to which an urgent rumour goes at once.
+	pushFanout = 4
+	// pushRate and pushBurst bound the bytes of pushes, so that a burst of urgent updates keeps within the budget of
+	// 5 KB/s; what exceeds them spreads as ordinary rumours.
+	pushRate  = 1500
+	pushBurst = 32 << 10
+	// maxRumourRecord is the largest record that travels in a datagram, in bytes; larger ones are fetched by RPC.
+	maxRumourRecord = 900
+)
+
+// rumour is an update that is still to be passed on; its text is taken from the entry when it is sent.
+type rumour struct {
+	entry      *entry
+	withRecord bool
+	urgent     bool
+	sends      int
+}
+
+// rumourState holds the rumours that are being passed on.
+type rumourState struct {
+	pending []*rumour
+	// urgent are the rumours to push at the end of the current update.
+	urgent     []*rumour
+	pushNumber bool
+	tokens     float64
+	refilled   time.Time
+	// numbers are the entries whose ticket number is being passed on, in the order of their next sending.
+	numbers []*entry
+}
+
+// spread starts passing on the state of an entry.
+func (m *Module) spread(e *entry, withRecord, urgent bool) {
+	r := e.rumour
+	if r == nil {
+		r = &rumour{entry: e}
+		e.rumour = r
+		m.rumours.pending = append(m.rumours.pending, r)
+	}
+	r.sends = 0
+	r.withRecord = r.withRecord || withRecord
+	r.urgent = r.urgent || urgent
+	if urgent && !slices.Contains(m.rumours.urgent, r) {
+		m.rumours.urgent = append(m.rumours.urgent, r)
+	}
+}
+
+// dropRumour stops passing on an entry that leaves the table.
+func (m *Module) dropRumour(e *entry) {
+	if e.rumour == nil {
+		return
+	}
+	is := func(r *rumour) bool { return r.entry == e }
+	m.rumours.pending = slices.DeleteFunc(m.rumours.pending, is)
+	m.rumours.urgent = slices.DeleteFunc(m.rumours.urgent, is)
+	e.rumour = nil
+}
+
+// maxSends returns how often a rumour is passed on at the present size of the fleet.
+func (m *Module) maxSends() int {
+	return int(math.Ceil(sendFactor * math.Log10(float64(m.table.alive+1))))
+}
+
+// send completes a datagram with the own state and rumours; the state of a receiver under suspicion goes first.
+func (m *Module) send(address string, d *Datagram, receiver *entry) {
+	m.fill(d)
+	space := MaxDatagram - d.headerSize()
+	if receiver != nil && receiver.status != StatusAlive {
+		r := m.rumourOf(receiver, false, false)
+		d.Rumours = append(d.Rumours, r)
+		space -= r.size()
+	}
+	space = m.pack(d, space)
+	m.packNumbers(d, space)
+	m.emit(SendCmd{Address: address, Datagram: d})
+}
+
+func (m *Module) fill(d *Datagram) {
+	d.From, d.Ticket, d.Root = m.self.record.Node.Ref, m.self.record.Ticket, m.table.root()
+}
+
+// pack adds the rumours that were sent least often and returns the space that is left.
+func (m *Module) pack(d *Datagram, space int) int {
+	limit := m.maxSends()
+	slices.SortStableFunc(m.rumours.pending, func(a, b *rumour) int { return cmp.Compare(a.sends, b.sends) })
+	for _, r := range m.rumours.pending {
+		if space < minRumour {
+			break
+		}
+		space = m.packOne(d, r, space)
+	}
+	m.finishRumours(limit)
+	return space
+}
+
+// minRumour is the least size of a rumour, in bytes.
+const minRumour = 16
+
+func (m *Module) packOne(d *Datagram, r *rumour, space int) int {
+	text := m.rumourOf(r.entry, r.withRecord && len(r.entry.encoded) <= maxRumourRecord, r.urgent)
+	size := text.size()
+	if size > space {
+		return space
+	}
+	d.Rumours = append(d.Rumours, text)
+	r.sends++
+	return space - size
+}
+
+func (m *Module) finishRumours(limit int) {
+	m.rumours.pending = slices.DeleteFunc(m.rumours.pending, func(r *rumour) bool {
+		invar.Check(r.sends <= max(limit, 1)+pushFanout, "member", "rumour passed on %d times, limit %d", r.sends, limit)
+		if r.sends < limit {
+			return false
+		}
+		r.entry.rumour = nil
+		return true
+	})
+}
+
+// push sends the urgent rumours of this update to random nodes at once.
+func (m *Module) push() {
+	urgent, number := m.rumours.urgent, m.rumours.pushNumber
+	if len(urgent) == 0 && !number {
+		return
+	}
+	m.rumours.urgent, m.rumours.pushNumber = nil, false
+	m.refill()
+	for _, receiver := range m.choose(pushFanout, anyNode) {
+		d := &Datagram{Kind: KindPush, To: receiver.key}
+		m.fill(d)
+		space := MaxDatagram - d.headerSize()
+		for _, r := range urgent {
+			space = m.packOne(d, r, space)
+		}
+		cost := float64(MaxDatagram - space)
+		if m.rumours.tokens < cost {
+			m.counts.Deferred++
+			m.takeBack(d, urgent)
+			break
+		}
+		m.rumours.tokens -= cost
+		m.counts.Pushes++
+		m.emit(SendCmd{Address: receiver.record.Node.PeerAddress, Datagram: d})
+	}
+	m.finishRumours(m.maxSends())
+}
+
+// takeBack does not count the rumours of a datagram that is not sent.
+func (m *Module) takeBack(d *Datagram, urgent []*rumour) {
+	for _, r := range urgent {
+		if slices.ContainsFunc(d.Rumours, func(t Rumour) bool { return t.Key == r.entry.key }) {
+			r.sends--
+		}
+	}
+}
+
+func (m *Module) refill() {
+	elapsed := m.now.Sub(m.rumours.refilled).Seconds()
+	m.rumours.refilled = m.now
+	m.rumours.tokens = min(pushBurst, m.rumours.tokens+pushRate*elapsed)
+}
--- a/internal/member/snapshot.go
+++ b/internal/member/snapshot.go
@@ -16,6 +16,8 @@
 // Snapshot is the immutable membership at one moment.
 type Snapshot struct {
 	Self model.NodeRef `json:"self"`
+	// Generation grows with every change except that of ticket numbers.
+	Generation uint64 `json:"generation"`
 	// Records are the nodes that are alive, suspect or leaving, sorted by node ID; the own record is included.
 	Records []NodeRecord `json:"records"`
 	// Departed are the tombstones, sorted by node ID.
--- /dev/null
+++ b/internal/member/sync.go
@@ -0,0 +1,262 @@
+package member
+
+import (
+	"time"
+
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+const (
+	syncInterval = 10 * time.Second
+	// busySyncInterval applies after a synchronisation that moved at least busyRecords records, as after a partition.
+	busySyncInterval = time.Second
+	busyRecords      = 16
+	// remoteSyncs is the share of synchronisations with any region, one in this many; the others stay in the own one.
+	remoteSyncs = 4
+	// maxSyncRecords bounds the records of one answer; the rest follows with the next synchronisation.
+	maxSyncRecords = 4000
+)
+
+// syncState is the state of anti-entropy.
+type syncState struct {
+	next time.Time
+	// moved counts the records that the current synchronisation brought or took.
+	moved        int
+	unknownFetch time.Time
+}
+
+// SyncRequest opens anti-entropy; it carries the own record, so that a joining node becomes known.
+type SyncRequest struct {
+	Self Rumour `cbor:"1,keyasint"`
+	// Full asks for all records at once.
+	Full    bool     `cbor:"2,keyasint,omitempty"`
+	Buckets []uint64 `cbor:"3,keyasint,omitempty"`
+	Numbers uint64   `cbor:"4,keyasint,omitempty"`
+	Ticket  uint64   `cbor:"5,keyasint,omitempty"`
+}
+
+// SyncReply lists what the answering node holds in the buckets that differ.
+type SyncReply struct {
+	// From is the answering node.
+	From model.NodeRef `cbor:"1,keyasint"`
+	// Differing has a bit for each bucket that differs.
+	Differing uint64   `cbor:"2,keyasint,omitempty"`
+	Heads     []Head   `cbor:"3,keyasint,omitempty"`
+	Numbers   []Number `cbor:"4,keyasint,omitempty"`
+	// Rumours holds all records when the request was full.
+	Rumours []Rumour `cbor:"5,keyasint,omitempty"`
+	Ticket  uint64   `cbor:"6,keyasint,omitempty"`
+}
+
+// Head is the version of a record without the record.
+type Head struct {
+	Key     uint64 `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint"`
+	Content uint64 `cbor:"3,keyasint"`
+	Status  Status `cbor:"4,keyasint"`
+}
+
+// FetchRequest gives and asks for records by key.
+type FetchRequest struct {
+	Rumours []Rumour `cbor:"1,keyasint,omitempty"`
+	Want    []uint64 `cbor:"2,keyasint,omitempty"`
+	Numbers []Number `cbor:"3,keyasint,omitempty"`
+}
+
+// FetchReply holds the records that were asked for.
+type FetchReply struct {
+	Rumours []Rumour `cbor:"1,keyasint,omitempty"`
+}
+
+func (m *Module) periodicSync() {
+	if !m.joined || m.now.Before(m.syncs.next) {
+		return
+	}
+	interval := syncInterval
+	if m.syncs.moved >= busyRecords {
+		interval = busySyncInterval
+	}
+	m.syncs.moved = 0
+	m.syncs.next = m.now.Add(interval/2 + m.jitter(interval))
+	region := m.self.record.Node.Region
+	keep := anyNode
+	if m.random.IntN(remoteSyncs) > 0 {
+		keep = func(e *entry) bool { return e.record.Node.Region == region }
+	}
+	peers := m.choose(1, keep)
+	if len(peers) == 0 {
+		peers = m.choose(1, anyNode)
+	}
+	if len(peers) > 0 {
+		m.startSync(peers[0].record.Node.PeerAddress)
+	}
+}
+
+func (m *Module) startSync(address string) {
+	m.counts.Syncs++
+	m.emit(SyncCmd{Address: address, Request: SyncRequest{
+		Self: m.rumourOf(m.self, true, false), Full: !m.joined,
+		Buckets: append([]uint64(nil), m.table.buckets[:]...), Numbers: m.table.numbers, Ticket: m.self.record.Ticket,
+	}})
+}
+
+func (m *Module) answerSync(r SyncRequest) {
+	if checkUpdates([]Rumour{r.Self}, nil) != nil || (!r.Full && len(r.Buckets) != bucketCount) {
+		m.refuse("", ErrMalformed, "synchronisation request")
+		return
+	}
+	known := m.table.byKey[r.Self.Key] != nil
+	m.apply(&r.Self, "", !known)
+	reply := SyncReply{From: m.self.record.Node.Ref, Ticket: m.self.record.Ticket}
+	if r.Full {
+		reply.Rumours = m.allRumours()
+	} else {
+		m.compare(&r, &reply)
+	}
+	if e := m.table.byKey[r.Self.Key]; e != nil {
+		m.noteBehind(e.record.Node, r.Ticket)
+	}
+	m.emit(SyncReplyCmd{Reply: reply})
+}
+
+func (m *Module) compare(r *SyncRequest, reply *SyncReply) {
+	for i := range r.Buckets {
+		if r.Buckets[i] != m.table.buckets[i] {
+			reply.Differing |= 1 << i
+		}
+	}
+	for _, e := range m.table.sorted {
+		if reply.Differing&(1<<bucketOf(e.key)) != 0 {
+			reply.Heads = append(reply.Heads, Head{
+				Key: e.key, Version: e.record.Version, Content: e.record.Content, Status: e.status,
+			})
+		}
+	}
+	if r.Numbers != m.table.numbers {
+		reply.Numbers = m.allNumbers()
+	}
+}
+
+func (m *Module) allRumours() []Rumour {
+	rumours := make([]Rumour, 0, len(m.table.sorted))
+	for _, e := range m.table.sorted {
+		if len(rumours) < maxSyncRecords {
+			rumours = append(rumours, m.rumourOf(e, true, false))
+		}
+	}
+	return rumours
+}
+
+// finishSync takes over what the other node holds and exchanges the records that differ.
+func (m *Module) finishSync(msg SyncReplyMsg) {
+	r := &msg.Reply
+	if err := checkUpdates(r.Rumours, r.Numbers); err != nil {
+		m.refuse(msg.Address, err, "synchronisation answer")
+		return
+	}
+	for i := range r.Rumours {
+		m.apply(&r.Rumours[i], msg.Address, false)
+	}
+	if !m.joined {
+		m.joined = true
+		m.spread(m.self, true, false)
+	}
+	m.applyNumbers(r.Numbers)
+	if peer, ok := m.nodeOf(r.From); ok {
+		m.noteBehind(peer, r.Ticket)
+	}
+	request := m.difference(r)
+	if len(r.Numbers) > 0 {
+		request.Numbers = m.allNumbers()
+	}
+	if len(request.Rumours)+len(request.Want)+len(request.Numbers) > 0 {
+		m.syncs.moved += len(request.Rumours) + len(request.Want)
+		m.emit(FetchCmd{Address: msg.Address, Request: request})
+	}
+	m.hastenSync()
+}
+
+// hastenSync brings the next synchronisation forward while much differs.
+func (m *Module) hastenSync() {
+	if soon := m.now.Add(busySyncInterval); m.syncs.moved >= busyRecords && m.syncs.next.After(soon) {
+		m.syncs.next = soon
+	}
+}
+
+// difference compares the heads of the other node with the own entries of the same buckets.
+func (m *Module) difference(r *SyncReply) FetchRequest {
+	var request FetchRequest
+	theirs := make(map[uint64]*Head, len(r.Heads))
+	for i := range r.Heads {
+		h := &r.Heads[i]
+		theirs[h.Key] = h
+		if e := m.table.byKey[h.Key]; e == nil || e.isBehind(h) {
+			request.Want = append(request.Want, h.Key)
+		}
+	}
+	for _, e := range m.table.sorted {
+		if r.Differing&(1<<bucketOf(e.key)) == 0 || len(request.Rumours) >= maxSyncRecords {
+			continue
+		}
+		if h := theirs[e.key]; h == nil || e.isAhead(h) {
+			request.Rumours = append(request.Rumours, m.rumourOf(e, h == nil || e.record.Content > h.Content, false))
+		}
+	}
+	return request
+}
+
+func (e *entry) isBehind(h *Head) bool {
+	return h.Content > e.record.Content || h.Version > e.record.Version ||
+		(h.Version == e.record.Version && foldSuspect(h.Status) > foldSuspect(e.status))
+}
+
+func (e *entry) isAhead(h *Head) bool {
+	return e.record.Content > h.Content || e.record.Version > h.Version ||
+		(e.record.Version == h.Version && foldSuspect(e.status) > foldSuspect(h.Status))
+}
+
+func (m *Module) answerFetch(r FetchRequest) {
+	if err := checkUpdates(r.Rumours, r.Numbers); err != nil {
+		m.refuse("", err, "fetch request")
+		return
+	}
+	var reply FetchReply
+	for _, key := range r.Want {
+		if e := m.table.byKey[key]; e != nil && len(reply.Rumours) < maxSyncRecords {
+			reply.Rumours = append(reply.Rumours, m.rumourOf(e, true, e.rumour != nil && e.rumour.urgent))
+		}
+	}
+	for i := range r.Rumours {
+		m.apply(&r.Rumours[i], "", false)
+	}
+	m.applyNumbers(r.Numbers)
+	m.syncs.moved += len(r.Rumours) + len(r.Want)
+	m.hastenSync()
+	m.emit(FetchReplyCmd{Reply: reply})
+}
+
+func (m *Module) finishFetch(msg FetchReplyMsg) {
+	if err := checkUpdates(msg.Reply.Rumours, nil); err != nil {
+		m.refuse("", err, "fetch answer")
+		return
+	}
+	for i := range msg.Reply.Rumours {
+		m.apply(&msg.Reply.Rumours[i], "", msg.Spread)
+	}
+}
+
+// fetch asks the node that mentioned a record for it.
+func (m *Module) fetch(source string, key uint64) {
+	if source != "" {
+		m.emit(FetchCmd{Address: source, Spread: true, Request: FetchRequest{Want: []uint64{key}}})
+	}
+}
+
+// fetchUnknown asks for the record of an unknown node, at most once per interval: a node that knows few others
+// synchronises anyway.
+func (m *Module) fetchUnknown(source string, key uint64) {
+	if m.joined && !m.syncs.unknownFetch.After(m.now) {
+		m.syncs.unknownFetch = m.now.Add(fetchInterval)
+		m.fetch(source, key)
+	}
+}
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -38,9 +38,11 @@
 	Services   []Service
 	// OnChange receives each new snapshot, in order, on one goroutine.
 	OnChange func(*member.Snapshot)
-	// OnTicketBehind is called when a peer shows a larger number in force than the own record, once per number and peer
-	// second; it must not block.
+	// OnTicketBehind is called when a peer shows a larger number in force than the own record: once per number, and
+	// again every 250 ms while the number stays behind. It runs on a goroutine of its own and may block.
 	OnTicketBehind func(peer model.Node, number uint64)
+	// OnReplaced is called when another process runs under the own ID with a larger incarnation; it must not block.
+	OnReplaced func(by model.NodeRef)
 	// Clock defaults to the clock of the process.
 	Clock timer.Service
 	// Logger defaults to no logging.
@@ -50,8 +52,8 @@
 }
 
 func (c *Config) complete() error {
-	if c.Self.Ref.ID == "" {
-		return eris.New("node has no ID; set Config.Self.Ref.ID")
+	if n := len(c.Self.Ref.ID); n == 0 || n > member.MaxID {
+		return eris.Errorf("node ID has %d bytes; set Config.Self.Ref.ID to 1 to %d bytes", n, member.MaxID)
 	}
 	if c.Listen == "" {
 		c.Listen = c.Self.PeerAddress
@@ -73,3 +75,15 @@
 	}
 	return nil
 }
+
+// checkAdvertised checks that other nodes can dial the own address.
+func checkAdvertised(address string) error {
+	parsed, err := resolve(address)
+	if err != nil {
+		return eris.Wrapf(err, "peer address %s", address)
+	}
+	if parsed.Addr().IsUnspecified() {
+		return eris.Errorf("peer address %s names no interface; set Config.Self.PeerAddress to the address of this VM", address)
+	}
+	return nil
+}
--- a/internal/peer/errors.go
+++ b/internal/peer/errors.go
@@ -1,17 +1,20 @@
 package peer
 
-import "github.com/rotisserie/eris"
+import (
+	"github.com/auburnwinch/auburnwinch/internal/member"
+	"github.com/rotisserie/eris"
+)
 
 // Kinds of errors; callers compare them with errors.Is.
 var (
 	// ErrMalformed reports bytes that do not follow the protocol.
-	ErrMalformed = eris.New("malformed bytes; check that both nodes run compatible versions")
+	ErrMalformed = member.ErrMalformed
 	// ErrForged reports bytes whose authentication code does not match.
 	ErrForged = eris.New("authentication code does not match; check that both nodes use the same fleet secret")
 	// ErrOversized reports a message above the size bound.
 	ErrOversized = eris.New("message exceeds the size bound; send it in smaller parts")
 	// ErrStale reports a datagram for or from an earlier run of a node.
-	ErrStale = eris.New("datagram concerns an earlier run of a node; no action is needed")
+	ErrStale = member.ErrStale
 	// ErrClosed reports the use of a peer after Close.
 	ErrClosed = eris.New("peer is closed; start a new one")
 	// ErrUnsent reports a call that certainly did not reach the other node; it may be repeated.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -3,10 +3,9 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/rpc"
-	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,48 +16,45 @@
 	"github.com/go-kit/log/level"
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
+	"golang.org/x/time/rate"
 )
 
-// exchangeInterval and expiry drive the full exchange of records that stands in for gossip in this version.
 const (
-	exchangeInterval = 300 * time.Millisecond
-	expiry           = 3 * time.Second
+	// syncTimeout bounds one call of anti-entropy; the records of 670 nodes take 350 KB.
+	syncTimeout = 5 * time.Second
+	// maxExchanges bounds the calls of anti-entropy in progress; the module repeats one that is dropped.
+	maxExchanges = 32
+	// refusalLogRate and refusalLogBurst bound the log lines about refused bytes, per second; all are counted.
+	refusalLogRate  = 1
+	refusalLogBurst = 10
 )
 
-// Empty is the argument of methods that need none.
-type Empty struct{}
-
 // Peer is the node's connection to the fleet.
 type Peer struct {
 	config   Config
 	log      log.Logger
+	logLimit *rate.Limiter
 	counters counters
+	sealer   sealer
 	pool     *pool
 	server   *server
 	packets  *net.UDPConn
 	workers  conc.WaitGroup
 	ctx      context.Context
 	cancel   context.CancelFunc
-	snapshot atomic.Pointer[member.Snapshot]
-
-	mu      sync.Mutex
-	self    member.NodeRecord
-	records map[string]heard
-}
+	closing  sync.Once
 
-type heard struct {
-	Record member.NodeRecord `cbor:"1,keyasint"`
-	at     time.Time
-}
+	mu       sync.Mutex
+	module   *member.Module
+	snapshot atomic.Pointer[member.Snapshot]
 
-// SyncMsg is the argument and the answer of Peer.Sync; net/rpc requires it to be exported.
-type SyncMsg struct {
-	Records []member.NodeRecord `cbor:"1,keyasint"`
+	joined         chan struct{}
+	contentChanged signal
+	numberChanged  signal
+	behind         chan behindReport
+	exchanges      chan struct{}
 }
 
-// receiver holds the methods that every node serves under the name Peer.
-type receiver struct{ peer *Peer }
-
 // New opens the listeners, starts joining the fleet and returns at once.
 func New(c Config) (*Peer, error) {
 	if err := c.complete(); err != nil {
@@ -68,72 +64,113 @@
 	if err != nil {
 		return nil, err
 	}
+	p, err := assemble(c, stream, packets)
+	if err != nil {
+		_ = stream.Close()
+		_ = packets.Close()
+		return nil, err
+	}
+	p.refresh()
+	for _, work := range []func(){p.server.accept, p.receive, p.tick, p.notify, p.join} {
+		p.workers.Go(work)
+	}
+	if c.OnTicketBehind != nil {
+		p.workers.Go(p.reportBehind)
+	}
+	return p, nil
+}
+
+func assemble(c Config, stream net.Listener, packets *net.UDPConn) (*Peer, error) {
 	if c.Self.PeerAddress == "" {
 		c.Self.PeerAddress = stream.Addr().String()
 	}
+	if err := checkAdvertised(c.Self.PeerAddress); err != nil {
+		return nil, err
+	}
+	seed := c.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
 	p := &Peer{
-		config: c, log: c.Logger, packets: packets, records: make(map[string]heard),
-		self: member.NodeRecord{Node: c.Self, Version: 1, Content: 1},
+		config: c, log: c.Logger, packets: packets, sealer: newSealer(c.Secret),
+		logLimit: rate.NewLimiter(refusalLogRate, refusalLogBurst),
+		module:   member.New(member.Config{Self: c.Self, Seed: seed, Now: c.Clock.Now()}),
+		joined:   make(chan struct{}), contentChanged: make(signal, 1), numberChanged: make(signal, 1),
+		behind: make(chan behindReport, behindQueue), exchanges: make(chan struct{}, maxExchanges),
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.pool = newPool(c, &p.counters, p.reject)
 	p.server = &server{
-		listener: stream, secret: c.Secret, tls: c.TLS, counters: &p.counters, reject: p.reject,
+		listener: stream, secret: c.Secret, tls: serverTLS(c.TLS), counters: &p.counters, reject: p.reject,
 		rpc: rpc.NewServer(), conns: make(map[net.Conn]struct{}),
 	}
-	if err := p.register(); err != nil {
-		_ = stream.Close()
-		_ = packets.Close()
-		return nil, err
-	}
-	p.publish()
-	p.workers.Go(p.server.accept)
-	p.workers.Go(p.run)
-	return p, nil
+	return p, p.register()
+}
+
+// Self returns the own node with the addresses in use. Its incarnation can rise until Joined is closed.
+func (p *Peer) Self() model.Node {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.module.Self()
 }
 
-// Self returns the own node with the incarnation and the addresses that are in use.
-func (p *Peer) Self() model.Node { return p.config.Self }
+// Joined is closed when the peer holds the records of another node, or found that it is the first one.
+func (p *Peer) Joined() <-chan struct{} { return p.joined }
 
-// SetLocal replaces the state that the node publishes about itself; the ticket number must not decrease.
+// SetLocal replaces the state that the node publishes about itself. Snapshot shows it at once; a ticket number below
+// the present one is ignored.
 func (p *Peer) SetLocal(local member.Local) {
-	p.mu.Lock()
-	p.self.Version++
-	p.self.Content = p.self.Version
-	p.self.Leaving, p.self.Successor = local.Leaving, local.Successor
-	p.self.Ticket = max(p.self.Ticket, local.Ticket)
-	p.self.Targets, p.self.Ejections, p.self.Poison = local.Targets, local.Ejections, local.Poison
-	p.mu.Unlock()
-	p.publish()
+	p.execute(p.update(member.LocalMsg{Now: p.config.Clock.Now(), Local: local}))
+	p.refresh()
 }
 
-// Snapshot returns the membership as known now.
+// Snapshot returns the membership as known now; it does not change afterwards.
 func (p *Peer) Snapshot() *member.Snapshot { return p.snapshot.Load() }
 
 // Stats returns the counters of control traffic.
 func (p *Peer) Stats() Stats { return p.counters.snapshot() }
 
+// State returns the state for the operators' dump.
+func (p *Peer) State() State {
+	p.mu.Lock()
+	members := p.module.State()
+	p.mu.Unlock()
+	return State{Members: members, Traffic: p.Stats(), Connections: p.pool.size(), Inbound: p.server.size()}
+}
+
 // Call runs a net/rpc method at another node. The call is sent at most once; ErrUnsent reports that it was not sent,
 // ErrSilent and a context error leave open whether it ran.
 func (p *Peer) Call(ctx context.Context, node model.Node, method string, args, reply any) error {
 	if p.ctx.Err() != nil {
 		return ErrClosed
 	}
+	if node.PeerAddress == "" {
+		return eris.Wrapf(ErrUnsent, "node %s has no peer address", node.Ref)
+	}
 	return p.pool.call(ctx, node.PeerAddress, method, args, reply)
 }
 
-// Close stops all traffic and waits for the goroutines of the peer.
+// Close tells the fleet that the node is gone, stops all traffic and waits for the goroutines of the peer.
 func (p *Peer) Close() error {
+	p.closing.Do(func() {
+		p.execute(p.update(member.LeaveMsg{Now: p.config.Clock.Now()}))
+		p.stop()
+	})
+	return nil
+}
+
+// stop ends the traffic without a word, as a crash does.
+func (p *Peer) stop() {
 	p.cancel()
 	_ = p.packets.Close()
 	p.pool.close()
 	p.server.close()
 	p.workers.Wait()
-	return nil
+	p.server.workers.Wait()
 }
 
 func (p *Peer) register() error {
-	for _, s := range append(p.config.Services, Service{Name: "Peer", Receiver: &receiver{peer: p}}) {
+	for _, s := range append([]Service{{Name: "Peer", Receiver: &receiver{peer: p}}}, p.config.Services...) {
 		if err := p.server.rpc.RegisterName(s.Name, s.Receiver); err != nil {
 			return eris.Wrapf(err, "register the RPC service %s", s.Name)
 		}
@@ -141,101 +178,118 @@
 	return nil
 }
 
-// Echo answers at once, so that callers can tell a silent connection.
-func (r *receiver) Echo(Empty, *Empty) error { return nil }
-
-// Sync exchanges records.
-func (r *receiver) Sync(args SyncMsg, reply *SyncMsg) error {
-	r.peer.merge(args)
-	*reply = r.peer.records4wire()
-	return nil
-}
-
-func (p *Peer) run() {
-	ticks := p.config.Clock.Subscribe(exchangeInterval)
+func (p *Peer) tick() {
+	ticks := p.config.Clock.Subscribe(member.TickInterval)
 	defer ticks.Stop()
 	for {
 		select {
 		case <-p.ctx.Done():
 			return
 		case <-ticks.C:
-			p.exchange()
+			p.execute(p.update(member.TickMsg{Now: p.config.Clock.Now()}))
 		}
 	}
 }
 
-func (p *Peer) exchange() {
-	var group conc.WaitGroup
-	for _, address := range p.addresses() {
-		group.Go(func() {
-			ctx, cancel := context.WithTimeout(p.ctx, time.Second)
-			defer cancel()
-			var reply SyncMsg
-			if err := p.pool.call(ctx, address, "Peer.Sync", p.records4wire(), &reply); err == nil {
-				p.merge(reply)
-			}
+func (p *Peer) update(msg member.Msg) []member.Cmd {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	start := time.Now()
+	defer func() { p.counters.busy.Add(uint64(time.Since(start))) }()
+	return p.module.Update(msg)
+}
+
+func (p *Peer) isJoined() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.module.Joined()
+}
+
+// execute carries out commands in order; calls to other nodes run beside it.
+func (p *Peer) execute(cmds []member.Cmd) {
+	for _, cmd := range cmds {
+		switch cmd := cmd.(type) {
+		case member.SendCmd:
+			p.send(cmd)
+		case member.SyncCmd:
+			p.exchange(func() { p.runSync(cmd) })
+		case member.FetchCmd:
+			p.exchange(func() { p.runFetch(cmd) })
+		case member.ChangedCmd:
+			p.signalChange(cmd)
+		case member.TicketBehindCmd:
+			p.queueBehind(cmd)
+		case member.ReplacedCmd:
+			p.replaced(cmd)
+		case member.RefusedCmd:
+			p.reject(cmd.Source, cmd.Err)
+		}
+	}
+}
+
+// exchange runs a call of anti-entropy unless too many are in progress.
+func (p *Peer) exchange(run func()) {
+	if p.ctx.Err() != nil {
+		return
+	}
+	select {
+	case p.exchanges <- struct{}{}:
+		p.workers.Go(func() {
+			defer func() { <-p.exchanges }()
+			run()
 		})
+	default:
 	}
-	group.Wait()
-	p.publish()
 }
 
-func (p *Peer) addresses() []string {
-	addresses := slices.Clone(p.config.Seeds)
-	if p.config.Registered != nil {
-		if nodes, err := p.config.Registered(p.ctx); err == nil {
-			for _, n := range nodes {
-				addresses = append(addresses, n.PeerAddress)
-			}
-		}
+func (p *Peer) runSync(cmd member.SyncCmd) {
+	var reply member.SyncReply
+	if p.ask(cmd.Address, "Peer.Sync", cmd.Request, &reply) {
+		p.execute(p.update(member.SyncReplyMsg{Now: p.config.Clock.Now(), Address: cmd.Address, Reply: reply}))
 	}
-	for _, r := range p.Snapshot().Records {
-		addresses = append(addresses, r.Node.PeerAddress)
+}
+
+func (p *Peer) runFetch(cmd member.FetchCmd) {
+	var reply member.FetchReply
+	if p.ask(cmd.Address, "Peer.Fetch", cmd.Request, &reply) {
+		p.execute(p.update(member.FetchReplyMsg{Now: p.config.Clock.Now(), Spread: cmd.Spread, Reply: reply}))
 	}
-	slices.Sort(addresses)
-	addresses = slices.Compact(addresses)
-	return slices.DeleteFunc(addresses, func(a string) bool { return a == p.config.Self.PeerAddress })
 }
 
-func (p *Peer) records4wire() SyncMsg {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	w := SyncMsg{Records: []member.NodeRecord{p.self}}
-	return w
+func (p *Peer) ask(address, method string, request, reply any) bool {
+	ctx, cancel := context.WithTimeout(p.ctx, syncTimeout)
+	defer cancel()
+	if err := p.pool.call(ctx, address, method, request, reply); err != nil {
+		level.Debug(p.log).Log("msg", "anti-entropy call failed", "method", method, "address", address, "err", err)
+		return false
+	}
+	return true
 }
 
-func (p *Peer) merge(w SyncMsg) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, r := range w.Records {
-		known := p.records[r.Node.Ref.ID]
-		if r.Node.Ref.ID == p.self.Node.Ref.ID || r.Node.Ref.Incarnation < known.Record.Node.Ref.Incarnation {
-			continue
-		}
-		p.records[r.Node.Ref.ID] = heard{Record: r, at: time.Now()}
-		if r.Ticket > p.self.Ticket && p.config.OnTicketBehind != nil {
-			go p.config.OnTicketBehind(r.Node, r.Ticket)
-		}
+func (p *Peer) signalChange(cmd member.ChangedCmd) {
+	if cmd.Content {
+		p.contentChanged.raise()
+	} else {
+		p.numberChanged.raise()
 	}
 }
 
-func (p *Peer) publish() {
-	p.mu.Lock()
-	s := &member.Snapshot{Self: p.self.Node.Ref, Records: []member.NodeRecord{p.self}}
-	for id, h := range p.records {
-		if time.Since(h.at) > expiry {
-			delete(p.records, id)
-			continue
-		}
-		s.Records = append(s.Records, h.Record)
+func (p *Peer) queueBehind(cmd member.TicketBehindCmd) {
+	if p.config.OnTicketBehind == nil {
+		return
 	}
-	slices.SortFunc(s.Records, func(a, b member.NodeRecord) int {
-		return strings.Compare(a.Node.Ref.ID, b.Node.Ref.ID)
-	})
-	p.snapshot.Store(s)
-	p.mu.Unlock()
-	if p.config.OnChange != nil {
-		p.config.OnChange(s)
+	select {
+	case p.behind <- behindReport{peer: cmd.Peer, number: cmd.Number}:
+	default:
+	}
+}
+
+func (p *Peer) replaced(cmd member.ReplacedCmd) {
+	if p.logLimit.Allow() {
+		level.Error(p.log).Log("msg", "another process runs under this node ID; stop one of them", "by", cmd.By)
+	}
+	if p.config.OnReplaced != nil {
+		p.config.OnReplaced(cmd.By)
 	}
 }
 
@@ -253,5 +307,7 @@
 	default:
 		return
 	}
-	level.Warn(p.log).Log("msg", "refused bytes from peer", "source", source, "err", err)
+	if p.logLimit.Allow() {
+		level.Warn(p.log).Log("msg", "refused bytes from peer", "source", source, "err", err)
+	}
 }
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -186,6 +186,12 @@
 	_ = c.rpc.Close()
 }
 
+func (p *pool) size() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.clients)
+}
+
 func (p *pool) close() {
 	p.mu.Lock()
 	p.closed = true
@@ -201,13 +207,3 @@
 func (c *client) heardWithin(d time.Duration) bool {
 	return time.Since(time.Unix(0, c.frame.lastRead.Load())) < d
 }
-
-func clientTLS(base *tls.Config, address string) *tls.Config {
-	config := base.Clone()
-	if config.ServerName == "" {
-		if host, _, err := net.SplitHostPort(address); err == nil {
-			config.ServerName = host
-		}
-	}
-	return config
-}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -78,7 +78,13 @@
 	_ = conn.Close()
 }
 
-// close ends all connections and waits for their goroutines.
+func (s *server) size() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// close ends all connections; their goroutines end soon after and are waited for by workers.
 func (s *server) close() {
 	_ = s.listener.Close()
 	s.mu.Lock()
@@ -87,5 +93,4 @@
 		_ = conn.Close()
 	}
 	s.mu.Unlock()
-	s.workers.Wait()
 }
--- a/internal/peer/stats.go
+++ b/internal/peer/stats.go
@@ -3,15 +3,28 @@
 import (
 	"net"
 	"sync/atomic"
+
+	"github.com/auburnwinch/auburnwinch/internal/member"
 )
 
 const (
+	// datagramOverhead is the size of the IPv4 and UDP headers of a datagram, in bytes.
+	datagramOverhead = 28
 	// connectionOverhead is the size of the TCP/IP packets that open and close a connection, in bytes.
 	connectionOverhead = 360
 	// segmentOverhead is the size of the TCP/IP headers of a segment with timestamps, in bytes.
 	segmentOverhead = 52
 )
 
+// State is the state of the peer for the operators' dump.
+type State struct {
+	Members member.State `json:"members"`
+	Traffic Stats        `json:"traffic"`
+	// Connections and Inbound are the cached connections to other nodes and the open ones from other nodes.
+	Connections int `json:"connections"`
+	Inbound     int `json:"inbound"`
+}
+
 // Stats counts control traffic since the start; byte counts include estimated headers of IP, UDP and TCP.
 type Stats struct {
 	DatagramsSent     uint64 `json:"datagrams-sent"`
