Add property tests of the membership module and fix two faults they found

A simulated network with delays, losses and cuts runs the modules under rapid. It found two faults: - After a one-way partition two sides could hold each other dead for ever: a node that had refuted into the void ignored the outdated claim of its death. It now repeats its answer. - Raising the own incarnation corrupted a bucket digest, because the old contribution was removed twice.

Ruled out for the first: longer retransmission of refutations, which only moves the length of the partition that triggers the fault.

--- /dev/null
+++ b/internal/member/module_test.go
@@ -0,0 +1,239 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// rumourGen draws updates of a few runs of two nodes.
+func rumourGen(t *rapid.T) Rumour {
+	id := rapid.SampledFrom([]int{1, 2}).Draw(t, "node")
+	node := simModel(id, rapid.Uint64Range(1, 3).Draw(t, "incarnation"))
+	content := rapid.Uint64Range(1, 6).Draw(t, "content")
+	r := Rumour{
+		Key: refKey(node.Ref), Content: content, Version: content + rapid.Uint64Range(0, 3).Draw(t, "later"),
+		Status: Status(rapid.IntRange(1, 3).Draw(t, "status")), Ticket: rapid.Uint64Range(0, 5).Draw(t, "ticket"),
+	}
+	if rapid.Bool().Draw(t, "with record") {
+		r.Record = encodeRecord(&NodeRecord{Node: node, Targets: simTargets(id, int(content))})
+	}
+	return r
+}
+
+// Guards against records that go back in incarnation, version, content or ticket number, whatever arrives.
+func TestRecordsNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		m := New(Config{Self: simModel(0, 1), Seed: 1, Now: now})
+		m.Update(AloneMsg{Now: now})
+		before := map[string]NodeRecord{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			m.Update(FetchReplyMsg{Now: now, Reply: FetchReply{Rumours: []Rumour{rumourGen(t)}}})
+			m.Update(TickMsg{Now: now})
+			for _, e := range m.table.sorted {
+				r, old := e.record, before[e.record.Node.Ref.ID]
+				require.GreaterOrEqual(t, r.Node.Ref.Incarnation, old.Node.Ref.Incarnation)
+				if r.Node.Ref == old.Node.Ref {
+					require.GreaterOrEqual(t, r.Version, old.Version)
+					require.GreaterOrEqual(t, r.Content, old.Content)
+					require.GreaterOrEqual(t, r.Ticket, old.Ticket)
+				}
+				before[r.Node.Ref.ID] = r
+			}
+		}
+	})
+}
+
+// Guards against a table whose state depends on the order in which updates arrive.
+func TestOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		rumours := rapid.SliceOfN(rapid.Custom(rumourGen), 1, 20).Draw(t, "rumours")
+		for i := range rumours {
+			rumours[i].Status = StatusAlive
+			node := simModel(1, 1)
+			rumours[i].Key = refKey(node.Ref)
+			rumours[i].Record = encodeRecord(&NodeRecord{Node: node, Targets: simTargets(1, int(rumours[i].Content))})
+		}
+		var roots []uint64
+		for _, order := range [][]Rumour{rumours, rapid.Permutation(rumours).Draw(t, "order")} {
+			m := New(Config{Self: simModel(0, 1), Seed: 1, Now: now})
+			for _, r := range order {
+				m.Update(FetchReplyMsg{Now: now, Reply: FetchReply{Rumours: []Rumour{r}}})
+			}
+			roots = append(roots, m.table.root(), m.table.numbers)
+		}
+		require.Equal(t, roots[:2], roots[2:])
+	})
+}
+
+// Guards against nodes that stay dead or split after a partition of any shape, one-way ones included, ends.
+func TestConvergenceAfterPartition(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := newSim(rt, rapid.Uint64().Draw(rt, "seed"))
+		n := rapid.IntRange(4, 14).Draw(rt, "nodes")
+		s.fleet(n, 2)
+		s.loss = rapid.SampledFrom([]float64{0, 0, 0.1}).Draw(rt, "loss")
+		for range rapid.IntRange(1, 3).Draw(rt, "partitions") {
+			side := rapid.SliceOfN(rapid.Bool(), n, n).Draw(rt, "side")
+			oneWay := rapid.Bool().Draw(rt, "one-way")
+			group := map[string]bool{}
+			for i, node := range s.nodes {
+				group[node.node.Ref.ID] = side[i]
+			}
+			s.cut = func(from, to *simNode) bool {
+				a, b := group[from.node.Ref.ID], group[to.node.Ref.ID]
+				return a != b && (!oneWay || a)
+			}
+			s.run(time.Duration(rapid.IntRange(1, 60).Draw(rt, "seconds")) * time.Second)
+		}
+		s.cut, s.loss = func(_, _ *simNode) bool { return false }, 0
+		s.runUntil(2*time.Minute, "agreement after the partition", s.agree)
+	})
+}
+
+// Guards against a node that is paused and resumed but stays dead for the others, or takes them for dead itself.
+func TestPausedNodeRefutes(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := newSim(rt, rapid.Uint64().Draw(rt, "seed"))
+		s.fleet(rapid.IntRange(3, 20).Draw(rt, "nodes"), 2)
+		s.run(5 * time.Second)
+		victim := s.nodes[1]
+		incarnation := victim.module.Self().Ref.Incarnation
+		victim.paused = true
+		s.run(time.Duration(rapid.IntRange(1, 300).Draw(rt, "seconds")) * time.Second)
+		s.resume(victim)
+		s.runUntil(time.Minute, "return of the paused node", s.agree)
+		require.Equal(rt, incarnation, victim.module.Self().Ref.Incarnation)
+		s.run(10 * time.Second)
+		for _, n := range s.nodes {
+			require.Len(rt, n.module.Snapshot().Records, len(s.nodes))
+		}
+	})
+}
+
+// Guards against a failure of a whole failure domain that is not seen, or that takes survivors with it.
+func TestDomainFails(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := newSim(rt, rapid.Uint64().Draw(rt, "seed"))
+		s.fleet(36, 1)
+		s.run(5 * time.Second)
+		for _, n := range s.nodes {
+			n.up = n.node.Domain != "domain-4"
+		}
+		died := false
+		s.runUntil(30*time.Second, "all nodes of the domain dead", func() bool {
+			for _, n := range s.running() {
+				for _, other := range s.running() {
+					e := n.module.table.byKey[other.module.self.key]
+					died = died || e.status == StatusDead
+				}
+			}
+			return s.agree()
+		})
+		require.False(rt, died, "a survivor was taken for dead")
+	})
+}
+
+// Guards against an earlier run of a node that stays or returns after the node restarted.
+func TestRejoinWithNewIncarnation(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := newSim(rt, rapid.Uint64().Draw(rt, "seed"))
+		s.fleet(rapid.IntRange(3, 15).Draw(rt, "nodes"), 2)
+		s.run(3 * time.Second)
+		if rapid.Bool().Draw(rt, "graceful") {
+			s.update(s.nodes[1], LeaveMsg{Now: s.now})
+		}
+		s.nodes[1].up = false
+		s.run(time.Duration(rapid.IntRange(0, 20).Draw(rt, "seconds")) * time.Second)
+		fresh := s.add(1)
+		s.join(fresh, s.nodes[2])
+		s.runUntil(time.Minute, "agreement on the new run", s.agree)
+		s.run(20 * time.Second)
+		for _, n := range s.running() {
+			require.Equal(rt, fresh.module.Self().Ref, n.module.Snapshot().Record(fresh.node.Ref.ID).Node.Ref)
+		}
+	})
+}
+
+// Guards against a clock that went back over a restart: the new run must exceed the incarnation that peers report.
+func TestIncarnationRisesAboveReported(t *testing.T) {
+	s := newSim(t, 1)
+	s.fleet(3, 1)
+	old := s.nodes[1].module.Self().Ref
+	s.nodes[1].up = false
+	fresh := s.addRun(1, old.Incarnation-uint64(time.Hour.Microseconds()))
+	s.join(fresh, s.nodes[2])
+	s.run(time.Second)
+	require.Greater(t, fresh.module.Self().Ref.Incarnation, old.Incarnation)
+	s.runUntil(time.Minute, "agreement on the new run", s.agree)
+}
+
+// Guards against a leaving node without successor, or one whose successor is forgotten with its exit.
+func TestLeavingNamesSuccessor(t *testing.T) {
+	s := newSim(t, 1)
+	s.fleet(12, 1)
+	leaver := s.nodes[4]
+	s.update(leaver, LocalMsg{Now: s.now, Local: Local{Ticket: 1, Leaving: true}})
+	s.run(2 * time.Second)
+	want, ok := s.nodes[0].module.Snapshot().SuccessorOf(leaver.module.Self().Ref)
+	require.True(t, ok)
+	require.NotEqual(t, leaver.module.Self().Ref, want)
+	s.update(leaver, LeaveMsg{Now: s.now})
+	leaver.up = false
+	s.runUntil(3*time.Second, "exit known everywhere", s.agree)
+	for _, n := range s.running() {
+		got, ok := n.module.Snapshot().SuccessorOf(leaver.module.Self().Ref)
+		require.True(t, ok)
+		require.Equal(t, want, got)
+	}
+}
+
+// Guards against tombstones that are forgotten early or kept for ever by anti-entropy.
+func TestTombstonesExpire(t *testing.T) {
+	s := newSim(t, 1)
+	s.fleet(5, 1)
+	s.nodes[4].up = false
+	s.run(50 * time.Minute)
+	require.Len(t, s.nodes[0].module.Snapshot().Departed, 1)
+	s.run(15 * time.Minute)
+	for _, n := range s.running() {
+		require.Empty(t, n.module.Snapshot().Departed)
+	}
+}
+
+// Guards against more or fewer than two platform readers per failure domain, and against views that disagree.
+func TestReaders(t *testing.T) {
+	s := newSim(t, 1)
+	s.fleet(36, 0)
+	readers := map[string]int{}
+	for _, n := range s.nodes {
+		if n.module.Snapshot().IsReader() {
+			readers[n.node.Domain]++
+		}
+		require.Equal(t, s.nodes[0].module.Snapshot().Readers("domain-3"), n.module.Snapshot().Readers("domain-3"))
+	}
+	require.Len(t, readers, simRegions*simDomainsPerRegion)
+	for domain, count := range readers {
+		require.Equal(t, readersPerDomain, count, domain)
+	}
+}
+
+// Guards against a record above the size of a datagram that never spreads.
+func TestLargeRecordSpreads(t *testing.T) {
+	s := newSim(t, 1)
+	s.fleet(10, 1)
+	s.run(3 * time.Second)
+	targets := simTargets(0, 60)
+	targets[59].State = model.TargetDraining
+	s.update(s.nodes[0], LocalMsg{Now: s.now, Local: Local{Ticket: 1, Targets: targets}})
+	s.runUntil(30*time.Second, "large record known everywhere", s.agree)
+	for _, n := range s.nodes {
+		require.Len(t, n.module.Snapshot().Record(s.nodes[0].node.Ref.ID).Targets, 60)
+	}
+}
--- a/internal/member/own.go
+++ b/internal/member/own.go
@@ -106,10 +106,12 @@
 // refute answers a rumour about the own run that is not true.
 func (m *Module) refute(r *Rumour) {
 	own := &m.self.record
-	if r.Version < own.Version || (r.Version == own.Version && r.Status == StatusAlive) {
+	if m.self.status == StatusDead || (r.Status == StatusAlive && r.Version <= own.Version) {
 		return
 	}
-	if m.self.status == StatusDead {
+	if r.Version < own.Version {
+		// The answer was given before but did not reach this node, as when a partition was in the way.
+		m.spread(m.self, false, false)
 		return
 	}
 	m.counts.Refuted++
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -104,6 +104,7 @@
 	}
 	t.buckets[bucketOf(e.key)] ^= e.digest
 	t.numbers ^= e.numberDigest
+	e.digest, e.numberDigest = 0, 0
 }
 
 // setStatus changes the status and keeps the count of nodes that are not dead.
