--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -87,6 +87,9 @@
 	if r.Version == e.record.Version && status <= e.status {
 		return false
 	}
+	if e.status == StatusDead {
+		m.insertProbe(e)
+	}
 	e.record.Version = r.Version
 	m.table.setStatus(e, status, since)
 	return true
@@ -128,6 +131,7 @@
 		e.since = m.now.Add(-age)
 	}
 	m.table.insert(e)
+	m.insertProbe(e)
 	m.counts.Records++
 	m.contentChanged = true
 	if spread {
--- a/internal/member/module.go
+++ b/internal/member/module.go
@@ -105,7 +105,8 @@
 	default:
 		invar.Check(false, "member", "message of unknown type %T", msg)
 	}
-	m.push()
+	_, tick := msg.(TickMsg)
+	m.push(tick)
 	m.reportChange()
 	return m.cmds
 }
--- a/internal/member/module_test.go
+++ b/internal/member/module_test.go
@@ -174,6 +174,18 @@
 	s.runUntil(time.Minute, "agreement on the new run", s.agree)
 }
 
+// Guards against a node that fails soon after its start and is not probed before the next round of all nodes.
+func TestNewNodeIsProbed(t *testing.T) {
+	s := newSim(t, 1)
+	s.fleet(100, 1)
+	s.run(10 * time.Second)
+	fresh := s.add(100)
+	s.join(fresh, s.nodes[0])
+	s.runUntil(10*time.Second, "new node known", s.agree)
+	fresh.up = false
+	s.runUntil(20*time.Second, "new node dead", s.agree)
+}
+
 // Guards against a leaving node without successor, or one whose successor is forgotten with its exit.
 func TestLeavingNamesSuccessor(t *testing.T) {
 	s := newSim(t, 1)
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"slices"
 	"time"
 
 	"github.com/auburnwinch/auburnwinch/pkg/model"
@@ -113,6 +114,12 @@
 	return nil
 }
 
+// insertProbe puts a new node at a random place of the current round. If it waited for the next round, a node that
+// fails soon after its start would not be probed for up to n seconds.
+func (m *Module) insertProbe(e *entry) {
+	m.probes.order = slices.Insert(m.probes.order, m.random.IntN(len(m.probes.order)+1), e)
+}
+
 func (m *Module) suspect(e *entry) {
 	if e.status != StatusAlive || m.table.byKey[e.key] != e {
 		return
@@ -121,7 +128,7 @@
 	m.table.setStatus(e, StatusSuspect, m.now)
 	m.table.refresh(e)
 	m.contentChanged = true
-	m.spread(e, false, false)
+	m.spread(e, false, true)
 	m.ping(e, e.key)
 }
 
--- a/internal/member/rumour.go
+++ b/internal/member/rumour.go
@@ -18,6 +18,8 @@
 	// 5 KB/s; what exceeds them spreads as ordinary rumours.
 	pushRate  = 1500
 	pushBurst = 32 << 10
+	// maxKeySize is the size of the key of the receiver in a datagram, in bytes.
+	maxKeySize = 10
 	// maxRumourRecord is the largest record that travels in a datagram, in bytes; larger ones are fetched by RPC.
 	maxRumourRecord = 900
 )
@@ -110,7 +112,7 @@
 const minRumour = 16
 
 func (m *Module) packOne(d *Datagram, r *rumour, space int) int {
-	text := m.rumourOf(r.entry, r.withRecord && len(r.entry.encoded) <= maxRumourRecord, r.urgent)
+	text := m.textOf(r)
 	size := text.size()
 	if size > space {
 		return space
@@ -120,6 +122,11 @@
 	return space - size
 }
 
+// textOf leaves out a record that is too large for a datagram; the receivers fetch it.
+func (m *Module) textOf(r *rumour) Rumour {
+	return m.rumourOf(r.entry, r.withRecord && len(r.entry.encoded) <= maxRumourRecord, r.urgent)
+}
+
 func (m *Module) finishRumours(limit int) {
 	m.rumours.pending = slices.DeleteFunc(m.rumours.pending, func(r *rumour) bool {
 		invar.Check(r.sends <= max(limit, 1)+pushFanout, "member", "rumour passed on %d times, limit %d", r.sends, limit)
@@ -131,41 +138,58 @@
 	})
 }
 
-// push sends the urgent rumours of this update to random nodes at once.
-func (m *Module) push() {
-	urgent, number := m.rumours.urgent, m.rumours.pushNumber
-	if len(urgent) == 0 && !number {
+// push sends the urgent rumours to random nodes at once. When little of the budget is left they wait for the next tick,
+// so that a burst of updates shares its datagrams.
+func (m *Module) push(tick bool) {
+	if len(m.rumours.urgent) == 0 && !m.rumours.pushNumber {
 		return
 	}
-	m.rumours.urgent, m.rumours.pushNumber = nil, false
 	m.refill()
+	if m.rumours.tokens < pushBurst/2 && !tick {
+		return
+	}
+	d := &Datagram{Kind: KindPush}
+	m.fill(d)
+	space := MaxDatagram - d.headerSize() - maxKeySize
+	packed, rest := m.packUrgent(d, space)
+	m.rumours.urgent, m.rumours.pushNumber = rest, false
 	for _, receiver := range m.choose(pushFanout, anyNode) {
-		d := &Datagram{Kind: KindPush, To: receiver.key}
-		m.fill(d)
-		space := MaxDatagram - d.headerSize()
-		for _, r := range urgent {
-			space = m.packOne(d, r, space)
-		}
-		cost := float64(MaxDatagram - space)
-		if m.rumours.tokens < cost {
+		if m.rumours.tokens <= 0 {
 			m.counts.Deferred++
-			m.takeBack(d, urgent)
 			break
 		}
-		m.rumours.tokens -= cost
-		m.counts.Pushes++
-		m.emit(SendCmd{Address: receiver.record.Node.PeerAddress, Datagram: d})
+		m.pushTo(receiver, d, packed)
 	}
 	m.finishRumours(m.maxSends())
 }
 
-// takeBack does not count the rumours of a datagram that is not sent.
-func (m *Module) takeBack(d *Datagram, urgent []*rumour) {
-	for _, r := range urgent {
-		if slices.ContainsFunc(d.Rumours, func(t Rumour) bool { return t.Key == r.entry.key }) {
-			r.sends--
+// packUrgent adds the urgent rumours that fit and returns them and the others.
+func (m *Module) packUrgent(d *Datagram, space int) (packed, rest []*rumour) {
+	for _, r := range m.rumours.urgent {
+		text := m.textOf(r)
+		if text.size() > space {
+			rest = append(rest, r)
+			continue
 		}
+		space -= text.size()
+		d.Rumours = append(d.Rumours, text)
+		packed = append(packed, r)
+	}
+	return packed, rest
+}
+
+func (m *Module) pushTo(receiver *entry, d *Datagram, packed []*rumour) {
+	sent := *d
+	sent.To = receiver.key
+	for _, r := range packed {
+		r.sends++
+	}
+	for i := range d.Rumours {
+		m.rumours.tokens -= float64(d.Rumours[i].size())
 	}
+	m.rumours.tokens -= float64(d.headerSize())
+	m.counts.Pushes++
+	m.emit(SendCmd{Address: receiver.record.Node.PeerAddress, Datagram: &sent})
 }
 
 func (m *Module) refill() {
--- a/internal/member/sim_test.go
+++ b/internal/member/sim_test.go
@@ -29,24 +29,21 @@
 	held    []func()
 	sent    int
 	got     int
-	calls   int
-	behind  []TicketBehindCmd
 	applies bool
 }
 
 // sim runs modules over a network with delays, losses and cuts; equal seeds give equal runs.
 type sim struct {
-	t       require.TestingT
-	now     time.Time
-	start   time.Time
-	random  *rand.Rand
-	events  simEvents
-	nodes   []*simNode
-	byAddr  map[string]*simNode
-	cut     func(from, to *simNode) bool
-	loss    float64
-	busy    time.Duration
-	largest int
+	t      require.TestingT
+	now    time.Time
+	start  time.Time
+	random *rand.Rand
+	events simEvents
+	nodes  []*simNode
+	byAddr map[string]*simNode
+	cut    func(from, to *simNode) bool
+	loss   float64
+	busy   time.Duration
 }
 
 type simEvent struct {
@@ -214,7 +211,6 @@
 	s.busy += time.Since(start)
 	require.NoError(s.t, err)
 	require.LessOrEqual(s.t, len(data), MaxDatagram)
-	s.largest = max(s.largest, len(data))
 	n.sent += len(data) + simDatagramOverhead
 	to := s.byAddr[cmd.Address]
 	if to == nil || s.cut(n, to) || s.random.Float64() < s.loss {
@@ -263,7 +259,6 @@
 		}
 		size := s.encodedSize(request)
 		n.sent, to.got = n.sent+size+simCallOverhead/2, to.got+size+simCallOverhead/2
-		n.calls++
 		reply := s.update(to, ask(to))
 		if reply == nil {
 			return
@@ -341,7 +336,7 @@
 func (s *sim) resetCounters() {
 	s.busy = 0
 	for _, n := range s.nodes {
-		n.sent, n.got, n.calls = 0, 0, 0
+		n.sent, n.got = 0, 0
 	}
 }
 
