Store claims under the hash of the key

Callers choose length and bytes of a plain key. The table service limits a partition key to 2,048 bytes and its protocol replaces invalid UTF-8, so two different keys could have met in one row and one of them would get the other's owner. Refusing such keys was ruled out: HTTP allows them.

--- a/internal/store/doc.go
+++ b/internal/store/doc.go
@@ -16,6 +16,6 @@
 //	pk            sk                 content
 //	ticket        head               number and digest of the last accepted ticket
 //	ticket        t#<20 digits>      one accepted ticket
-//	key#<key>     claim              owner token of a plain idempotency key
+//	key#<hash>    claim              owner token of a plain idempotency key, by its SHA-256
 //	node          <node ID>          registry row of a node
 package store
--- a/internal/store/keys.go
+++ b/internal/store/keys.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 
 	"github.com/aws/aws-sdk-go-v2/aws"
@@ -23,7 +25,7 @@
 // Claims are never overwritten and do not expire, because a key whose row is gone would count as new and run again.
 // It fails with UnavailableError; then the same offer may be repeated.
 func (s *Store) ClaimKey(ctx context.Context, plainKey, token string) (Claim, error) {
-	item := key(partitionKey+plainKey, sortClaim)
+	item := key(claimPartition(plainKey), sortClaim)
 	item[attrToken], item[attrAt] = text(token), number(s.seconds())
 	err := s.tableUse.write(ctx, "claim a key", func(ctx context.Context) error {
 		_, err := s.table.PutItem(ctx, &dynamodb.PutItemInput{
@@ -46,6 +48,12 @@
 	return Claim{Key: plainKey, Token: holder, Won: holder == token}, nil
 }
 
+// claimPartition hashes the key, because callers choose its length and its bytes and the table service limits both.
+func claimPartition(plainKey string) string {
+	sum := sha256.Sum256([]byte(plainKey))
+	return partitionKey + hex.EncodeToString(sum[:])
+}
+
 // seconds returns the time in seconds since 1970.
 func (s *Store) seconds() uint64 {
 	return uint64(max(s.clock.Now().Unix(), 0))
