--- a/internal/store/nodes.go
+++ b/internal/store/nodes.go
@@ -16,9 +16,13 @@
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
-// registryLifetime is how long a registry row stays after the last registration.
-// The table service removes the row by its attribute `expires`; nodes register again well within this time.
-const registryLifetime = 24 * time.Hour
+const (
+	// RegisterInterval is how often a running node registers again; 670 nodes make one write in 5 s.
+	RegisterInterval = time.Hour
+	// registryLifetime is how long a registry row counts after the last registration.
+	// The table service removes the row by its attribute `expires`, often a day late, so readers check the age as well.
+	registryLifetime = 24 * time.Hour
+)
 
 // registration is a registry row with the time of the last registration.
 type registration struct {
@@ -34,7 +38,7 @@
 	}
 	item := key(partitionNode, n.Ref.ID)
 	now := s.seconds()
-	item[attrNumber], item[attrBody] = number(n.Ref.Incarnation), binary(pack(data))
+	item[attrNumber], item[attrBody] = number(n.Ref.Incarnation), binary(data)
 	item[attrAt], item[attrExpires] = number(now), number(now+uint64(registryLifetime/time.Second))
 	err = s.tableUse.write(ctx, "register the node", func(ctx context.Context) error {
 		_, err := s.table.PutItem(ctx, &dynamodb.PutItemInput{
@@ -63,8 +67,10 @@
 }
 
 // Nodes returns the registered nodes, the most recently registered first.
+// Rows that can't be decoded are left out and reported in an error beside the other nodes.
 func (s *Store) Nodes(ctx context.Context) ([]model.Node, error) {
 	var registered []registration
+	var damaged []error
 	var start row
 	for {
 		output, err := s.queryNodes(ctx, start)
@@ -74,20 +80,28 @@
 		for _, item := range output.Items {
 			r, err := decodeNode(item)
 			if err != nil {
-				return nil, err
+				damaged = append(damaged, err)
+				continue
 			}
 			registered = append(registered, r)
 		}
 		if start = output.LastEvaluatedKey; len(start) == 0 {
-			break
+			return s.latestFirst(registered), errors.Join(damaged...)
 		}
 	}
+}
+
+// latestFirst drops registrations that are too old and sorts the others.
+func (s *Store) latestFirst(registered []registration) []model.Node {
+	oldest := s.seconds() - min(s.seconds(), uint64(registryLifetime/time.Second))
 	slices.SortStableFunc(registered, func(a, b registration) int { return cmp.Compare(b.at, a.at) })
 	nodes := make([]model.Node, 0, len(registered))
 	for _, r := range registered {
-		nodes = append(nodes, r.node)
+		if r.at >= oldest {
+			nodes = append(nodes, r.node)
+		}
 	}
-	return nodes, nil
+	return nodes
 }
 
 func (s *Store) queryNodes(ctx context.Context, start row) (output *dynamodb.QueryOutput, err error) {
@@ -105,16 +119,16 @@
 }
 
 func decodeNode(r row) (registration, error) {
-	data, err := r.body()
-	if err != nil {
-		return registration{}, err
+	body, ok := r[attrBody].(*types.AttributeValueMemberB)
+	if !ok {
+		return registration{}, eris.Errorf("the registry row of node %s has no body; remedy: delete the row", r.text(attrSort))
 	}
 	at, err := r.number(attrAt)
 	if err != nil {
 		return registration{}, err
 	}
 	var n model.Node
-	if err := cbor.Unmarshal(data, &n); err != nil {
+	if err := cbor.Unmarshal(body.Value, &n); err != nil {
 		return registration{}, eris.Wrapf(err, "decode the registry row of node %s; remedy: delete the row", r.text(attrSort))
 	}
 	return registration{node: n, at: at}, nil
