Keep short deadlines of callers out of the breaker

A claim with a deadline of a few milliseconds failed and counted as an outage, so a few impatient callers could cut a node off from a platform that answers. A call that its caller gives up now counts only from 500 ms on, a quarter of the attempt's timeout; never counting it was ruled out, because then a hanging platform would hold every claim until its deadline.

--- a/internal/store/service.go
+++ b/internal/store/service.go
@@ -12,6 +12,10 @@
 	"github.com/auburnwinch/auburnwinch/internal/timer"
 )
 
+// slowAfter is the age from which a call that its caller gave up counts against the service.
+// Deadlines of callers that are shorter say nothing about the platform; a quarter of the attempt's timeout does.
+const slowAfter = DefaultTimeout / 4
+
 // Stats counts the calls to one service of the platform since the start of the process.
 type Stats struct {
 	Reads    uint64 `json:"reads"`
@@ -52,12 +56,13 @@
 		s.refused.Add(1)
 		return &UnavailableError{Service: s.name, Operation: operation, Cause: errBreakerOpen}
 	}
+	started := s.breaker.clock.Now()
 	err := call(ctx)
 	switch {
 	case err == nil || isAnswer(err):
 		s.breaker.done(true)
 		return err
-	case ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled):
+	case ctx.Err() != nil && s.breaker.clock.Now().Sub(started) < slowAfter:
 		s.breaker.release()
 	default:
 		s.failures.Add(1)
