--- /dev/null
+++ b/internal/store/filing_test.go
@@ -0,0 +1,162 @@
+package store_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwinch/auburnwinch/internal/fakes/fault"
+	"github.com/auburnwinch/auburnwinch/internal/store"
+	"github.com/auburnwinch/auburnwinch/internal/ticket"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// Guards against two acceptances under one number, and against a refusal that does not name the accepted ticket.
+func TestRacingOperatorsGetOneAcceptance(t *testing.T) {
+	const operators, rounds = 8, 20
+	platform := startPlatform(t)
+	ctx := context.Background()
+	for n := uint64(1); n <= rounds; n++ {
+		var mu sync.Mutex
+		var winners []string
+		var refusals []error
+		var tasks conc.WaitGroup
+		for o := range operators {
+			s := newStore(t, platform, store.Config{})
+			tasks.Go(func() {
+				summary := fmt.Sprintf("operator %d", o)
+				_, err := s.FileTicket(ctx, sampleTicket(n, summary))
+				mu.Lock()
+				defer mu.Unlock()
+				if err == nil {
+					winners = append(winners, summary)
+					return
+				}
+				refusals = append(refusals, err)
+			})
+		}
+		tasks.Wait()
+		require.Len(t, winners, 1)
+		require.Len(t, refusals, operators-1)
+		for _, err := range refusals {
+			var conflict *store.ConflictError
+			require.ErrorAs(t, err, &conflict)
+			require.Equal(t, winners[0], conflict.Accepted.Summary)
+		}
+	}
+}
+
+// Guards against filing twice, or reporting a failure, when an answer is lost at any of the calls that filing makes.
+func TestFilingSurvivesLostAnswers(t *testing.T) {
+	platform := startPlatform(t)
+	s := newStore(t, platform, store.Config{})
+	ctx := context.Background()
+	for n, rules := range [][]fault.Rule{
+		{{Operation: "TransactWriteItems", Kind: fault.Lost, Count: 1}},
+		{{Operation: "TransactWriteItems", Kind: fault.Lost, Count: 2}},
+		{{Operation: "TransactWriteItems", Kind: fault.Lost, Count: 2}, {Operation: "GetItem", Kind: fault.Lost, Count: 1}},
+		{{Operation: "TransactWriteItems", Kind: fault.Throttle, Count: 1}},
+	} {
+		number := uint64(n + 1)
+		require.NoError(t, platform.Faults.Set(rules...))
+		_, err := s.FileTicket(ctx, sampleTicket(number, "first"))
+		require.NoError(t, err)
+		require.NoError(t, platform.Faults.Set())
+		again, err := s.FileTicket(ctx, sampleTicket(number, "first"))
+		require.NoError(t, err)
+		require.Equal(t, number, again.Number)
+		head, err := s.Head(ctx)
+		require.NoError(t, err)
+		require.Equal(t, number, head)
+	}
+}
+
+// Guards against an unknown outcome that is reported as a refusal, and against a second effect of filing again later.
+func TestOutageDuringFilingIsUncertainUntilFiledAgain(t *testing.T) {
+	platform := startPlatform(t)
+	ctx := context.Background()
+	require.NoError(t, platform.Faults.Set(
+		fault.Rule{Operation: "TransactWriteItems", Kind: fault.Lost, Count: 1}, fault.Rule{Kind: fault.Away},
+	))
+	_, err := newStore(t, platform, store.Config{}).FileTicket(ctx, sampleTicket(1, "first"))
+	var uncertain *store.UncertainError
+	require.ErrorAs(t, err, &uncertain)
+	require.Contains(t, err.Error(), "file the same file again")
+
+	require.NoError(t, platform.Faults.Set())
+	s := newStore(t, platform, store.Config{})
+	_, err = s.FileTicket(ctx, sampleTicket(1, "other"))
+	var conflict *store.ConflictError
+	require.ErrorAs(t, err, &conflict)
+	_, err = s.FileTicket(ctx, sampleTicket(2, "second"))
+	require.NoError(t, err)
+	receipt, err := s.FileTicket(ctx, sampleTicket(1, "first"))
+	require.NoError(t, err, "filing again is harmless also after later tickets")
+	require.EqualValues(t, 1, receipt.Number)
+	_, err = s.FileTicket(ctx, sampleTicket(9, "gap"))
+	var gap *store.GapError
+	require.ErrorAs(t, err, &gap)
+	require.EqualValues(t, 2, gap.Head)
+}
+
+// Guards against a slow transaction that takes effect after the caller gave up and is then filed a second time.
+func TestLateEffectOfASlowFiling(t *testing.T) {
+	platform := startPlatform(t)
+	s := newStore(t, platform, store.Config{Timeout: 100 * time.Millisecond, Attempts: 1})
+	ctx := context.Background()
+	require.NoError(t, platform.Faults.Set(
+		fault.Rule{Operation: "TransactWriteItems", Kind: fault.Slow, Delay: model.Duration(300 * time.Millisecond), Count: 1},
+	))
+	_, err := s.FileTicket(ctx, sampleTicket(1, "first"))
+	var uncertain *store.UncertainError
+	require.ErrorAs(t, err, &uncertain)
+	require.Eventually(t, func() bool {
+		head, err := s.Head(ctx)
+		return err == nil && head == 1
+	}, 5*time.Second, 20*time.Millisecond)
+	_, err = s.FileTicket(ctx, sampleTicket(1, "first"))
+	require.NoError(t, err)
+}
+
+// Guards against a ticket that the table service refuses for its size after everything else was checked.
+func TestOversizedTicketIsRefusedWithRemedy(t *testing.T) {
+	s := newStore(t, startPlatform(t), store.Config{})
+	_, err := s.FileTicket(context.Background(), randomTicket(ticket.MaxRoutes))
+	var size *store.SizeError
+	require.ErrorAs(t, err, &size)
+	require.Contains(t, err.Error(), "split")
+}
+
+// Guards against a starting node that can't catch up from snapshots, from tickets alone, or over a damaged snapshot.
+func TestSinceAndConfigurationAgree(t *testing.T) {
+	platform := startPlatform(t)
+	s := newStore(t, platform, store.Config{})
+	ctx := context.Background()
+	want := &model.Configuration{}
+	for n := uint64(1); n <= 120; n++ {
+		next := sampleTicket(n, "step")
+		next.Services[0].Name = fmt.Sprintf("service-%d", n%7)
+		_, err := s.FileTicket(ctx, next)
+		require.NoError(t, err)
+		want = ticket.Apply(want, next)
+		if n == 50 {
+			require.NoError(t, s.SaveSnapshot(ctx, want))
+		}
+	}
+	got, err := s.Configuration(ctx)
+	require.NoError(t, err)
+	require.Equal(t, want, got)
+	batch, err := s.Since(ctx, 0)
+	require.NoError(t, err)
+	require.EqualValues(t, 50, batch.Snapshot.Number)
+	require.Len(t, batch.Tickets, 70)
+	require.NoError(t, platform.Faults.Set(fault.Rule{Service: "objects", Kind: fault.Away}))
+	got, err = s.Configuration(ctx)
+	require.NoError(t, err, "the tickets alone lead to the configuration")
+	require.Equal(t, want, got)
+}
--- a/internal/store/snapshot.go
+++ b/internal/store/snapshot.go
@@ -70,21 +70,22 @@
 	return c, nil
 }
 
-// Since returns what follows the number: tickets, or the latest snapshot and tickets after it when it is further ahead.
-// At most MaxBatch tickets are returned; the module asks again for the rest.
+// Since returns what follows the number: tickets, or the latest snapshot and tickets after it when it is far ahead.
+// At most MaxBatch tickets are returned; the module asks again for the rest. It takes one read in the usual case.
 func (s *Store) Since(ctx context.Context, after uint64) (ticket.BatchMsg, error) {
 	batch := ticket.BatchMsg{Source: ticket.Platform}
-	head, err := s.Head(ctx)
-	if err != nil || head <= after {
+	var err error
+	batch.Tickets, err = s.Tickets(ctx, after, ticket.SnapshotEvery+1)
+	if err != nil || len(batch.Tickets) <= ticket.SnapshotEvery {
 		return batch, err
 	}
-	if head-after > ticket.SnapshotEvery {
+	c, err := s.Snapshot(ctx)
+	if err != nil || c.Number <= after {
 		// Without a readable snapshot the tickets alone lead to the same configuration.
-		if c, err := s.Snapshot(ctx); err == nil && c.Number > after && c.Number <= head {
-			batch.Snapshot, after = c, c.Number
-		}
+		return batch, nil
 	}
-	batch.Tickets, err = s.Tickets(ctx, after, MaxBatch)
+	batch.Snapshot = c
+	batch.Tickets, err = s.Tickets(ctx, c.Number, MaxBatch)
 	return batch, err
 }
 
