Refuse an explicit shutdown timeout of zero and host names for local

`shutdown-timeout: 0s` silently became the default of 60 s, and a host name that resolves elsewhere could have opened the unprotected local listener to the network. Treating 0s as "do not wait" was ruled out: it breaks off requests in flight.

--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/auburnwinch/auburnwinch/internal/strict"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
 // Load reads, checks and completes the settings of a node; faults are reported as strict.Problems.
@@ -27,6 +28,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if !document.Has("shutdown-timeout") {
+		s.ShutdownTimeout = model.Duration(DefaultShutdownTimeout)
+	}
 	s.setDefaults()
 	problems := s.resolveFiles(filepath.Dir(path))
 	problems = append(problems, s.problems()...)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -89,9 +89,6 @@
 }
 
 func (s *Settings) setDefaults() {
-	if s.ShutdownTimeout == 0 {
-		s.ShutdownTimeout = model.Duration(DefaultShutdownTimeout)
-	}
 	if s.LogLevel == "" {
 		s.LogLevel = DefaultLogLevel
 	}
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -75,7 +75,7 @@
 	if err != nil || host == "localhost" {
 		return
 	}
-	if address, err := netip.ParseAddr(host); err == nil && !address.IsLoopback() {
+	if address, err := netip.ParseAddr(host); err != nil || !address.IsLoopback() {
 		p.Add("listeners.local", "use 127.0.0.1 or [::1] as the host", "%s is not a loopback address", host)
 	}
 }
--- a/internal/strict/decode.go
+++ b/internal/strict/decode.go
@@ -58,6 +58,12 @@
 	return located.Err()
 }
 
+// Has reports whether the file gives the field.
+func (d *Document) Has(field string) bool {
+	_, found := d.lines[field]
+	return found
+}
+
 // line returns the line of the field, or of the nearest enclosing field that the file contains.
 func (d *Document) line(field string) int {
 	for field != "" {
