--- a/internal/fakes/fault/faults.go
+++ b/internal/fakes/fault/faults.go
@@ -15,6 +15,16 @@
 // maxBody bounds a request body, which is held in memory.
 const maxBody = 64 << 20
 
+// Answers of the protocols to refused requests.
+const (
+	tableProtocol  = "application/x-amz-json-1.0"
+	throttleAnswer = `{"__type":"com.amazonaws.dynamodb.v20120810#ThrottlingException","message":"rate exceeded"}`
+	conflictAnswer = `{"__type":"com.amazonaws.dynamodb.v20120810#TransactionCanceledException",` +
+		`"message":"Transaction cancelled, please refer cancellation reasons for specific reasons [TransactionConflict]",` +
+		`"CancellationReasons":[{"Code":"TransactionConflict","Message":"Transaction is ongoing for the item"}]}`
+	slowDownAnswer = `<Error><Code>SlowDown</Code><Message>rate exceeded</Message></Error>`
+)
+
 // Faults holds the rules in force and counts the requests; it is safe for concurrent use.
 type Faults struct {
 	mu     sync.Mutex
@@ -129,6 +139,8 @@
 		panic(http.ErrAbortHandler)
 	case Throttle:
 		throttle(w, r)
+	case Conflict:
+		refuse(w, http.StatusBadRequest, tableProtocol, conflictAnswer)
 	default:
 		next.ServeHTTP(w, r)
 	}
@@ -145,11 +157,14 @@
 
 // throttle answers in the protocol of the request: JSON for the table service, XML for the object store.
 func throttle(w http.ResponseWriter, r *http.Request) {
-	status, kind, body := http.StatusServiceUnavailable, "application/xml", `<Error><Code>SlowDown</Code><Message>rate exceeded</Message></Error>`
 	if r.Header.Get("X-Amz-Target") != "" {
-		status, kind = http.StatusBadRequest, "application/x-amz-json-1.0"
-		body = `{"__type":"com.amazonaws.dynamodb.v20120810#ThrottlingException","message":"rate exceeded"}`
+		refuse(w, http.StatusBadRequest, tableProtocol, throttleAnswer)
+		return
 	}
+	refuse(w, http.StatusServiceUnavailable, "application/xml", slowDownAnswer)
+}
+
+func refuse(w http.ResponseWriter, status int, kind, body string) {
 	w.Header().Set("Content-Type", kind)
 	w.WriteHeader(status)
 	// A caller that went away needs no answer.
--- a/internal/fakes/fault/rule.go
+++ b/internal/fakes/fault/rule.go
@@ -23,9 +23,11 @@
 	Lost Kind = "lost"
 	// Throttle refuses the request as exceeding the provisioned rate.
 	Throttle Kind = "throttle"
+	// Conflict refuses a transaction as colliding with another one in progress; it applies to TransactWriteItems only.
+	Conflict Kind = "conflict"
 )
 
-var kinds = []Kind{Away, Hang, Slow, Lost, Throttle}
+var kinds = []Kind{Away, Hang, Slow, Lost, Throttle, Conflict}
 
 // Rule selects requests and the way in which they fail.
 type Rule struct {
@@ -60,6 +62,9 @@
 }
 
 func (r Rule) selects(service, operation string) bool {
+	if r.Kind == Conflict && operation != "TransactWriteItems" {
+		return false
+	}
 	return (r.Service == "" || r.Service == service) && (r.Operation == "" || strings.EqualFold(r.Operation, operation))
 }
 
--- a/internal/store/filing_test.go
+++ b/internal/store/filing_test.go
@@ -61,6 +61,7 @@
 		{{Operation: "TransactWriteItems", Kind: fault.Lost, Count: 2}},
 		{{Operation: "TransactWriteItems", Kind: fault.Lost, Count: 2}, {Operation: "GetItem", Kind: fault.Lost, Count: 1}},
 		{{Operation: "TransactWriteItems", Kind: fault.Throttle, Count: 1}},
+		{{Kind: fault.Conflict, Count: 3}},
 	} {
 		number := uint64(n + 1)
 		require.NoError(t, platform.Faults.Set(rules...))
