Compress tickets in one place and bound what they expand to

Nodes exchange batches over paid links, so peers need the compressed form that the table already uses.

--- a/internal/store/rows.go
+++ b/internal/store/rows.go
@@ -1,14 +1,13 @@
 package store
 
 import (
-	"bytes"
-	"compress/gzip"
 	"fmt"
-	"io"
 	"strconv"
 
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 	"github.com/rotisserie/eris"
+
+	"github.com/auburnwinch/auburnwinch/internal/ticket"
 )
 
 // row is one item of the table.
@@ -39,8 +38,8 @@
 const (
 	// maxBody leaves room for the other attributes below the 400 KiB that the table service allows per row.
 	maxBody = 380 << 10
-	// maxUnpacked bounds what a compressed body may expand to.
-	maxUnpacked = 64 << 20
+	// maxObject bounds the compressed size of a snapshot that is read.
+	maxObject = 16 << 20
 )
 
 func key(partition, sort string) row {
@@ -83,26 +82,5 @@
 	if !ok {
 		return nil, eris.Errorf("the row %s has no body; remedy: restore the table from a backup", r.text(attrSort))
 	}
-	return unpack(value.Value)
-}
-
-func pack(data []byte) []byte {
-	var b bytes.Buffer
-	w := gzip.NewWriter(&b)
-	// Writes to a buffer do not fail.
-	_, _ = w.Write(data)
-	_ = w.Close()
-	return b.Bytes()
-}
-
-func unpack(data []byte) ([]byte, error) {
-	r, err := gzip.NewReader(bytes.NewReader(data))
-	if err != nil {
-		return nil, eris.Wrap(err, "unpack")
-	}
-	unpacked, err := io.ReadAll(io.LimitReader(r, maxUnpacked))
-	if err != nil {
-		return nil, eris.Wrap(err, "unpack")
-	}
-	return unpacked, nil
+	return ticket.Unpack(value.Value)
 }
--- a/internal/store/snapshot.go
+++ b/internal/store/snapshot.go
@@ -37,7 +37,7 @@
 	}
 	return s.blobUse.write(ctx, "save a snapshot", func(ctx context.Context) error {
 		_, err := s.objects.PutObject(ctx, &s3.PutObjectInput{
-			Bucket: &s.names.Bucket, Key: &name, Body: bytes.NewReader(pack(data)),
+			Bucket: &s.names.Bucket, Key: &name, Body: bytes.NewReader(ticket.Pack(data)),
 		})
 		return err
 	})
@@ -57,7 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if data, err = unpack(data); err != nil {
+	if data, err = ticket.Unpack(data); err != nil {
 		return nil, eris.Wrapf(err, "snapshot %s; remedy: delete the object, the tickets hold the same content", name)
 	}
 	c, err := ticket.DecodeConfiguration(data)
@@ -147,5 +147,5 @@
 		return nil, err
 	}
 	defer func() { err = errors.Join(err, output.Body.Close()) }()
-	return io.ReadAll(io.LimitReader(output.Body, maxUnpacked))
+	return io.ReadAll(io.LimitReader(output.Body, maxObject))
 }
--- a/internal/store/tickets.go
+++ b/internal/store/tickets.go
@@ -117,7 +117,7 @@
 	if err != nil {
 		return filing{}, eris.Wrap(err, "encode the ticket")
 	}
-	packed := pack(data)
+	packed := ticket.Pack(data)
 	if len(packed) > maxBody {
 		return filing{}, &SizeError{Number: t.Number, Size: len(packed)}
 	}
