--- /dev/null
+++ b/internal/ticket/keeper_test.go
@@ -0,0 +1,155 @@
+package ticket_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwinch/auburnwinch/internal/fakes/cloud"
+	"github.com/auburnwinch/auburnwinch/internal/fakes/fault"
+	"github.com/auburnwinch/auburnwinch/internal/store"
+	"github.com/auburnwinch/auburnwinch/internal/ticket"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// inForce is the bound of the design for an accepted ticket to be in force on every node.
+const inForce = 6 * time.Second
+
+// fleet is a set of keepers that hear of each other's numbers at once and call each other over net/rpc.
+type fleet struct {
+	*testing.T
+	platform *cloud.Platform
+	mu       sync.Mutex
+	nodes    []model.Node
+	keepers  map[model.NodeRef]*ticket.Keeper
+}
+
+func newFleet(t *testing.T, size int) *fleet {
+	t.Helper()
+	platform, err := cloud.Start(cloud.Config{})
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, platform.Close()) })
+	f := &fleet{T: t, platform: platform, keepers: make(map[model.NodeRef]*ticket.Keeper)}
+	for range size {
+		f.join()
+	}
+	return f
+}
+
+func (f *fleet) newStore() *store.Store {
+	f.Helper()
+	s, err := store.New(store.Config{Platform: f.platform.Settings()})
+	require.NoError(f, err)
+	return s
+}
+
+func (f *fleet) join() *ticket.Keeper {
+	f.Helper()
+	self := model.Node{Ref: model.NodeRef{ID: fmt.Sprintf("vm-%d", len(f.nodes)), Incarnation: 1}, Domain: "norte-1"}
+	k := ticket.NewKeeper(ticket.KeeperConfig{
+		Self: self, Platform: f.newStore(), Peers: f,
+		OnApply: func(c *model.Configuration) { f.rumour(self.Ref, c.Number) },
+	})
+	f.Cleanup(func() { require.NoError(f, k.Close()) })
+	f.mu.Lock()
+	f.nodes = append(f.nodes, self)
+	f.keepers[self.Ref] = k
+	nodes := f.nodes
+	f.mu.Unlock()
+	for _, other := range f.all() {
+		other.SetPeers(nodes)
+	}
+	return k
+}
+
+func (f *fleet) all() (keepers []*ticket.Keeper) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, k := range f.keepers {
+		keepers = append(keepers, k)
+	}
+	return keepers
+}
+
+func (f *fleet) rumour(from model.NodeRef, number uint64) {
+	for _, k := range f.all() {
+		k.Hear(from, number)
+	}
+}
+
+// Call makes one net/rpc call over a pipe.
+func (f *fleet) Call(_ context.Context, n model.Node, method string, args, reply any) error {
+	f.mu.Lock()
+	k := f.keepers[n.Ref]
+	f.mu.Unlock()
+	server := rpc.NewServer()
+	if err := server.RegisterName(ticket.RPCService, &ticket.Receiver{Keeper: k}); err != nil {
+		return err
+	}
+	near, far := net.Pipe()
+	go server.ServeConn(far)
+	client := rpc.NewClient(near)
+	defer func() { _ = client.Close() }()
+	return client.Call(method, args, reply)
+}
+
+func (f *fleet) requireInForce(number uint64, within time.Duration) {
+	f.Helper()
+	began := time.Now()
+	require.Eventually(f, func() bool {
+		for _, k := range f.all() {
+			if k.Configuration().Number < number {
+				return false
+			}
+		}
+		return true
+	}, within, 5*time.Millisecond)
+	f.Logf("ticket %d in force on %d nodes after %v", number, len(f.nodes), time.Since(began).Round(time.Millisecond))
+}
+
+func sample(number uint64) model.Ticket {
+	return model.Ticket{Number: number, Author: "Ada", Services: []model.ServiceSpec{{
+		Name: "courtview", FloorSlots: int(number), Routes: []model.RouteSpec{{Name: "all", PathPrefix: "/", Idempotent: true}},
+	}}}
+}
+
+// Guards against an accepted ticket that is not in force everywhere within the bound, with a healthy platform and with one
+// whose answers take 1.5 s.
+func TestAcceptedTicketIsInForceWithinTheBound(t *testing.T) {
+	f := newFleet(t, 12)
+	operator := f.newStore()
+	_, err := operator.FileTicket(context.Background(), sample(1))
+	require.NoError(t, err)
+	f.requireInForce(1, inForce)
+	require.NoError(t, f.platform.Faults.Set(fault.Rule{Kind: fault.Slow, Delay: model.Duration(1500 * time.Millisecond)}))
+	_, err = operator.FileTicket(context.Background(), sample(2))
+	require.NoError(t, err)
+	f.requireInForce(2, inForce)
+}
+
+// Guards against nodes that lose their configuration in an outage, and a node that can't join during it.
+func TestJoiningDuringAnOutageTakesTheConfigurationOfPeers(t *testing.T) {
+	f := newFleet(t, 4)
+	operator := f.newStore()
+	for n := uint64(1); n <= 70; n++ {
+		_, err := operator.FileTicket(context.Background(), sample(n))
+		require.NoError(t, err)
+	}
+	f.requireInForce(70, inForce)
+	require.Eventually(t, func() bool { return len(f.platform.Objects.Keys()) == 1 }, inForce, 10*time.Millisecond, "a reader saves the snapshot")
+	require.NoError(t, f.platform.Faults.Set(fault.Rule{Kind: fault.Away}))
+	joined := f.join()
+	require.Eventually(t, joined.Ready, inForce, 5*time.Millisecond)
+	require.Equal(t, f.all()[0].Configuration().Services, joined.Configuration().Services)
+	require.EqualValues(t, 70, joined.Configuration().Number)
+	require.NoError(t, f.platform.Faults.Set())
+	_, err := f.newStore().FileTicket(context.Background(), sample(71))
+	require.NoError(t, err)
+	f.requireInForce(71, inForce)
+}
