--- a/internal/store/snapshot.go
+++ b/internal/store/snapshot.go
@@ -37,7 +37,7 @@
 	}
 	return s.blobUse.write(ctx, "save a snapshot", func(ctx context.Context) error {
 		_, err := s.objects.PutObject(ctx, &s3.PutObjectInput{
-			Bucket: &s.names.Bucket, Key: &name, Body: bytes.NewReader(pack(data)),
+			Bucket: &s.names.Bucket, Key: &name, Body: bytes.NewReader(ticket.Pack(data)),
 		})
 		return err
 	})
@@ -57,7 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if data, err = unpack(data); err != nil {
+	if data, err = ticket.Unpack(data); err != nil {
 		return nil, eris.Wrapf(err, "snapshot %s; remedy: delete the object, the tickets hold the same content", name)
 	}
 	c, err := ticket.DecodeConfiguration(data)
@@ -70,21 +70,22 @@
 	return c, nil
 }
 
-// Since returns what follows the number: tickets, or the latest snapshot and tickets after it when it is further ahead.
-// At most MaxBatch tickets are returned; the module asks again for the rest.
+// Since returns what follows the number: tickets, or the latest snapshot and tickets after it when it is far ahead.
+// At most MaxBatch tickets are returned; the module asks again for the rest. It takes one read in the usual case.
 func (s *Store) Since(ctx context.Context, after uint64) (ticket.BatchMsg, error) {
 	batch := ticket.BatchMsg{Source: ticket.Platform}
-	head, err := s.Head(ctx)
-	if err != nil || head <= after {
+	var err error
+	batch.Tickets, err = s.Tickets(ctx, after, ticket.SnapshotEvery+1)
+	if err != nil || len(batch.Tickets) <= ticket.SnapshotEvery {
 		return batch, err
 	}
-	if head-after > ticket.SnapshotEvery {
+	c, err := s.Snapshot(ctx)
+	if err != nil || c.Number <= after {
 		// Without a readable snapshot the tickets alone lead to the same configuration.
-		if c, err := s.Snapshot(ctx); err == nil && c.Number > after && c.Number <= head {
-			batch.Snapshot, after = c, c.Number
-		}
+		return batch, nil
 	}
-	batch.Tickets, err = s.Tickets(ctx, after, MaxBatch)
+	batch.Snapshot = c
+	batch.Tickets, err = s.Tickets(ctx, c.Number, MaxBatch)
 	return batch, err
 }
 
@@ -146,5 +147,5 @@
 		return nil, err
 	}
 	defer func() { err = errors.Join(err, output.Body.Close()) }()
-	return io.ReadAll(io.LimitReader(output.Body, maxUnpacked))
+	return io.ReadAll(io.LimitReader(output.Body, maxObject))
 }
