edge: answer malformed requests in the form of the fleet

net/http answers requests that it can't read before any handler sees them, as plain text, without outcome and without a log line. The listener's connections recognize these answers by their fixed header and write the fleet's JSON answer with a log line instead. A server of our own was ruled out.

--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -70,7 +70,10 @@
 	table, err := router.New(f.configuration())
 	require.NoError(t, err)
 	e.SetRoutes(table)
-	f.front = httptest.NewServer(e)
+	f.front = httptest.NewUnstartedServer(e)
+	f.front.Config = edge.NewServer(e, nil)
+	f.front.Listener = edge.NewListener(f.front.Listener, c.edge.Logger)
+	f.front.Start()
 	f.refresh()
 	t.Cleanup(f.close)
 	return f
--- /dev/null
+++ b/internal/edge/server.go
@@ -0,0 +1,105 @@
+package edge
+
+import (
+	"bytes"
+	"encoding/json"
+	stdlog "log"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+const (
+	maxHeaderBytes    = 64 << 10
+	readHeaderTimeout = 10 * time.Second
+	// idleTimeout must be longer than that of the edge's idle connections to agents.
+	idleTimeout = 90 * time.Second
+)
+
+// serverErrorHeaders stands in the answers that net/http gives by itself to requests that it can't read.
+const serverErrorHeaders = "\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"
+
+// NewServer returns an HTTP server with the bounds of the callers' and relay listeners.
+func NewServer(handler http.Handler, logger log.Logger) *http.Server {
+	if logger == nil {
+		logger = log.NewNopLogger()
+	}
+	return &http.Server{
+		Handler: handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		ErrorLog: stdlog.New(log.NewStdlibAdapter(level.Warn(logger)), "", 0),
+	}
+}
+
+// Listener accepts connections whose malformed requests get an answer of the fleet's form and a log line. net/http
+// answers such requests before any handler sees them.
+type Listener struct {
+	net.Listener
+	logger log.Logger
+}
+
+// callerConn replaces the answers that net/http gives by itself.
+type callerConn struct {
+	*net.TCPConn
+	logger log.Logger
+}
+
+// NewListener wraps a TCP listener; other connections pass unchanged.
+func NewListener(l net.Listener, logger log.Logger) *Listener {
+	if logger == nil {
+		logger = log.NewNopLogger()
+	}
+	return &Listener{Listener: l, logger: logger}
+}
+
+// Accept returns the next connection.
+func (l *Listener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if tcp, ok := conn.(*net.TCPConn); ok && err == nil {
+		return &callerConn{TCPConn: tcp, logger: l.logger}, nil
+	}
+	return conn, err
+}
+
+// Write writes p, or an answer of the fleet's form when p is an answer of net/http to a malformed request.
+func (c *callerConn) Write(p []byte) (int, error) {
+	status, text, ok := serverError(p)
+	if !ok {
+		return c.TCPConn.Write(p)
+	}
+	_ = level.Warn(c.logger).Log("msg", "malformed request refused", "peer", c.RemoteAddr(), "status", status, "err", text)
+	if _, err := c.TCPConn.Write(malformedAnswer(status, text)); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
+// serverError recognizes an answer that net/http gives by itself.
+func serverError(p []byte) (status int, text string, ok bool) {
+	line, found := bytes.CutPrefix(p, []byte("HTTP/1.1 "))
+	if !found || len(line) < 3 || line[0] < '4' {
+		return 0, "", false
+	}
+	head, body, found := bytes.Cut(line, []byte(serverErrorHeaders))
+	if !found || bytes.Contains(head, []byte("\r\n")) {
+		return 0, "", false
+	}
+	status, err := strconv.Atoi(string(head[:3]))
+	return status, string(body), err == nil
+}
+
+func malformedAnswer(status int, text string) []byte {
+	body, _ := json.Marshal(model.Answer{Outcome: model.OutcomeNotRun, Reason: text, Remedy: remedyFix})
+	var b bytes.Buffer
+	b.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\n")
+	b.WriteString(model.HeaderOutcome + ": " + string(model.OutcomeNotRun) + "\r\n")
+	b.WriteString("Content-Type: application/json\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n")
+	b.WriteString("Connection: close\r\n\r\n")
+	b.Write(body)
+	return b.Bytes()
+}
