--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -90,6 +90,15 @@
 		l.handle.Finish(Result{Kind: kind, Duration: time.Since(l.started)})
 	}
 	l.request.edge.config.Picker.Done(l.choice, l.load)
+	l.exclude(f)
+}
+
+// exclude keeps the target from further attempts, unless only a reused connection to it failed.
+func (l *leg) exclude(f *failure) {
+	if f != nil && f.kind == ResultPathFailure && l.conn != nil && l.conn.Reused() {
+		return
+	}
+	l.request.tried = append(l.request.tried, l.choice.Candidate.Target.Ref)
 }
 
 // send relays the request and reads the header of the answer.
--- a/internal/edge/deliver.go
+++ b/internal/edge/deliver.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -26,6 +27,7 @@
 	request *request
 	leg     *leg
 	length  int64
+	written int64
 	sum     relay.Checksum
 	idle    time.Duration
 }
@@ -47,7 +49,7 @@
 		return nil
 	}
 	l.conn.Close()
-	return d.failed(ctx, err)
+	return q.resume(ctx, d, d.failed(ctx, err))
 }
 
 func (d *delivery) failed(ctx context.Context, err error) *failure {
@@ -58,7 +60,17 @@
 		return &failure{result: retry.InDoubt, kind: ResultTimeout, reason: relay.ReasonTimeout}
 	}
 	d.leg.log("answer broke off", err)
-	return &failure{result: retry.InDoubt, kind: ResultReset, reason: "the answer of the target broke off", repeat: true}
+	f := &failure{result: retry.InDoubt, kind: ResultReset, reason: "the answer of the target broke off", repeat: true}
+	if errors.Is(err, relay.ErrChecksum) && d.request.sentHeader {
+		// The bytes that the caller has may be wrong; no other target can mend them.
+		f.repeat = false
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// Target or path went silent; the siblings of the connection may be silent too.
+		d.leg.pool.CloseIdle()
+		f.kind = ResultPathFailure
+	}
+	return f
 }
 
 // copy holds back the end of a body of known length until its trailer is checked, because the caller takes the body as
@@ -132,7 +144,9 @@
 	if len(p) == 0 {
 		return nil
 	}
-	if _, err := d.request.w.Write(p); err != nil {
+	n, err := d.request.w.Write(p)
+	d.written += int64(n)
+	if err != nil {
 		return errCaller
 	}
 	if d.length < 0 {
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -141,7 +141,6 @@
 			return
 		}
 		q.attempts++
-		q.tried = append(q.tried, choice.Candidate.Target.Ref)
 		f := q.attempt(ctx, choice)
 		if f == nil || q.resolve(ctx, f) {
 			return
@@ -210,7 +209,17 @@
 	relay.WriteRefusal(q.w, r)
 }
 
-// breakOff closes the connection so that the caller can't take the answer as complete.
+// breakOff closes the connection so that the caller can't take the answer as complete. In HTTP/1.0 the end of the
+// connection ends the body, so that only a reset tells the caller.
 func (q *request) breakOff() {
+	if !q.r.ProtoAtLeast(1, 1) {
+		if conn, _, err := http.NewResponseController(q.w).Hijack(); err == nil {
+			if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+				_ = tcp.SetLinger(0)
+			}
+			_ = conn.Close()
+			return
+		}
+	}
 	panic(http.ErrAbortHandler)
 }
