--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,243 @@
+package agent_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwinch/auburnwinch/internal/agent"
+	"github.com/auburnwinch/auburnwinch/internal/relay"
+	"github.com/auburnwinch/auburnwinch/internal/timer"
+	"github.com/auburnwinch/auburnwinch/internal/view"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+const secret = "fleet secret of the tests"
+
+// bench is an agent behind a relay listener.
+type bench struct {
+	t     *testing.T
+	agent *agent.Agent
+	relay *httptest.Server
+}
+
+func newBench(t *testing.T, c agent.Config) *bench {
+	c.Secret = []byte(secret)
+	a, err := agent.New(c)
+	require.NoError(t, err)
+	b := &bench{t: t, agent: a, relay: httptest.NewServer(a)}
+	t.Cleanup(func() {
+		b.relay.CloseClientConnections()
+		b.relay.Close()
+		require.NoError(t, a.Close())
+	})
+	return b
+}
+
+func (b *bench) local(path, body string) (int, string) {
+	recorder := httptest.NewRecorder()
+	b.agent.Local().ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, path, strings.NewReader(body)))
+	return recorder.Code, recorder.Body.String()
+}
+
+func (b *bench) announce(handler http.Handler) *httptest.Server {
+	target := httptest.NewServer(handler)
+	b.t.Cleanup(target.Close)
+	status, body := b.local("/v1/announce", announcementOf(target.Listener.Addr().String(), 1))
+	require.Equal(b.t, http.StatusNoContent, status, body)
+	return target
+}
+
+func announcementOf(address string, incarnation int) string {
+	return `{"service":"shop","id":"t1","incarnation":` + strconv.Itoa(incarnation) + `,"address":"` + address + `","slots":2}`
+}
+
+// relayed returns a signed request to target t1 of incarnation 1.
+func (b *bench) relayed(ctx context.Context, key string) *http.Request {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, b.relay.URL+"/orders/1", nil)
+	require.NoError(b.t, err)
+	request.Header.Set(model.HeaderExchange, "nonce")
+	request.Header.Set(model.HeaderTarget, "shop/t1/1")
+	request.Header.Set(model.HeaderKey, key)
+	request.Header.Set(model.HeaderFingerprint, "ab")
+	request.Header.Set(model.HeaderSignature, relay.NewSigner([]byte(secret)).Sign(relay.Signed{
+		Exchange: "nonce", Method: http.MethodGet, URI: "/orders/1", Target: "shop/t1/1", Key: key,
+	}))
+	return request
+}
+
+func (b *bench) do(request *http.Request) (*http.Response, string) {
+	response, err := b.relay.Client().Do(request)
+	require.NoError(b.t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(b.t, err)
+	return response, string(body)
+}
+
+// Guards against announcements that are invalid, stale or of unknown services and still change the targets.
+func TestBadAnnouncements(t *testing.T) {
+	cell := &view.Cell{}
+	cell.Store(view.New(view.Config{Configuration: &model.Configuration{Services: []model.ServiceSpec{{Name: "shop"}}}}))
+	var published atomic.Int64
+	b := newBench(t, agent.Config{View: cell, OnTargets: func([]model.Target) { published.Add(1) }})
+	status, _ := b.local("/v1/announce", announcementOf("127.0.0.1:1", 5))
+	require.Equal(t, http.StatusNoContent, status)
+	cases := map[string]struct {
+		path, body string
+		status     int
+	}{
+		"stale":           {"/v1/announce", announcementOf("127.0.0.1:1", 4), 409},
+		"no JSON":         {"/v1/announce", `{"service":`, 400},
+		"two values":      {"/v1/announce", announcementOf("127.0.0.1:1", 6) + "{}", 400},
+		"unknown field":   {"/v1/announce", `{"service":"shop","id":"t1","port":1}`, 400},
+		"no slots":        {"/v1/announce", `{"service":"shop","id":"t2","incarnation":1,"address":"127.0.0.1:1"}`, 400},
+		"no incarnation":  {"/v1/announce", `{"service":"shop","id":"t2","slots":1,"address":"127.0.0.1:1"}`, 400},
+		"no port":         {"/v1/announce", `{"service":"shop","id":"t2","incarnation":1,"slots":1,"address":"a"}`, 400},
+		"slash in ID":     {"/v1/announce", `{"service":"shop","id":"t/2","incarnation":1,"slots":1,"address":"a:1"}`, 400},
+		"large":           {"/v1/announce", `{"service":"` + strings.Repeat("x", 8<<10) + `"}`, 400},
+		"unknown service": {"/v1/announce", `{"service":"none","id":"t2","incarnation":1,"slots":1,"address":"a:1"}`, 404},
+		"drain unknown":   {"/v1/drain", `{"service":"shop","id":"t2"}`, 404},
+		"withdraw":        {"/v1/withdraw", `{"service":"shop","id":"t2"}`, 404},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			status, body := b.local(c.path, c.body)
+			require.Equal(t, c.status, status, body)
+			require.Contains(t, body, `"remedy":"`)
+		})
+	}
+	require.Len(t, b.agent.Targets(), 1)
+	require.Equal(t, uint64(5), b.agent.Targets()[0].Ref.Incarnation)
+	require.Equal(t, int64(1), published.Load())
+}
+
+// Guards against targets that stay after they stopped announcing themselves, and against expiry of live ones.
+func TestTargetsExpire(t *testing.T) {
+	clock := timer.NewManual(time.Unix(1_000_000, 0))
+	b := newBench(t, agent.Config{Clock: clock})
+	status, _ := b.local("/v1/announce", announcementOf("127.0.0.1:1", 1))
+	require.Equal(t, http.StatusNoContent, status)
+	time.Sleep(50 * time.Millisecond) // The agent subscribes to the clock in a goroutine of its own.
+	for range 5 {
+		clock.Advance(time.Second)
+	}
+	require.Len(t, b.agent.Targets(), 1)
+	require.Eventually(t, func() bool { clock.Advance(time.Second); return len(b.agent.Targets()) == 0 }, time.Second, time.Millisecond)
+}
+
+// Guards against requests that nobody of the fleet has sent, and against answers without a certain not-run.
+func TestRefusals(t *testing.T) {
+	var runs atomic.Int64
+	b := newBench(t, agent.Config{})
+	b.announce(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	cases := map[string]struct {
+		change func(r *http.Request)
+		reason string
+	}{
+		"method":  {func(r *http.Request) { r.Method = http.MethodPost }, relay.ReasonSignature},
+		"target":  {func(r *http.Request) { r.Header.Set(model.HeaderTarget, "shop/t2/1") }, relay.ReasonSignature},
+		"key":     {func(r *http.Request) { r.Header.Set(model.HeaderKey, "other") }, relay.ReasonSignature},
+		"none":    {func(r *http.Request) { r.Header.Del(model.HeaderSignature) }, relay.ReasonSignature},
+		"timeout": {func(r *http.Request) { r.Header.Set(model.HeaderTimeout, "x") }, relay.ReasonBadRequest},
+		"late":    {func(r *http.Request) { r.Header.Set(model.HeaderTimeout, "-1s") }, relay.ReasonDeadline},
+		"leaving": {func(*http.Request) { b.agent.SetLeaving(true) }, relay.ReasonLeaving},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			defer b.agent.SetLeaving(false)
+			request := b.relayed(t.Context(), "")
+			c.change(request)
+			response, _ := b.do(request)
+			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+			require.Equal(t, c.reason, response.Header.Get(model.HeaderReason))
+			require.Equal(t, string(model.OutcomeNotRun), response.Header.Get(model.HeaderOutcome))
+			require.Equal(t, "nonce", response.Header.Get(model.HeaderExchange))
+		})
+	}
+	require.Zero(t, runs.Load())
+}
+
+// Guards against slow work that the edge takes for a silent connection, and against slots that are lost.
+func TestInterimAnswersAndSlots(t *testing.T) {
+	b := newBench(t, agent.Config{InterimInterval: 50 * time.Millisecond})
+	b.announce(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(400 * time.Millisecond) }))
+	var interim atomic.Int64
+	ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{
+		Got1xxResponse: func(code int, _ textproto.MIMEHeader) error {
+			require.Equal(t, http.StatusProcessing, code)
+			interim.Add(1)
+			return nil
+		},
+	})
+	for range 3 {
+		response, _ := b.do(b.relayed(ctx, ""))
+		require.Equal(t, 200, response.StatusCode)
+		require.Equal(t, "1/2", response.Header.Get(model.HeaderLoad))
+	}
+	require.GreaterOrEqual(t, interim.Load(), int64(9))
+}
+
+// fakes is a ledger, a poison detection and a tracker that record what they are told.
+type fakes struct {
+	mu       sync.Mutex
+	keys     map[string]string
+	suspects []agent.Suspect
+	results  []agent.ResultKind
+	verdict  agent.PoisonVerdict
+}
+
+func (f *fakes) Admit(key string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, seen := f.keys[key]; seen {
+		return false
+	}
+	if f.keys == nil {
+		f.keys = make(map[string]string)
+	}
+	f.keys[key] = "running"
+	return true
+}
+
+func (f *fakes) Finish(key string, a *agent.Answer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.keys[key] = "done:" + string(a.Body)
+}
+
+func (f *fakes) Fail(key string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.keys[key] = "failed"
+}
+
+func (f *fakes) Verdict(string, uint64) agent.PoisonVerdict { return f.verdict }
+
+func (f *fakes) Crashed(_ model.TargetRef, s agent.Suspect) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.suspects = append(f.suspects, s)
+}
+
+func (f *fakes) Start(agent.TrackRequest) agent.Handle { return f }
+
+func (f *fakes) Release(r agent.Result) { f.Finish2(r) }
+
+func (f *fakes) Finish2(r agent.Result) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.results = append(f.results, r.Kind)
+}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -42,11 +42,15 @@
 	if q.owned() {
 		q.edge.config.Keys.StartAttempt(q.key, c.Candidate.Target.Ref, c.Candidate.Node)
 	}
+	var d *delivery
 	f := l.send(ctx, q.header)
 	if f == nil {
-		f = q.deliver(ctx, l)
+		d, f = q.deliver(ctx, l)
 	}
 	l.finish(f)
+	if f != nil && d != nil {
+		f = q.resume(ctx, d, f)
+	}
 	q.endAttempt(f)
 	return f
 }
@@ -93,9 +97,9 @@
 	l.exclude(f)
 }
 
-// exclude keeps the target from further attempts, unless only a reused connection to it failed.
+// exclude keeps the target from further attempts, unless only a reused connection to it failed before an answer.
 func (l *leg) exclude(f *failure) {
-	if f != nil && f.kind == ResultPathFailure && l.conn != nil && l.conn.Reused() {
+	if f != nil && f.kind == ResultPathFailure && l.response == nil && l.conn != nil && l.conn.Reused() {
 		return
 	}
 	l.request.tried = append(l.request.tried, l.choice.Candidate.Target.Ref)
--- a/internal/edge/deliver.go
+++ b/internal/edge/deliver.go
@@ -32,8 +32,8 @@
 	idle    time.Duration
 }
 
-// deliver copies the answer to the caller; it returns nil when the caller has the whole answer.
-func (q *request) deliver(ctx context.Context, l *leg) *failure {
+// deliver copies the answer to the caller; it returns no failure when the caller has the whole answer.
+func (q *request) deliver(ctx context.Context, l *leg) (*delivery, *failure) {
 	d := &delivery{request: q, leg: l, length: lengthOf(l.response.Header), idle: q.edge.config.BodyIdle}
 	if q.match.Route.Resumable {
 		d.idle = q.edge.config.BodyIdleRange
@@ -41,15 +41,15 @@
 	if !relay.BodyAllowed(q.r.Method, l.response.StatusCode) {
 		d.writeHeader()
 		l.conn.Release()
-		return nil
+		return d, nil
 	}
 	err := d.copy()
 	if err == nil {
 		l.conn.Release()
-		return nil
+		return d, nil
 	}
 	l.conn.Close()
-	return q.resume(ctx, d, d.failed(ctx, err))
+	return d, d.failed(ctx, err)
 }
 
 func (d *delivery) failed(ctx context.Context, err error) *failure {
--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
 	"github.com/auburnwinch/auburnwinch/internal/agent"
@@ -63,6 +65,9 @@
 	for i, handler := range c.targets {
 		f.addTarget(i, handler, c)
 	}
+	if testing.Verbose() {
+		c.edge.Logger = log.NewJSONLogger(log.NewSyncWriter(os.Stderr))
+	}
 	c.edge.View, c.edge.Secret = f.cell, []byte(secret)
 	e, err := edge.New(c.edge)
 	require.NoError(t, err)
