--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -232,12 +232,70 @@
 	f.suspects = append(f.suspects, s)
 }
 
-func (f *fakes) Start(agent.TrackRequest) agent.Handle { return f }
+func (f *fakes) Start(agent.TrackRequest) agent.Handle { return handle{f} }
 
-func (f *fakes) Release(r agent.Result) { f.Finish2(r) }
+// handle tracks one request.
+type handle struct{ fakes *fakes }
 
-func (f *fakes) Finish2(r agent.Result) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.results = append(f.results, r.Kind)
+func (h handle) Finish(r agent.Result) {
+	h.fakes.mu.Lock()
+	defer h.fakes.mu.Unlock()
+	h.fakes.results = append(h.fakes.results, r.Kind)
+}
+
+// Guards against keys that run twice at one agent, and against answers that are not kept for a resend.
+func TestLedger(t *testing.T) {
+	f := &fakes{}
+	b := newBench(t, agent.Config{Ledger: f, Tracker: f})
+	b.announce(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "key "+r.Header.Get(model.HeaderIdempotencyKey))
+	}))
+	response, body := b.do(b.relayed(t.Context(), "k"))
+	require.Equal(t, "key k", body)
+	require.Equal(t, string(model.OutcomeDone), response.Header.Get(model.HeaderOutcome))
+	response, _ = b.do(b.relayed(t.Context(), "k"))
+	require.Equal(t, relay.ReasonKeySeen, response.Header.Get(model.HeaderReason))
+	require.Equal(t, string(model.OutcomeUnknown), response.Header.Get(model.HeaderOutcome))
+	require.Equal(t, "done:key k", f.keys["k"])
+	require.Equal(t, []agent.ResultKind{agent.ResultOK}, f.results)
+}
+
+// Guards against a key that is used up by a target that was never reached.
+func TestUnreachableTargetKeepsKey(t *testing.T) {
+	f := &fakes{}
+	b := newBench(t, agent.Config{Ledger: f})
+	b.announce(http.NotFoundHandler()).Close()
+	response, _ := b.do(b.relayed(t.Context(), "k"))
+	require.Equal(t, relay.ReasonUnreachable, response.Header.Get(model.HeaderReason))
+	require.Equal(t, string(model.OutcomeNotRun), response.Header.Get(model.HeaderOutcome))
+	require.Empty(t, f.keys)
+	require.Empty(t, b.agent.Targets(), "a target that refuses connections is removed")
+}
+
+// Guards against crashes that are not reported, and against resets of live targets that count as crashes.
+func TestCrashMakesRequestsSuspect(t *testing.T) {
+	f := &fakes{}
+	b := newBench(t, agent.Config{Poison: f, Tracker: f})
+	var crash atomic.Bool
+	var target *httptest.Server
+	target = b.announce(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if crash.Load() {
+			_ = target.Listener.Close()
+		}
+		conn, _, _ := http.NewResponseController(w).Hijack()
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}))
+	response, _ := b.do(b.relayed(t.Context(), ""))
+	require.Equal(t, relay.ReasonBroken, response.Header.Get(model.HeaderReason))
+	require.Empty(t, f.suspects)
+	crash.Store(true)
+	response, _ = b.do(b.relayed(t.Context(), ""))
+	require.Equal(t, relay.ReasonCrashed, response.Header.Get(model.HeaderReason))
+	require.Equal(t, []agent.Suspect{{Service: "shop", Fingerprint: 0xab}}, f.suspects)
+	require.Equal(t, []agent.ResultKind{agent.ResultReset, agent.ResultCrashed}, f.results)
+	f.verdict = agent.PoisonQuarantined
+	b.announce(http.NotFoundHandler())
+	response, _ = b.do(b.relayed(t.Context(), ""))
+	require.Equal(t, relay.ReasonPoison, response.Header.Get(model.HeaderReason))
 }
