--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,72 @@
+package retry
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against retries above 10% of first attempts plus what the budget has saved up.
+func TestBudgetBoundsRetries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := Config{Burst: rapid.IntRange(1, 30).Draw(t, "burst"), Reserve: rapid.IntRange(-1, 10).Draw(t, "reserve")}
+		b := NewBudget(c)
+		first, retries := 0, 0
+		for range rapid.IntRange(0, 2000).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "begin") {
+				b.Begin()
+				first++
+			} else if b.Spend() {
+				retries++
+			}
+			reserve := c.Reserve
+			if reserve == 0 {
+				reserve = defaultAtRest
+			}
+			require.LessOrEqual(t, 10*retries, 10*max(reserve, 0)+first)
+		}
+		for range 100_000 {
+			b.Begin()
+		}
+		spent := 0
+		for b.Spend() {
+			spent++
+		}
+		require.Equal(t, c.Burst, spent, "the budget saves up no more than its burst")
+	})
+}
+
+// Guards against tokens that are lost or doubled under concurrency, and against a zero value that permits nothing.
+func TestBudgetIsConcurrent(t *testing.T) {
+	b := &Budget{}
+	var retries atomic.Int64
+	var group sync.WaitGroup
+	for range 8 {
+		group.Go(func() {
+			for range 1000 {
+				b.Begin()
+				if b.Spend() {
+					retries.Add(1)
+				}
+			}
+		})
+	}
+	group.Wait()
+	for b.Spend() {
+		retries.Add(1)
+	}
+	require.Equal(t, int64(800), retries.Load())
+}
+
+// Guards against repeats that could run a request twice or mix two answers.
+func TestAllowed(t *testing.T) {
+	require.True(t, Allowed(Attempt{Number: 1, Result: NotRun, BodyHeld: true}))
+	require.True(t, Allowed(Attempt{Number: 2, Result: InDoubt, Idempotent: true, BodyHeld: true}))
+	require.False(t, Allowed(Attempt{Number: 1, Result: InDoubt, BodyHeld: true}))
+	require.False(t, Allowed(Attempt{Number: 3, Result: NotRun, Idempotent: true, BodyHeld: true}))
+	require.False(t, Allowed(Attempt{Number: 1, Result: NotRun, Idempotent: true}))
+	require.False(t, Allowed(Attempt{Number: 1, Result: NotRun, Idempotent: true, BodyHeld: true, Answered: true}))
+}
