standin: add the caller stand-in and records that survive a crash

The caller sends in an open loop, checks that each answer is whole and its own, and afterwards compares the outcomes with the runs that the targets recorded: none after not-run, at most one of a non-idempotent request, at least one after done. Targets can keep their records in a file, because a crash on request would lose the evidence.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -7,6 +7,7 @@
 
 type commands struct {
 	Target targetCmd `cmd:"" help:"Run a target that announces itself to its node and shows faults on request."`
+	Caller callerCmd `cmd:"" help:"Send requests to the fleet and check the answers."`
 }
 
 func main() {
--- a/cmd/standin/target.go
+++ b/cmd/standin/target.go
@@ -26,6 +26,7 @@
 	Slots       int           `help:"Requests that the target works on at a time." default:"7"`
 	ServiceTime time.Duration `help:"Median time of work per request." default:"5ms"`
 	Spread      float64       `help:"Spread of the service time: sigma of a log-normal distribution." default:"0.3"`
+	Records     string        `help:"File that keeps the records of runs across crashes; empty keeps them in memory."`
 	Seed        uint64        `help:"Seed of the service times; zero draws one."`
 }
 
@@ -34,7 +35,7 @@
 	logger := log.With(log.NewJSONLogger(log.NewSyncWriter(os.Stderr)), "ts", log.DefaultTimestampUTC, "target", c.ID)
 	t, err := startTarget(targetConfig{
 		Node: c.Node, Service: c.Service, ID: c.ID, Listen: c.Listen, Control: c.Control, Slots: c.Slots,
-		ServiceTime: c.ServiceTime, Spread: c.Spread, Seed: c.Seed, Logger: logger, Crash: func() { os.Exit(crashStatus) },
+		Records: c.Records, ServiceTime: c.ServiceTime, Spread: c.Spread, Seed: c.Seed, Logger: logger, Crash: func() { os.Exit(crashStatus) },
 	})
 	if err != nil {
 		return err
@@ -62,6 +63,7 @@
 // targetConfig describes a target.
 type targetConfig struct {
 	Node, Service, ID, Listen, Control string
+	Records                            string
 	Slots                              int
 	ServiceTime                        time.Duration
 	Spread                             float64
@@ -102,6 +104,9 @@
 		config: c, incarnation: uint64(time.Now().UnixMicro()), requests: requests, control: control,
 		work: newWork(c.ServiceTime, c.Spread, c.Seed), announced: make(chan struct{}), drained: make(chan struct{}),
 	}
+	if err := t.records.open(c.Records); err != nil {
+		return nil, errors.Join(err, requests.Close(), control.Close())
+	}
 	t.server = &http.Server{Handler: http.HandlerFunc(t.serve), IdleTimeout: idleTimeout, ReadHeaderTimeout: readHeaderTimeout}
 	t.controller = &http.Server{Handler: t.controlHandler(), ReadHeaderTimeout: readHeaderTimeout}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/cmd/standin/target_fault.go
+++ b/cmd/standin/target_fault.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -52,29 +51,6 @@
 	random *rand.Rand
 }
 
-// records counts the runs of each request.
-type records struct {
-	inFlight atomic.Int64
-	total    atomic.Int64
-	mu       sync.Mutex
-	runs     map[string]*run
-}
-
-// run is what the target knows of one request.
-type run struct {
-	Request string `json:"request"`
-	Key     string `json:"key"`
-	Begun   int    `json:"begun"`
-	Ended   int    `json:"ended"`
-}
-
-type summary struct {
-	InFlight int64 `json:"in-flight"`
-	Total    int64 `json:"total"`
-	Fault    fault `json:"fault"`
-	Runs     []run `json:"runs"`
-}
-
 func newWork(median time.Duration, spread float64, seed uint64) *work {
 	if seed == 0 {
 		seed = rand.Uint64()
@@ -130,48 +106,6 @@
 	}
 }
 
-func (r *records) begin(request, key string) {
-	r.inFlight.Add(1)
-	r.total.Add(1)
-	if request == "" {
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.runs == nil {
-		r.runs = make(map[string]*run)
-	}
-	known := r.runs[request]
-	if known == nil {
-		known = &run{Request: request, Key: key}
-		r.runs[request] = known
-	}
-	known.Begun++
-}
-
-func (r *records) end(request string, whole bool) {
-	r.inFlight.Add(-1)
-	if request == "" || !whole {
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.runs[request].Ended++
-}
-
-// find returns the runs whose request or key has the value; an empty value returns all.
-func (r *records) find(value string) []run {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	found := make([]run, 0)
-	for _, known := range r.runs {
-		if value == "" || known.Request == value || known.Key == value {
-			found = append(found, *known)
-		}
-	}
-	return found
-}
-
 // controlHandler serves GET /runs?key=…, PUT /fault and POST /drain.
 func (t *target) controlHandler() http.Handler {
 	router := httprouter.New()
