edge, agent: cut off stuck peers, and follow changed slots and settings

A caller that stopped sending its body or reading its answer held the request, and the slot of the target, without end; reads and writes now end one second after the deadline. The agent waited for the rest of an upload that the target had already answered; its read is now aborted. A target that announced other slots got a new limiter, which forgot the requests in flight; limiters that can follow are kept now, and are no longer built anew with each announcement. The agent takes the idempotency of a route from the current view. The relay listener accepts larger headers than the callers' one, because the fleet adds its own. Answers with 204 carry no length.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/sourcegraph/conc"
 
@@ -36,14 +38,17 @@
 
 // New starts an agent; Close stops it.
 func New(c Config) (*Agent, error) {
-	a := &Agent{
-		config: c.withDefaults(), registry: newRegistry(), signer: relay.NewSigner(c.Secret),
-		stop: make(chan struct{}),
-	}
+	c = c.withDefaults()
+	a := &Agent{config: c, registry: newRegistry(c), signer: relay.NewSigner(c.Secret), stop: make(chan struct{})}
 	a.group.Go(a.watchExpiry)
 	return a, nil
 }
 
+// NewServer returns the HTTP server for a relay listener.
+func NewServer(a *Agent, logger log.Logger) *http.Server {
+	return relay.NewServer(a, relay.RelayHeaderBytes, logger)
+}
+
 // Targets returns the targets on this VM in the order of their references.
 func (a *Agent) Targets() []model.Target {
 	return a.registry.targets()
@@ -159,13 +164,31 @@
 	return s.Spec, true
 }
 
+// idempotent reports whether the route may run several times, by the configuration that is now in force.
+func (a *Agent) idempotent(service, route string) bool {
+	if a.config.View == nil {
+		return false
+	}
+	v := a.config.View.Load()
+	if v == nil {
+		return false
+	}
+	s := v.Service(service)
+	if s == nil {
+		return false
+	}
+	for i := range s.Spec.Routes {
+		if s.Spec.Routes[i].Name == route {
+			return s.Spec.Routes[i].Idempotent
+		}
+	}
+	return false
+}
+
 func (a *Agent) newLocal(body announcement, spec model.ServiceSpec) *local {
 	target := model.Target{
 		Ref:  model.TargetRef{Service: body.Service, ID: body.ID, Incarnation: body.Incarnation},
 		Node: a.config.Self, Slots: body.Slots, State: model.TargetServing,
 	}
-	return &local{
-		target: target, address: body.Address, spec: spec, shared: &shared{},
-		limiter: a.config.NewLimiter(target, spec), pool: newPool(body.Address, a.config.Dial),
-	}
+	return &local{target: target, address: body.Address, spec: spec}
 }
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -45,6 +45,11 @@
 	Load() relay.Load
 }
 
+// Configurable is a limiter that follows changed slots and service settings; others are replaced.
+type Configurable interface {
+	Configure(slots int, spec model.ServiceSpec)
+}
+
 // AdmitRequest is what admission needs to know of a request.
 type AdmitRequest struct {
 	Account  string
--- a/internal/agent/registry.go
+++ b/internal/agent/registry.go
@@ -23,10 +23,13 @@
 type registry struct {
 	current atomic.Pointer[map[localKey]*local]
 	mu      sync.Mutex
+
+	newLimiter func(model.Target, model.ServiceSpec) Limiter
+	dial       relay.DialFunc
 }
 
-func newRegistry() *registry {
-	r := &registry{}
+func newRegistry(c Config) *registry {
+	r := &registry{newLimiter: c.NewLimiter, dial: c.Dial}
 	r.current.Store(&map[localKey]*local{})
 	return r
 }
@@ -56,7 +59,10 @@
 	known := r.find(next.target.Ref.Service, next.target.Ref.ID)
 	switch {
 	case known == nil || next.target.Ref.Incarnation > known.target.Ref.Incarnation:
+		next.shared = &shared{}
 		next.shared.announced.Store(now.UnixNano())
+		next.limiter = r.newLimiter(next.target, next.spec)
+		next.pool = r.newPool(next.address)
 		r.replace(next)
 		if known != nil {
 			known.pool.Close()
@@ -66,15 +72,28 @@
 		return false, errStale
 	}
 	known.shared.announced.Store(now.UnixNano())
-	if known.target.Slots == next.target.Slots && known.address == next.address {
+	if known.same(next) {
 		return false, nil
 	}
-	next.shared = known.shared
+	next.shared, next.pool = known.shared, known.pool
+	next.limiter = r.reconfigured(known.limiter, next)
+	if known.address != next.address {
+		next.pool = r.newPool(next.address)
+		defer known.pool.Close()
+	}
 	r.replace(next)
-	known.pool.Close()
 	return true, nil
 }
 
+// reconfigured keeps a limiter that can change, because a new one does not know the requests in flight.
+func (r *registry) reconfigured(limiter Limiter, next *local) Limiter {
+	if c, ok := limiter.(Configurable); ok {
+		c.Configure(next.target.Slots, next.spec)
+		return limiter
+	}
+	return r.newLimiter(next.target, next.spec)
+}
+
 // drain marks a target as draining and reports whether it was not; it fails with errUnknown.
 func (r *registry) drain(key localKey) (changed bool, err error) {
 	l := r.find(key.service, key.id)
@@ -137,6 +156,6 @@
 	l.pool.Close()
 }
 
-func newPool(address string, dial relay.DialFunc) *relay.Pool {
-	return relay.NewPool(relay.PoolConfig{Address: address, Dial: dial, DialTimeout: targetDialTimeout})
+func (r *registry) newPool(address string) *relay.Pool {
+	return relay.NewPool(relay.PoolConfig{Address: address, Dial: r.dial, DialTimeout: targetDialTimeout})
 }
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -103,7 +103,7 @@
 	if x.local.shared.draining.Load() {
 		return relay.ReasonDraining
 	}
-	x.suspect = Suspect{Service: ref.Service, Idempotent: x.local.idempotent(x.route)}
+	x.suspect = Suspect{Service: ref.Service, Idempotent: x.agent.idempotent(ref.Service, x.route)}
 	if text := x.r.Header.Get(model.HeaderFingerprint); text != "" {
 		fingerprint, err := strconv.ParseUint(text, 16, 64)
 		if err != nil {
@@ -217,16 +217,25 @@
 	if x.key != "" {
 		header[model.HeaderIdempotencyKey] = []string{x.key}
 	}
-	header["Auburnwinch-Timeout"] = []string{time.Until(x.deadline).Round(time.Millisecond).String()}
+	header[model.HeaderTimeout] = []string{time.Until(x.deadline).Round(time.Millisecond).String()}
+	if account := x.r.Header[model.HeaderAccount]; len(account) > 0 {
+		header[model.HeaderAccount] = account
+	}
 	r := &relay.Request{
 		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: header, ContentLength: x.r.ContentLength,
 	}
 	if x.r.ContentLength != 0 {
 		r.Body = x.r.Body
+		r.AbortBody = x.abortBody
 	}
 	return r
 }
 
+// abortBody makes a pending read of the request body return, after the target has answered without reading all of it.
+func (x *exchange) abortBody() {
+	_ = http.NewResponseController(x.w).SetReadDeadline(time.Now())
+}
+
 // notSent answers that no connection to the target could be made, so that the request did not run.
 func (x *exchange) notSent(ctx context.Context, err error) {
 	if ctx.Err() != nil {
@@ -278,6 +287,12 @@
 func (x *exchange) answer(ctx context.Context, conn *relay.Conn, response *http.Response) ResultKind {
 	x.interim.end()
 	x.writeHeader(response)
+	if response.ContentLength < 0 || response.ContentLength > relay.BlockBytes {
+		// An edge that stops reading must not hold the slot for ever.
+		control := http.NewResponseController(x.w)
+		_ = control.SetWriteDeadline(x.deadline.Add(relay.DeadlineSlack))
+		defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
+	}
 	var sum relay.Checksum
 	kept, err := x.copyBody(response.Body, &sum)
 	if err != nil {
@@ -320,6 +335,10 @@
 	relay.CopyHeader(h, response.Header)
 	h[model.HeaderOutcome] = []string{string(model.OutcomeDone)}
 	h[model.HeaderLoad] = []string{x.local.limiter.Load().String()}
+	if _, ok := h["Content-Type"]; !ok {
+		// Keeps the server from guessing a type that the target did not state.
+		h["Content-Type"] = nil
+	}
 	if response.ContentLength >= 0 {
 		h[model.HeaderLength] = []string{strconv.FormatInt(response.ContentLength, 10)}
 	}
--- a/internal/agent/slots.go
+++ b/internal/agent/slots.go
@@ -15,17 +15,24 @@
 
 // slots admits as many requests as the target has slots; nobody waits.
 type slots struct {
-	limit    int64
+	limit    atomic.Int64
 	inFlight atomic.Int64
 }
 
 func newSlots(target model.Target, _ model.ServiceSpec) Limiter {
-	return &slots{limit: int64(target.Slots)}
+	s := &slots{}
+	s.limit.Store(int64(target.Slots))
+	return s
+}
+
+// Configure changes the number of slots.
+func (s *slots) Configure(limit int, _ model.ServiceSpec) {
+	s.limit.Store(int64(limit))
 }
 
 // Acquire takes a slot or fails at once.
 func (s *slots) Acquire(context.Context, AdmitRequest) (Permit, error) {
-	if s.inFlight.Add(1) > s.limit {
+	if s.inFlight.Add(1) > s.limit.Load() {
 		s.inFlight.Add(-1)
 		return nil, errNoSlot
 	}
@@ -39,5 +46,5 @@
 
 // Load returns the number of taken slots and their limit.
 func (s *slots) Load() relay.Load {
-	return relay.Load{InFlight: int(s.inFlight.Load()), Limit: int(s.limit)}
+	return relay.Load{InFlight: int(s.inFlight.Load()), Limit: int(s.limit.Load())}
 }
--- a/internal/agent/target.go
+++ b/internal/agent/target.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,13 +58,9 @@
 	return now.Sub(time.Unix(0, l.shared.announced.Load())) > expiry
 }
 
-func (l *local) idempotent(route string) bool {
-	for i := range l.spec.Routes {
-		if l.spec.Routes[i].Name == route {
-			return l.spec.Routes[i].Idempotent
-		}
-	}
-	return false
+// same reports whether two announcements of one incarnation say the same.
+func (l *local) same(other *local) bool {
+	return l.target.Slots == other.target.Slots && l.address == other.address && reflect.DeepEqual(l.spec, other.spec)
 }
 
 // report notes a fingerprint that was in flight when the target died; it returns false when it is noted already.
--- a/internal/edge/body.go
+++ b/internal/edge/body.go
@@ -23,14 +23,16 @@
 }
 
 // read reads the first block; it fails when the caller sends less than announced.
-func (b *body) read(w http.ResponseWriter, r *http.Request) error {
+func (b *body) read(w http.ResponseWriter, r *http.Request, deadline time.Time) error {
 	b.w, b.rest, b.length = w, r.Body, r.ContentLength
 	if r.ContentLength == 0 {
 		b.whole = true
 		return nil
 	}
-	// An answer may start before the whole body is read.
-	_ = http.NewResponseController(w).EnableFullDuplex()
+	// An answer may start before the whole body is read, and a caller that stops sending must not hold the request.
+	control := http.NewResponseController(w)
+	_ = control.EnableFullDuplex()
+	_ = control.SetReadDeadline(deadline.Add(relay.DeadlineSlack))
 	b.block = relay.GetBlock()
 	n, err := io.ReadFull(r.Body, b.block[:])
 	b.held = b.block[:n]
@@ -45,6 +47,9 @@
 	case err != nil:
 		return err
 	}
+	if b.whole {
+		_ = control.SetReadDeadline(time.Time{})
+	}
 	return nil
 }
 
--- a/internal/edge/deliver.go
+++ b/internal/edge/deliver.go
@@ -162,7 +162,7 @@
 	h := q.w.Header()
 	relay.CopyHeader(h, d.leg.response.Header)
 	h[model.HeaderOutcome] = []string{string(model.OutcomeDone)}
-	if d.length >= 0 {
+	if d.length >= 0 && d.leg.response.StatusCode != http.StatusNoContent {
 		h["Content-Length"] = []string{strconv.FormatInt(d.length, 10)}
 	}
 	if _, ok := h["Content-Type"]; !ok {
@@ -170,9 +170,20 @@
 		h["Content-Type"] = nil
 	}
 	q.sentHeader = true
+	if d.length < 0 || d.length > relay.BlockBytes {
+		// A caller that stops reading must not hold a slot of the target for ever.
+		d.limitWrites()
+	}
 	q.w.WriteHeader(d.leg.response.StatusCode)
 }
 
+func (d *delivery) limitWrites() {
+	control := http.NewResponseController(d.request.w)
+	if control.SetWriteDeadline(d.request.deadline.Add(relay.DeadlineSlack)) == nil {
+		d.request.limited = control
+	}
+}
+
 func lengthOf(h http.Header) int64 {
 	length, err := strconv.ParseInt(h.Get(model.HeaderLength), 10, 64)
 	if err != nil || length < 0 {
--- a/internal/edge/fault_test.go
+++ b/internal/edge/fault_test.go
@@ -395,3 +395,52 @@
 	}
 	return string(all)
 }
+
+// Guards against callers that stop sending or reading and so hold a request, and a slot, for ever.
+func TestStuckCallersAreCutOff(t *testing.T) {
+	target := &counter{next: func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.Copy(w, &zeros{left: 256 << 20})
+	}}
+	f := newFleet(t, fleetConfig{targets: []http.Handler{target}})
+	for name, input := range map[string]string{
+		"sending": "POST /orders HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\nAuburnwinch-Timeout: 100ms\r\n\r\nabc",
+		"reading": "GET /orders HTTP/1.1\r\nHost: a\r\nAuburnwinch-Timeout: 200ms\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", f.front.Listener.Addr().String())
+			require.NoError(t, err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, input)
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return f.edge.InFlight() == 1 }, time.Second, time.Millisecond)
+			require.Eventually(t, func() bool { return f.edge.InFlight() == 0 && f.agents[0].InFlight() == 0 },
+				5*time.Second, 10*time.Millisecond)
+		})
+	}
+}
+
+// Guards against a stated length on answers that have no body, and against bodies of HEAD.
+func TestAnswersWithoutBody(t *testing.T) {
+	target := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Etag", `"v"`)
+		if r.URL.Path == "/reads/head" {
+			w.Header().Set("Content-Length", "5")
+			return
+		}
+		status, _ := strconv.Atoi(r.URL.Query().Get("status"))
+		w.WriteHeader(status)
+	})
+	f := newFleet(t, fleetConfig{targets: []http.Handler{target}})
+	for range 2 {
+		got := f.send(http.MethodHead, "/reads/head", nil)
+		require.NoError(t, got.err)
+		require.Equal(t, "5", got.header.Get("Content-Length"))
+		for _, status := range []int{204, 304} {
+			got = f.send(http.MethodGet, fmt.Sprintf("/reads/1?status=%d", status), nil)
+			require.NoError(t, got.err)
+			require.Equal(t, status, got.status)
+			require.Empty(t, got.header.Get("Content-Length"))
+			require.Equal(t, `"v"`, got.header.Get("Etag"))
+		}
+	}
+}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -33,6 +33,8 @@
 	reuse    relay.Reuse
 	// doubted tells that an earlier attempt may have run, so that no answer may say not-run any more.
 	doubted bool
+	// limited is set while writes to the caller have a deadline.
+	limited *http.ResponseController
 	// sentHeader tells that the caller has received the header of an answer.
 	sentHeader bool
 	// abort makes the server close the connection without ending the answer.
@@ -47,8 +49,8 @@
 	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
 	defer cancel()
 	defer q.body.release()
-	if err := q.body.read(q.w, q.r); err != nil {
-		q.refuse(notRun(http.StatusBadRequest, "the request body is shorter than announced or malformed", remedyFix))
+	if err := q.body.read(q.w, q.r, q.deadline); err != nil {
+		q.refuse(notRun(http.StatusBadRequest, "the request body is shorter than announced, malformed or too slow", remedyFix))
 		return
 	}
 	if refusal, ok := q.prepareHeader(); !ok {
@@ -60,6 +62,10 @@
 	}
 	q.edge.budget(q.match.Service).Begin()
 	q.run(ctx)
+	if q.limited != nil {
+		// The next request on the connection has a deadline of its own.
+		_ = q.limited.SetWriteDeadline(time.Time{})
+	}
 }
 
 // prepare finds route, service and deadline.
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -3,37 +3,23 @@
 import (
 	"bytes"
 	"encoding/json"
-	stdlog "log"
 	"net"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/auburnwinch/auburnwinch/internal/relay"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
-const (
-	maxHeaderBytes    = 64 << 10
-	readHeaderTimeout = 10 * time.Second
-	// idleTimeout must be longer than that of the edge's idle connections to agents.
-	idleTimeout = 90 * time.Second
-)
-
 // serverErrorHeaders stands in the answers that net/http gives by itself to requests that it can't read.
 const serverErrorHeaders = "\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"
 
-// NewServer returns an HTTP server with the bounds of the callers' and relay listeners.
-func NewServer(handler http.Handler, logger log.Logger) *http.Server {
-	if logger == nil {
-		logger = log.NewNopLogger()
-	}
-	return &http.Server{
-		Handler: handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: stdlog.New(log.NewStdlibAdapter(level.Warn(logger)), "", 0),
-	}
+// NewServer returns the HTTP server for a callers' listener.
+func NewServer(e *Edge, logger log.Logger) *http.Server {
+	return relay.NewServer(e, relay.CallerHeaderBytes, logger)
 }
 
 // Listener accepts connections whose malformed requests get an answer of the fleet's form and a log line. net/http
--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -74,6 +75,10 @@
 	return n, err
 }
 
+// DeadlineSlack is the time after the deadline of a request at which a peer that neither sends nor takes bytes is cut
+// off. The deadline itself is reported in other ways first.
+const DeadlineSlack = time.Second
+
 // BodyAllowed reports whether an answer to the method may have a body.
 func BodyAllowed(method string, status int) bool {
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
