--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -39,14 +39,18 @@
 // attempt sends the request to one target and delivers the answer; it returns nil when the caller was answered.
 func (q *request) attempt(ctx context.Context, c Choice) *failure {
 	l := q.begin(c)
+	var d *delivery
 	f := q.startAttempt(c)
 	if f == nil {
 		f = l.send(ctx, q.header)
 	}
 	if f == nil {
-		f = q.deliver(ctx, l)
+		d, f = q.deliver(ctx, l)
 	}
 	l.finish(f)
+	if f != nil && d != nil {
+		f = q.resume(ctx, d, f)
+	}
 	q.endAttempt(f)
 	return f
 }
@@ -104,6 +108,15 @@
 		l.handle.Finish(Result{Kind: kind, Duration: time.Since(l.started)})
 	}
 	l.request.edge.config.Picker.Done(l.choice, l.load)
+	l.exclude(f)
+}
+
+// exclude keeps the target from further attempts, unless only a reused connection to it failed before an answer.
+func (l *leg) exclude(f *failure) {
+	if f != nil && f.kind == ResultPathFailure && l.response == nil && l.conn != nil && l.conn.Reused() {
+		return
+	}
+	l.request.tried = append(l.request.tried, l.choice.Candidate.Target.Ref)
 }
 
 // send relays the request and reads the header of the answer.
--- a/internal/edge/deliver.go
+++ b/internal/edge/deliver.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -26,12 +27,13 @@
 	request *request
 	leg     *leg
 	length  int64
+	written int64
 	sum     relay.Checksum
 	idle    time.Duration
 }
 
-// deliver copies the answer to the caller; it returns nil when the caller has the whole answer.
-func (q *request) deliver(ctx context.Context, l *leg) *failure {
+// deliver copies the answer to the caller; it returns no failure when the caller has the whole answer.
+func (q *request) deliver(ctx context.Context, l *leg) (*delivery, *failure) {
 	d := &delivery{request: q, leg: l, length: lengthOf(l.response.Header), idle: q.edge.config.BodyIdle}
 	if q.match.Route.Resumable {
 		d.idle = q.edge.config.BodyIdleRange
@@ -39,15 +41,15 @@
 	if !relay.BodyAllowed(q.r.Method, l.response.StatusCode) {
 		d.writeHeader()
 		l.conn.Release()
-		return nil
+		return d, nil
 	}
 	err := d.copy()
 	if err == nil {
 		l.conn.Release()
-		return nil
+		return d, nil
 	}
 	l.conn.Close()
-	return d.failed(ctx, err)
+	return d, d.failed(ctx, err)
 }
 
 func (d *delivery) failed(ctx context.Context, err error) *failure {
@@ -58,7 +60,17 @@
 		return &failure{result: retry.InDoubt, kind: ResultTimeout, reason: relay.ReasonTimeout}
 	}
 	d.leg.log("answer broke off", err)
-	return &failure{result: retry.InDoubt, kind: ResultReset, reason: "the answer of the target broke off", repeat: true}
+	f := &failure{result: retry.InDoubt, kind: ResultReset, reason: "the answer of the target broke off", repeat: true}
+	if errors.Is(err, relay.ErrChecksum) && d.request.sentHeader {
+		// The bytes that the caller has may be wrong; no other target can mend them.
+		f.repeat = false
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// Target or path went silent; the siblings of the connection may be silent too.
+		d.leg.pool.CloseIdle()
+		f.kind = ResultPathFailure
+	}
+	return f
 }
 
 // copy holds back the end of a body of known length until its trailer is checked, because the caller takes the body as
@@ -132,7 +144,9 @@
 	if len(p) == 0 {
 		return nil
 	}
-	if _, err := d.request.w.Write(p); err != nil {
+	n, err := d.request.w.Write(p)
+	d.written += int64(n)
+	if err != nil {
 		return errCaller
 	}
 	if d.length < 0 {
@@ -148,7 +162,7 @@
 	h := q.w.Header()
 	relay.CopyHeader(h, d.leg.response.Header)
 	h[model.HeaderOutcome] = []string{string(model.OutcomeDone)}
-	if d.length >= 0 {
+	if d.length >= 0 && d.leg.response.StatusCode != http.StatusNoContent {
 		h["Content-Length"] = []string{strconv.FormatInt(d.length, 10)}
 	}
 	if _, ok := h["Content-Type"]; !ok {
@@ -156,9 +170,20 @@
 		h["Content-Type"] = nil
 	}
 	q.sentHeader = true
+	if d.length < 0 || d.length > relay.BlockBytes {
+		// A caller that stops reading must not hold a slot of the target for ever.
+		d.limitWrites()
+	}
 	q.w.WriteHeader(d.leg.response.StatusCode)
 }
 
+func (d *delivery) limitWrites() {
+	control := http.NewResponseController(d.request.w)
+	if control.SetWriteDeadline(d.request.deadline.Add(relay.DeadlineSlack)) == nil {
+		d.request.limited = control
+	}
+}
+
 func lengthOf(h http.Header) int64 {
 	length, err := strconv.ParseInt(h.Get(model.HeaderLength), 10, 64)
 	if err != nil || length < 0 {
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -35,6 +35,8 @@
 	reuse      relay.Reuse
 	// doubted tells that an earlier attempt may have run, so that no answer may say not-run any more.
 	doubted bool
+	// limited is set while writes to the caller have a deadline.
+	limited *http.ResponseController
 	// sentHeader tells that the caller has received the header of an answer.
 	sentHeader bool
 	// abort makes the server close the connection without ending the answer.
@@ -49,8 +51,8 @@
 	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
 	defer cancel()
 	defer q.body.release()
-	if err := q.body.read(q.w, q.r); err != nil {
-		q.refuse(notRun(http.StatusBadRequest, "the request body is shorter than announced or malformed", remedyFix))
+	if err := q.body.read(q.w, q.r, q.deadline); err != nil {
+		q.refuse(notRun(http.StatusBadRequest, "the request body is shorter than announced, malformed or too slow", remedyFix))
 		return
 	}
 	if refusal, ok := q.prepareHeader(); !ok {
@@ -62,6 +64,10 @@
 	}
 	q.edge.budget(q.match.Service).Begin()
 	q.run(ctx)
+	if q.limited != nil {
+		// The next request on the connection has a deadline of its own.
+		_ = q.limited.SetWriteDeadline(time.Time{})
+	}
 }
 
 // prepare finds route, service and deadline.
@@ -142,7 +148,6 @@
 			return
 		}
 		q.attempts++
-		q.tried = append(q.tried, choice.Candidate.Target.Ref)
 		f := q.attempt(ctx, choice)
 		if f == nil || q.resolve(ctx, f) {
 			return
@@ -211,7 +216,17 @@
 	relay.WriteRefusal(q.w, r)
 }
 
-// breakOff closes the connection so that the caller can't take the answer as complete.
+// breakOff closes the connection so that the caller can't take the answer as complete. In HTTP/1.0 the end of the
+// connection ends the body, so that only a reset tells the caller.
 func (q *request) breakOff() {
+	if !q.r.ProtoAtLeast(1, 1) {
+		if conn, _, err := http.NewResponseController(q.w).Hijack(); err == nil {
+			if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+				_ = tcp.SetLinger(0)
+			}
+			_ = conn.Close()
+			return
+		}
+	}
 	panic(http.ErrAbortHandler)
 }
