--- /dev/null
+++ b/internal/limit/limit_test.go
@@ -0,0 +1,233 @@
+package limit
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var testStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// model of the shell: which requests run, wait or were answered.
+type shell struct {
+	module           *Module
+	now              time.Time
+	nextID           uint64
+	running, waiting map[uint64]string
+	refused          map[uint64]RefuseCmd
+}
+
+func newShell(s Settings) *shell {
+	return &shell{
+		module: NewModule(s), now: testStart, running: make(map[uint64]string), waiting: make(map[uint64]string),
+		refused: make(map[uint64]RefuseCmd),
+	}
+}
+
+func (s *shell) update(msg Msg) {
+	for _, c := range s.module.Update(msg) {
+		switch c := c.(type) {
+		case GrantCmd:
+			s.running[c.ID] = s.waiting[c.ID]
+			delete(s.waiting, c.ID)
+		case RefuseCmd:
+			delete(s.waiting, c.ID)
+			s.refused[c.ID] = c
+		}
+	}
+}
+
+func (s *shell) acquire(account string, deadline time.Duration) uint64 {
+	s.nextID++
+	s.waiting[s.nextID] = account
+	r := Request{Account: account}
+	if deadline > 0 {
+		r.Deadline = s.now.Add(deadline)
+	}
+	s.update(AcquireMsg{Now: s.now, ID: s.nextID, Request: r})
+	return s.nextID
+}
+
+func (s *shell) release(id uint64) {
+	delete(s.running, id)
+	s.update(ReleaseMsg{Now: s.now, ID: id, Result: Result{OK: true}})
+}
+
+func first(m map[uint64]string) uint64 {
+	lowest := uint64(math.MaxUint64)
+	for id := range m {
+		lowest = min(lowest, id)
+	}
+	return lowest
+}
+
+// Guards against more requests than slots, a queue beyond its places, lost requests, and refusals without a time to
+// come back, under any order of arrivals, ends, cancellations and changes of the settings.
+func TestAdmissionUnderAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		settings := Settings{
+			Slots: rapid.IntRange(1, 7).Draw(t, "slots"), Places: rapid.IntRange(0, 9).Draw(t, "places"),
+			Wait: 100 * time.Millisecond, AccountShare: rapid.Float64Range(0, 1).Draw(t, "share"),
+		}
+		s := newShell(settings)
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			s.now = s.now.Add(time.Duration(rapid.IntRange(-10, 60).Draw(t, "pause")) * time.Millisecond)
+			before := len(s.running)
+			s.randomStep(t, &settings)
+			load := s.module.Load()
+			require.Equal(t, len(s.running), load.InFlight)
+			require.Equal(t, len(s.waiting), load.Waiting)
+			require.LessOrEqual(t, len(s.running), max(before, settings.Slots))
+			for _, r := range s.refused {
+				require.GreaterOrEqual(t, r.RetryAfter, retryMin)
+			}
+		}
+		for len(s.running) > 0 {
+			s.release(first(s.running))
+			s.now = s.now.Add(time.Second)
+			s.update(TickMsg{Now: s.now})
+		}
+		require.Empty(t, s.waiting)
+		require.Empty(t, s.module.accounts)
+	})
+}
+
+func (s *shell) randomStep(t *rapid.T, settings *Settings) {
+	switch rapid.IntRange(0, 6).Draw(t, "step") {
+	case 0:
+		settings.Slots = rapid.IntRange(1, 7).Draw(t, "new slots")
+		s.update(SettingsMsg{Now: s.now, Settings: *settings})
+	case 1:
+		if len(s.waiting) > 0 {
+			id := first(s.waiting)
+			delete(s.waiting, id)
+			s.update(CancelMsg{Now: s.now, ID: id})
+		}
+	case 2, 3:
+		if len(s.running) > 0 {
+			s.release(first(s.running))
+		}
+	case 4:
+		s.update(TickMsg{Now: s.now})
+	default:
+		account := fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "account"))
+		s.acquire(account, time.Duration(rapid.IntRange(0, 500).Draw(t, "deadline"))*time.Millisecond)
+	}
+}
+
+// Guards against holding a request back although its deadline would pass in the queue.
+func TestRefusesAtOnceWhenTheDeadlineWouldPass(t *testing.T) {
+	s := newShell(Settings{Slots: 1, Places: 1, Wait: time.Second})
+	s.acquire("a", 0)
+	id := s.acquire("b", 150*time.Millisecond)
+	require.Equal(t, ReasonDeadline, s.refused[id].Reason)
+	require.Contains(t, s.waiting, s.acquire("c", time.Second))
+}
+
+// Guards against one account that fills all slots and places while others want them.
+func TestShareUnderContention(t *testing.T) {
+	s := newShell(Settings{Slots: 6, Places: 6, Wait: time.Second, AccountShare: 0.5})
+	for range 6 {
+		s.acquire("greedy", 0)
+	}
+	require.Len(t, s.running, 6, "an account may use everything while nobody else wants it")
+	for range 3 {
+		s.acquire("modest", 0)
+	}
+	for range 6 {
+		s.acquire("greedy", 0)
+	}
+	held := 0
+	for _, account := range s.waiting {
+		if account == "greedy" {
+			held++
+		}
+	}
+	require.Equal(t, 3, held)
+	for range 6 {
+		s.release(first(s.running))
+	}
+	held = 0
+	for _, account := range s.running {
+		if account == "greedy" {
+			held++
+		}
+	}
+	require.Equal(t, 3, held)
+	require.Len(t, s.running, 6)
+}
+
+// Guards against a limit that stays at announced slots which the target can't serve, and one that never returns.
+func TestLimitIsLearnedDownwards(t *testing.T) {
+	var l learner
+	l.resize(8)
+	serve := func(workers int) {
+		for i := range 400 {
+			n := 1 + i%l.value()
+			l.observe(time.Duration(max(1, float64(n)/float64(workers))*float64(50*time.Millisecond)), n)
+		}
+	}
+	serve(8)
+	require.Equal(t, 8, l.value())
+	serve(2)
+	require.Less(t, l.value(), 7)
+	require.GreaterOrEqual(t, l.value(), 1)
+	serve(8)
+	require.Equal(t, 8, l.value())
+}
+
+// Guards against losing slots, or admitting too many, when many callers acquire, cancel and release at once.
+func TestLimiterUnderConcurrentCallers(t *testing.T) {
+	l := New(Config{Settings: Settings{Slots: 3, Places: 3, Wait: 5 * time.Millisecond, AccountShare: 0.5}})
+	var inFlight, admitted atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 16 {
+		wg.Go(func() {
+			for n := range 200 {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Duration(n%7)*time.Millisecond)
+				permit, err := l.Acquire(ctx, Request{Account: fmt.Sprint(i % 4)})
+				cancel()
+				if err != nil {
+					var refused *RefusedError
+					if !errors.As(err, &refused) && !errors.Is(err, context.DeadlineExceeded) {
+						t.Errorf("unexpected error: %v", err)
+					}
+					continue
+				}
+				if inFlight.Add(1) > 3 {
+					t.Error("more requests than slots")
+				}
+				admitted.Add(1)
+				time.Sleep(200 * time.Microsecond)
+				inFlight.Add(-1)
+				permit.Release(Result{OK: true})
+				permit.Release(Result{OK: true})
+			}
+		})
+	}
+	wg.Wait()
+	require.Positive(t, admitted.Load())
+	require.Equal(t, 0, l.Load().InFlight)
+	require.Equal(t, 0, l.Load().Waiting)
+	require.Empty(t, l.waiting)
+}
+
+func BenchmarkRefusal(b *testing.B) {
+	l := New(Config{Settings: Settings{Slots: 7, Places: 7, Wait: 0}})
+	for range 7 {
+		_, _ = l.Acquire(b.Context(), Request{Account: "holder"})
+	}
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			_, _ = l.Acquire(context.Background(), Request{Account: "refused"})
+		}
+	})
+}
