bench: add the detection and overload experiments

Fake targets, paths and callers feed the real modules event by event in simulated time, with round robin and plain ejection as baselines in the same run.

--- /dev/null
+++ b/cmd/bench/main.go
@@ -0,0 +1,22 @@
+// Command bench runs the load and fault experiments of auburnwinch and prints their figures as Markdown tables.
+//
+// Usage:
+//
+//	bench detection --deployment instituto --runs 20 --seed 1
+//	bench overload --seed 1
+package main
+
+import (
+	"github.com/alecthomas/kong"
+)
+
+type commandLine struct {
+	Detection detectionCmd `cmd:"" help:"Measure detection time and false ejections in simulated time."`
+	Overload  overloadCmd  `cmd:"" help:"Measure goodput, retries and the cost of a refusal at twice the capacity."`
+}
+
+func main() {
+	var line commandLine
+	ctx := kong.Parse(&line, kong.Name("bench"), kong.UsageOnError())
+	ctx.FatalIfErrorf(ctx.Run())
+}
--- a/internal/eject/module.go
+++ b/internal/eject/module.go
@@ -37,6 +37,9 @@
 
 // New returns a module without services.
 func New(c Config) *Module {
+	if c.Thresholds == nil {
+		c.Thresholds = ThresholdsOf
+	}
 	return &Module{
 		config: c, rng: rand.New(rand.NewPCG(c.Seed, uint64(c.Observer))), byName: make(map[string]*service),
 		histories: make(map[historyKey]*history), snapshot: &Snapshot{},
@@ -94,7 +97,7 @@
 
 func (m *Module) newService(item Service, old *service, first bool) *service {
 	s := &service{
-		spec: item.Spec, thresholds: ThresholdsOf(item.Spec), slack: edgeSlack, dirty: true,
+		spec: item.Spec, thresholds: m.config.Thresholds(item.Spec), slack: edgeSlack, dirty: true,
 		byRef: make(map[model.TargetRef]*target, len(item.Targets)),
 	}
 	if m.config.Observer == ObserverAgent {
@@ -128,7 +131,7 @@
 	}
 	t := &target{Target: announced, history: m.histories[key]}
 	if old != nil && !first {
-		t.readmit(m.now, ThresholdsOf(old.spec).SlowStart)
+		t.readmit(m.now, old.thresholds.SlowStart)
 	}
 	return t
 }
--- a/internal/eject/settings.go
+++ b/internal/eject/settings.go
@@ -21,6 +21,8 @@
 	Observer Observer
 	// Seed spreads the waits, so that the choosers do not start probation at the same moment.
 	Seed uint64
+	// Thresholds returns the thresholds of a service; nil means ThresholdsOf.
+	Thresholds func(model.ServiceSpec) Thresholds
 }
 
 // Thresholds decide when evidence becomes an ejection.
