eject: ask the other targets before an ejection

A store outage or a slow shared dependency shows at the busiest target first; the old rule ejected up to the floor before the others looked affected. A symptom now needs other targets that work in the same class since it began, or a longer wait when none are observed. Slowness is compared over the same stretch of time. Errors and results are counted per class, as light requests hid the failures of the others. A single hanging request must be three times as old as two.

Ruled out: a longer settling time alone; it costs detection time for every fault and still ejects when a busy edge sees one target only.

Common faults still eject too much.

--- a/cmd/bench/flights.go
+++ b/cmd/bench/flights.go
@@ -52,7 +52,9 @@
 		for _, other := range l.flights {
 			if !other.start.Before(from) {
 				msg.Count++
-				msg.OldestAge = max(msg.OldestAge, now.Sub(other.start))
+				age := now.Sub(other.start)
+				msg.SecondAge = max(msg.SecondAge, min(age, msg.OldestAge))
+				msg.OldestAge = max(msg.OldestAge, age)
 			}
 		}
 		if msg.Count > 0 || l.reported {
--- a/internal/eject/cycle.go
+++ b/internal/eject/cycle.go
@@ -25,8 +25,9 @@
 	phaseEnds    time.Time
 	evidenceFrom time.Time
 	honoured     bool
-	// suspicious tells that the target approaches a threshold at the present judgement.
-	suspicious bool
+	// found is the symptom at the latest judgement; dirty tells that evidence came since.
+	found symptom
+	dirty bool
 	// commonUntil is the time up to which the target's symptom is taken as common to the service.
 	commonUntil time.Time
 	history     *history
@@ -72,6 +73,7 @@
 	t.phase, t.phaseSince = phase, now
 	t.evidenceFrom = now
 	t.pending = 0
+	t.found = symptom{}
 	t.evidence.reset()
 }
 
@@ -89,22 +91,6 @@
 	t.history.ejections = max(0, t.history.ejections-1)
 }
 
-// settled returns the symptom once it has stood for the settling time; crashes need no settling.
-func (t *target) settled(found model.Severity, now time.Time, settle time.Duration) model.Severity {
-	if found == 0 {
-		t.pending = 0
-		return 0
-	}
-	if t.pending == 0 {
-		t.pendingSince = now
-	}
-	t.pending = found
-	if found == model.SeverityCrashed || now.Sub(t.pendingSince) >= settle {
-		return found
-	}
-	return 0
-}
-
 // weight returns the share of the usual load; it moves in tenths, so that few snapshots are published.
 func (t *target) weight(now time.Time, slowStart time.Duration) float64 {
 	if t.phase != StateSlowStart || slowStart <= 0 {
--- a/internal/eject/decide.go
+++ b/internal/eject/decide.go
@@ -9,51 +9,32 @@
 
 // advance judges the evidence of one service and moves its targets through the cycle.
 func (m *Module) advance(s *service) {
-	if s.dirty {
-		s.refs = s.references()
-		s.dirty = false
-	}
-	symptoms, common := m.examineAll(s)
-	for i, t := range s.targets {
-		t.suspicious = symptoms[i].suspicious
-		if common && t.claim == 0 && t.severity != model.SeverityCrashed {
-			t.commonUntil = m.now.Add(waitMin)
+	if !s.dirty && !s.active {
+		return
+	}
+	s.dirty, s.active = false, false
+	m.changed = true
+	s.refreshReferences(m.now)
+	for _, t := range s.targets {
+		if t.dirty || t.found.suspicious || t.out() {
+			t.dirty = false
+			t.found = s.examine(t, m.now)
 		}
+	}
+	for _, t := range s.targets {
 		if t.out() {
-			m.stepOut(s, t, symptoms[i].severity)
+			m.stepOut(s, t)
 		} else {
-			m.stepIn(s, t, symptoms[i].severity, common)
+			m.stepIn(s, t)
 		}
+		s.active = s.active || t.phase != StateHealthy || t.found.suspicious || t.claim != 0
 	}
 }
 
-// examineAll returns the symptoms and whether more than half of the targets that an edge observes are affected.
-func (m *Module) examineAll(s *service) (symptoms []symptom, common bool) {
-	symptoms = make([]symptom, len(s.targets))
-	observed, affected := 0, 0
-	for i, t := range s.targets {
-		symptoms[i] = s.examine(t, m.now)
-		if t.evidence.fresh(m.now) || t.own != 0 {
-			observed++
-		}
-		if symptoms[i].suspicious || t.own != 0 {
-			affected++
-		}
-	}
-	enough := observed >= max(widespreadMin, len(s.targets)/widespreadShare)
-	return symptoms, m.config.Observer == ObserverEdge && enough && 2*affected > observed
-}
-
-// stepIn ejects a target in service when its own symptom or the claim of its agent has stood for the settling time.
-func (m *Module) stepIn(s *service, t *target, found model.Severity, common bool) {
-	own := t.settled(found, m.now, s.thresholds.Settle)
-	if common && own != model.SeverityCrashed {
-		own = 0
-	}
-	claim := t.claim
-	if claim != model.SeverityCrashed && m.now.Sub(t.claimSince) < s.thresholds.Settle {
-		claim = 0
-	}
+// stepIn ejects a target in service when its own symptom or the claim of its agent has stood for long enough.
+func (m *Module) stepIn(s *service, t *target) {
+	own := m.standing(s, t)
+	claim := m.standingClaim(s, t)
 	switch {
 	case own != 0 || claim != 0:
 		t.own = own
@@ -63,20 +44,76 @@
 	}
 }
 
-// stepOut moves a target that is ejected or in probation; found is its symptom since the phase began.
-func (m *Module) stepOut(s *service, t *target, found model.Severity) {
+// standing returns the target's own symptom once it has stood long enough.
+func (m *Module) standing(s *service, t *target) model.Severity {
+	if t.found.severity == 0 {
+		t.pending = 0
+		return 0
+	}
+	if t.pending == 0 {
+		t.pendingSince = m.now
+	}
+	t.pending = t.found.severity
+	if m.config.Observer == ObserverAgent {
+		return m.after(t.pending, t.pendingSince, s.thresholds.Settle)
+	}
+	return m.confirmed(s, t, t.pending, t.found.class, t.pendingSince)
+}
+
+// standingClaim returns the agent's claim once it has stood long enough. A claim of slowness waits for the claims of the
+// other agents, as an agent without other targets of the service compares the target with its own past only.
+func (m *Module) standingClaim(s *service, t *target) model.Severity {
+	if t.claim == model.SeveritySlow && m.now.Sub(t.claimSince) < max(claimSpread, s.thresholds.Alone) {
+		return 0
+	}
+	return m.confirmed(s, t, t.claim, s.mainClass(), t.claimSince)
+}
+
+// confirmed waits shortly when the other targets work, longer when they are not observed, and for ever when they are
+// affected too. Crashes need no confirmation.
+func (m *Module) confirmed(s *service, t *target, severity model.Severity, class string, since time.Time) model.Severity {
+	if severity == 0 || severity == model.SeverityCrashed {
+		return severity
+	}
+	if class == "" {
+		class = s.mainClass()
+	}
+	switch s.ask(t, class, since) {
+	case opinionWell:
+		return m.after(severity, since, s.thresholds.Settle)
+	case opinionNone:
+		return m.after(severity, since, max(s.thresholds.Settle, s.thresholds.Alone))
+	default:
+		return 0
+	}
+}
+
+func (m *Module) after(severity model.Severity, since time.Time, wait time.Duration) model.Severity {
+	if severity != model.SeverityCrashed && m.now.Sub(since) < wait {
+		return 0
+	}
+	return severity
+}
+
+// stepOut moves a target that is ejected or in probation.
+func (m *Module) stepOut(s *service, t *target) {
+	if m.config.Observer == ObserverEdge && t.severity != model.SeverityCrashed && t.phase == StateEjected &&
+		s.ask(t, s.mainClass(), t.phaseSince) == opinionIll {
+		t.commonUntil = m.now.Add(waitMin)
+	}
 	switch {
 	case !t.honoured:
-		m.stepRetained(s, t, found)
+		m.stepRetained(s, t)
 	case t.phase == StateProbation:
-		m.stepProbation(s, t, found)
+		m.stepProbation(s, t)
 	case !m.now.Before(t.phaseEnds):
 		t.enter(StateProbation, m.now)
 	}
 }
 
 // stepRetained judges a target that still gets requests, as its ejection is not honoured or the observer is the agent.
-func (m *Module) stepRetained(s *service, t *target, found model.Severity) {
+func (m *Module) stepRetained(s *service, t *target) {
+	found := t.found.severity
 	recovered := found == 0 && t.evidence.good >= s.thresholds.MinSamples/2
 	if m.config.Observer == ObserverAgent {
 		// Only probation requests may reach the target, too few to clear the window of the error ratio and the median.
@@ -90,7 +127,8 @@
 	}
 }
 
-func (m *Module) stepProbation(s *service, t *target, found model.Severity) {
+func (m *Module) stepProbation(s *service, t *target) {
+	found := t.found.severity
 	succeeded := t.evidence.good >= s.thresholds.ProbationSuccesses
 	switch {
 	case t.evidence.bad || found != 0:
@@ -109,14 +147,15 @@
 	if s.idempotentAt.After(since) {
 		since = s.idempotentAt
 	}
-	if t.evidence.fresh(m.now) {
-		return false
-	}
-	return m.now.Sub(since) >= patience
+	return !t.evidence.fresh(m.now) && m.now.Sub(since) >= patience
 }
 
 // publish applies the floor and replaces the snapshot and the claims if they changed.
 func (m *Module) publish() []Cmd {
+	if !m.changed {
+		return nil
+	}
+	m.changed = false
 	next := &Snapshot{index: make(map[model.TargetRef]Verdict)}
 	var claims []model.Claim
 	for _, s := range m.services {
@@ -148,37 +187,3 @@
 	m.claims = claims
 	return []Cmd{ClaimsCmd{Claims: claims}}
 }
-
-func (s *Snapshot) add(t *target, thresholds Thresholds, now time.Time) {
-	v := Verdict{State: t.phase, Severity: t.severity, Weight: t.weight(now, thresholds.SlowStart), EvidenceFrom: t.evidenceFrom}
-	switch {
-	case t.out() && t.honoured:
-		v.Weight = 0
-	case t.out():
-		v.State, v.Weight = StateRetained, retainedWeight
-	}
-	if v.State == StateHealthy && v.EvidenceFrom.IsZero() {
-		return
-	}
-	s.Verdicts = append(s.Verdicts, TargetVerdict{Target: t.Ref, Verdict: v})
-	s.index[t.Ref] = v
-}
-
-func changes(old, next *Snapshot) []Cmd {
-	var cmds []Cmd
-	report := func(ref model.TargetRef) {
-		from, to := old.Verdict(ref), next.Verdict(ref)
-		if from.State != to.State {
-			cmds = append(cmds, VerdictCmd{Target: ref, From: from.State, To: to.State, Severity: to.Severity})
-		}
-	}
-	for _, v := range next.Verdicts {
-		report(v.Target)
-	}
-	for _, v := range old.Verdicts {
-		if _, found := next.index[v.Target]; !found {
-			report(v.Target)
-		}
-	}
-	return cmds
-}
--- a/internal/eject/evidence.go
+++ b/internal/eject/evidence.go
@@ -8,31 +8,44 @@
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
+// sample is the duration of one good request.
+type sample struct {
+	at   time.Time
+	took time.Duration
+}
+
 // classEvidence holds the observations of one request class at one target.
 type classEvidence struct {
-	durations [maxWindow]time.Duration
-	count     int
-	lastAt    time.Time
-	lastOK    time.Time
-	// baseline is the slow average of the target's own durations in seconds; it is frozen while the target is unhealthy.
-	baseline        float64
-	baselineCount   int
-	inFlight        int
-	oldestAge       time.Duration
-	oldestAt        time.Time
-	medianCached    time.Duration
-	medianCachedFor int
+	// samples is a ring; one sample per sampleSpacing is kept, so that it covers several seconds at any rate.
+	samples [maxWindow]sample
+	count   int
+	// errors counts the failures in a row; outcomes holds the last results, 1 for a failure.
+	errors   int
+	outcomes uint64
+	seen     int
+	lastAt   time.Time
+	lastOK   time.Time
+	// baseline is the slow average of the target's own durations in seconds.
+	baseline      float64
+	baselineCount int
+	inFlight      int
+	oldestAge     time.Duration
+	secondAge     time.Duration
+	reportedAt    time.Time
+	medianOf      medianCache
+}
+
+type medianCache struct {
+	count, window int
+	value         time.Duration
 }
 
 // evidence holds the observations of one target.
 type evidence struct {
-	classes     map[string]*classEvidence
-	errors      int
-	resets      int
-	paths       int
-	outcomes    uint64
-	outcomeSeen int
-	lastAt      time.Time
+	classes map[string]*classEvidence
+	resets  int
+	paths   int
+	lastAt  time.Time
 	// good counts the good results in a row.
 	good int
 	// bad tells that a bad result was seen since the evidence was reset.
@@ -51,8 +64,8 @@
 	return c
 }
 
-// record takes one result; slow tells that it took too long for its class.
-func (e *evidence) record(m ResultMsg, slow, learn bool) {
+// record takes one result; slow tells that it took too long for its class, gain is its share in the baseline.
+func (e *evidence) record(m ResultMsg, slow bool, gain float64) {
 	e.lastAt = m.Now
 	if m.Kind == KindPathFailure {
 		e.paths++
@@ -60,20 +73,26 @@
 		return
 	}
 	e.paths = 0
-	e.outcomeSeen = min(e.outcomeSeen+1, maxWindow)
-	e.outcomes <<= 1
-	if m.Kind == KindOK {
-		e.recordOK(m, slow, learn)
-		return
-	}
-	e.outcomes |= 1
-	e.errors++
-	if m.Kind == KindReset {
+	c := e.class(m.Class)
+	c.lastAt = m.Now
+	c.seen = min(c.seen+1, maxWindow)
+	c.outcomes <<= 1
+	switch m.Kind {
+	case KindOK:
+		e.resets = 0
+		c.recordOK(m, gain)
+	case KindReset:
 		e.resets++
-	} else {
+		c.recordFailure()
+	default:
 		e.resets = 0
+		c.recordFailure()
+	}
+	if m.Kind != KindOK || slow {
+		e.spoil()
+	} else {
+		e.good++
 	}
-	e.spoil()
 }
 
 func (e *evidence) spoil() {
@@ -81,26 +100,21 @@
 	e.good = 0
 }
 
-func (e *evidence) recordOK(m ResultMsg, slow, learn bool) {
-	e.errors, e.resets = 0, 0
-	if slow {
-		e.spoil()
-	} else {
-		e.good++
-	}
-	c := e.class(m.Class)
-	c.durations[c.count%maxWindow] = m.Duration
-	c.count++
-	c.lastAt, c.lastOK = m.Now, m.Now
-	if learn {
-		c.learn(m.Duration.Seconds())
-	}
+func (c *classEvidence) recordFailure() {
+	c.outcomes |= 1
+	c.errors++
 }
 
-func (c *classEvidence) learn(seconds float64) {
+func (c *classEvidence) recordOK(m ResultMsg, gain float64) {
+	c.errors = 0
+	c.lastOK = m.Now
 	c.baselineCount++
-	gain := max(baselineGain, 1/float64(c.baselineCount))
-	c.baseline += (seconds - c.baseline) * gain
+	c.baseline += (m.Duration.Seconds() - c.baseline) * max(gain, 1/float64(c.baselineCount))
+	if c.count > 0 && m.Now.Sub(c.samples[(c.count-1)%maxWindow].at) < sampleSpacing {
+		return
+	}
+	c.samples[c.count%maxWindow] = sample{at: m.Now, took: m.Duration}
+	c.count++
 }
 
 // reset forgets everything but the baselines, for a new start after a wait.
@@ -112,14 +126,15 @@
 }
 
 // errorRatio returns the share of failures among the last window results, and whether there are that many.
-func (e *evidence) errorRatio(window int) (float64, bool) {
-	if e.outcomeSeen < window {
+func (c *classEvidence) errorRatio(window int) (float64, bool) {
+	if c.seen < window {
 		return 0, false
 	}
 	mask := ^uint64(0) >> (maxWindow - window)
-	return float64(bits.OnesCount64(e.outcomes&mask)) / float64(window), true
+	return float64(bits.OnesCount64(c.outcomes&mask)) / float64(window), true
 }
 
+// fresh reports whether requests still reach the target.
 func (e *evidence) fresh(now time.Time) bool {
 	if !e.lastAt.IsZero() && now.Sub(e.lastAt) <= evidenceMaxAge {
 		return true
@@ -132,39 +147,50 @@
 	return false
 }
 
-// median returns the median of the last window durations, and whether there are that many.
+// median returns the median of the last window samples, and whether there are that many.
 func (c *classEvidence) median(window int) (time.Duration, bool) {
 	if c.count < window {
 		return 0, false
 	}
-	if c.medianCachedFor == c.count {
-		return c.medianCached, true
+	if m := c.medianOf; m.count == c.count && m.window == window {
+		return m.value, true
 	}
 	last := make([]time.Duration, 0, maxWindow)
 	for i := c.count - window; i < c.count; i++ {
-		last = append(last, c.durations[i%maxWindow])
+		last = append(last, c.samples[i%maxWindow].took)
 	}
-	slices.Sort(last)
-	c.medianCached, c.medianCachedFor = last[window/2], c.count
-	return c.medianCached, true
+	c.medianOf = medianCache{count: c.count, window: window, value: middle(last)}
+	return c.medianOf.value, true
 }
 
-// age returns the present age of the oldest request in flight.
-func (c *classEvidence) age(now time.Time) time.Duration {
-	if c.inFlight == 0 {
-		return 0
+// since appends the durations of the samples that ended at or after the time.
+func (c *classEvidence) since(from time.Time, list []time.Duration) []time.Duration {
+	for i := c.count - 1; i >= max(0, c.count-maxWindow); i-- {
+		s := c.samples[i%maxWindow]
+		if s.at.Before(from) {
+			break
+		}
+		list = append(list, s.took)
 	}
-	return c.oldestAge + now.Sub(c.oldestAt)
+	return list
+}
+
+func middle(list []time.Duration) time.Duration {
+	slices.Sort(list)
+	return list[len(list)/2]
 }
 
 // symptom is what the evidence of one target says before it is compared with the rest of the service.
 type symptom struct {
 	severity model.Severity
+	class    string
 	// suspicious tells that the target approaches a threshold; a common cause is recognized by it.
 	suspicious bool
 }
 
-func (s *symptom) raise(severity model.Severity) {
-	s.severity = max(s.severity, severity)
+func (s *symptom) raise(severity model.Severity, class string) {
 	s.suspicious = true
+	if severity > s.severity || severity == s.severity && class < s.class {
+		s.severity, s.class = severity, class
+	}
 }
--- a/internal/eject/inflight.go
+++ b/internal/eject/inflight.go
@@ -29,8 +29,8 @@
 	}
 }
 
-// oldest returns the number of requests that started at or after since, and the earliest start among them.
-func (s *startTimes) oldest(since int64) (count int, start int64) {
+// oldest returns the number of requests that started at or after since, and the two earliest starts among them.
+func (s *startTimes) oldest(since int64) (count int, first, second int64) {
 	for ; s != nil; s = s.next.Load() {
 		for i := range s.slots {
 			at := s.slots[i].Load()
@@ -38,12 +38,14 @@
 				continue
 			}
 			count++
-			if start == 0 || at < start {
-				start = at
+			if first == 0 || at < first {
+				first, second = at, first
+			} else if second == 0 || at < second {
+				second = at
 			}
 		}
 	}
-	return count, start
+	return count, first, second
 }
 
 // results is a stack of finished requests that any number of requests push to and the ticker drains.
--- a/internal/eject/message.go
+++ b/internal/eject/message.go
@@ -64,6 +64,8 @@
 	Class     string
 	Count     int
 	OldestAge time.Duration
+	// SecondAge is the age of the second oldest request, when there is one.
+	SecondAge time.Duration
 }
 
 // TickMsg moves the time and makes the module judge the evidence.
--- a/internal/eject/module.go
+++ b/internal/eject/module.go
@@ -18,6 +18,8 @@
 	histories map[historyKey]*history
 	claims    []model.Claim
 	snapshot  *Snapshot
+	// changed tells that a service was judged since the last publication.
+	changed bool
 }
 
 type historyKey struct{ service, id string }
@@ -26,13 +28,18 @@
 	spec       model.ServiceSpec
 	thresholds Thresholds
 	// slack is added to the duration from which a request counts as slow.
-	slack   time.Duration
+	slack time.Duration
+	// alone tells that the observer may compare a target with its own past, as an agent mostly has no others.
+	alone   bool
 	targets []*target
 	byRef   map[model.TargetRef]*target
 	refs    map[string]*reference
-	// dirty tells that new evidence came since the last judgement.
+	refsAt  time.Time
+	// dirty tells that evidence came since the last judgement, active that a target is not simply healthy.
 	dirty        bool
+	active       bool
 	idempotentAt time.Time
+	classCounts  map[string]int
 }
 
 // New returns a module without services.
@@ -93,18 +100,19 @@
 		m.services = append(m.services, s)
 	}
 	m.forgetHistories()
+	m.changed = true
 }
 
 func (m *Module) newService(item Service, old *service, first bool) *service {
 	s := &service{
 		spec: item.Spec, thresholds: m.config.Thresholds(item.Spec), slack: edgeSlack, dirty: true,
-		byRef: make(map[model.TargetRef]*target, len(item.Targets)),
+		byRef: make(map[model.TargetRef]*target, len(item.Targets)), classCounts: make(map[string]int),
 	}
 	if m.config.Observer == ObserverAgent {
-		s.slack = agentSlack
+		s.slack, s.alone = agentSlack, true
 	}
 	if old != nil {
-		s.refs, s.idempotentAt = old.refs, old.idempotentAt
+		s.idempotentAt, s.classCounts = old.idempotentAt, old.classCounts
 	}
 	for _, announced := range item.Targets {
 		t := m.adopt(announced, old, first)
@@ -157,7 +165,10 @@
 			if t.claim == 0 && severity != 0 {
 				t.claimSince = m.now
 			}
-			t.claim = severity
+			if t.claim != severity {
+				t.claim = severity
+				s.dirty = true
+			}
 		}
 		m.advance(s)
 	}
@@ -174,7 +185,7 @@
 	if msg.Kind == KindNone || m.now.Add(-msg.Duration).Before(t.evidenceFrom) {
 		return
 	}
-	limit, known := s.tooSlow(t, msg.Class, s.thresholds.SlowFactor)
+	limit, known := s.tooSlow(t, msg.Class)
 	slow := known && msg.Duration > limit
 	if msg.Kind == KindCanceled {
 		if !slow && msg.Duration < s.thresholds.StallAfter {
@@ -183,8 +194,13 @@
 		msg.Kind = KindTimeout
 	}
 	msg.Now = m.now
-	t.evidence.record(msg, slow, t.phase == StateHealthy && t.pending == 0)
-	s.dirty = true
+	gain := baselineGain
+	if t.phase != StateHealthy || t.found.suspicious {
+		gain = suspiciousGain
+	}
+	t.evidence.record(msg, slow, gain)
+	s.classCounts[msg.Class]++
+	s.dirty, t.dirty = true, true
 }
 
 func (m *Module) recordInFlight(msg InFlightMsg) {
@@ -193,8 +209,19 @@
 		return
 	}
 	c := t.evidence.class(msg.Class)
-	c.inFlight, c.oldestAge, c.oldestAt = msg.Count, msg.OldestAge, m.now
-	s.dirty = true
+	c.inFlight, c.oldestAge, c.secondAge, c.reportedAt = msg.Count, msg.OldestAge, msg.SecondAge, m.now
+	s.dirty, t.dirty = true, true
+}
+
+// mainClass returns the class with the most requests.
+func (s *service) mainClass() string {
+	main := ""
+	for name, n := range s.classCounts {
+		if n > s.classCounts[main] || n == s.classCounts[main] && name < main {
+			main = name
+		}
+	}
+	return main
 }
 
 func (m *Module) tick() {
--- a/internal/eject/settings.go
+++ b/internal/eject/settings.go
@@ -34,6 +34,8 @@
 	MinSamples        int
 	// Settle is how long a symptom must stand, so that a cause common to all targets shows at the others first.
 	Settle time.Duration
+	// Alone is how long it must stand when too few other targets are observed.
+	Alone time.Duration
 	// ProbationSuccesses is the number of good requests in a row that end probation.
 	ProbationSuccesses int
 	// SlowStart is how long the weight grows to 1 after probation.
@@ -63,14 +65,24 @@
 	maxWindow = 64
 	// peersNeeded is the number of other targets whose median is a usable reference.
 	peersNeeded = 2
-	// widespreadMin is the number of observed targets from which a common cause can be told.
-	widespreadMin = 3
-	// widespreadShare is the divisor of the announced targets that must be observed for the same purpose.
-	widespreadShare = 3
+	// peerSamples is the number of samples of other targets that make a comparison over the same time.
+	peerSamples = 5
+	// hintSamples is the number of samples after which a target can look slower than its own past.
+	hintSamples = 4
+	// sampleSpacing is the time between two kept durations: a pause of some tenths of a second can't fill the window.
+	sampleSpacing = 100 * time.Millisecond
+	// referenceInterval bounds the cost of the medians of all targets.
+	referenceInterval = time.Second
+	// singleFactor is how much older a single request must be than two to count as a stall.
+	singleFactor = 3
+	// claimSpread is the time in which the claims of all agents arrive by gossip.
+	claimSpread = 4 * time.Second
 	// baselineSamples is the number of samples after which the target's own baseline is usable.
 	baselineSamples = 50
 	// baselineGain is the share of a new sample in the baseline.
 	baselineGain = 1.0 / 256
+	// suspiciousGain is the share while the target looks unhealthy; it is not zero, so that a lasting change is learned.
+	suspiciousGain = 1.0 / 2048
 )
 
 // profileThresholds returns the thresholds of a profile; docs/measurements.md holds the curve they are chosen from.
@@ -78,12 +90,12 @@
 	if p == model.ProfileDetection {
 		return Thresholds{
 			StallAfter: time.Second, ConsecutiveErrors: 3, ErrorRatio: 0.4, SlowFactor: 2.5, MinSamples: 10,
-			Settle: 100 * time.Millisecond, ProbationSuccesses: 2, SlowStart: 5 * time.Second,
+			Settle: 100 * time.Millisecond, Alone: time.Second, ProbationSuccesses: 2, SlowStart: 5 * time.Second,
 		}
 	}
 	return Thresholds{
 		StallAfter: 3 * time.Second, ConsecutiveErrors: 7, ErrorRatio: 0.5, SlowFactor: 4, MinSamples: 20,
-		Settle: time.Second, ProbationSuccesses: 3, SlowStart: 10 * time.Second,
+		Settle: time.Second, Alone: 3 * time.Second, ProbationSuccesses: 3, SlowStart: 10 * time.Second,
 	}
 }
 
--- a/internal/eject/snapshot.go
+++ b/internal/eject/snapshot.go
@@ -82,3 +82,37 @@
 func (s State) MarshalText() ([]byte, error) {
 	return []byte(s.String()), nil
 }
+
+func (s *Snapshot) add(t *target, thresholds Thresholds, now time.Time) {
+	v := Verdict{State: t.phase, Severity: t.severity, Weight: t.weight(now, thresholds.SlowStart), EvidenceFrom: t.evidenceFrom}
+	switch {
+	case t.out() && t.honoured:
+		v.Weight = 0
+	case t.out():
+		v.State, v.Weight = StateRetained, retainedWeight
+	}
+	if v.State == StateHealthy && v.EvidenceFrom.IsZero() {
+		return
+	}
+	s.Verdicts = append(s.Verdicts, TargetVerdict{Target: t.Ref, Verdict: v})
+	s.index[t.Ref] = v
+}
+
+func changes(old, next *Snapshot) []Cmd {
+	var cmds []Cmd
+	report := func(ref model.TargetRef) {
+		from, to := old.Verdict(ref), next.Verdict(ref)
+		if from.State != to.State {
+			cmds = append(cmds, VerdictCmd{Target: ref, From: from.State, To: to.State, Severity: to.Severity})
+		}
+	}
+	for _, v := range next.Verdicts {
+		report(v.Target)
+	}
+	for _, v := range old.Verdicts {
+		if _, found := next.index[v.Target]; !found {
+			report(v.Target)
+		}
+	}
+	return cmds
+}
--- a/internal/eject/tracker.go
+++ b/internal/eject/tracker.go
@@ -225,14 +225,17 @@
 	if !from.IsZero() {
 		since = int64(from.Sub(t.base))
 	}
-	count, start := c.starts.oldest(since)
+	count, first, second := c.starts.oldest(since)
 	if count == 0 && !c.reported {
 		return
 	}
 	c.reported = count > 0
 	msg := InFlightMsg{Now: now, Target: k.target, Class: k.class, Count: count}
 	if count > 0 {
-		msg.OldestAge = max(0, now.Sub(t.base.Add(time.Duration(start))))
+		msg.OldestAge = max(0, now.Sub(t.base.Add(time.Duration(first))))
+	}
+	if count > 1 {
+		msg.SecondAge = max(0, now.Sub(t.base.Add(time.Duration(second))))
 	}
 	t.module.Update(msg)
 }
