eject: judge anew after a common cause, and prove recovery in the failed class

The last targets to recover from a store outage were ejected on evidence from the outage, because their suspended ejections took force as the others recovered. An ejection with a common cause is now undone and must be confirmed anew. Probation counts only requests of the class that had failed, as light requests passed it for a target that stalls all others.

--- a/internal/eject/cycle.go
+++ b/internal/eject/cycle.go
@@ -15,6 +15,8 @@
 	severity model.Severity
 	// own is the observer's own judgement; it stands until probation ends.
 	own model.Severity
+	// cause is the request class for which the target was ejected, if one is known.
+	cause string
 	// claim is the severity that the target's agent publishes.
 	claim model.Severity
 	// pending is the symptom that has not stood for the settling time yet.
@@ -28,9 +30,9 @@
 	// found is the symptom at the latest judgement; dirty tells that evidence came since.
 	found symptom
 	dirty bool
-	// commonUntil is the time up to which the target's symptom is taken as common to the service.
-	commonUntil time.Time
-	history     *history
+	// common tells that the ejection was not honoured because too many others are affected.
+	common  bool
+	history *history
 }
 
 // history outlives a target's restarts, so that a target that crashes again and again waits longer.
@@ -84,10 +86,12 @@
 	t.phaseEnds = now.Add(slowStart)
 }
 
-// pardon undoes an ejection that was never honoured, or whose cause was common to the service.
+// pardon undoes an ejection that was never honoured, or whose cause was common to the service. The evidence and the
+// claim must stand anew, so that the last targets to recover from a common cause are not ejected for old evidence.
 func (t *target) pardon(now time.Time) {
 	t.enter(StateHealthy, now)
 	t.own, t.severity = 0, 0
+	t.claimSince = now
 	t.history.ejections = max(0, t.history.ejections-1)
 }
 
--- a/internal/eject/decide.go
+++ b/internal/eject/decide.go
@@ -37,8 +37,9 @@
 	claim := m.standingClaim(s, t)
 	switch {
 	case own != 0 || claim != 0:
-		t.own = own
+		t.own, t.cause = own, t.found.class
 		t.eject(m.now, max(own, claim), m.rng)
+		t.evidence.proving = t.cause
 	case t.phase == StateSlowStart && !m.now.Before(t.phaseEnds):
 		t.phase = StateHealthy
 	}
@@ -78,7 +79,7 @@
 	if class == "" {
 		class = s.mainClass()
 	}
-	switch s.ask(t, class, since) {
+	switch s.ask(t, class, severity == model.SeveritySlow, since) {
 	case opinionWell:
 		return m.after(severity, since, s.thresholds.Settle)
 	case opinionNone:
@@ -97,27 +98,36 @@
 
 // stepOut moves a target that is ejected or in probation.
 func (m *Module) stepOut(s *service, t *target) {
-	if m.config.Observer == ObserverEdge && t.severity != model.SeverityCrashed && t.phase == StateEjected &&
-		s.ask(t, s.mainClass(), t.phaseSince) == opinionIll {
-		t.commonUntil = m.now.Add(waitMin)
-	}
 	switch {
+	case t.common || m.commonNow(s, t):
+		t.pardon(m.now)
 	case !t.honoured:
 		m.stepRetained(s, t)
 	case t.phase == StateProbation:
 		m.stepProbation(s, t)
 	case !m.now.Before(t.phaseEnds):
 		t.enter(StateProbation, m.now)
+		t.evidence.proving = t.cause
 	}
 }
 
+// commonNow reports whether the other targets turned out to be affected since the ejection.
+func (m *Module) commonNow(s *service, t *target) bool {
+	return m.config.Observer == ObserverEdge && t.severity != model.SeverityCrashed && t.phase == StateEjected &&
+		s.ask(t, s.mainClass(), t.severity == model.SeveritySlow, t.phaseSince) == opinionIll
+}
+
 // stepRetained judges a target that still gets requests, as its ejection is not honoured or the observer is the agent.
 func (m *Module) stepRetained(s *service, t *target) {
 	found := t.found.severity
 	recovered := found == 0 && t.evidence.good >= s.thresholds.MinSamples/2
 	if m.config.Observer == ObserverAgent {
 		// Only probation requests may reach the target, too few to clear the window of the error ratio and the median.
-		recovered = found < model.SeverityStalled && t.evidence.good >= s.thresholds.ProbationSuccesses
+		needed := s.thresholds.ProbationSuccesses
+		if t.own == model.SeveritySlow {
+			needed = max(needed, s.thresholds.MinSamples/2)
+		}
+		recovered = found < model.SeverityStalled && t.evidence.good >= needed
 	}
 	switch {
 	case t.claim != 0:
@@ -134,9 +144,10 @@
 	case t.evidence.bad || found != 0:
 		t.own = max(t.own, found, model.SeveritySlow)
 		t.eject(m.now, max(t.severity, found), m.rng)
+		t.evidence.proving = t.cause
 	case t.claim != 0:
 		// The agent sees all requests of the target and withdraws its claim; until then probation goes on.
-	case succeeded || m.outOfPatience(s, t):
+	case succeeded || m.outOfPatience(s, t) || m.proofMissing(t):
 		t.readmit(m.now, s.thresholds.SlowStart)
 	}
 }
@@ -150,6 +161,12 @@
 	return !t.evidence.fresh(m.now) && m.now.Sub(since) >= patience
 }
 
+// proofMissing reports whether good requests came all the time, but none of the class that had failed.
+func (m *Module) proofMissing(t *target) bool {
+	c := t.evidence.classes[t.cause]
+	return t.evidence.proving != "" && (c == nil || c.lastAt.IsZero() && c.inFlight == 0) && m.now.Sub(t.phaseSince) >= patience
+}
+
 // publish applies the floor and replaces the snapshot and the claims if they changed.
 func (m *Module) publish() []Cmd {
 	if !m.changed {
@@ -160,7 +177,7 @@
 	var claims []model.Claim
 	for _, s := range m.services {
 		if m.config.Observer == ObserverEdge {
-			s.honour(m.now)
+			s.honour()
 		}
 		for _, t := range s.targets {
 			next.add(t, s.thresholds, m.now)
--- a/internal/eject/evidence.go
+++ b/internal/eject/evidence.go
@@ -25,6 +25,8 @@
 	seen     int
 	lastAt   time.Time
 	lastOK   time.Time
+	// lastFast tells that the duration of the last good request was known not to be slow.
+	lastFast bool
 	// baseline is the slow average of the target's own durations in seconds.
 	baseline      float64
 	baselineCount int
@@ -46,8 +48,9 @@
 	resets  int
 	paths   int
 	lastAt  time.Time
-	// good counts the good results in a row.
-	good int
+	// good counts the good results in a row, of the class that proves the recovery if it is set.
+	good    int
+	proving string
 	// bad tells that a bad result was seen since the evidence was reset.
 	bad bool
 }
@@ -88,9 +91,10 @@
 		e.resets = 0
 		c.recordFailure()
 	}
-	if m.Kind != KindOK || slow {
+	switch {
+	case m.Kind != KindOK || slow:
 		e.spoil()
-	} else {
+	case e.proving == "" || e.proving == m.Class:
 		e.good++
 	}
 }
--- a/internal/eject/floor.go
+++ b/internal/eject/floor.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/auburnwinch/auburnwinch/internal/invar"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
@@ -14,20 +13,18 @@
 //
 // It takes the ranked ejections up to the first that does not fit. Taking smaller ones after it would let one more
 // claim replace several others, and the choosers would differ by more than their inputs.
-func (s *service) honour(now time.Time) {
+func (s *service) honour() {
 	announced := s.servingSlots()
 	inService, floor, allowed := announced, s.floor(), s.allowance()
 	for _, t := range s.targets {
-		t.honoured = false
+		t.honoured, t.common = false, false
 	}
 	for _, t := range s.unhealthy() {
 		if inService-t.Slots < floor {
 			break
 		}
 		if !allowed.take(t.severity) {
-			t.commonUntil = now.Add(waitMin)
-		}
-		if now.Before(t.commonUntil) {
+			t.common = true
 			continue
 		}
 		t.honoured = true
--- a/internal/eject/judge.go
+++ b/internal/eject/judge.go
@@ -138,7 +138,7 @@
 	}
 	factor := s.thresholds.SlowFactor
 	own, known := t.ownBaseline(name)
-	if recent, ok := c.median(hintSamples); ok && known && recent > s.scaled(own, 1+(factor-1)/2) {
+	if recent, ok := c.median(hintSamples); ok && s.slowerThanBefore(t, name, recent) {
 		found.suspicious = true
 	}
 	median, ok := c.median(s.thresholds.MinSamples)
@@ -155,6 +155,12 @@
 	}
 }
 
+// slowerThanBefore compares a duration with the target's own past, at half the rise that makes it slow.
+func (s *service) slowerThanBefore(t *target, class string, took time.Duration) bool {
+	own, known := t.ownBaseline(class)
+	return known && took > s.scaled(own, 1+(s.thresholds.SlowFactor-1)/2)
+}
+
 // slowerThanOthers compares the target with the others over the same stretch of time; it takes the shortest one in which
 // both have enough samples. Older samples of the others would make everything look slow when a common slowness begins.
 func (s *service) slowerThanOthers(t *target, class string, c *classEvidence, now time.Time) (slow, compared bool) {
@@ -195,22 +201,24 @@
 
 // ask looks at the results of the other targets since the symptom began; a class that works at a target says nothing
 // about the class that fails at another.
-func (s *service) ask(t *target, class string, since time.Time) opinion {
+//
+// One affected target is enough to doubt when none is known to work: a common cause reaches the busiest targets first.
+func (s *service) ask(t *target, class string, slowness bool, since time.Time) opinion {
 	well, ill := 0, 0
 	for _, o := range s.targets {
 		switch {
 		case o == t || o.State != model.TargetServing:
 		case o.affected(since):
 			ill++
-		case o.worked(class, since):
+		case o.worked(class, slowness, since):
 			well++
 		}
 	}
 	switch {
-	case well+ill < peersNeeded:
-		return opinionNone
-	case ill >= well:
+	case ill > 0 && ill >= well:
 		return opinionIll
+	case well < peersNeeded:
+		return opinionNone
 	default:
 		return opinionWell
 	}
@@ -231,7 +239,11 @@
 	return false
 }
 
-func (t *target) worked(class string, since time.Time) bool {
+// worked reports whether the target answered since the time, and was not slow if the question is about slowness.
+func (t *target) worked(class string, slowness bool, since time.Time) bool {
 	c := t.evidence.classes[class]
-	return c != nil && !t.out() && !c.lastOK.IsZero() && !c.lastOK.Before(since)
+	if c == nil || t.out() || c.lastOK.IsZero() || c.lastOK.Before(since) {
+		return false
+	}
+	return !slowness || c.lastFast
 }
--- a/internal/eject/module.go
+++ b/internal/eject/module.go
@@ -199,6 +199,9 @@
 		gain = suspiciousGain
 	}
 	t.evidence.record(msg, slow, gain)
+	if msg.Kind == KindOK {
+		t.evidence.class(msg.Class).lastFast = known && !slow && !s.slowerThanBefore(t, msg.Class, msg.Duration)
+	}
 	s.classCounts[msg.Class]++
 	s.dirty, t.dirty = true, true
 }
