eject: doubt symptoms while they are widespread and for a gossip time after

Claims travel for seconds, so at the end of an outage the claims of the past met targets that work again, and each chooser ejected up to its floor.

--- a/internal/eject/decide.go
+++ b/internal/eject/decide.go
@@ -21,6 +21,9 @@
 			t.found = s.examine(t, m.now)
 		}
 	}
+	if s.widespread(m.now) {
+		s.doubtUntil = m.now.Add(claimSpread)
+	}
 	for _, t := range s.targets {
 		if t.out() {
 			m.stepOut(s, t)
@@ -58,7 +61,11 @@
 	if m.config.Observer == ObserverAgent {
 		return m.after(t.pending, t.pendingSince, s.thresholds.Settle)
 	}
-	return m.confirmed(s, t, t.pending, t.found.class, t.pendingSince)
+	severity, ill := m.confirmed(s, t, t.pending, t.found.class, t.pendingSince)
+	if ill {
+		t.pendingSince = m.now
+	}
+	return severity
 }
 
 // standingClaim returns the agent's claim once it has stood long enough. A claim of slowness waits for the claims of the
@@ -67,25 +74,38 @@
 	if t.claim == model.SeveritySlow && m.now.Sub(t.claimSince) < max(claimSpread, s.thresholds.Alone) {
 		return 0
 	}
-	return m.confirmed(s, t, t.claim, s.mainClass(), t.claimSince)
+	severity, ill := m.confirmed(s, t, t.claim, "", t.claimSince)
+	if ill {
+		t.claimSince = m.now
+	}
+	return severity
 }
 
 // confirmed waits shortly when the other targets work, longer when they are not observed, and for ever when they are
-// affected too. Crashes need no confirmation.
-func (m *Module) confirmed(s *service, t *target, severity model.Severity, class string, since time.Time) model.Severity {
+// affected too; ill reports that case. Crashes need no confirmation.
+func (m *Module) confirmed(
+	s *service, t *target, severity model.Severity, class string, since time.Time,
+) (standing model.Severity, ill bool) {
 	if severity == 0 || severity == model.SeverityCrashed {
-		return severity
+		return severity, false
 	}
 	if class == "" {
 		class = s.mainClass()
 	}
+	if m.now.Before(s.doubtUntil) {
+		return 0, true
+	}
 	switch s.ask(t, class, severity == model.SeveritySlow, since) {
 	case opinionWell:
-		return m.after(severity, since, s.thresholds.Settle)
+		return m.after(severity, since, s.thresholds.Settle), false
 	case opinionNone:
-		return m.after(severity, since, max(s.thresholds.Settle, s.thresholds.Alone))
+		wait := max(s.thresholds.Settle, s.thresholds.Alone)
+		if t.found.severity == 0 {
+			wait = max(wait, claimSpread)
+		}
+		return m.after(severity, since, wait), false
 	default:
-		return 0
+		return 0, true
 	}
 }
 
--- a/internal/eject/evidence.go
+++ b/internal/eject/evidence.go
@@ -25,8 +25,8 @@
 	seen     int
 	lastAt   time.Time
 	lastOK   time.Time
-	// lastFast tells that the duration of the last good request was known not to be slow.
-	lastFast bool
+	// pace is that of the last good request.
+	pace pace
 	// baseline is the slow average of the target's own durations in seconds.
 	baseline      float64
 	baselineCount int
@@ -37,6 +37,15 @@
 	medianOf      medianCache
 }
 
+// pace tells whether a good request took an unusual time.
+type pace uint8
+
+const (
+	paceUnknown pace = iota
+	paceFast
+	paceSlow
+)
+
 type medianCache struct {
 	count, window int
 	value         time.Duration
--- a/internal/eject/judge.go
+++ b/internal/eject/judge.go
@@ -210,8 +210,11 @@
 		case o == t || o.State != model.TargetServing:
 		case o.affected(since):
 			ill++
-		case o.worked(class, slowness, since):
+		case !o.worked(class, since):
+		case !slowness || o.evidence.classes[class].pace == paceFast:
 			well++
+		case o.evidence.classes[class].pace == paceSlow:
+			ill++
 		}
 	}
 	switch {
@@ -224,6 +227,25 @@
 	}
 }
 
+// widespread reports whether more than half of the announced targets are claimed, or most of those that were observed
+// lately look affected.
+func (s *service) widespread(now time.Time) bool {
+	class := s.mainClass()
+	claimed, affected, well := 0, 0, 0
+	for _, t := range s.targets {
+		if t.claim != 0 && t.claim != model.SeverityCrashed {
+			claimed++
+		}
+		switch {
+		case t.found.suspicious:
+			affected++
+		case t.worked(class, now.Add(-time.Second)):
+			well++
+		}
+	}
+	return len(s.targets) >= widespreadMin && (2*claimed > len(s.targets) || affected >= widespreadMin && affected > well)
+}
+
 func (t *target) affected(since time.Time) bool {
 	if t.out() {
 		return t.own != 0 && t.own != model.SeverityCrashed && !t.phaseSince.Before(since)
@@ -239,11 +261,20 @@
 	return false
 }
 
-// worked reports whether the target answered since the time, and was not slow if the question is about slowness.
-func (t *target) worked(class string, slowness bool, since time.Time) bool {
+// worked reports whether the target answered a request of the class since the time.
+func (t *target) worked(class string, since time.Time) bool {
 	c := t.evidence.classes[class]
-	if c == nil || t.out() || c.lastOK.IsZero() || c.lastOK.Before(since) {
-		return false
+	return c != nil && !t.out() && !c.lastOK.IsZero() && !c.lastOK.Before(since)
+}
+
+// paceOf compares a duration with those of the others and with the target's own past.
+func (s *service) paceOf(t *target, class string, took time.Duration, slow, known bool) pace {
+	switch {
+	case slow || s.slowerThanBefore(t, class, took):
+		return paceSlow
+	case known:
+		return paceFast
+	default:
+		return paceUnknown
 	}
-	return !slowness || c.lastFast
 }
--- a/internal/eject/module.go
+++ b/internal/eject/module.go
@@ -36,8 +36,10 @@
 	refs    map[string]*reference
 	refsAt  time.Time
 	// dirty tells that evidence came since the last judgement, active that a target is not simply healthy.
-	dirty        bool
-	active       bool
+	dirty  bool
+	active bool
+	// doubtUntil is the time up to which symptoms are taken as common to the service.
+	doubtUntil   time.Time
 	idempotentAt time.Time
 	classCounts  map[string]int
 }
@@ -112,7 +114,7 @@
 		s.slack, s.alone = agentSlack, true
 	}
 	if old != nil {
-		s.idempotentAt, s.classCounts = old.idempotentAt, old.classCounts
+		s.idempotentAt, s.classCounts, s.doubtUntil = old.idempotentAt, old.classCounts, old.doubtUntil
 	}
 	for _, announced := range item.Targets {
 		t := m.adopt(announced, old, first)
@@ -200,7 +202,7 @@
 	}
 	t.evidence.record(msg, slow, gain)
 	if msg.Kind == KindOK {
-		t.evidence.class(msg.Class).lastFast = known && !slow && !s.slowerThanBefore(t, msg.Class, msg.Duration)
+		t.evidence.class(msg.Class).pace = s.paceOf(t, msg.Class, msg.Duration, slow, known)
 	}
 	s.classCounts[msg.Class]++
 	s.dirty, t.dirty = true, true
--- a/internal/eject/settings.go
+++ b/internal/eject/settings.go
@@ -76,7 +76,9 @@
 	// singleFactor is how much older a single request must be than two to count as a stall.
 	singleFactor = 3
 	// claimSpread is the time in which the claims of all agents arrive by gossip.
-	claimSpread = 4 * time.Second
+	claimSpread = 3 * time.Second
+	// widespreadMin is the number of affected targets from which a common cause is suspected for a while.
+	widespreadMin = 3
 	// baselineSamples is the number of samples after which the target's own baseline is usable.
 	baselineSamples = 50
 	// baselineGain is the share of a new sample in the baseline.
