--- a/internal/eject/decide.go
+++ b/internal/eject/decide.go
@@ -16,21 +16,24 @@
 	m.changed = true
 	s.refreshReferences(m.now)
 	for _, t := range s.targets {
-		if t.dirty || t.found.suspicious || t.out() {
+		if t.dirty || t.found.hints(true) || t.out() {
 			t.dirty = false
 			t.found = s.examine(t, m.now)
 		}
 	}
-	if s.widespread(m.now) {
+	if s.widespread(false, m.now) {
 		s.doubtUntil = m.now.Add(claimSpread)
 	}
+	if s.widespread(true, m.now) {
+		s.slowDoubtUntil = m.now.Add(claimSpread)
+	}
 	for _, t := range s.targets {
 		if t.out() {
 			m.stepOut(s, t)
 		} else {
 			m.stepIn(s, t)
 		}
-		s.active = s.active || t.phase != StateHealthy || t.found.suspicious || t.claim != 0
+		s.active = s.active || t.phase != StateHealthy || t.found.hints(true) || t.claim != 0
 	}
 }
 
@@ -92,21 +95,33 @@
 	if class == "" {
 		class = s.mainClass()
 	}
-	if m.now.Before(s.doubtUntil) {
+	slowness := severity == model.SeveritySlow
+	if m.now.Before(s.doubtUntil) || slowness && m.now.Before(s.slowDoubtUntil) {
 		return 0, true
 	}
-	switch s.ask(t, class, severity == model.SeveritySlow, since) {
+	switch s.ask(t, class, slowness, since) {
+	case opinionIll:
+		return 0, true
 	case opinionWell:
 		return m.after(severity, since, s.thresholds.Settle), false
-	case opinionNone:
-		wait := max(s.thresholds.Settle, s.thresholds.Alone)
+	case opinionDoubt:
+		return m.afterAlone(s, severity, since, claimSpread), false
+	default:
+		// The agent's claim alone waits for the claims of the others, the edge's own sight does not.
 		if t.found.severity == 0 {
-			wait = max(wait, claimSpread)
+			return m.afterAlone(s, severity, since, claimSpread), false
 		}
-		return m.after(severity, since, wait), false
-	default:
-		return 0, true
+		return m.afterAlone(s, severity, since, s.thresholds.Settle), false
+	}
+}
+
+// afterAlone waits for at least the time without observed others. A slow target still serves, so an edge that can't
+// compare it leaves it in service.
+func (m *Module) afterAlone(s *service, severity model.Severity, since time.Time, wait time.Duration) model.Severity {
+	if severity == model.SeveritySlow {
+		return 0
 	}
+	return m.after(severity, since, max(wait, s.thresholds.Alone))
 }
 
 func (m *Module) after(severity model.Severity, since time.Time, wait time.Duration) model.Severity {
--- a/internal/eject/evidence.go
+++ b/internal/eject/evidence.go
@@ -197,13 +197,21 @@
 type symptom struct {
 	severity model.Severity
 	class    string
-	// suspicious tells that the target approaches a threshold; a common cause is recognized by it.
-	suspicious bool
+	// strained tells that the target approaches a threshold of errors or age, slowish that of slowness; a common cause is
+	// recognized by them.
+	strained bool
+	slowish  bool
 }
 
 func (s *symptom) raise(severity model.Severity, class string) {
-	s.suspicious = true
+	s.strained = s.strained || severity != model.SeveritySlow
+	s.slowish = s.slowish || severity == model.SeveritySlow
 	if severity > s.severity || severity == s.severity && class < s.class {
 		s.severity, s.class = severity, class
 	}
 }
+
+// hints reports whether the symptom says that the target may be affected by what slows or breaks others.
+func (s symptom) hints(slowness bool) bool {
+	return s.strained || slowness && s.slowish
+}
--- a/internal/eject/floor.go
+++ b/internal/eject/floor.go
@@ -48,7 +48,7 @@
 		}
 		serving++
 		switch {
-		case !t.out() && (t.found.suspicious || t.claim != 0 && t.claim != model.SeverityCrashed), t.out() && t.severity == model.SeveritySlow:
+		case !t.out() && (t.found.hints(true) || t.claim != 0 && t.claim != model.SeverityCrashed), t.out() && t.severity == model.SeveritySlow:
 			slow++
 			all++
 		case t.out() && t.severity != model.SeverityCrashed:
--- a/internal/eject/judge.go
+++ b/internal/eject/judge.go
@@ -76,32 +76,38 @@
 // examine derives the symptom of one target from its evidence.
 func (s *service) examine(t *target, now time.Time) symptom {
 	var found symptom
-	hint := max(1, s.thresholds.ConsecutiveErrors/2)
-	if t.evidence.resets >= max(2, hint) {
+	hint := s.hintErrors()
+	if t.evidence.resets >= hint {
 		found.raise(model.SeverityCrashed, "")
 	}
 	if t.evidence.paths >= s.thresholds.ConsecutiveErrors {
 		found.raise(model.SeverityStalled, "")
 	}
 	if t.evidence.paths >= hint {
-		found.suspicious = true
+		found.strained = true
 	}
 	for name, c := range t.evidence.classes {
-		s.examineErrors(name, c, &found)
+		s.examineErrors(name, c, now, &found)
 		s.examineStall(t, name, c, now, &found)
 		s.examineSlowness(t, name, c, now, &found)
 	}
 	return found
 }
 
-func (s *service) examineErrors(name string, c *classEvidence, found *symptom) {
+// hintErrors returns the errors in a row from which a target looks affected; a single one is noise.
+func (s *service) hintErrors() int { return max(2, s.thresholds.ConsecutiveErrors/2) }
+
+func (s *service) examineErrors(name string, c *classEvidence, now time.Time, found *symptom) {
+	if now.Sub(c.lastAt) > evidenceMaxAge {
+		return
+	}
 	limit := s.thresholds.ConsecutiveErrors
 	ratio, ok := c.errorRatio(s.thresholds.MinSamples)
 	if c.errors >= limit || ok && ratio >= s.thresholds.ErrorRatio {
 		found.raise(model.SeverityFailing, name)
 	}
-	if c.errors >= max(1, limit/2) || ok && ratio >= s.thresholds.ErrorRatio/2 {
-		found.suspicious = true
+	if c.errors >= s.hintErrors() || ok && ratio >= s.thresholds.ErrorRatio/2 {
+		found.strained = true
 	}
 }
 
@@ -128,7 +134,7 @@
 		found.raise(model.SeverityStalled, name)
 	}
 	if quiet >= threshold/2 {
-		found.suspicious = true
+		found.strained = true
 	}
 }
 
@@ -139,7 +145,7 @@
 	factor := s.thresholds.SlowFactor
 	own, known := t.ownBaseline(name)
 	if recent, ok := c.median(hintSamples); ok && s.slowerThanBefore(t, name, recent) {
-		found.suspicious = true
+		found.slowish = true
 	}
 	median, ok := c.median(s.thresholds.MinSamples)
 	if !ok {
@@ -195,6 +201,8 @@
 	opinionNone opinion = iota
 	// opinionWell means that most others work, so that the cause lies with the target.
 	opinionWell
+	// opinionDoubt means that too few others were observed, and one of them is affected.
+	opinionDoubt
 	// opinionIll means that at least half of the others are affected too.
 	opinionIll
 )
@@ -202,13 +210,14 @@
 // ask looks at the results of the other targets since the symptom began; a class that works at a target says nothing
 // about the class that fails at another.
 //
-// One affected target is enough to doubt when none is known to work: a common cause reaches the busiest targets first.
+// One affected target is enough to doubt for a while when none is known to work: a common cause reaches the busiest
+// targets first.
 func (s *service) ask(t *target, class string, slowness bool, since time.Time) opinion {
 	well, ill := 0, 0
 	for _, o := range s.targets {
 		switch {
 		case o == t || o.State != model.TargetServing:
-		case o.affected(since):
+		case o.affected(slowness, since):
 			ill++
 		case !o.worked(class, since):
 		case !slowness || o.evidence.classes[class].pace == paceFast:
@@ -218,26 +227,28 @@
 		}
 	}
 	switch {
-	case ill > 0 && ill >= well:
-		return opinionIll
-	case well < peersNeeded:
+	case well+ill < peersNeeded && ill > 0:
+		return opinionDoubt
+	case well+ill < peersNeeded:
 		return opinionNone
+	case ill >= well:
+		return opinionIll
 	default:
 		return opinionWell
 	}
 }
 
 // widespread reports whether more than half of the announced targets are claimed, or most of those that were observed
-// lately look affected.
-func (s *service) widespread(now time.Time) bool {
+// lately look affected; with slowness it includes those that are slow.
+func (s *service) widespread(slowness bool, now time.Time) bool {
 	class := s.mainClass()
 	claimed, affected, well := 0, 0, 0
 	for _, t := range s.targets {
-		if t.claim != 0 && t.claim != model.SeverityCrashed {
+		if t.claim != 0 && t.claim != model.SeverityCrashed && (slowness || t.claim != model.SeveritySlow) {
 			claimed++
 		}
 		switch {
-		case t.found.suspicious:
+		case t.found.hints(slowness):
 			affected++
 		case t.worked(class, now.Add(-time.Second)):
 			well++
@@ -246,11 +257,11 @@
 	return len(s.targets) >= widespreadMin && (2*claimed > len(s.targets) || affected >= widespreadMin && affected > well)
 }
 
-func (t *target) affected(since time.Time) bool {
+func (t *target) affected(slowness bool, since time.Time) bool {
 	if t.out() {
 		return t.own != 0 && t.own != model.SeverityCrashed && !t.phaseSince.Before(since)
 	}
-	if t.found.suspicious {
+	if t.found.hints(slowness) {
 		return true
 	}
 	for _, c := range t.evidence.classes {
--- a/internal/eject/module.go
+++ b/internal/eject/module.go
@@ -38,10 +38,11 @@
 	// dirty tells that evidence came since the last judgement, active that a target is not simply healthy.
 	dirty  bool
 	active bool
-	// doubtUntil is the time up to which symptoms are taken as common to the service.
-	doubtUntil   time.Time
-	idempotentAt time.Time
-	classCounts  map[string]int
+	// doubtUntil and slowDoubtUntil are the times up to which symptoms and slowness are taken as common to the service.
+	doubtUntil     time.Time
+	slowDoubtUntil time.Time
+	idempotentAt   time.Time
+	classCounts    map[string]int
 }
 
 // New returns a module without services.
@@ -114,7 +115,8 @@
 		s.slack, s.alone = agentSlack, true
 	}
 	if old != nil {
-		s.idempotentAt, s.classCounts, s.doubtUntil = old.idempotentAt, old.classCounts, old.doubtUntil
+		s.idempotentAt, s.classCounts = old.idempotentAt, old.classCounts
+		s.doubtUntil, s.slowDoubtUntil = old.doubtUntil, old.slowDoubtUntil
 	}
 	for _, announced := range item.Targets {
 		t := m.adopt(announced, old, first)
@@ -197,7 +199,7 @@
 	}
 	msg.Now = m.now
 	gain := baselineGain
-	if t.phase != StateHealthy || t.found.suspicious {
+	if t.phase != StateHealthy || t.found.hints(true) {
 		gain = suspiciousGain
 	}
 	t.evidence.record(msg, slow, gain)
