eject: let failures expire before the hints of the others, and learn baselines robustly

A count-based error window kept the failures of an outage at targets with few requests and ejected them 12 s after its end. The baseline of such a target took over a shared slowness within a few samples, so the others looked fast.

--- a/internal/eject/evidence.go
+++ b/internal/eject/evidence.go
@@ -25,6 +25,7 @@
 	seen     int
 	lastAt   time.Time
 	lastOK   time.Time
+	lastFail time.Time
 	// pace is that of the last good request.
 	pace pace
 	// baseline is the slow average of the target's own durations in seconds.
@@ -86,6 +87,9 @@
 	}
 	e.paths = 0
 	c := e.class(m.Class)
+	if m.Now.Sub(c.lastAt) > evidenceMaxAge {
+		c.seen = 0
+	}
 	c.lastAt = m.Now
 	c.seen = min(c.seen+1, maxWindow)
 	c.outcomes <<= 1
@@ -95,10 +99,10 @@
 		c.recordOK(m, gain)
 	case KindReset:
 		e.resets++
-		c.recordFailure()
+		c.recordFailure(m.Now)
 	default:
 		e.resets = 0
-		c.recordFailure()
+		c.recordFailure(m.Now)
 	}
 	switch {
 	case m.Kind != KindOK || slow:
@@ -113,16 +117,16 @@
 	e.good = 0
 }
 
-func (c *classEvidence) recordFailure() {
+func (c *classEvidence) recordFailure(now time.Time) {
 	c.outcomes |= 1
 	c.errors++
+	c.lastFail = now
 }
 
 func (c *classEvidence) recordOK(m ResultMsg, gain float64) {
 	c.errors = 0
 	c.lastOK = m.Now
-	c.baselineCount++
-	c.baseline += (m.Duration.Seconds() - c.baseline) * max(gain, 1/float64(c.baselineCount))
+	c.learn(m.Duration.Seconds(), gain)
 	if c.count > 0 && m.Now.Sub(c.samples[(c.count-1)%maxWindow].at) < sampleSpacing {
 		return
 	}
@@ -130,6 +134,17 @@
 	c.count++
 }
 
+// learn moves the baseline; once it is usable, one long request counts as twice the baseline at most.
+func (c *classEvidence) learn(seconds, gain float64) {
+	c.baselineCount++
+	if c.baselineCount <= baselineSamples {
+		gain = 1 / float64(c.baselineCount)
+	} else {
+		seconds = min(seconds, 2*c.baseline)
+	}
+	c.baseline += (seconds - c.baseline) * gain
+}
+
 // reset forgets everything but the baselines, for a new start after a wait.
 func (e *evidence) reset() {
 	for name, c := range e.classes {
--- a/internal/eject/settings.go
+++ b/internal/eject/settings.go
@@ -53,6 +53,9 @@
 	patience = 30 * time.Second
 	// evidenceMaxAge is the age after which an observation no longer counts as current.
 	evidenceMaxAge = 10 * time.Second
+	// failureMaxAge is the age after which the latest failure ejects no more. It is shorter than evidenceMaxAge, so that
+	// the failures of the others still count as a common cause.
+	failureMaxAge = evidenceMaxAge / 2
 	// retainedWeight is the weight of an unhealthy target that the floor keeps in service.
 	retainedWeight = 0.25
 	// slowStartFloor is the weight at the beginning of slow start.
@@ -84,7 +87,7 @@
 	// baselineGain is the share of a new sample in the baseline.
 	baselineGain = 1.0 / 256
 	// suspiciousGain is the share while the target looks unhealthy; it is not zero, so that a lasting change is learned.
-	suspiciousGain = 1.0 / 2048
+	suspiciousGain = 1.0 / 8192
 )
 
 // profileThresholds returns the thresholds of a profile; docs/measurements.md holds the curve they are chosen from.
