eject: a single hanging request of a rare class is no stall; add regression tests

An agent claimed a stall for one hanging request of a class with 1.5 requests/s while it answered all others, and every chooser ejected the target.

--- a/internal/eject/decide.go
+++ b/internal/eject/decide.go
@@ -74,7 +74,7 @@
 // standingClaim returns the agent's claim once it has stood long enough. A claim of slowness waits for the claims of the
 // other agents, as an agent without other targets of the service compares the target with its own past only.
 func (m *Module) standingClaim(s *service, t *target) model.Severity {
-	if t.claim == model.SeveritySlow && m.now.Sub(t.claimSince) < max(claimSpread, s.thresholds.Alone) {
+	if t.claim == model.SeveritySlow && m.now.Sub(t.claimSince) < max(claimSpread, 2*s.thresholds.Alone) {
 		return 0
 	}
 	severity, ill := m.confirmed(s, t, t.claim, "", t.claimSince)
--- a/internal/eject/evidence.go
+++ b/internal/eject/evidence.go
@@ -58,6 +58,7 @@
 	resets  int
 	paths   int
 	lastAt  time.Time
+	lastOK  time.Time
 	// good counts the good results in a row, of the class that proves the recovery if it is set.
 	good    int
 	proving string
@@ -95,7 +96,7 @@
 	c.outcomes <<= 1
 	switch m.Kind {
 	case KindOK:
-		e.resets = 0
+		e.resets, e.lastOK = 0, m.Now
 		c.recordOK(m, gain)
 	case KindReset:
 		e.resets++
--- a/internal/eject/judge.go
+++ b/internal/eject/judge.go
@@ -113,7 +113,9 @@
 
 // examineStall compares the age of what is in flight with the threshold, or with the class's usual time if longer.
 //
-// A single request may hang for its own reasons, so it must be singleFactor times as old as two must.
+// A single request may hang for its own reasons, so it must be singleFactor times as old as two must, and the target
+// must not have answered any other request meanwhile. With two, only answers of the same class count, because a
+// stalled target may still answer light requests.
 func (s *service) examineStall(t *target, name string, c *classEvidence, now time.Time, found *symptom) {
 	if c.inFlight == 0 {
 		return
@@ -123,12 +125,9 @@
 		threshold = max(threshold, slow)
 	}
 	waited := now.Sub(c.reportedAt)
-	quiet := (c.oldestAge + waited) / singleFactor
+	quiet := min((c.oldestAge+waited)/singleFactor, now.Sub(t.evidence.lastOK))
 	if c.inFlight > 1 {
-		quiet = max(quiet, c.secondAge+waited)
-	}
-	if !c.lastOK.IsZero() {
-		quiet = min(quiet, now.Sub(c.lastOK))
+		quiet = max(quiet, min(c.secondAge+waited, now.Sub(c.lastOK)))
 	}
 	if quiet >= threshold {
 		found.raise(model.SeverityStalled, name)
--- /dev/null
+++ b/internal/eject/regression_test.go
@@ -0,0 +1,160 @@
+package eject
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+func (r *rig) classResult(i int, class string, kind Kind, took time.Duration) {
+	r.module.Update(ResultMsg{Now: r.now, Target: ref(i), Class: class, Duration: took, Kind: kind, Idempotent: true})
+}
+
+// Guards against a target that answers light requests, as it answers probes, and so hides that it stalls all others.
+func TestLightRequestsHideNoFailure(t *testing.T) {
+	r := newRig(ObserverEdge, 12, 7, 50, model.ProfileDetection)
+	r.warm()
+	r.serve(3*time.Second, func(i int) (Kind, time.Duration) {
+		r.classResult(i, "light", KindOK, time.Millisecond)
+		return failing(3)(i)
+	})
+	require.False(t, r.module.Snapshot().Verdict(ref(3)).InService())
+	for range 1200 {
+		if r.state(3) == StateProbation {
+			r.classResult(3, "light", KindOK, time.Millisecond)
+			r.result(3, KindTimeout, 0)
+		}
+		r.tick(50 * time.Millisecond)
+		require.False(t, r.module.Snapshot().Verdict(ref(3)).InService(), "light requests must not end probation")
+	}
+}
+
+// Guards against taking one hanging request of a rare class for a stall while the target answers all others.
+func TestOneHangingRequestOfARareClass(t *testing.T) {
+	r := newRig(ObserverAgent, 1, 3, 1, model.ProfileDetection)
+	r.warm()
+	for i := range 200 {
+		age := time.Duration(i) * 50 * time.Millisecond
+		r.module.Update(InFlightMsg{Now: r.now, Target: ref(0), Class: "rare", Count: 1, OldestAge: age})
+		r.result(0, KindOK, 20*time.Millisecond)
+		r.tick(50 * time.Millisecond)
+	}
+	require.Empty(t, r.module.Claims())
+}
+
+// Guards against one noisy, idle target that counts as affected for ever and so prevents every ejection.
+func TestIdleNoisyTargetPreventsNoEjection(t *testing.T) {
+	r := newRig(ObserverEdge, 12, 7, 50, model.ProfileDetection)
+	r.warm()
+	for range 4 {
+		r.result(6, KindOK, 300*time.Millisecond)
+		r.result(7, KindError, time.Millisecond)
+		r.tick(200 * time.Millisecond)
+	}
+	r.tick(evidenceMaxAge)
+	for begin := r.now; r.state(3) != StateEjected; r.tick(50 * time.Millisecond) {
+		r.result(3, KindError, 0)
+		require.Less(t, r.now.Sub(begin), claimSpread+time.Second)
+	}
+}
+
+// Guards against ejecting on the failures of a common outage after its end, at targets with few requests.
+func TestOutageLeavesNoLateEjections(t *testing.T) {
+	for _, profile := range []model.Profile{model.ProfileCapacity, model.ProfileDetection} {
+		r := newRig(ObserverEdge, 12, 7, 50, profile)
+		r.warm()
+		r.serve(20*time.Second, func(int) (Kind, time.Duration) { return KindError, time.Millisecond })
+		r.tick(0)
+		for step := range 1200 { // One request in 600 ms, over all targets in turn.
+			if step%12 == 0 {
+				r.result(step/12%12, KindOK, 20*time.Millisecond)
+			}
+			r.tick(50 * time.Millisecond)
+			for i := range r.targets {
+				require.True(t, r.module.Snapshot().Verdict(ref(i)).InService())
+			}
+		}
+	}
+}
+
+// Guards against claims that arrive one after the other in a common outage, and are withdrawn so after it.
+func TestClaimsOfACommonOutageTravelSlowly(t *testing.T) {
+	for _, severity := range []model.Severity{model.SeveritySlow, model.SeverityFailing, model.SeverityStalled} {
+		r := newRig(ObserverEdge, 12, 7, 50, model.ProfileDetection)
+		r.warm()
+		check := func() {
+			for i := range r.targets {
+				require.True(t, r.module.Snapshot().Verdict(ref(i)).InService(), "severity %s", severity)
+			}
+		}
+		claimed := []int{}
+		for i := range 12 {
+			claimed = append(claimed, i)
+			r.claim(severity, claimed...)
+			r.serve(200*time.Millisecond, func(int) (Kind, time.Duration) { return KindError, 400 * time.Millisecond })
+			check()
+		}
+		r.serve(10*time.Second, func(int) (Kind, time.Duration) { return KindError, 400 * time.Millisecond })
+		for len(claimed) > 0 {
+			claimed = claimed[1:]
+			r.claim(severity, claimed...)
+			r.serve(200*time.Millisecond, healthy)
+			check()
+		}
+		r.serve(5*time.Second, healthy)
+		check()
+	}
+}
+
+// Guards against a baseline that takes over a shared slowness, so that all targets look fast again.
+func TestBaselineKeepsThePast(t *testing.T) {
+	r := newRig(ObserverAgent, 1, 7, 1, model.ProfileCapacity)
+	r.warm()
+	r.serve(20*time.Second, func(int) (Kind, time.Duration) { return KindOK, 200 * time.Millisecond })
+	own, known := r.module.byName[testService].targets[0].ownBaseline("read")
+	require.True(t, known)
+	require.Less(t, own, 40*time.Millisecond)
+	require.Len(t, r.module.Claims(), 1)
+}
+
+// Guards against a pause of some tenths of a second, as of a garbage collection, ejecting a busy target.
+func TestShortPauseIsNoSlowness(t *testing.T) {
+	r := newRig(ObserverEdge, 12, 7, 50, model.ProfileDetection)
+	r.warm()
+	r.serve(400*time.Millisecond, func(i int) (Kind, time.Duration) {
+		if i == 3 {
+			return KindOK, 400 * time.Millisecond
+		}
+		return healthy(i)
+	})
+	r.serve(5*time.Second, func(i int) (Kind, time.Duration) {
+		require.True(t, r.module.Snapshot().Verdict(ref(3)).InService())
+		return healthy(i)
+	})
+}
+
+// Guards against results that depend on the order of a map: the same messages must give the same verdicts.
+func TestSameMessagesSameVerdicts(t *testing.T) {
+	run := func() []TargetVerdict {
+		r := newRig(ObserverEdge, 12, 7, 50, model.ProfileDetection)
+		r.warm()
+		for n := range 400 {
+			for i := range 12 {
+				kind := KindOK
+				if (n*7+i*13)%5 == 0 {
+					kind = KindError
+				}
+				r.classResult(i, []string{"a", "b", "c"}[(n+i)%3], kind, time.Duration(20+(n*i)%300)*time.Millisecond)
+			}
+			if n%50 == 0 {
+				r.claim(model.Severity(1+n/50%4), n%12, (n+5)%12)
+			}
+			r.tick(50 * time.Millisecond)
+		}
+		return r.module.Snapshot().Verdicts
+	}
+	require.Equal(t, run(), run())
+}
