--- a/internal/eject/cycle.go
+++ b/internal/eject/cycle.go
@@ -15,6 +15,8 @@
 	severity model.Severity
 	// own is the observer's own judgement; it stands until probation ends.
 	own model.Severity
+	// cause is the request class for which the target was ejected, if one is known.
+	cause string
 	// claim is the severity that the target's agent publishes.
 	claim model.Severity
 	// pending is the symptom that has not stood for the settling time yet.
@@ -25,11 +27,12 @@
 	phaseEnds    time.Time
 	evidenceFrom time.Time
 	honoured     bool
-	// suspicious tells that the target approaches a threshold at the present judgement.
-	suspicious bool
-	// commonUntil is the time up to which the target's symptom is taken as common to the service.
-	commonUntil time.Time
-	history     *history
+	// found is the symptom at the latest judgement; dirty tells that evidence came since.
+	found symptom
+	dirty bool
+	// common tells that the ejection was not honoured because too many others are affected.
+	common  bool
+	history *history
 }
 
 // history outlives a target's restarts, so that a target that crashes again and again waits longer.
@@ -72,6 +75,7 @@
 	t.phase, t.phaseSince = phase, now
 	t.evidenceFrom = now
 	t.pending = 0
+	t.found = symptom{}
 	t.evidence.reset()
 }
 
@@ -82,29 +86,15 @@
 	t.phaseEnds = now.Add(slowStart)
 }
 
-// pardon undoes an ejection that was never honoured, or whose cause was common to the service.
+// pardon undoes an ejection that was never honoured, or whose cause was common to the service. The evidence and the
+// claim must stand anew, so that the last targets to recover from a common cause are not ejected for old evidence.
 func (t *target) pardon(now time.Time) {
 	t.enter(StateHealthy, now)
 	t.own, t.severity = 0, 0
+	t.claimSince = now
 	t.history.ejections = max(0, t.history.ejections-1)
 }
 
-// settled returns the symptom once it has stood for the settling time; crashes need no settling.
-func (t *target) settled(found model.Severity, now time.Time, settle time.Duration) model.Severity {
-	if found == 0 {
-		t.pending = 0
-		return 0
-	}
-	if t.pending == 0 {
-		t.pendingSince = now
-	}
-	t.pending = found
-	if found == model.SeverityCrashed || now.Sub(t.pendingSince) >= settle {
-		return found
-	}
-	return 0
-}
-
 // weight returns the share of the usual load; it moves in tenths, so that few snapshots are published.
 func (t *target) weight(now time.Time, slowStart time.Duration) float64 {
 	if t.phase != StateSlowStart || slowStart <= 0 {
--- a/internal/eject/decide.go
+++ b/internal/eject/decide.go
@@ -9,78 +9,160 @@
 
 // advance judges the evidence of one service and moves its targets through the cycle.
 func (m *Module) advance(s *service) {
-	if s.dirty {
-		s.refs = s.references()
-		s.dirty = false
-	}
-	symptoms, common := m.examineAll(s)
-	for i, t := range s.targets {
-		t.suspicious = symptoms[i].suspicious
-		if common && t.claim == 0 && t.severity != model.SeverityCrashed {
-			t.commonUntil = m.now.Add(waitMin)
+	if !s.dirty && !s.active {
+		return
+	}
+	s.dirty, s.active = false, false
+	m.changed = true
+	s.refreshReferences(m.now)
+	for _, t := range s.targets {
+		if t.dirty || t.found.hints(true) || t.out() {
+			t.dirty = false
+			t.found = s.examine(t, m.now)
 		}
+	}
+	if s.widespread(false, m.now) {
+		s.doubtUntil = m.now.Add(claimSpread)
+	}
+	if s.widespread(true, m.now) {
+		s.slowDoubtUntil = m.now.Add(claimSpread)
+	}
+	for _, t := range s.targets {
 		if t.out() {
-			m.stepOut(s, t, symptoms[i].severity)
+			m.stepOut(s, t)
 		} else {
-			m.stepIn(s, t, symptoms[i].severity, common)
-		}
-	}
-}
-
-// examineAll returns the symptoms and whether more than half of the targets that an edge observes are affected.
-func (m *Module) examineAll(s *service) (symptoms []symptom, common bool) {
-	symptoms = make([]symptom, len(s.targets))
-	observed, affected := 0, 0
-	for i, t := range s.targets {
-		symptoms[i] = s.examine(t, m.now)
-		if t.evidence.fresh(m.now) || t.own != 0 {
-			observed++
-		}
-		if symptoms[i].suspicious || t.own != 0 {
-			affected++
+			m.stepIn(s, t)
 		}
+		s.active = s.active || t.phase != StateHealthy || t.found.hints(true) || t.claim != 0
 	}
-	enough := observed >= max(widespreadMin, len(s.targets)/widespreadShare)
-	return symptoms, m.config.Observer == ObserverEdge && enough && 2*affected > observed
 }
 
-// stepIn ejects a target in service when its own symptom or the claim of its agent has stood for the settling time.
-func (m *Module) stepIn(s *service, t *target, found model.Severity, common bool) {
-	own := t.settled(found, m.now, s.thresholds.Settle)
-	if common && own != model.SeverityCrashed {
-		own = 0
-	}
-	claim := t.claim
-	if claim != model.SeverityCrashed && m.now.Sub(t.claimSince) < s.thresholds.Settle {
-		claim = 0
-	}
+// stepIn ejects a target in service when its own symptom or the claim of its agent has stood for long enough.
+func (m *Module) stepIn(s *service, t *target) {
+	own := m.standing(s, t)
+	claim := m.standingClaim(s, t)
 	switch {
 	case own != 0 || claim != 0:
-		t.own = own
+		t.own, t.cause = own, t.found.class
 		t.eject(m.now, max(own, claim), m.rng)
+		t.evidence.proving = t.cause
 	case t.phase == StateSlowStart && !m.now.Before(t.phaseEnds):
 		t.phase = StateHealthy
 	}
 }
 
-// stepOut moves a target that is ejected or in probation; found is its symptom since the phase began.
-func (m *Module) stepOut(s *service, t *target, found model.Severity) {
+// standing returns the target's own symptom once it has stood long enough.
+func (m *Module) standing(s *service, t *target) model.Severity {
+	if t.found.severity == 0 {
+		t.pending = 0
+		return 0
+	}
+	if t.pending == 0 {
+		t.pendingSince = m.now
+	}
+	t.pending = t.found.severity
+	if m.config.Observer == ObserverAgent {
+		return m.after(t.pending, t.pendingSince, s.thresholds.Settle)
+	}
+	severity, ill := m.confirmed(s, t, t.pending, t.found.class, t.pendingSince)
+	if ill {
+		t.pendingSince = m.now
+	}
+	return severity
+}
+
+// standingClaim returns the agent's claim once it has stood long enough. A claim of slowness waits for the claims of the
+// other agents, as an agent without other targets of the service compares the target with its own past only.
+func (m *Module) standingClaim(s *service, t *target) model.Severity {
+	if t.claim == model.SeveritySlow && m.now.Sub(t.claimSince) < max(claimSpread, 2*s.thresholds.Alone) {
+		return 0
+	}
+	severity, ill := m.confirmed(s, t, t.claim, "", t.claimSince)
+	if ill {
+		t.claimSince = m.now
+	}
+	return severity
+}
+
+// confirmed waits shortly when the other targets work, longer when they are not observed, and for ever when they are
+// affected too; ill reports that case. Crashes need no confirmation.
+func (m *Module) confirmed(
+	s *service, t *target, severity model.Severity, class string, since time.Time,
+) (standing model.Severity, ill bool) {
+	if severity == 0 || severity == model.SeverityCrashed {
+		return severity, false
+	}
+	if class == "" {
+		class = s.mainClass()
+	}
+	slowness := severity == model.SeveritySlow
+	if m.now.Before(s.doubtUntil) || slowness && m.now.Before(s.slowDoubtUntil) {
+		return 0, true
+	}
+	switch s.ask(t, class, slowness, since) {
+	case opinionIll:
+		return 0, true
+	case opinionWell:
+		return m.after(severity, since, s.thresholds.Settle), false
+	case opinionDoubt:
+		return m.afterAlone(s, severity, since, claimSpread), false
+	default:
+		// The agent's claim alone waits for the claims of the others, the edge's own sight does not.
+		if t.found.severity == 0 {
+			return m.afterAlone(s, severity, since, claimSpread), false
+		}
+		return m.afterAlone(s, severity, since, s.thresholds.Settle), false
+	}
+}
+
+// afterAlone waits for at least the time without observed others. A slow target still serves, so an edge that can't
+// compare it leaves it in service.
+func (m *Module) afterAlone(s *service, severity model.Severity, since time.Time, wait time.Duration) model.Severity {
+	if severity == model.SeveritySlow {
+		return 0
+	}
+	return m.after(severity, since, max(wait, s.thresholds.Alone))
+}
+
+func (m *Module) after(severity model.Severity, since time.Time, wait time.Duration) model.Severity {
+	if severity != model.SeverityCrashed && m.now.Sub(since) < wait {
+		return 0
+	}
+	return severity
+}
+
+// stepOut moves a target that is ejected or in probation.
+func (m *Module) stepOut(s *service, t *target) {
 	switch {
+	case t.common || m.commonNow(s, t):
+		t.pardon(m.now)
 	case !t.honoured:
-		m.stepRetained(s, t, found)
+		m.stepRetained(s, t)
 	case t.phase == StateProbation:
-		m.stepProbation(s, t, found)
+		m.stepProbation(s, t)
 	case !m.now.Before(t.phaseEnds):
 		t.enter(StateProbation, m.now)
+		t.evidence.proving = t.cause
 	}
 }
 
+// commonNow reports whether the other targets turned out to be affected since the ejection.
+func (m *Module) commonNow(s *service, t *target) bool {
+	return m.config.Observer == ObserverEdge && t.severity != model.SeverityCrashed && t.phase == StateEjected &&
+		s.ask(t, s.mainClass(), t.severity == model.SeveritySlow, t.phaseSince) == opinionIll
+}
+
 // stepRetained judges a target that still gets requests, as its ejection is not honoured or the observer is the agent.
-func (m *Module) stepRetained(s *service, t *target, found model.Severity) {
+func (m *Module) stepRetained(s *service, t *target) {
+	found := t.found.severity
 	recovered := found == 0 && t.evidence.good >= s.thresholds.MinSamples/2
 	if m.config.Observer == ObserverAgent {
 		// Only probation requests may reach the target, too few to clear the window of the error ratio and the median.
-		recovered = found < model.SeverityStalled && t.evidence.good >= s.thresholds.ProbationSuccesses
+		needed := s.thresholds.ProbationSuccesses
+		if t.own == model.SeveritySlow {
+			needed = max(needed, s.thresholds.MinSamples/2)
+		}
+		recovered = found < model.SeverityStalled && t.evidence.good >= needed
 	}
 	switch {
 	case t.claim != 0:
@@ -90,15 +172,17 @@
 	}
 }
 
-func (m *Module) stepProbation(s *service, t *target, found model.Severity) {
+func (m *Module) stepProbation(s *service, t *target) {
+	found := t.found.severity
 	succeeded := t.evidence.good >= s.thresholds.ProbationSuccesses
 	switch {
 	case t.evidence.bad || found != 0:
 		t.own = max(t.own, found, model.SeveritySlow)
 		t.eject(m.now, max(t.severity, found), m.rng)
+		t.evidence.proving = t.cause
 	case t.claim != 0:
 		// The agent sees all requests of the target and withdraws its claim; until then probation goes on.
-	case succeeded || m.outOfPatience(s, t):
+	case succeeded || m.outOfPatience(s, t) || m.proofMissing(t):
 		t.readmit(m.now, s.thresholds.SlowStart)
 	}
 }
@@ -109,19 +193,26 @@
 	if s.idempotentAt.After(since) {
 		since = s.idempotentAt
 	}
-	if t.evidence.fresh(m.now) {
-		return false
-	}
-	return m.now.Sub(since) >= patience
+	return !t.evidence.fresh(m.now) && m.now.Sub(since) >= patience
+}
+
+// proofMissing reports whether good requests came all the time, but none of the class that had failed.
+func (m *Module) proofMissing(t *target) bool {
+	c := t.evidence.classes[t.cause]
+	return t.evidence.proving != "" && (c == nil || c.lastAt.IsZero() && c.inFlight == 0) && m.now.Sub(t.phaseSince) >= patience
 }
 
 // publish applies the floor and replaces the snapshot and the claims if they changed.
 func (m *Module) publish() []Cmd {
+	if !m.changed {
+		return nil
+	}
+	m.changed = false
 	next := &Snapshot{index: make(map[model.TargetRef]Verdict)}
 	var claims []model.Claim
 	for _, s := range m.services {
 		if m.config.Observer == ObserverEdge {
-			s.honour(m.now)
+			s.honour()
 		}
 		for _, t := range s.targets {
 			next.add(t, s.thresholds, m.now)
@@ -148,37 +239,3 @@
 	m.claims = claims
 	return []Cmd{ClaimsCmd{Claims: claims}}
 }
-
-func (s *Snapshot) add(t *target, thresholds Thresholds, now time.Time) {
-	v := Verdict{State: t.phase, Severity: t.severity, Weight: t.weight(now, thresholds.SlowStart), EvidenceFrom: t.evidenceFrom}
-	switch {
-	case t.out() && t.honoured:
-		v.Weight = 0
-	case t.out():
-		v.State, v.Weight = StateRetained, retainedWeight
-	}
-	if v.State == StateHealthy && v.EvidenceFrom.IsZero() {
-		return
-	}
-	s.Verdicts = append(s.Verdicts, TargetVerdict{Target: t.Ref, Verdict: v})
-	s.index[t.Ref] = v
-}
-
-func changes(old, next *Snapshot) []Cmd {
-	var cmds []Cmd
-	report := func(ref model.TargetRef) {
-		from, to := old.Verdict(ref), next.Verdict(ref)
-		if from.State != to.State {
-			cmds = append(cmds, VerdictCmd{Target: ref, From: from.State, To: to.State, Severity: to.Severity})
-		}
-	}
-	for _, v := range next.Verdicts {
-		report(v.Target)
-	}
-	for _, v := range old.Verdicts {
-		if _, found := next.index[v.Target]; !found {
-			report(v.Target)
-		}
-	}
-	return cmds
-}
--- a/internal/eject/module.go
+++ b/internal/eject/module.go
@@ -18,6 +18,8 @@
 	histories map[historyKey]*history
 	claims    []model.Claim
 	snapshot  *Snapshot
+	// changed tells that a service was judged since the last publication.
+	changed bool
 }
 
 type historyKey struct{ service, id string }
@@ -26,17 +28,28 @@
 	spec       model.ServiceSpec
 	thresholds Thresholds
 	// slack is added to the duration from which a request counts as slow.
-	slack   time.Duration
+	slack time.Duration
+	// alone tells that the observer may compare a target with its own past, as an agent mostly has no others.
+	alone   bool
 	targets []*target
 	byRef   map[model.TargetRef]*target
 	refs    map[string]*reference
-	// dirty tells that new evidence came since the last judgement.
-	dirty        bool
-	idempotentAt time.Time
+	refsAt  time.Time
+	// dirty tells that evidence came since the last judgement, active that a target is not simply healthy.
+	dirty  bool
+	active bool
+	// doubtUntil and slowDoubtUntil are the times up to which symptoms and slowness are taken as common to the service.
+	doubtUntil     time.Time
+	slowDoubtUntil time.Time
+	idempotentAt   time.Time
+	classCounts    map[string]int
 }
 
 // New returns a module without services.
 func New(c Config) *Module {
+	if c.Thresholds == nil {
+		c.Thresholds = ThresholdsOf
+	}
 	return &Module{
 		config: c, rng: rand.New(rand.NewPCG(c.Seed, uint64(c.Observer))), byName: make(map[string]*service),
 		histories: make(map[historyKey]*history), snapshot: &Snapshot{},
@@ -90,18 +103,20 @@
 		m.services = append(m.services, s)
 	}
 	m.forgetHistories()
+	m.changed = true
 }
 
 func (m *Module) newService(item Service, old *service, first bool) *service {
 	s := &service{
-		spec: item.Spec, thresholds: ThresholdsOf(item.Spec), slack: edgeSlack, dirty: true,
-		byRef: make(map[model.TargetRef]*target, len(item.Targets)),
+		spec: item.Spec, thresholds: m.config.Thresholds(item.Spec), slack: edgeSlack, dirty: true,
+		byRef: make(map[model.TargetRef]*target, len(item.Targets)), classCounts: make(map[string]int),
 	}
 	if m.config.Observer == ObserverAgent {
-		s.slack = agentSlack
+		s.slack, s.alone = agentSlack, true
 	}
 	if old != nil {
-		s.refs, s.idempotentAt = old.refs, old.idempotentAt
+		s.idempotentAt, s.classCounts = old.idempotentAt, old.classCounts
+		s.doubtUntil, s.slowDoubtUntil = old.doubtUntil, old.slowDoubtUntil
 	}
 	for _, announced := range item.Targets {
 		t := m.adopt(announced, old, first)
@@ -128,7 +143,7 @@
 	}
 	t := &target{Target: announced, history: m.histories[key]}
 	if old != nil && !first {
-		t.readmit(m.now, ThresholdsOf(old.spec).SlowStart)
+		t.readmit(m.now, old.thresholds.SlowStart)
 	}
 	return t
 }
@@ -154,7 +169,10 @@
 			if t.claim == 0 && severity != 0 {
 				t.claimSince = m.now
 			}
-			t.claim = severity
+			if t.claim != severity {
+				t.claim = severity
+				s.dirty = true
+			}
 		}
 		m.advance(s)
 	}
@@ -171,7 +189,7 @@
 	if msg.Kind == KindNone || m.now.Add(-msg.Duration).Before(t.evidenceFrom) {
 		return
 	}
-	limit, known := s.tooSlow(t, msg.Class, s.thresholds.SlowFactor)
+	limit, known := s.tooSlow(t, msg.Class)
 	slow := known && msg.Duration > limit
 	if msg.Kind == KindCanceled {
 		if !slow && msg.Duration < s.thresholds.StallAfter {
@@ -180,8 +198,16 @@
 		msg.Kind = KindTimeout
 	}
 	msg.Now = m.now
-	t.evidence.record(msg, slow, t.phase == StateHealthy && t.pending == 0)
-	s.dirty = true
+	gain := baselineGain
+	if t.phase != StateHealthy || t.found.hints(true) {
+		gain = suspiciousGain
+	}
+	t.evidence.record(msg, slow, gain)
+	if msg.Kind == KindOK {
+		t.evidence.class(msg.Class).pace = s.paceOf(t, msg.Class, msg.Duration, slow, known)
+	}
+	s.classCounts[msg.Class]++
+	s.dirty, t.dirty = true, true
 }
 
 func (m *Module) recordInFlight(msg InFlightMsg) {
@@ -190,8 +216,19 @@
 		return
 	}
 	c := t.evidence.class(msg.Class)
-	c.inFlight, c.oldestAge, c.oldestAt = msg.Count, msg.OldestAge, m.now
-	s.dirty = true
+	c.inFlight, c.oldestAge, c.secondAge, c.reportedAt = msg.Count, msg.OldestAge, msg.SecondAge, m.now
+	s.dirty, t.dirty = true, true
+}
+
+// mainClass returns the class with the most requests.
+func (s *service) mainClass() string {
+	main := ""
+	for name, n := range s.classCounts {
+		if n > s.classCounts[main] || n == s.classCounts[main] && name < main {
+			main = name
+		}
+	}
+	return main
 }
 
 func (m *Module) tick() {
