once: check the protocol by exhaustive search

The model runs the real owner and ledger modules and the errand logic of the shell, message by message: 2 entrances, 3 agents, several sends of one key, letters that are lost, late or repeated, restarts, dropped epochs, a joining agent, handover, and a platform whose answers are lost after the effect.

Counterexample found (handover): send 0 holds the key at A without an attempt; A hands its keys to B; send 1 at B runs the key; A's edge gives up and tells send 0 not-run although the key ran. Change: a key that a send still holds is handed over as unknown (or as finished at its agent), so the successor never runs it.

Each removed safeguard leads to its known fault in at most 9 steps.

Run: go test -v -run 'Exhaustive|Removed' ./internal/once (without -race): 2,157,908 states with three sends in 9.9 s, complete, no violation.

--- a/internal/once/owner.go
+++ b/internal/once/owner.go
@@ -19,19 +19,10 @@
 	epochInterval = time.Minute
 	// epochsInBound starts a new epoch early, so that dropping one epoch frees at most a tenth of the bound.
 	epochsInBound = 10
-	// maxHops bounds how often a send follows a key from one holder to the next.
-	maxHops = 4
 	// reservedMark starts the unique part of the keys that the edge gives to sends without a key.
 	reservedMark = "!"
 )
 
-// Times after which a resend of the same key may learn more.
-const (
-	retryRunning  = time.Second
-	retryAgent    = 2 * time.Second
-	retryPlatform = 5 * time.Second
-)
-
 // Peers calls net/rpc methods of other nodes.
 type Peers interface {
 	Call(ctx context.Context, node model.Node, method string, args, reply any) error
@@ -87,16 +78,6 @@
 	_      [48]byte // keeps the locks of two shards off one cache line
 }
 
-// errand is one send, query or resolve call and what was learned for it so far.
-type errand struct {
-	key    string
-	id     keyID
-	send   Send
-	query  bool
-	answer *Answer
-	hops   int
-}
-
 // NewOwner returns an owner in epoch 1 that starts and drops epochs until Close.
 func NewOwner(c Config) (*Owner, error) {
 	if c.Self.Ref.IsZero() || c.Peers == nil || c.Claims == nil || c.Directory == nil {
@@ -258,19 +239,19 @@
 	row := plainRow(s.Account, s.Key)
 	token, err := o.claim(ctx, row)
 	if err != nil {
-		// An earlier send may have claimed and run the key, so this is no `not-run`.
-		return "", &Decision{Kind: KindUnknown, Reason: ReasonPlatformAway, RetryAfter: retryPlatform}
+		refusal := unclaimed()
+		return "", &refusal
 	}
 	return token + "." + row, nil
 }
 
-// claim repeats a failed write once: the conditional write returns the row when the first one took effect.
-func (o *Owner) claim(ctx context.Context, row string) (string, error) {
-	token, err := o.config.Claims.ClaimKey(ctx, row, o.Token())
-	if err != nil {
-		token, err = o.config.Claims.ClaimKey(ctx, row, o.Token())
+func (o *Owner) claim(ctx context.Context, row string) (token string, err error) {
+	for range claimTries {
+		if token, err = o.config.Claims.ClaimKey(ctx, row, o.Token()); err == nil {
+			return token, nil
+		}
 	}
-	return token, err
+	return "", err
 }
 
 func (o *Owner) carryOut(ctx context.Context, e *errand, cmd Cmd) Decision {
@@ -296,28 +277,9 @@
 	}
 }
 
-func (e *errand) decision(k Kind, reason string) Decision {
-	d := Decision{Kind: k, Key: e.key, Reason: reason}
-	switch {
-	case k == KindAnswer && e.query:
-	case k == KindAnswer && e.answer == nil:
-		d.Kind, d.Reason = KindUnknown, ReasonAnswerNotKept
-	case k == KindAnswer:
-		d.Answer = e.answer
-	case k == KindInProgress:
-		d.RetryAfter = retryRunning
-	case reason == ReasonAgentGone, reason == ReasonOwnerGone, reason == ReasonNeverSeen, reason == ReasonLeaving:
-		d.RetryAfter = retryAgent
-	}
-	return d
-}
-
 func (o *Owner) fence(ctx context.Context, e *errand, c FenceCmd) Cmd {
 	reply := o.fenceCall(ctx, e, *c.Agent)
-	e.answer = reply.Answer
-	return o.update(e.id, FenceReplyMsg{
-		Now: o.now(), ID: e.id, Purpose: c.Purpose, State: reply.State, Requester: c.Requester,
-	})
+	return o.update(e.id, e.fenced(o.now(), c, reply))
 }
 
 func (o *Owner) fenceCall(ctx context.Context, e *errand, agent model.Node) FenceReply {
@@ -347,17 +309,7 @@
 
 func (o *Owner) fetch(ctx context.Context, e *errand, c FetchCmd) Decision {
 	reply, err := o.lookupCall(ctx, e, *c.Agent, o.fingerprint(e))
-	switch {
-	case err != nil:
-		return e.decision(KindUnknown, ReasonAgentGone)
-	case reply.State == FenceRunning:
-		return e.decision(KindInProgress, ReasonRunning)
-	case reply.State == FenceDone:
-		e.answer = reply.Answer
-		return e.decision(KindAnswer, "")
-	default:
-		return e.decision(KindUnknown, ReasonAnswerNotKept)
-	}
+	return e.fetched(reply, err == nil)
 }
 
 func (o *Owner) lookupCall(ctx context.Context, e *errand, agent model.Node, fingerprint uint64) (FenceReply, error) {
@@ -375,56 +327,38 @@
 	return o.config.Ledger != nil && agent.Ref == o.config.Self.Ref
 }
 
-// ask returns the next command, or the decision when there is none.
+// ask follows the key to its holder and returns the next command, or the decision when there is none.
 func (o *Owner) ask(ctx context.Context, e *errand, c AskCmd) (Cmd, Decision) {
-	if e.hops++; e.hops > maxHops {
-		return nil, e.decision(KindUnknown, ReasonOwnerGone)
-	}
-	if c.Holder == o.config.Self.Ref {
-		if e.query || c.Generation == 0 {
-			return nil, e.decision(KindUnknown, ReasonNeverSeen)
-		}
-		return o.granted(e, c.Generation), Decision{}
+	t := e.follow(o.now(), o.config.Self.Ref, c)
+	if t.Call {
+		reply, ok := o.resolveCall(ctx, e, c)
+		successor, _ := o.config.Directory.Successor(c.Holder)
+		t = e.followed(o.now(), c, reply, ok, successor.Ref)
 	}
-	reply, ok := o.resolveCall(ctx, e, c)
 	switch {
-	case !ok:
-		return o.withoutHolder(ctx, e, c)
-	case reply.Granted:
-		return o.granted(e, reply.Generation), Decision{}
-	case reply.Moved:
-		return AskCmd{Holder: reply.Holder, Generation: reply.Generation}, Decision{}
+	case t.Msg != nil:
+		return o.update(e.id, t.Msg), Decision{}
+	case t.Cmd != nil:
+		return t.Cmd, Decision{}
+	case t.Lookup:
+		return nil, e.evidence(o.lookups(ctx, e))
 	default:
-		e.answer = reply.Answer
-		return nil, e.decision(reply.Kind, reply.Reason)
+		return nil, t.Decision
 	}
 }
 
-func (o *Owner) granted(e *errand, generation uint32) Cmd {
-	return o.update(e.id, GrantMsg{
-		Now: o.now(), ID: e.id, Fingerprint: e.send.Fingerprint, Generation: generation,
-	})
-}
-
 func (o *Owner) resolveCall(ctx context.Context, e *errand, c AskCmd) (ResolveReply, bool) {
 	node, ok := o.config.Directory.Node(c.Holder)
 	if !ok {
 		return ResolveReply{}, false
 	}
-	args := ResolveArgs{
-		Holder: c.Holder, Requester: o.config.Self.Ref, Key: e.key,
-		Fingerprint: e.send.Fingerprint, Generation: c.Generation, Query: e.query,
-	}
 	reply := ResolveReply{}
-	err := o.config.Peers.Call(ctx, node, methodResolve, args, &reply)
-	return reply, err == nil && !reply.Gone
+	err := o.config.Peers.Call(ctx, node, methodResolve, e.resolveArgs(o.config.Self.Ref, c), &reply)
+	return reply, err == nil
 }
 
-// withoutHolder asks the successor of a holder that is gone, or the agents of the service for evidence.
-func (o *Owner) withoutHolder(ctx context.Context, e *errand, c AskCmd) (Cmd, Decision) {
-	if successor, ok := o.config.Directory.Successor(c.Holder); ok && successor.Ref != c.Holder {
-		return AskCmd{Holder: successor.Ref}, Decision{}
-	}
+// lookups asks all agents of the service what they know about the key.
+func (o *Owner) lookups(ctx context.Context, e *errand) []FenceReply {
 	agents := o.config.Directory.Agents(e.send.Service)
 	replies := make([]FenceReply, len(agents))
 	var wg conc.WaitGroup
@@ -436,24 +370,7 @@
 		})
 	}
 	wg.Wait()
-	return nil, e.evidence(replies)
-}
-
-// evidence decides by what the agents know; without a positive answer the key may have run at an agent that is gone.
-func (e *errand) evidence(replies []FenceReply) Decision {
-	decision := e.decision(KindUnknown, ReasonOwnerGone)
-	for _, r := range replies {
-		switch r.State {
-		case FenceDone:
-			e.answer = r.Answer
-			return e.decision(KindAnswer, "")
-		case FenceRunning:
-			return e.decision(KindInProgress, ReasonRunning)
-		case FenceBroken, FenceMismatch:
-			decision = e.decision(KindUnknown, r.State.reason())
-		}
-	}
-	return decision
+	return replies
 }
 
 // serve answers a requester's Keys.Resolve.
@@ -471,24 +388,10 @@
 	if f, ok := cmd.(FenceCmd); ok {
 		cmd = o.fence(ctx, e, f)
 	}
-	switch c := cmd.(type) {
-	case GrantCmd:
-		return ResolveReply{Granted: true, Generation: c.Generation}
-	case MovedCmd:
-		return ResolveReply{Moved: true, Holder: c.Holder, Generation: c.Generation}
-	case AskCmd:
-		return ResolveReply{Moved: true, Holder: c.Holder, Generation: c.Generation}
-	case FetchCmd:
-		return e.reply(o.fetch(ctx, e, c))
-	case DecideCmd:
-		return e.reply(e.decision(c.Kind, c.Reason))
-	default:
-		return ResolveReply{Kind: KindUnknown, Reason: ReasonOwnerGone}
+	if f, ok := cmd.(FetchCmd); ok {
+		return e.reply(o.fetch(ctx, e, f))
 	}
-}
-
-func (e *errand) reply(d Decision) ResolveReply {
-	return ResolveReply{Kind: d.Kind, Reason: d.Reason, Answer: d.Answer}
+	return e.served(cmd)
 }
 
 func (o *Owner) inherit(shard int, estate Estate) {
--- a/internal/once/owner_module.go
+++ b/internal/once/owner_module.go
@@ -451,8 +451,8 @@
 		Owner: id.Owner, Epoch: id.Epoch, Digest: key,
 		Fingerprint: r.Fingerprint, Generation: r.Generation, Phase: uint8(r.Phase),
 	}
-	if r.Phase == phaseFencing {
-		out.Phase = uint8(phaseSent)
+	if r.Held {
+		out.Phase = uint8(r.Phase.abandoned())
 	}
 	if r.Node != nil {
 		out.Node = *r.Node
@@ -460,6 +460,19 @@
 	return out
 }
 
+// abandoned returns the phase that the successor gets for a key which a send of this node still holds. The send may
+// tell its caller not-run, so the successor must never run the key; it may read the answer from the agent.
+func (p phase) abandoned() phase {
+	switch p {
+	case phaseIdle:
+		return phaseForgotten
+	case phaseSent, phaseFencing:
+		return phaseDone
+	default:
+		return p
+	}
+}
+
 func (m *ownerModule) inherit(msg InheritMsg) {
 	for _, d := range msg.Estate.Domains {
 		id := epochID{Owner: d.Owner, Epoch: d.Epoch}
@@ -482,8 +495,11 @@
 	if ok && own.Generation >= e.Generation || !m.shelf.accepts(id.epoch()) {
 		return
 	}
-	r := ownerRecord{Fingerprint: e.Fingerprint, Generation: e.Generation, Phase: phase(e.Phase), Node: &e.Node}
-	if r.Phase == phaseMoved && r.Node.Ref == m.self {
+	r := ownerRecord{Fingerprint: e.Fingerprint, Generation: e.Generation, Phase: phase(e.Phase)}
+	if !e.Node.Ref.IsZero() {
+		r.Node = &e.Node
+	}
+	if r.Phase == phaseMoved && e.Node.Ref == m.self {
 		r.Phase = phaseIdle // the grant to this node was lost on its way
 	}
 	if !ok {
--- a/internal/search/search.go
+++ b/internal/search/search.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,8 +19,8 @@
 type Model[S any] interface {
 	// Initial returns the state in which the search starts.
 	Initial() S
-	// Next calls visit for every state that one step reaches.
-	Next(s S, visit func(label string, next S))
+	// Next calls visit for every state that one step reaches; the label is only needed when it is called.
+	Next(s S, visit func(label func() string, next S))
 	// Print identifies the state.
 	Print(s S) Print
 	// Check returns what is wrong with the state, or an empty string.
@@ -50,12 +51,6 @@
 	Violation *Violation
 }
 
-// origin tells how a state was reached first.
-type origin struct {
-	parent Print
-	label  string
-}
-
 const stripes = 64
 
 // visited is the set of reached states, divided into stripes with a lock each.
@@ -64,8 +59,9 @@
 }
 
 type stripe struct {
-	mu      sync.Mutex
-	origins map[Print]origin
+	mu sync.Mutex
+	// parents holds, per reached state, the state from which it was reached first.
+	parents map[Print]Print
 }
 
 type explorer[S any] struct {
@@ -91,11 +87,11 @@
 	}
 	x := &explorer[S]{model: m, options: o}
 	for i := range x.visited.stripes {
-		x.visited.stripes[i].origins = make(map[Print]origin)
+		x.visited.stripes[i].parents = make(map[Print]Print)
 	}
 	start := time.Now()
 	first := m.Initial()
-	x.reach(first, Print{}, "")
+	x.reach(first, Print{})
 	frontier, depth := []S{first}, 0
 	for len(frontier) > 0 && x.bad == nil && (o.Limit == 0 || int(x.states.Load()) < o.Limit) {
 		frontier = x.level(frontier)
@@ -140,9 +136,9 @@
 
 func (x *explorer[S]) expand(s S, out []S) []S {
 	parent := x.model.Print(s)
-	x.model.Next(s, func(label string, next S) {
+	x.model.Next(s, func(_ func() string, next S) {
 		x.transitions.Add(1)
-		if x.reach(next, parent, label) {
+		if x.reach(next, parent) {
 			out = append(out, next)
 		}
 	})
@@ -150,9 +146,9 @@
 }
 
 // reach reports whether the state is new.
-func (x *explorer[S]) reach(s S, parent Print, label string) bool {
+func (x *explorer[S]) reach(s S, parent Print) bool {
 	p := x.model.Print(s)
-	if !x.visited.add(p, origin{parent: parent, label: label}) {
+	if !x.visited.add(p, parent) {
 		return false
 	}
 	x.states.Add(1)
@@ -170,38 +166,46 @@
 	}
 }
 
+// violation follows the parents back and repeats the steps to label them.
 func (x *explorer[S]) violation() *Violation {
 	if x.bad == nil {
 		return nil
 	}
+	s := x.model.Initial()
+	first := x.model.Print(s)
+	path := []Print{}
+	for p := x.bad.print; p != first; p = x.visited.parent(p) {
+		path = append(path, p)
+	}
 	v := &Violation{Problem: x.bad.problem}
-	for p := x.bad.print; ; {
-		o := x.visited.origin(p)
-		if o.label == "" {
-			break
-		}
-		v.Steps = append([]string{o.label}, v.Steps...)
-		p = o.parent
+	for _, p := range slices.Backward(path) {
+		found := false
+		x.model.Next(s, func(label func() string, next S) {
+			if !found && x.model.Print(next) == p {
+				found, s = true, next
+				v.Steps = append(v.Steps, label())
+			}
+		})
 	}
 	return v
 }
 
-func (v *visited) add(p Print, o origin) bool {
+func (v *visited) add(p, parent Print) bool {
 	s := &v.stripes[p[0]%stripes]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, ok := s.origins[p]; ok {
+	if _, ok := s.parents[p]; ok {
 		return false
 	}
-	s.origins[p] = o
+	s.parents[p] = parent
 	return true
 }
 
-func (v *visited) origin(p Print) origin {
+func (v *visited) parent(p Print) Print {
 	s := &v.stripes[p[0]%stripes]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.origins[p]
+	return s.parents[p]
 }
 
 // String lists the problem and the steps that lead to it.
--- a/internal/search/search_test.go
+++ b/internal/search/search_test.go
@@ -12,14 +12,18 @@
 	trap [2]int
 }
 
+func right() string { return "right" }
+
+func down() string { return "down" }
+
 func (grid) Initial() [2]int { return [2]int{} }
 
-func (g grid) Next(s [2]int, visit func(string, [2]int)) {
+func (g grid) Next(s [2]int, visit func(func() string, [2]int)) {
 	if s[0] < g.size-1 {
-		visit("right", [2]int{s[0] + 1, s[1]})
+		visit(right, [2]int{s[0] + 1, s[1]})
 	}
 	if s[1] < g.size-1 {
-		visit("down", [2]int{s[0], s[1] + 1})
+		visit(down, [2]int{s[0], s[1] + 1})
 	}
 }
 
