--- a/internal/once/errand.go
+++ b/internal/once/errand.go
@@ -83,20 +83,14 @@
 	}
 }
 
-// follow decides whether the holder has to be called.
-func (e *errand) follow(now time.Time, self model.NodeRef, c AskCmd) turn {
+// follow decides whether the holder has to be called. A holder names this node only when it is the successor of a node
+// that shuts down and whose keys did not arrive yet; a lost grant is repeated by the node that gave it.
+func (e *errand) follow(self model.NodeRef, c AskCmd) turn {
 	e.hops++
-	switch {
-	case e.hops > maxHops:
+	if e.hops > maxHops || c.Holder == self {
 		return turn{Decision: e.decision(KindUnknown, ReasonOwnerGone)}
-	case c.Holder != self:
-		return turn{Call: true}
-	case e.query || c.Generation == 0:
-		return turn{Decision: e.decision(KindUnknown, ReasonNeverSeen)}
-	default:
-		// Another holder says that it granted the key to this node; the answer of that grant was lost.
-		return turn{Msg: e.granted(now, c.Generation)}
 	}
+	return turn{Call: true}
 }
 
 func (e *errand) granted(now time.Time, generation uint32) Msg {
--- a/internal/once/owner.go
+++ b/internal/once/owner.go
@@ -329,7 +329,7 @@
 
 // ask follows the key to its holder and returns the next command, or the decision when there is none.
 func (o *Owner) ask(ctx context.Context, e *errand, c AskCmd) (Cmd, Decision) {
-	t := e.follow(o.now(), o.config.Self.Ref, c)
+	t := e.follow(o.config.Self.Ref, c)
 	if t.Call {
 		reply, ok := o.resolveCall(ctx, e, c)
 		successor, _ := o.config.Directory.Successor(c.Holder)
