--- /dev/null
+++ b/internal/once/search_test.go
@@ -0,0 +1,91 @@
+package once
+
+import (
+	"os"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwinch/auburnwinch/internal/search"
+)
+
+// deepVariable starts the searches that take minutes.
+const deepVariable = "ONCE_DEEP_SEARCH"
+
+// shallow scenarios together visit every kind of fault; none is cut off.
+var shallow = []scenario{
+	{Name: "three sends", Sends: 3, Attempts: 1},
+	{Name: "agent restart", Sends: 2, Attempts: 2, AgentRestarts: 1},
+	{Name: "owner restart", Sends: 2, Attempts: 1, Restarts: 1},
+	{Name: "refusal", Sends: 2, Attempts: 2, Refuse: 1},
+	{Name: "repeated letters", Sends: 2, Attempts: 1, Dups: 1},
+	{Name: "copies of attempts", Sends: 2, Attempts: 2, Dups: 1, Copies: true},
+	{Name: "dropped epoch", Sends: 2, Attempts: 1, Drops: 1, Join: true},
+	{Name: "plain key", Sends: 2, Attempts: 1, Plain: true},
+	{Name: "handover", Sends: 2, Attempts: 1, Handover: true},
+}
+
+// deep scenarios combine faults; only the last one is cut off.
+var deep = []scenario{
+	{Name: "three sends, two attempts", Sends: 3, Attempts: 2},
+	{Name: "three sends, owner restart", Sends: 3, Attempts: 1, Restarts: 1},
+	{Name: "three sends, plain key", Sends: 3, Attempts: 1, Plain: true},
+	{Name: "plain key, restarts", Sends: 2, Attempts: 2, Plain: true, Restarts: 1, AgentRestarts: 1, Drops: 1},
+	{Name: "restarts, drop, join", Sends: 2, Attempts: 2, Restarts: 1, AgentRestarts: 1, Drops: 1, Join: true},
+	{Name: "handover, restart", Sends: 2, Attempts: 2, Restarts: 1, Handover: true, Dups: 1},
+	{
+		Name: "three sends, all faults", Sends: 3, Attempts: 2, Restarts: 1, AgentRestarts: 1, Drops: 1, Dups: 1, Refuse: 1,
+		Join: true, Handover: true, Limit: 20_000_000,
+	},
+}
+
+func explore(t *testing.T, s scenario, seen *coverage) search.Result {
+	r := search.Explore(&protocol{scenario: s, seen: seen}, search.Options{Limit: s.Limit})
+	t.Logf("%s: %s", s.Name, r)
+	return r
+}
+
+// Guards against any order of steps in which a request runs twice or a caller is told something untrue.
+func TestExhaustiveSearch(t *testing.T) {
+	scenarios := shallow
+	if os.Getenv(deepVariable) != "" {
+		scenarios = slices.Concat(shallow, deep)
+	}
+	seen, states := &coverage{}, 0
+	for _, s := range scenarios {
+		t.Run(s.Name, func(t *testing.T) {
+			r := explore(t, s, seen)
+			require.Nil(t, r.Violation, "%s", r.Violation)
+			require.True(t, r.Complete || s.Limit > 0)
+			states += r.States
+		})
+	}
+	t.Logf("states in all: %d", states)
+	for name, n := range seen.counts() {
+		require.NotZero(t, n, "no step reached %q", name)
+	}
+}
+
+// Guards against a search that would not notice a fault: each removed safeguard must lead to the known one.
+func TestSearchFindsFaultOfRemovedSafeguard(t *testing.T) {
+	const twice, notRun = "ran twice", "not-run after the request ran"
+	for _, s := range []scenario{
+		{Name: "record before send", Without: withoutRecord, Sends: 2, Attempts: 1, Expect: twice},
+		{Name: "fence before second attempt", Without: withoutFence, Sends: 1, Attempts: 2, Expect: twice},
+		{Name: "pointer after grant", Without: withoutPointer, Sends: 2, Attempts: 1, Expect: twice},
+		{Name: "epoch check after eviction", Without: withoutFloors, Sends: 2, Attempts: 1, Drops: 1, Expect: twice},
+		{Name: "agent incarnation check", Without: withoutAgentIncarnation, Sends: 1, Attempts: 2, AgentRestarts: 1, Expect: twice},
+		{Name: "owner incarnation check", Without: withoutOwnerIncarnation, Sends: 2, Attempts: 1, Restarts: 1, Expect: twice},
+		{Name: "claim read again", Without: withoutClaimRead, Plain: true, Sends: 2, Attempts: 1, Expect: twice},
+		{Name: "unknown while platform is away", Without: withoutUnclaimed, Plain: true, Sends: 2, Attempts: 1, Expect: notRun},
+		{Name: "doubt after refusal of a seen key", Without: withoutSeenDoubt, Sends: 1, Attempts: 2, Copies: true, Dups: 1, Expect: twice},
+		{Name: "attempts arrive once", Sends: 1, Attempts: 2, Copies: true, Dups: 1, Refuse: 1, Expect: twice},
+	} {
+		t.Run(s.Name, func(t *testing.T) {
+			r := explore(t, s, &coverage{})
+			require.NotNil(t, r.Violation)
+			t.Log(r.Violation)
+		})
+	}
+}
