Check the TLS files when the settings are loaded

A certificate that does not fit its key, or an authority file without a certificate, was found only when the first peer connected, long after the start. Checking the chain of the node's own certificate was ruled out: during a change of the authority both files may be valid without matching.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,12 @@
 package config
 
 import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
 	"os"
 	"path/filepath"
 	"strings"
@@ -130,6 +136,29 @@
 	require.ErrorContains(t, err, "remedy: ")
 }
 
+// Guards against TLS keys that are found unusable only when the first peer connects.
+func TestTLSFilesAreChecked(t *testing.T) {
+	dir := t.TempDir()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	keyBytes, err := x509.MarshalPKCS8PrivateKey(key)
+	require.NoError(t, err)
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour)}
+	certificate, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	require.NoError(t, err)
+	for name, block := range map[string]*pem.Block{"a.pem": {Type: "CERTIFICATE", Bytes: certificate}, "a.key": {Type: "PRIVATE KEY", Bytes: keyBytes}} {
+		require.NoError(t, os.WriteFile(filepath.Join(dir, name), pem.EncodeToMemory(block), 0o600))
+	}
+	parse := func(section string) error {
+		_, err := Parse(filepath.Join(dir, "node.yaml"), []byte(validSettings+"tls: "+section))
+		return err
+	}
+	require.NoError(t, parse("{certificate: a.pem, key: a.key, authority: a.pem}"))
+	require.ErrorContains(t, parse("{certificate: a.key, key: a.key, authority: a.pem}"), "node.yaml:25: tls.certificate: certificate and key can't be used")
+	require.ErrorContains(t, parse("{certificate: a.pem, key: a.key, authority: a.key}"), "node.yaml:25: tls.authority: the file holds no certificate")
+	require.ErrorContains(t, parse("{certificate: a.pem, key: a.key}"), "tls.authority: the field is missing")
+}
+
 // FuzzParse guards against panics on any file, and against accepted settings that do not read back.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(validSettings))
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"crypto/tls"
+	"crypto/x509"
 	"net"
 	"net/netip"
 	"net/url"
@@ -102,6 +104,7 @@
 }
 
 func (t *TLS) check(p *strict.Problems) {
+	readable := true
 	for _, file := range []struct{ field, path string }{
 		{"tls.certificate", t.Certificate},
 		{"tls.key", t.Key},
@@ -109,12 +112,27 @@
 	} {
 		if file.path == "" {
 			p.Add(file.field, "name a PEM file, or remove the whole tls section", "the field is missing")
+			readable = false
 			continue
 		}
 		if _, err := os.Stat(file.path); err != nil {
 			p.Add(file.field, "create the file or correct the path", "the file can't be read: %v", err)
+			readable = false
 		}
 	}
+	if readable {
+		t.checkContents(p)
+	}
+}
+
+func (t *TLS) checkContents(p *strict.Problems) {
+	if _, err := tls.LoadX509KeyPair(t.Certificate, t.Key); err != nil {
+		p.Add("tls.certificate", "name the PEM files of one certificate and of its key", "certificate and key can't be used: %v", err)
+	}
+	data, err := os.ReadFile(t.Authority)
+	if err != nil || !x509.NewCertPool().AppendCertsFromPEM(data) {
+		p.Add("tls.authority", "name the PEM file of the authority that signed the certificates of all nodes", "the file holds no certificate")
+	}
 }
 
 func (f Platform) check(p *strict.Problems) {
