Use the ticket keeper in the node and compare request tokens by content

The node had a ticket shell of its own; the keeper of the ticket package does the same and has tests, so the node's is gone.

Ruled out: a token that is used twice by the store.

--- a/internal/fakes/table/handler.go
+++ b/internal/fakes/table/handler.go
@@ -58,12 +58,26 @@
 			return t.onTable(in.TableName, func() (any, error) { return t.query(in) })
 		})
 	case "TransactWriteItems":
-		return decodeCall(body, func(in transactInput) (any, error) { return t.transactWrite(in, string(body)) })
+		return decodeCall(body, func(in transactInput) (any, error) { return t.transactWrite(in, canonical(body)) })
 	default:
 		return nil, &protocolError{Type: "com.amazon.coral.service#UnknownOperationException", Message: "the stand-in does not serve " + operation}
 	}
 }
 
+// canonical returns the JSON body with its members in a fixed order. Clients may write the members of a repeated
+// request in another order, which the service takes as the same parameters.
+func canonical(body []byte) string {
+	var value any
+	if err := json.Unmarshal(body, &value); err != nil {
+		return string(body)
+	}
+	ordered, err := json.Marshal(value)
+	if err != nil {
+		return string(body)
+	}
+	return string(ordered)
+}
+
 func (t *Table) onTable(name string, call func() (any, error)) (any, error) {
 	if name != t.config.Table {
 		return nil, t.notFound(name)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -32,7 +32,7 @@
 }
 
 func (n *Node) registerControlMetrics() {
-	n.meter.Gauge("auburnwinch.ticket.number", "number of the last ticket in force", func() int64 { return int64(n.tickets.number()) })
+	n.meter.Gauge("auburnwinch.ticket.number", "number of the last ticket in force", func() int64 { return int64(n.tickets.Configuration().Number) })
 	n.meter.Gauge("auburnwinch.ticket.lag", "accepted tickets that are not in force yet", func() int64 { return int64(n.ticketLag()) })
 	n.meter.Counter("auburnwinch.peer.bytes-sent", "bytes of control traffic sent", func() int64 { return int64(n.peer.Stats().BytesSent) })
 	n.meter.Counter("auburnwinch.peer.bytes-received", "bytes of control traffic received", func() int64 { return int64(n.peer.Stats().BytesReceived) })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/auburnwinch/auburnwinch/internal/picker"
 	"github.com/auburnwinch/auburnwinch/internal/router"
 	"github.com/auburnwinch/auburnwinch/internal/store"
+	"github.com/auburnwinch/auburnwinch/internal/ticket"
 	"github.com/auburnwinch/auburnwinch/internal/view"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
@@ -36,7 +37,7 @@
 	fleet     *fleet
 	viewer    *viewer
 	record    *ownRecord
-	tickets   *ticketReader
+	tickets   *ticket.Keeper
 	edge      *edge.Edge
 	agent     *agent.Agent
 	picker    *picker.Picker
@@ -72,7 +73,7 @@
 	n.logger = log.With(c.Logger, "node", n.self.Ref.ID)
 	invar.OnViolation(n.logViolation)
 	for _, build := range []func() error{
-		n.buildStore, n.buildMeter, n.buildHealth, n.buildKeys, n.buildAgent, n.buildEdge, n.buildTickets, n.openListeners,
+		n.buildStore, n.buildMeter, n.buildHealth, n.buildKeys, n.buildAgent, n.buildEdge, n.openListeners, n.buildTickets,
 		n.buildPeer, n.registerMetrics,
 	} {
 		if err := build(); err != nil {
@@ -103,7 +104,6 @@
 }
 
 func (n *Node) buildHealth() error {
-	n.viewer = newViewer(n.self, n.config.Clock, n.publishView)
 	n.paths = eject.NewTracker(eject.TrackerConfig{
 		Config:    eject.Config{Observer: eject.ObserverEdge, Seed: n.self.Ref.Incarnation},
 		Clock:     n.config.Clock,
@@ -151,8 +151,11 @@
 }
 
 func (n *Node) buildTickets() error {
-	n.tickets = newTicketReader(&ticketReader{
-		platform: n.store, peers: n.peers, fleet: n.fleet, clock: n.config.Clock, logger: n.logger, apply: n.applyConfiguration,
+	n.tickets = ticket.NewKeeper(ticket.KeeperConfig{
+		Self: n.self, Platform: n.store, Peers: n.peers, Clock: n.config.Clock, OnReject: n.logRejected,
+	})
+	n.viewer = newViewer(&viewer{
+		self: n.self, clock: n.config.Clock, source: n.tickets, route: n.applyConfiguration, publish: n.publishView,
 	})
 	return nil
 }
@@ -188,10 +191,10 @@
 		Self: n.self, Secret: n.secret(), TLS: tlsConfig, Seeds: n.config.Settings.Seeds, Registered: n.store.Nodes,
 		Services: []peer.Service{
 			{Name: once.ServiceName, Receiver: once.NewKeys(n.owner, n.ledger)},
-			{Name: ticketsService, Receiver: &Tickets{reader: n.tickets}},
+			{Name: ticket.RPCService, Receiver: &ticket.Receiver{Keeper: n.tickets}},
 			{Name: poisonService, Receiver: &Poison{suspicion: n.suspicion}},
 		},
-		OnChange: n.membersChanged, OnTicketBehind: n.tickets.behind, Clock: n.config.Clock, Logger: n.logger,
+		OnChange: n.membersChanged, OnTicketBehind: func(p model.Node, number uint64) { n.tickets.Hear(p.Ref, number) }, Clock: n.config.Clock, Logger: n.logger,
 	})
 	if err != nil {
 		return eris.Wrap(err, "open the peers' listener")
@@ -208,11 +211,11 @@
 func (n *Node) membersChanged(snapshot *member.Snapshot) {
 	n.fleet.members.Store(snapshot)
 	n.viewer.setMembers(snapshot)
-	n.tickets.setMembers(snapshot)
+	n.tickets.SetPeers(nodesOf(snapshot))
 	n.suspicion.learn(snapshot)
 }
 
-// applyConfiguration puts a configuration in force.
+// applyConfiguration routes requests by the configuration and publishes its number.
 func (n *Node) applyConfiguration(c *model.Configuration) {
 	table, err := router.New(c)
 	if err != nil {
@@ -220,8 +223,6 @@
 		return
 	}
 	n.edge.SetRoutes(table)
-	n.viewer.setConfiguration(c)
-	n.viewer.refresh()
 	n.record.setTicket(c.Number)
 	_ = level.Info(n.logger).Log("msg", "configuration in force", "number", c.Number, "services", len(c.Services), "routes", table.Len())
 }
@@ -234,6 +235,21 @@
 	n.fleet.view.Store(v)
 }
 
+// nodesOf returns the nodes that stay; a leaving node must not be counted on to read the platform.
+func nodesOf(snapshot *member.Snapshot) []model.Node {
+	nodes := make([]model.Node, 0, len(snapshot.Records))
+	for i := range snapshot.Records {
+		if !snapshot.Records[i].Leaving {
+			nodes = append(nodes, snapshot.Records[i].Node)
+		}
+	}
+	return nodes
+}
+
+func (n *Node) logRejected(cmd ticket.RejectCmd) {
+	_ = level.Warn(n.logger).Log("msg", "configuration rejected", "source", cmd.Source, "number", cmd.Number, "reason", cmd.Reason)
+}
+
 func (n *Node) logVerdict(role string) func(eject.VerdictCmd) {
 	return func(cmd eject.VerdictCmd) {
 		n.counts.verdict(cmd)
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -25,7 +25,6 @@
 	for _, l := range []*listener{n.listeners.callers, n.listeners.relay, n.listeners.local, n.listeners.admin} {
 		n.serve(l)
 	}
-	n.tickets.start()
 	n.group.Go(func() { n.register(ctx) })
 	_ = level.Info(n.logger).Log("msg", "node started", "incarnation", n.self.Ref.Incarnation, "version", n.config.Version,
 		"callers", n.self.CallerAddress, "relay", n.self.RelayAddress, "peers", n.self.PeerAddress)
@@ -158,7 +157,7 @@
 
 func (n *Node) closeParts() {
 	if n.tickets != nil {
-		n.tickets.close()
+		_ = n.tickets.Close() // It only stops reading.
 	}
 	if n.edge != nil {
 		_ = n.edge.Close() // It only closes idle connections.
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -57,7 +57,7 @@
 		}},
 		{Name: "requests", Dump: n.requestState},
 		{Name: "tickets", Dump: func() any {
-			return ticketState{Number: n.tickets.number(), Head: n.tickets.head.Load(), Ready: n.tickets.ready.Load()}
+			return ticketState{Number: n.tickets.Configuration().Number, Head: n.tickets.Head(), Ready: n.tickets.Ready()}
 		}},
 		{Name: "members", Dump: func() any { return n.peer.Snapshot() }},
 		{Name: "view", Dump: func() any { return n.fleet.view.Load() }},
@@ -80,7 +80,7 @@
 
 func (n *Node) health() admin.Health {
 	switch {
-	case !n.tickets.ready.Load():
+	case !n.tickets.Ready():
 		return admin.Health{Reason: "the configuration was not compared with the platform or enough peers yet"}
 	case n.fleet.view.Load() == nil:
 		return admin.Health{Reason: "no ticket is in force; file the first one"}
@@ -90,13 +90,13 @@
 }
 
 func (n *Node) ticketLag() uint64 {
-	number := n.tickets.number()
-	return max(n.tickets.head.Load(), number) - number
+	number := n.tickets.Configuration().Number
+	return max(n.tickets.Head(), number) - number
 }
 
 // ticketReport tells the number in force on each node that is alive, as far as its latest record says.
 func (n *Node) ticketReport() admin.TicketReport {
-	report := admin.TicketReport{Head: max(n.tickets.head.Load(), n.tickets.number())}
+	report := admin.TicketReport{Head: max(n.tickets.Head(), n.tickets.Configuration().Number)}
 	snapshot := n.peer.Snapshot()
 	for i := range snapshot.Records {
 		record := &snapshot.Records[i]
--- a/internal/node/suspicion.go
+++ b/internal/node/suspicion.go
@@ -27,6 +27,11 @@
 	methodReport  = poisonService + ".Report"
 )
 
+// caller calls methods of other nodes; peer.Peer implements it.
+type caller interface {
+	Call(ctx context.Context, node model.Node, method string, args, reply any) error
+}
+
 // suspicion is the shell of the poison module.
 type suspicion struct {
 	self    model.NodeRef
--- a/internal/node/viewer.go
+++ b/internal/node/viewer.go
@@ -6,6 +6,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/auburnwinch/auburnwinch/internal/invar"
 	"github.com/auburnwinch/auburnwinch/internal/member"
 	"github.com/auburnwinch/auburnwinch/internal/timer"
 	"github.com/auburnwinch/auburnwinch/internal/view"
@@ -16,23 +17,31 @@
 // second; the request path needs only the latest state.
 const viewInterval = 20 * time.Millisecond
 
+// configurations tells the configuration in force; ticket.Keeper implements it.
+type configurations interface {
+	Configuration() *model.Configuration
+	Ready() bool
+}
+
 // viewer rebuilds the view after changes of membership or configuration.
 type viewer struct {
 	self    model.Node
 	clock   timer.Service
+	source  configurations
+	route   func(*model.Configuration)
 	publish func(*view.View)
 
-	mu            sync.Mutex
-	members       *member.Snapshot
-	configuration *model.Configuration
-	changed       bool
+	mu      sync.Mutex
+	members *member.Snapshot
+	number  uint64
+	changed bool
 
 	stop  chan struct{}
 	group conc.WaitGroup
 }
 
-func newViewer(self model.Node, clock timer.Service, publish func(*view.View)) *viewer {
-	v := &viewer{self: self, clock: clock, publish: publish, stop: make(chan struct{})}
+func newViewer(v *viewer) *viewer {
+	v.stop = make(chan struct{})
 	v.group.Go(v.run)
 	return v
 }
@@ -44,22 +53,25 @@
 	v.changed = true
 }
 
-func (v *viewer) setConfiguration(c *model.Configuration) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.configuration = c
-	v.changed = true
-}
-
-// refresh publishes the view at once if anything changed.
+// refresh publishes the view if anything changed. A starting node waits until it has compared its sources, so that it
+// never serves on an older configuration than its peers.
 func (v *viewer) refresh() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if !v.changed || v.configuration == nil || v.members == nil {
+	if v.members == nil || !v.source.Ready() {
 		return
 	}
+	c := v.source.Configuration()
+	if c.Number == 0 || (!v.changed && c.Number == v.number) {
+		return
+	}
+	if c.Number > v.number {
+		v.route(c)
+	}
+	invar.Check(c.Number >= v.number, "node", "configuration went from %d to %d", v.number, c.Number)
+	v.number = c.Number
 	v.changed = false
-	v.publish(buildView(v.self, v.configuration, v.members))
+	v.publish(buildView(v.self, c, v.members))
 }
 
 func (v *viewer) close() {
