Bound the files that settings and tickets are read from

A settings or secret file that is a device without an end, or a large file named by mistake, filled the memory before any check ran. Files are read up to the limit that the parser accepts, secrets up to 4 KiB. Accepting only regular files was ruled out: operators pass tickets through pipes.

--- a/cmd/auburnwinch/ticket.go
+++ b/cmd/auburnwinch/ticket.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"os"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -45,7 +44,7 @@
 }
 
 func readTicket(path string) (model.Ticket, error) {
-	data, err := os.ReadFile(path)
+	data, err := strict.ReadFile(path, strict.MaxSize)
 	if err != nil {
 		problem := strict.Problem{File: path, Detail: err.Error(), Remedy: "pass the path of a readable ticket file"}
 		return model.Ticket{}, strict.Problems{problem}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -132,8 +132,12 @@
 	s, err := Load(path)
 	require.NoError(t, err)
 	require.Equal(t, strings.Repeat("s", minSecretLength), s.FleetSecret)
-	_, err = Load(filepath.Join(dir, "missing.yaml"))
-	require.ErrorContains(t, err, "remedy: ")
+	for _, unreadable := range []string{filepath.Join(dir, "missing.yaml"), dir, "/dev/zero"} {
+		_, err = Load(unreadable)
+		require.ErrorContains(t, err, "remedy: ")
+		_, err = Parse("node.yaml", []byte(strings.Replace(validSettings, "fleet-secret: 0123456789abcdef0123456789abcdef", "fleet-secret-file: "+unreadable, 1)))
+		require.ErrorContains(t, err, "node.yaml:14: fleet-secret-file: the file can't be read")
+	}
 }
 
 // Guards against TLS keys that are found unusable only when the first peer connects.
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"os"
 	"path/filepath"
 	"strings"
 
@@ -11,10 +10,13 @@
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
+// maxSecretFile bounds a file with a secret; a longer one is not what its field asks for.
+const maxSecretFile = 4 << 10
+
 // Load reads, checks and completes the settings of a node; faults are reported as strict.Problems.
 // Relative paths in the file are taken from the directory of the file.
 func Load(path string) (*Settings, error) {
-	data, err := os.ReadFile(path)
+	data, err := strict.ReadFile(path, strict.MaxSize)
 	if err != nil {
 		return nil, eris.Wrap(err, "read the settings; remedy: pass the path of a readable settings file")
 	}
@@ -62,7 +64,7 @@
 		return
 	}
 	*file = absolute(directory, *file)
-	data, err := os.ReadFile(*file)
+	data, err := strict.ReadFile(*file, maxSecretFile)
 	if err != nil {
 		problems.Add(field+"-file", "create the file or correct the path", "the file can't be read: %v", err)
 		return
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/netip"
 	"net/url"
-	"os"
 	"slices"
 	"strconv"
 	"time"
@@ -115,7 +114,7 @@
 			readable = false
 			continue
 		}
-		if _, err := os.Stat(file.path); err != nil {
+		if _, err := strict.ReadFile(file.path, strict.MaxSize); err != nil {
 			p.Add(file.field, "create the file or correct the path", "the file can't be read: %v", err)
 			readable = false
 		}
@@ -129,7 +128,7 @@
 	if _, err := tls.LoadX509KeyPair(t.Certificate, t.Key); err != nil {
 		p.Add("tls.certificate", "name the PEM files of one certificate and of its key", "certificate and key can't be used: %v", err)
 	}
-	data, err := os.ReadFile(t.Authority)
+	data, err := strict.ReadFile(t.Authority, strict.MaxSize)
 	if err != nil || !x509.NewCertPool().AppendCertsFromPEM(data) {
 		p.Add("tls.authority", "name the PEM file of the authority that signed the certificates of all nodes", "the file holds no certificate")
 	}
