Report a taken number in ticket check

`ticket check` called a ticket valid whose number was already taken by another one, although filing it would be refused. It now compares the contents and reports the conflict, or that the same ticket was accepted before.

--- a/cmd/auburnwinch/ticket.go
+++ b/cmd/auburnwinch/ticket.go
@@ -71,6 +71,26 @@
 	return c, inFile(path, ticket.ValidateAgainst(c, t))
 }
 
+// checkRepeated compares a ticket with the accepted one of the same number.
+func checkRepeated(ctx context.Context, s *store.Store, t model.Ticket) error {
+	accepted, err := s.Ticket(ctx, t.Number)
+	if err != nil {
+		return err
+	}
+	own, err := ticket.Digest(t)
+	if err != nil {
+		return eris.Wrap(err, "encode the ticket")
+	}
+	other, err := ticket.Digest(accepted)
+	if err != nil {
+		return eris.Wrap(err, "encode the accepted ticket")
+	}
+	if own != other {
+		return &store.ConflictError{Number: t.Number, Accepted: accepted}
+	}
+	return nil
+}
+
 // inFile adds the file to faults that were found after parsing.
 func inFile(path string, err error) error {
 	problems, ok := err.(strict.Problems)
--- a/cmd/auburnwinch/ticket_check.go
+++ b/cmd/auburnwinch/ticket_check.go
@@ -1,8 +1,12 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
+
+	"github.com/auburnwinch/auburnwinch/internal/store"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
 // ticketCheckCmd checks a ticket without filing it.
@@ -25,9 +29,13 @@
 		}
 		ctx, cancel := operatorContext()
 		defer cancel()
-		if _, err := checkAgainstPlatform(ctx, s, c.Path, t); err != nil {
+		current, err := checkAgainstPlatform(ctx, s, c.Path, t)
+		if err != nil {
 			return err
 		}
+		if t.Number <= current.Number {
+			return c.reportRepeated(ctx, s, t, out)
+		}
 	}
 	routes := 0
 	for _, service := range t.Services {
@@ -37,3 +45,12 @@
 		t.Number, len(t.Services), routes, len(t.Remove))
 	return err
 }
+
+// reportRepeated reports whether a ticket whose number is taken is the accepted one.
+func (c *ticketCheckCmd) reportRepeated(ctx context.Context, s *store.Store, t model.Ticket, out io.Writer) error {
+	if err := checkRepeated(ctx, s, t); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(out, "ticket %d was accepted before with the same content\n", t.Number)
+	return err
+}
--- a/cmd/auburnwinch/ticket_test.go
+++ b/cmd/auburnwinch/ticket_test.go
@@ -88,6 +88,8 @@
 		{[]string{"file", ada}, codeDone, "accepted ticket 1\n"},
 		{[]string{"file", ada}, codeDone, "it had been accepted before"},
 		{[]string{"file", bob}, codeConflict, `accepted from "Ada"`},
+		{[]string{"check", ada}, codeDone, "was accepted before"},
+		{[]string{"check", bob}, codeConflict, `accepted from "Ada"`},
 		{[]string{"file", d.ticket(3, "Eve")}, codeConflict, "file as number 2"},
 		{[]string{"check", d.write("bad.yaml", map[string]any{"number": 2, "autor": "x"})}, codeInvalid, "bad.yaml:"},
 		{[]string{"file", filepath.Join(d.dir, "missing.yaml")}, codeInvalid, "remedy"},
