--- a/internal/store/tickets.go
+++ b/internal/store/tickets.go
@@ -31,7 +31,8 @@
 type Receipt struct {
 	Number uint64
 	Digest string
-	// Repeated is true when the same content had been accepted before.
+	// Repeated is true when the same content was found accepted. It is false when the table service itself recognized the
+	// repetition by its request token, which it does for ten minutes.
 	Repeated bool
 }
 
