Keep the rows of the stand-in by partition

Each query went through all rows, and claims are never removed, so a long demo or soak would slow every reader down and look like a slow platform. Rows are kept by partition key, which a query must name, as in the service.

--- a/internal/fakes/table/expression.go
+++ b/internal/fakes/table/expression.go
@@ -20,14 +20,32 @@
 	names
 	scan  scanner.Scanner
 	token string
+	// partition is the value to which the partition key is compared for equality.
+	partition *string
 }
 
 // parse compiles a condition; an empty text always holds.
-func (n names) parse(text string) (holds condition, err error) {
+func (n names) parse(text string) (condition, error) {
 	if text == "" {
 		return func(item) bool { return true }, nil
 	}
+	return (&expression{names: n}).compile(text)
+}
+
+// parseKey compiles a key condition and returns the partition that it selects.
+func (n names) parseKey(text string) (condition, string, error) {
 	e := &expression{names: n}
+	holds, err := e.compile(text)
+	if err != nil {
+		return nil, "", err
+	}
+	if e.partition == nil {
+		return nil, "", validationError("query condition missed key schema element: pk")
+	}
+	return holds, *e.partition, nil
+}
+
+func (e *expression) compile(text string) (holds condition, err error) {
 	e.scan.Init(strings.NewReader(text))
 	e.scan.Error = func(*scanner.Scanner, string) {}
 	e.scan.IsIdentRune = func(ch rune, i int) bool {
@@ -137,6 +155,9 @@
 		e.fail("unknown operator %q", operator)
 	}
 	operand := e.value()
+	if name == "pk" && operator == "=" {
+		e.partition = operand.S
+	}
 	return func(i item) bool { return test(i, name, operator, operand) }
 }
 
--- a/internal/fakes/table/table.go
+++ b/internal/fakes/table/table.go
@@ -26,10 +26,13 @@
 type Table struct {
 	config Config
 	mu     sync.Mutex
-	rows   map[itemKey]item
+	rows   map[string]partition
 	tokens map[string]usedToken
 }
 
+// partition holds the rows of one partition key by sort key.
+type partition map[string]item
+
 type usedToken struct {
 	request string
 	at      time.Time
@@ -93,14 +96,31 @@
 
 // New returns an empty table.
 func New(c Config) *Table {
-	return &Table{config: c, rows: make(map[itemKey]item), tokens: make(map[string]usedToken)}
+	return &Table{config: c, rows: make(map[string]partition), tokens: make(map[string]usedToken)}
 }
 
 // Len returns the number of rows.
 func (t *Table) Len() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.rows)
+	n := 0
+	for _, p := range t.rows {
+		n += len(p)
+	}
+	return n
+}
+
+func (t *Table) row(key itemKey) item {
+	return t.rows[key.partition][key.sort]
+}
+
+func (t *Table) setRow(key itemKey, i item) {
+	p := t.rows[key.partition]
+	if p == nil {
+		p = make(partition)
+		t.rows[key.partition] = p
+	}
+	p[key.sort] = i
 }
 
 func (t *Table) getItem(in keyInput) (any, error) {
@@ -110,7 +130,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return itemOutput{Item: t.rows[key]}, nil
+	return itemOutput{Item: t.row(key)}, nil
 }
 
 func (t *Table) putItem(in putInput) (any, error) {
@@ -123,7 +143,7 @@
 	if w.fail != nil {
 		return nil, conditionError(w.fail.Item)
 	}
-	t.rows[w.key] = w.item
+	t.setRow(w.key, w.item)
 	return struct{}{}, nil
 }
 
@@ -138,10 +158,10 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !holds(t.rows[key]) {
+	if !holds(t.row(key)) {
 		return nil, conditionError(nil)
 	}
-	delete(t.rows, key)
+	delete(t.rows[key.partition], key.sort)
 	return struct{}{}, nil
 }
 
@@ -165,7 +185,7 @@
 		return nil, err
 	}
 	for _, w := range writes {
-		t.rows[w.key] = w.item
+		t.setRow(w.key, w.item)
 	}
 	if in.ClientRequestToken != "" {
 		t.tokens[in.ClientRequestToken] = usedToken{request: string(request), at: time.Now()}
@@ -244,7 +264,7 @@
 		return write{}, err
 	}
 	w := write{key: key, item: in.Item}
-	if old := t.rows[key]; !holds(old) {
+	if old := t.row(key); !holds(old) {
 		w.fail = &reason{Code: "ConditionalCheckFailed", Message: "The conditional request failed"}
 		if in.ReturnValuesOnConditionCheckFailure == "ALL_OLD" {
 			w.fail.Item = old
@@ -254,17 +274,14 @@
 }
 
 func (t *Table) query(in queryInput) (any, error) {
-	holds, err := in.parse(in.KeyConditionExpression)
+	holds, name, err := in.parseKey(in.KeyConditionExpression)
 	if err != nil {
 		return nil, err
 	}
-	if in.KeyConditionExpression == "" {
-		return nil, validationError("a query needs a KeyConditionExpression")
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var found []item
-	for _, row := range t.rows {
+	for _, row := range t.rows[name] {
 		if holds(row) {
 			found = append(found, row)
 		}
