--- a/internal/store/filing_test.go
+++ b/internal/store/filing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -54,6 +55,48 @@
 	}
 }
 
+// Guards against a receipt for a ticket that is not the accepted one, and a conflict reported to the one who was accepted,
+// while answers are lost, delayed, throttled and colliding at random.
+func TestRacingOperatorsUnderFaults(t *testing.T) {
+	const operators, rounds = 4, 25
+	platform := startPlatform(t)
+	require.NoError(t, platform.Faults.Set(
+		fault.Rule{Kind: fault.Lost, Share: 0.25},
+		fault.Rule{Kind: fault.Conflict, Share: 0.15},
+		fault.Rule{Kind: fault.Throttle, Share: 0.1},
+		fault.Rule{Kind: fault.Slow, Delay: model.Duration(150 * time.Millisecond), Share: 0.1},
+	))
+	ctx := context.Background()
+	for n := uint64(1); n <= rounds; n++ {
+		results := make([]error, operators)
+		var tasks conc.WaitGroup
+		for o := range operators {
+			tasks.Go(func() {
+				// Each attempt is a new run of the operator's tool, which knows nothing of the earlier one.
+				for results[o] = errUndecided; undecided(results[o]); {
+					s := newStore(t, platform, store.Config{Timeout: 100 * time.Millisecond})
+					_, results[o] = s.FileTicket(ctx, sampleTicket(n, fmt.Sprintf("operator %d", o)))
+				}
+			})
+		}
+		tasks.Wait()
+		reader := newStore(t, platform, store.Config{Attempts: 20})
+		accepted, err := reader.Ticket(ctx, n)
+		require.NoError(t, err)
+		for o, err := range results {
+			require.Equal(t, accepted.Summary == fmt.Sprintf("operator %d", o), err == nil, "ticket %d of %q: %v", n, accepted.Summary, err)
+		}
+	}
+}
+
+var errUndecided error = &store.UncertainError{}
+
+func undecided(err error) bool {
+	var uncertain *store.UncertainError
+	var unavailable *store.UnavailableError
+	return errors.As(err, &uncertain) || errors.As(err, &unavailable)
+}
+
 // Guards against filing twice, or reporting a failure, when an answer is lost at any of the calls that filing makes.
 func TestFilingSurvivesLostAnswers(t *testing.T) {
 	platform := startPlatform(t)
