--- a/internal/fakes/cloud/cloud_test.go
+++ b/internal/fakes/cloud/cloud_test.go
@@ -108,7 +108,7 @@
 		})
 		return err
 	}
-	// The client writes the members of an item in random order, so one repeat would rarely show a byte comparison.
+	// The client writes maps in random order, so one repetition would not show a comparison of bytes.
 	for range 20 {
 		require.NoError(t, transact(1))
 	}
--- a/internal/fakes/table/table.go
+++ b/internal/fakes/table/table.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
@@ -25,10 +26,13 @@
 type Table struct {
 	config Config
 	mu     sync.Mutex
-	rows   map[itemKey]item
+	rows   map[string]partition
 	tokens map[string]usedToken
 }
 
+// partition holds the rows of one partition key by sort key.
+type partition map[string]item
+
 type usedToken struct {
 	request string
 	at      time.Time
@@ -92,14 +96,31 @@
 
 // New returns an empty table.
 func New(c Config) *Table {
-	return &Table{config: c, rows: make(map[itemKey]item), tokens: make(map[string]usedToken)}
+	return &Table{config: c, rows: make(map[string]partition), tokens: make(map[string]usedToken)}
 }
 
 // Len returns the number of rows.
 func (t *Table) Len() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.rows)
+	n := 0
+	for _, p := range t.rows {
+		n += len(p)
+	}
+	return n
+}
+
+func (t *Table) row(key itemKey) item {
+	return t.rows[key.partition][key.sort]
+}
+
+func (t *Table) setRow(key itemKey, i item) {
+	p := t.rows[key.partition]
+	if p == nil {
+		p = make(partition)
+		t.rows[key.partition] = p
+	}
+	p[key.sort] = i
 }
 
 func (t *Table) getItem(in keyInput) (any, error) {
@@ -109,7 +130,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return itemOutput{Item: t.rows[key]}, nil
+	return itemOutput{Item: t.row(key)}, nil
 }
 
 func (t *Table) putItem(in putInput) (any, error) {
@@ -122,7 +143,7 @@
 	if w.fail != nil {
 		return nil, conditionError(w.fail.Item)
 	}
-	t.rows[w.key] = w.item
+	t.setRow(w.key, w.item)
 	return struct{}{}, nil
 }
 
@@ -137,21 +158,26 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !holds(t.rows[key]) {
+	if !holds(t.row(key)) {
 		return nil, conditionError(nil)
 	}
-	delete(t.rows, key)
+	delete(t.rows[key.partition], key.sort)
 	return struct{}{}, nil
 }
 
 // transactWrite checks all conditions and then carries out all writes or none.
-func (t *Table) transactWrite(in transactInput, request string) (any, error) {
+func (t *Table) transactWrite(in transactInput) (any, error) {
+	// Clients write the fields of a map in any order; equal parameters are equal in the encoding, which sorts them.
+	request, err := json.Marshal(in)
+	if err != nil {
+		return nil, err
+	}
 	if len(in.TransactItems) == 0 || len(in.TransactItems) > maxTransaction {
 		return nil, validationError("a transaction takes 1 to %d writes", maxTransaction)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if done, err := t.recall(in.ClientRequestToken, request); done || err != nil {
+	if done, err := t.recall(in.ClientRequestToken, string(request)); done || err != nil {
 		return struct{}{}, err
 	}
 	writes, err := t.prepareAll(in)
@@ -159,10 +185,10 @@
 		return nil, err
 	}
 	for _, w := range writes {
-		t.rows[w.key] = w.item
+		t.setRow(w.key, w.item)
 	}
 	if in.ClientRequestToken != "" {
-		t.tokens[in.ClientRequestToken] = usedToken{request: request, at: time.Now()}
+		t.tokens[in.ClientRequestToken] = usedToken{request: string(request), at: time.Now()}
 	}
 	return struct{}{}, nil
 }
@@ -238,7 +264,7 @@
 		return write{}, err
 	}
 	w := write{key: key, item: in.Item}
-	if old := t.rows[key]; !holds(old) {
+	if old := t.row(key); !holds(old) {
 		w.fail = &reason{Code: "ConditionalCheckFailed", Message: "The conditional request failed"}
 		if in.ReturnValuesOnConditionCheckFailure == "ALL_OLD" {
 			w.fail.Item = old
@@ -248,17 +274,14 @@
 }
 
 func (t *Table) query(in queryInput) (any, error) {
-	holds, err := in.parse(in.KeyConditionExpression)
+	holds, name, err := in.parseKey(in.KeyConditionExpression)
 	if err != nil {
 		return nil, err
 	}
-	if in.KeyConditionExpression == "" {
-		return nil, validationError("a query needs a KeyConditionExpression")
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var found []item
-	for _, row := range t.rows {
+	for _, row := range t.rows[name] {
 		if holds(row) {
 			found = append(found, row)
 		}
--- a/internal/procs/fleet.go
+++ b/internal/procs/fleet.go
@@ -187,7 +187,7 @@
 }
 
 func (f *Fleet) fileFirstTicket(ctx context.Context) error {
-	_, err := f.FileTicket(ctx, filepath.Join("examples", f.Plan.Name, ticketFile))
+	_, err := f.FileTicket(ctx, f.Plan.TicketPath)
 	return err
 }
 
--- a/internal/procs/plan.go
+++ b/internal/procs/plan.go
@@ -58,10 +58,12 @@
 // Plan lists the processes of a deployment.
 type Plan struct {
 	PlanConfig
-	Name    string
-	Ticket  model.Ticket
-	Nodes   []NodePlan
-	Targets []TargetPlan
+	Name   string
+	Ticket model.Ticket
+	// TicketPath is the file of the first ticket.
+	TicketPath string
+	Nodes      []NodePlan
+	Targets    []TargetPlan
 }
 
 // NodePlan is one node with its settings.
@@ -108,12 +110,12 @@
 }
 
 func (p *Plan) loadTicket(examples string) error {
-	path := filepath.Join(examples, ticketFile)
-	data, err := os.ReadFile(path)
+	p.TicketPath = filepath.Join(examples, ticketFile)
+	data, err := os.ReadFile(p.TicketPath)
 	if err != nil {
 		return eris.Wrap(err, "read the first ticket")
 	}
-	p.Ticket, err = ticket.Parse(path, data)
+	p.Ticket, err = ticket.Parse(p.TicketPath, data)
 	return err
 }
 
