Believe an announced exit at once

A test of the shell showed that a graceful exit took more than 3 s to be believed: the word that a node is dead starts a suspicion of 4 s at nodes that do not suspect it, and an exit was announced as death. The exit is now a status of its own, which only the node itself sets.

Ruled out: believing any claim of death with a version above the known one. A node can hold an older version than the claimant, so such a claim can come from a node that was cut off.

A simulated fleet of 30 nodes agrees on an exit within the bound of 3 s, and a node that was cut off for 2 min takes nobody out of service on its return.

--- a/internal/member/capacity_test.go
+++ b/internal/member/capacity_test.go
@@ -148,7 +148,7 @@
 	c.sim.runUntil(5*time.Minute, "numbers known everywhere", func() bool {
 		for _, n := range c.sim.running() {
 			for _, e := range n.module.table.sorted {
-				if e.status != StatusDead && e.record.Ticket < 2 {
+				if !e.status.gone() && e.record.Ticket < 2 {
 					return false
 				}
 			}
--- a/internal/member/datagram.go
+++ b/internal/member/datagram.go
@@ -81,7 +81,7 @@
 func checkUpdates(rumours []Rumour, numbers []Number) error {
 	for i := range rumours {
 		r := &rumours[i]
-		if r.Status < StatusAlive || r.Status > StatusDead || r.Content > r.Version {
+		if r.Status < StatusAlive || r.Status > StatusLeft || r.Content > r.Version {
 			return eris.Wrapf(ErrMalformed, "rumour with status %d, version %d, content %d", r.Status, r.Version, r.Content)
 		}
 	}
--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -77,17 +77,16 @@
 		return false
 	}
 	status, since := r.Status, m.now
-	if r.Status == StatusDead {
-		if m.believesDeath(e, r) {
-			since = m.now.Add(-time.Duration(r.Age) * time.Second)
-		} else {
-			status = StatusSuspect
-		}
+	switch {
+	case r.Status.gone() && m.believesDeath(e, r):
+		since = m.now.Add(-time.Duration(r.Age) * time.Second)
+	case r.Status.gone():
+		status = StatusSuspect
 	}
 	if r.Version == e.record.Version && status <= e.status {
 		return false
 	}
-	if e.status == StatusDead {
+	if e.status.gone() {
 		m.insertProbe(e)
 	}
 	e.record.Version = r.Version
@@ -96,7 +95,7 @@
 }
 
 func (m *Module) believesDeath(e *entry, r *Rumour) bool {
-	if e.status == StatusDead || e.record.Leaving {
+	if r.Status == StatusLeft || e.status.gone() || e.record.Leaving {
 		return true
 	}
 	return e.status == StatusSuspect && e.record.Version == r.Version && m.now.Sub(e.since) >= hearsayAfter
@@ -105,11 +104,11 @@
 // adopt adds the run of a node that is not in the table.
 func (m *Module) adopt(r *Rumour, source string, spread bool) {
 	age := time.Duration(r.Age) * time.Second
-	if r.Status == StatusDead && age >= tombstoneAge {
+	if r.Status.gone() && age >= tombstoneAge {
 		return
 	}
 	if len(r.Record) == 0 {
-		if r.Status != StatusDead {
+		if !r.Status.gone() {
 			m.fetchUnknown(source, r.Key)
 		}
 		return
@@ -127,7 +126,7 @@
 	}
 	record.Version, record.Content, record.Ticket = r.Version, r.Content, r.Ticket
 	e := &entry{key: r.Key, record: record, encoded: r.Record, status: r.Status, since: m.now}
-	if r.Status == StatusDead {
+	if r.Status.gone() {
 		e.since = m.now.Add(-age)
 	}
 	m.table.insert(e)
@@ -178,7 +177,7 @@
 	r := Rumour{
 		Key: e.key, Version: e.record.Version, Content: e.record.Content, Status: e.status, Urgent: urgent,
 	}
-	if e.status == StatusDead {
+	if e.status.gone() {
 		r.Age = uint32(max(0, m.now.Sub(e.since)/time.Second))
 	}
 	if withRecord {
--- a/internal/member/module.go
+++ b/internal/member/module.go
@@ -127,7 +127,7 @@
 		switch {
 		case e == m.self:
 			s.Records = append(s.Records, m.ownRecord())
-		case e.status != StatusDead:
+		case !e.status.gone():
 			s.Records = append(s.Records, e.record)
 		default:
 			s.Departed = append(s.Departed, Departed{Ref: e.record.Node.Ref, Successor: e.record.Successor})
--- a/internal/member/module_test.go
+++ b/internal/member/module_test.go
@@ -16,7 +16,7 @@
 	content := rapid.Uint64Range(1, 6).Draw(t, "content")
 	r := Rumour{
 		Key: refKey(node.Ref), Content: content, Version: content + rapid.Uint64Range(0, 3).Draw(t, "later"),
-		Status: Status(rapid.IntRange(1, 3).Draw(t, "status")), Ticket: rapid.Uint64Range(0, 5).Draw(t, "ticket"),
+		Status: Status(rapid.IntRange(1, 4).Draw(t, "status")), Ticket: rapid.Uint64Range(0, 5).Draw(t, "ticket"),
 	}
 	if rapid.Bool().Draw(t, "with record") {
 		r.Record = encodeRecord(&NodeRecord{Node: node, Targets: simTargets(id, int(content))})
@@ -131,7 +131,7 @@
 			for _, n := range s.running() {
 				for _, other := range s.running() {
 					e := n.module.table.byKey[other.module.self.key]
-					died = died || e.status == StatusDead
+					died = died || e.status.gone()
 				}
 			}
 			return s.agree()
@@ -206,6 +206,37 @@
 	}
 }
 
+// Guards against an exit that the others take for hearsay and hold up with a suspicion.
+func TestExitIsBelievedAtOnce(t *testing.T) {
+	s := newSim(t, 1)
+	s.fleet(30, 1)
+	s.run(5 * time.Second)
+	s.update(s.nodes[3], LeaveMsg{Now: s.now})
+	s.nodes[3].up = false
+	s.runUntil(3*time.Second, "exit known everywhere", s.agree)
+}
+
+// Guards against the word of a node that was cut off taking nodes out of service that others still reach.
+func TestHearsayDoesNotKill(t *testing.T) {
+	s := newSim(t, 1)
+	s.fleet(30, 1)
+	s.run(5 * time.Second)
+	lone := s.nodes[7]
+	s.cut = func(from, to *simNode) bool { return from == lone || to == lone }
+	s.run(2 * time.Minute)
+	require.Equal(t, 1, lone.module.table.alive)
+	s.cut = func(_, _ *simNode) bool { return false }
+	for range 600 {
+		s.run(100 * time.Millisecond)
+		for _, n := range s.nodes {
+			if n != lone {
+				require.GreaterOrEqual(t, n.module.table.alive, len(s.nodes)-1)
+			}
+		}
+	}
+	require.True(t, s.agree(), s.dump())
+}
+
 // Guards against tombstones that are forgotten early or kept for ever by anti-entropy.
 func TestTombstonesExpire(t *testing.T) {
 	s := newSim(t, 1)
--- a/internal/member/number.go
+++ b/internal/member/number.go
@@ -29,7 +29,7 @@
 	e.record.Ticket = number
 	m.table.refresh(e)
 	m.numberChanged = true
-	if e.status == StatusDead && !always {
+	if e.status.gone() && !always {
 		return
 	}
 	e.numberSends = 0
@@ -112,7 +112,7 @@
 	var numbers []Number
 	unlimited := 1 << 30
 	for _, e := range m.table.sorted {
-		if e.status != StatusDead {
+		if !e.status.gone() {
 			addNumber(&numbers, e, &unlimited)
 		}
 	}
--- a/internal/member/own.go
+++ b/internal/member/own.go
@@ -106,7 +106,7 @@
 // refute answers a rumour about the own run that is not true.
 func (m *Module) refute(r *Rumour) {
 	own := &m.self.record
-	if m.self.status == StatusDead || (r.Status == StatusAlive && r.Version <= own.Version) {
+	if m.self.status.gone() || (r.Status == StatusAlive && r.Version <= own.Version) {
 		return
 	}
 	if r.Version < own.Version {
@@ -121,10 +121,10 @@
 	m.spread(m.self, false, true)
 }
 
-// leave declares the own run dead, so that the others need not detect it.
+// leave declares that the own run ends, so that the others need not detect it.
 func (m *Module) leave() {
 	m.self.record.Version++
-	m.table.setStatus(m.self, StatusDead, m.now)
+	m.table.setStatus(m.self, StatusLeft, m.now)
 	m.table.refresh(m.self)
 	m.spread(m.self, false, true)
 }
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -99,12 +99,12 @@
 			last := len(m.probes.order) - 1
 			e := m.probes.order[last]
 			m.probes.order = m.probes.order[:last]
-			if e.status != StatusDead && m.table.byKey[e.key] == e {
+			if !e.status.gone() && m.table.byKey[e.key] == e {
 				return e
 			}
 		}
 		for _, e := range m.table.sorted {
-			if e != m.self && e.status != StatusDead {
+			if e != m.self && !e.status.gone() {
 				m.probes.order = append(m.probes.order, e)
 			}
 		}
@@ -151,7 +151,7 @@
 	m.probes.nextSweep = m.now.Add(tombstoneSweepInterval)
 	var expired []*entry
 	for _, e := range m.table.sorted {
-		if e.status == StatusDead && e != m.self && m.now.Sub(e.since) >= tombstoneAge {
+		if e.status.gone() && e != m.self && m.now.Sub(e.since) >= tombstoneAge {
 			expired = append(expired, e)
 		}
 	}
@@ -228,7 +228,7 @@
 	case KindPingRequest:
 		m.relayPing(d, source)
 	case KindPush:
-		if sender != nil && sender.status == StatusDead {
+		if sender != nil && sender.status.gone() {
 			m.ping(sender, sender.key)
 		}
 	}
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -9,7 +9,10 @@
 const (
 	StatusAlive Status = iota + 1
 	StatusSuspect
+	// StatusDead means that the node did not answer; it can refute.
 	StatusDead
+	// StatusLeft means that the node itself announced its exit; the others believe it at once.
+	StatusLeft
 )
 
 // NodeRecord is the state that a node publishes about itself.
@@ -51,11 +54,16 @@
 		return "suspect"
 	case StatusDead:
 		return "dead"
+	case StatusLeft:
+		return "left"
 	default:
 		return "invalid"
 	}
 }
 
+// gone reports whether the node takes no part any more.
+func (s Status) gone() bool { return s >= StatusDead }
+
 // MarshalText encodes the status by its name.
 func (s Status) MarshalText() ([]byte, error) {
 	return []byte(s.String()), nil
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -88,7 +88,7 @@
 	} else {
 		t.byShort[shortKey(e.key)] = e
 	}
-	if e.status != StatusDead {
+	if !e.status.gone() {
 		t.alive++
 	}
 	t.refresh(e)
@@ -99,7 +99,7 @@
 	t.sorted = slices.Delete(t.sorted, i, i+1)
 	delete(t.byKey, e.key)
 	delete(t.byShort, shortKey(e.key))
-	if e.status != StatusDead {
+	if !e.status.gone() {
 		t.alive--
 	}
 	t.buckets[bucketOf(e.key)] ^= e.digest
@@ -109,11 +109,11 @@
 
 // setStatus changes the status and keeps the count of nodes that are not dead.
 func (t *table) setStatus(e *entry, s Status, since time.Time) {
-	if e.status != StatusDead {
+	if !e.status.gone() {
 		t.alive--
 	}
 	e.status, e.since = s, since
-	if s != StatusDead {
+	if !s.gone() {
 		t.alive++
 	}
 }
@@ -123,7 +123,7 @@
 	t.buckets[bucketOf(e.key)] ^= e.digest
 	t.numbers ^= e.numberDigest
 	e.digest, e.numberDigest = e.sum(), 0
-	if e.status != StatusDead {
+	if !e.status.gone() {
 		e.numberDigest = digest(e.key, e.record.Ticket, 0, 0)
 	}
 	t.buckets[bucketOf(e.key)] ^= e.digest
