--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bufio"
 	"bytes"
 	"crypto/hmac"
 	"crypto/sha256"
@@ -24,20 +25,37 @@
 	frameLengthSize = 4
 )
 
+// writeTimeout bounds the sending of a frame to a node that stops reading.
+const writeTimeout = 5 * time.Second
+
+// outbound is a body that is already encoded, with a mark whether any of it may have been sent.
+type outbound struct {
+	payload []byte
+	sent    atomic.Bool
+}
+
+// inbound takes a body without decoding it, so that a late answer does not touch the variables of a caller that has
+// given up.
+type inbound struct{ payload []byte }
+
 // frameConn reads and writes authenticated frames: length, truncated HMAC, payload.
 //
 // The HMAC covers the direction (by its key) and the frame's position, so frames cannot be replayed or reordered.
 type frameConn struct {
 	conn     net.Conn
+	reader   *bufio.Reader
 	readKey  []byte
 	writeKey []byte
 	read     uint64
 	written  uint64
 	lastRead atomic.Int64
-	// idle bounds the wait for the first byte of a frame; zero means no bound.
+	// idle bounds the wait for bytes.
 	idle time.Duration
 }
 
+// stampReader notes when bytes arrive and bounds the wait for them.
+type stampReader struct{ *frameConn }
+
 type rpcHeader struct {
 	Method string `cbor:"1,keyasint,omitempty"`
 	Seq    uint64 `cbor:"2,keyasint"`
@@ -72,7 +90,18 @@
 	return nil
 }
 
-func (c *clientCodec) ReadResponseBody(body any) error { return c.readValue(body) }
+func (c *clientCodec) ReadResponseBody(body any) error {
+	raw, ok := body.(*inbound)
+	if !ok {
+		return c.readValue(body)
+	}
+	payload, err := c.readFrame()
+	if err != nil {
+		c.reject(err)
+	}
+	raw.payload = payload
+	return err
+}
 
 func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
 	var h rpcHeader
@@ -101,16 +130,30 @@
 	if err != nil {
 		return err
 	}
-	b, err := encoding.Marshal(body)
+	ready, ok := body.(*outbound)
+	if !ok {
+		if ready, err = encodeBody(header.Method, body); err != nil {
+			return err
+		}
+	}
+	ready.sent.Store(true)
+	size := len(h) + len(ready.payload) + 2*(frameLengthSize+frameMACSize)
+	out := c.appendFrame(make([]byte, 0, size), h)
+	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err = c.conn.Write(c.appendFrame(out, ready.payload))
+	return err
+}
+
+// encodeBody fails with ErrOversized above the size bound.
+func encodeBody(method string, body any) (*outbound, error) {
+	payload, err := encoding.Marshal(body)
 	if err != nil {
-		return eris.Wrapf(err, "encode the body of %s", header.Method)
+		return nil, eris.Wrapf(err, "encode the body of %s", method)
 	}
-	if len(h) > MaxFrame || len(b) > MaxFrame {
-		return eris.Wrapf(ErrOversized, "%d bytes for %s", len(b), header.Method)
+	if len(payload) > MaxFrame {
+		return nil, eris.Wrapf(ErrOversized, "%d bytes for %s", len(payload), method)
 	}
-	out := c.appendFrame(make([]byte, 0, len(h)+len(b)+2*(frameLengthSize+frameMACSize)), h)
-	_, err = c.conn.Write(c.appendFrame(out, b))
-	return err
+	return &outbound{payload: payload}, nil
 }
 
 // readValue decodes the next frame into the value; a nil value skips the frame.
@@ -127,6 +170,22 @@
 	return err
 }
 
+func newFrameConn(conn net.Conn, readKey, writeKey []byte, idle time.Duration) *frameConn {
+	f := &frameConn{conn: conn, readKey: readKey, writeKey: writeKey, idle: idle}
+	f.reader = bufio.NewReader(stampReader{f})
+	f.lastRead.Store(time.Now().UnixNano())
+	return f
+}
+
+func (r stampReader) Read(p []byte) (int, error) {
+	_ = r.conn.SetReadDeadline(time.Now().Add(r.idle))
+	n, err := r.conn.Read(p)
+	if n > 0 {
+		r.lastRead.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
 func (f *frameConn) appendFrame(out, payload []byte) []byte {
 	out = binary.BigEndian.AppendUint32(out, uint32(len(payload)))
 	out = append(out, frameMAC(f.writeKey, f.written, payload)...)
@@ -135,11 +194,8 @@
 }
 
 func (f *frameConn) readFrame() ([]byte, error) {
-	if f.idle > 0 {
-		_ = f.conn.SetReadDeadline(time.Now().Add(f.idle))
-	}
 	var prefix [frameLengthSize + frameMACSize]byte
-	if _, err := io.ReadFull(f.conn, prefix[:]); err != nil {
+	if _, err := io.ReadFull(f.reader, prefix[:]); err != nil {
 		return nil, err
 	}
 	size := binary.BigEndian.Uint32(prefix[:])
@@ -148,14 +204,13 @@
 	}
 	// The buffer grows with the bytes that arrive, so a forged length allocates nothing.
 	var payload bytes.Buffer
-	if _, err := io.CopyN(&payload, f.conn, int64(size)); err != nil {
+	if _, err := io.CopyN(&payload, f.reader, int64(size)); err != nil {
 		return nil, err
 	}
 	if !hmac.Equal(prefix[frameLengthSize:], frameMAC(f.readKey, f.read, payload.Bytes())) {
 		return nil, eris.Wrap(ErrForged, "frame")
 	}
 	f.read++
-	f.lastRead.Store(time.Now().UnixNano())
 	return payload.Bytes(), nil
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -99,7 +99,7 @@
 		behind: make(chan behindReport, behindQueue), exchanges: make(chan struct{}, maxExchanges),
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
-	p.pool = newPool(c, &p.counters, p.reject)
+	p.pool = newPool(p.ctx, c, &p.counters, p.reject)
 	p.server = &server{
 		listener: stream, secret: c.Secret, tls: serverTLS(c.TLS), counters: &p.counters, reject: p.reject,
 		rpc: rpc.NewServer(), conns: make(map[net.Conn]struct{}),
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -33,70 +33,96 @@
 type client struct {
 	rpc   *rpc.Client
 	frame *frameConn
+	// broken is guarded by the mutex of the pool.
+	broken bool
+}
+
+// dialing is an attempt to connect that all callers of an address share.
+type dialing struct {
+	done   chan struct{}
+	client *client
+	err    error
 }
 
 // pool caches one connection per address.
 type pool struct {
+	ctx      context.Context
 	secret   []byte
 	tls      *tls.Config
 	counters *counters
 	reject   func(source string, err error)
 
 	mu      sync.Mutex
-	closed  bool
 	clients map[string]*client
+	dials   map[string]*dialing
 }
 
-func newPool(c Config, counters *counters, reject func(string, error)) *pool {
+func newPool(ctx context.Context, c Config, counters *counters, reject func(string, error)) *pool {
 	return &pool{
-		secret: c.Secret, tls: c.TLS, counters: counters, reject: reject,
-		clients: make(map[string]*client),
+		ctx: ctx, secret: c.Secret, tls: c.TLS, counters: counters, reject: reject,
+		clients: make(map[string]*client), dials: make(map[string]*dialing),
 	}
 }
 
 // call runs a method at an address and returns when it is answered, when the context ends or when the connection is
-// silent. The call is sent at most once.
+// silent. The call is sent at most once, and neither args nor reply is used after the return.
 func (p *pool) call(ctx context.Context, address, method string, args, reply any) error {
+	request, err := encodeBody(method, args)
+	if err != nil {
+		return err
+	}
 	c, err := p.usable(ctx, address)
 	if err != nil {
 		return eris.Wrapf(ErrUnsent, "%s at %s: %v", method, address, err)
 	}
 	p.counters.callsSent.Add(1)
-	done := c.rpc.Go(method, args, reply, make(chan *rpc.Call, 1)).Done
+	var answer inbound
+	if err := p.await(ctx, address, c, method, request, &answer); err != nil {
+		return eris.Wrapf(err, "%s at %s", method, address)
+	}
+	if err := decoding.Unmarshal(answer.payload, reply); err != nil {
+		err = eris.Wrapf(ErrMalformed, "answer of %s at %s: %v", method, address, err)
+		p.reject(address, err)
+		return err
+	}
+	return nil
+}
+
+// await sends the call and waits for the answer. While the answer is missing it sends echoes, so that a slow handler
+// is told from a silent connection.
+func (p *pool) await(ctx context.Context, address string, c *client, method string, request *outbound, answer *inbound) error {
+	done := make(chan *rpc.Call, 1)
+	// The call is sent from another goroutine, because a write blocks when the other node stops reading.
+	go c.rpc.Go(method, request, answer, done)
 	watch := time.NewTicker(echoInterval)
 	defer watch.Stop()
 	for {
 		select {
 		case call := <-done:
-			return p.finish(address, c, method, call.Error)
+			return p.finish(address, c, request, call.Error)
 		case <-ctx.Done():
-			return eris.Wrapf(ctx.Err(), "%s at %s", method, address)
+			return ctx.Err()
 		case <-watch.C:
-			if err := p.probe(c); err != nil {
+			if p.probe(c) != nil {
 				p.counters.connectionsSilent.Add(1)
 				p.drop(address, c)
-				return eris.Wrapf(ErrSilent, "%s at %s", method, address)
+				return ErrSilent
 			}
 		}
 	}
 }
 
-func (p *pool) finish(address string, c *client, method string, err error) error {
-	if err == nil {
-		return nil
-	}
+// finish tells errors of the handler and calls that were not sent from those that may have run.
+func (p *pool) finish(address string, c *client, request *outbound, err error) error {
 	var remote rpc.ServerError
-	if errors.As(err, &remote) {
-		return eris.Wrapf(err, "%s at %s", method, address)
+	if err == nil || errors.As(err, &remote) {
+		return err
 	}
 	p.drop(address, c)
-	if errors.Is(err, rpc.ErrShutdown) {
-		return eris.Wrapf(ErrUnsent, "%s at %s: %v", method, address, err)
-	}
-	if errors.Is(err, ErrOversized) {
-		return eris.Wrapf(err, "%s at %s", method, address)
+	if !request.sent.Load() {
+		return eris.Wrap(ErrUnsent, err.Error())
 	}
-	return eris.Wrapf(ErrSilent, "%s at %s: %v", method, address, err)
+	return eris.Wrap(ErrSilent, err.Error())
 }
 
 // usable returns a connection that answered lately; a connection that has been idle must answer an echo first.
@@ -108,7 +134,13 @@
 		p.counters.connectionsSilent.Add(1)
 		p.drop(address, c)
 	}
-	return p.dial(ctx, address)
+	d := p.dial(address)
+	select {
+	case <-d.done:
+		return d.client, d.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 }
 
 // probe sends an echo and fails unless the connection delivers some frame in time.
@@ -130,8 +162,31 @@
 	}
 }
 
-func (p *pool) dial(ctx context.Context, address string) (*client, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+// dial joins the attempt to connect that is in progress or starts one.
+func (p *pool) dial(address string) *dialing {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if d := p.dials[address]; d != nil {
+		return d
+	}
+	d := &dialing{done: make(chan struct{})}
+	if c := p.clients[address]; c != nil {
+		// Another attempt ended since the caller looked.
+		d.client = c
+		close(d.done)
+		return d
+	}
+	p.dials[address] = d
+	go func() {
+		defer close(d.done)
+		d.client, d.err = p.connect(address)
+		p.keep(address, d)
+	}()
+	return d
+}
+
+func (p *pool) connect(address string) (*client, error) {
+	ctx, cancel := context.WithTimeout(p.ctx, dialTimeout)
 	defer cancel()
 	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, "tcp", address)
@@ -151,22 +206,37 @@
 		p.reject(address, err)
 		return nil, err
 	}
-	frame := &frameConn{conn: conn, readKey: keys.toClient, writeKey: keys.toServer, idle: clientIdle}
-	frame.lastRead.Store(time.Now().UnixNano())
-	codec := &clientCodec{frameCodec{frameConn: frame, reject: func(err error) { p.reject(address, err) }}}
-	return p.keep(address, &client{rpc: rpc.NewClientWithCodec(codec), frame: frame})
+	c := &client{frame: newFrameConn(conn, keys.toClient, keys.toServer, clientIdle)}
+	c.rpc = rpc.NewClientWithCodec(&clientCodec{frameCodec{frameConn: c.frame, reject: func(err error) {
+		p.forget(address, c)
+		p.reject(address, err)
+	}}})
+	return c, nil
 }
 
-// keep caches the connection; of two that were dialled at once both stay usable and the later one is cached.
-func (p *pool) keep(address string, c *client) (*client, error) {
+// keep ends an attempt to connect and caches its connection.
+func (p *pool) keep(address string, d *dialing) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
-		_ = c.rpc.Close()
-		return nil, ErrClosed
+	delete(p.dials, address)
+	switch {
+	case d.err != nil:
+	case p.ctx.Err() != nil:
+		_ = d.client.frame.conn.Close()
+		d.client, d.err = nil, ErrClosed
+	case !d.client.broken:
+		p.clients[address] = d.client
+	}
+}
+
+// forget removes a connection that cannot be read any more, such as one that was idle.
+func (p *pool) forget(address string, c *client) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.broken = true
+	if p.clients[address] == c {
+		delete(p.clients, address)
 	}
-	p.clients[address] = c
-	return c, nil
 }
 
 func (p *pool) cached(address string) *client {
@@ -176,11 +246,7 @@
 }
 
 func (p *pool) drop(address string, c *client) {
-	p.mu.Lock()
-	if p.clients[address] == c {
-		delete(p.clients, address)
-	}
-	p.mu.Unlock()
+	p.forget(address, c)
 	// The socket is closed first, because a blocked write holds the lock that rpc.Client.Close takes.
 	_ = c.frame.conn.Close()
 	_ = c.rpc.Close()
@@ -194,7 +260,6 @@
 
 func (p *pool) close() {
 	p.mu.Lock()
-	p.closed = true
 	clients := p.clients
 	p.clients = make(map[string]*client)
 	p.mu.Unlock()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -47,17 +47,18 @@
 	defer s.remove(raw)
 	s.counters.bytesSent.Add(connectionOverhead / 2)
 	s.counters.bytesReceived.Add(connectionOverhead / 2)
-	conn := raw
-	if s.tls != nil {
-		conn = tls.Server(raw, s.tls)
-	}
 	source := raw.RemoteAddr().String()
+	conn, err := secureServer(raw, s.tls)
+	if err != nil {
+		s.reject(source, err)
+		return
+	}
 	keys, err := serverHandshake(conn, s.secret)
 	if err != nil {
 		s.reject(source, err)
 		return
 	}
-	frame := &frameConn{conn: conn, readKey: keys.toServer, writeKey: keys.toClient, idle: serverIdle}
+	frame := newFrameConn(conn, keys.toServer, keys.toClient, serverIdle)
 	s.rpc.ServeCodec(&serverCodec{frameCodec{frameConn: frame, reject: func(err error) { s.reject(source, err) }}})
 }
 
--- a/internal/peer/tls.go
+++ b/internal/peer/tls.go
@@ -1,8 +1,13 @@
 package peer
 
 import (
+	"context"
 	"crypto/tls"
+	"errors"
+	"io"
 	"net"
+
+	"github.com/rotisserie/eris"
 )
 
 // serverTLS requires a certificate of the calling node; the settings may name the authorities as RootCAs only.
@@ -28,3 +33,23 @@
 	}
 	return config
 }
+
+// secureServer does the TLS handshake when TLS is set; it fails with ErrForged when the other side cannot be verified.
+func secureServer(raw net.Conn, config *tls.Config) (net.Conn, error) {
+	if config == nil {
+		return raw, nil
+	}
+	conn := tls.Server(raw, config)
+	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+	defer cancel()
+	err := conn.HandshakeContext(ctx)
+	var network net.Error
+	switch {
+	case err == nil:
+		return conn, nil
+	case errors.Is(err, io.EOF), errors.As(err, &network) && network.Timeout():
+		return nil, err
+	default:
+		return nil, eris.Wrapf(ErrForged, "TLS handshake: %v", err)
+	}
+}
