edge, agent: flush bodies only when more of the body has to be waited for

Each piece of a body was flushed at once, so that a short answer and its trailer left in two packets and woke the edge twice. Pieces are now flushed only when nothing more of the body is buffered and its stated length is not reached.

--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -294,7 +294,7 @@
 		defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 	}
 	var sum relay.Checksum
-	kept, err := x.copyBody(response.Body, &sum)
+	kept, err := x.copyBody(conn, response, &sum)
 	if err != nil {
 		conn.Close()
 		x.fail()
@@ -351,11 +351,14 @@
 // errWrite marks that the edge no longer takes the answer.
 var errWrite = eris.New("the edge closed the connection; nothing to do")
 
-func (x *exchange) copyBody(body io.Reader, sum *relay.Checksum) (*keptBody, error) {
+// copyBody flushes only when it has to wait for more of the body, so that a short answer and its trailer leave in one
+// packet.
+func (x *exchange) copyBody(conn *relay.Conn, response *http.Response, sum *relay.Checksum) (*keptBody, error) {
 	block := relay.GetBlock()
 	defer relay.PutBlock(block)
 	kept := &keptBody{wanted: x.keyed()}
 	flusher, _ := x.w.(http.Flusher)
+	body := response.Body
 	for {
 		n, err := relay.ReadBlock(body, block[:])
 		if n > 0 {
@@ -364,7 +367,7 @@
 			if _, err := x.w.Write(block[:n]); err != nil {
 				return nil, errWrite
 			}
-			if flusher != nil && n < len(block) {
+			if flusher != nil && !conn.Buffered() && sum.Length != response.ContentLength {
 				flusher.Flush()
 			}
 		}
--- a/internal/edge/deliver.go
+++ b/internal/edge/deliver.go
@@ -149,7 +149,7 @@
 	if err != nil {
 		return errCaller
 	}
-	if d.length < 0 {
+	if d.length < 0 && !d.leg.conn.Buffered() {
 		if flusher, ok := d.request.w.(http.Flusher); ok {
 			flusher.Flush()
 		}
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -133,6 +133,11 @@
 	c.written = nil
 }
 
+// Buffered reports whether more bytes of the answer are there without waiting.
+func (c *Conn) Buffered() bool {
+	return c.reader.Buffered() > 0
+}
+
 // Discard returns a connection that was not used to its pool.
 func (c *Conn) Discard() {
 	c.pool.put(c)
