relay: write relayed headers without copying them

The profile of allocations showed a copied and sorted header per hop, the signature's buffers and a new socket handle for each check of an idle connection. Headers are now written straight from the request that net/http has read, signatures use pooled memory, the socket handle is kept, and read deadlines are only touched when they change.

--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -212,17 +212,17 @@
 }
 
 func (x *exchange) request() *relay.Request {
-	header := make(http.Header, len(x.r.Header))
-	relay.CopyHeader(header, x.r.Header)
-	if x.key != "" {
-		header[model.HeaderIdempotencyKey] = []string{x.key}
+	r := &relay.Request{
+		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: x.r.Header, ContentLength: x.r.ContentLength,
 	}
-	header[model.HeaderTimeout] = []string{time.Until(x.deadline).Round(time.Millisecond).String()}
-	if account := x.r.Header[model.HeaderAccount]; len(account) > 0 {
-		header[model.HeaderAccount] = account
+	r.Fields = append(make([]relay.Field, 0, 3), relay.Field{
+		Name: model.HeaderTimeout, Value: time.Until(x.deadline).Round(time.Millisecond).String(),
+	})
+	if x.key != "" {
+		r.Fields = append(r.Fields, relay.Field{Name: model.HeaderIdempotencyKey, Value: x.key})
 	}
-	r := &relay.Request{
-		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: header, ContentLength: x.r.ContentLength,
+	if account := x.r.Header.Get(model.HeaderAccount); account != "" {
+		r.Fields = append(r.Fields, relay.Field{Name: model.HeaderAccount, Value: account})
 	}
 	if x.r.ContentLength != 0 {
 		r.Body = x.r.Body
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -23,6 +23,9 @@
 	repeat bool
 }
 
+// omitted names the callers' headers that do not travel between nodes: the key goes in a header of its own.
+var omitted = []string{model.HeaderIdempotencyKey}
+
 // leg is one exchange with an agent.
 type leg struct {
 	request  *request
@@ -43,7 +46,7 @@
 		q.edge.config.Keys.StartAttempt(q.key, c.Candidate.Target.Ref, c.Candidate.Node)
 	}
 	var d *delivery
-	f := l.send(ctx, q.header)
+	f := l.send(ctx, nil)
 	if f == nil {
 		d, f = q.deliver(ctx, l)
 	}
@@ -106,14 +109,15 @@
 }
 
 // send relays the request and reads the header of the answer.
-func (l *leg) send(ctx context.Context, header http.Header) *failure {
+// part is nil but for the rest of a download.
+func (l *leg) send(ctx context.Context, part *resumption) *failure {
 	q := l.request
 	conn, err := l.pool.Get(ctx, q.reuse)
 	if err != nil {
 		return l.notSent(ctx, err)
 	}
 	l.conn = conn
-	l.response, err = conn.RoundTrip(ctx, l.relayed(header))
+	l.response, err = conn.RoundTrip(ctx, l.relayed(part))
 	if err != nil {
 		return l.broken(ctx, err)
 	}
@@ -132,23 +136,26 @@
 	return l.refused()
 }
 
-func (l *leg) relayed(header http.Header) *relay.Request {
+func (l *leg) relayed(part *resumption) *relay.Request {
 	q := l.request
 	target := relay.FormatTarget(l.choice.Candidate.Target.Ref)
 	l.exchange = relay.NewExchange()
-	header[model.HeaderExchange] = []string{l.exchange}
-	header[model.HeaderTarget] = []string{target}
-	header[model.HeaderTimeout] = []string{q.remaining()}
+	fields := append(q.fields, relay.Field{Name: model.HeaderExchange, Value: l.exchange},
+		relay.Field{Name: model.HeaderTarget, Value: target}, relay.Field{Name: model.HeaderTimeout, Value: q.remaining()})
 	signature := q.edge.signer.Sign(relay.Signed{
 		Exchange: l.exchange, Method: q.r.Method, URI: q.uri, Target: target, Key: q.key,
 	})
 	if signature != "" {
-		header[model.HeaderSignature] = []string{signature}
+		fields = append(fields, relay.Field{Name: model.HeaderSignature, Value: signature})
 	}
 	r := &relay.Request{
-		Method: q.r.Method, URI: q.uri, Host: q.r.Host, Header: header,
+		Method: q.r.Method, URI: q.uri, Host: q.r.Host, Header: q.r.Header, Omit: omitted,
 		SilentReused: q.edge.config.SilentReused, SilentAny: q.edge.config.SilentAny,
 	}
+	if part != nil {
+		fields = part.apply(r, fields)
+	}
+	r.Fields = fields
 	q.body.attach(r)
 	return r
 }
--- a/internal/edge/keys.go
+++ b/internal/edge/keys.go
@@ -36,7 +36,7 @@
 		return
 	}
 	q.key = key
-	q.header[model.HeaderKey] = []string{key}
+	q.addField(model.HeaderKey, key)
 }
 
 // owned reports whether the key owner follows the attempts of this request.
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -16,17 +16,21 @@
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
+// maxFields are the headers that the edge adds to a relayed request.
+const maxFields = 8
+
 // request is one request of a caller.
 type request struct {
-	edge     *Edge
-	w        http.ResponseWriter
-	r        *http.Request
-	match    router.Match
-	service  *view.Service
-	body     body
-	uri      string
-	key      string
-	header   http.Header
+	edge    *Edge
+	w       http.ResponseWriter
+	r       *http.Request
+	match   router.Match
+	service *view.Service
+	body    body
+	uri     string
+	key     string
+	// fields are the headers that all attempts share.
+	fields   []relay.Field
 	deadline time.Time
 	tried    []model.TargetRef
 	attempts int
@@ -115,14 +119,11 @@
 
 // prepareHeader builds the part of the relayed header that all attempts share.
 func (q *request) prepareHeader() (relay.Refusal, bool) {
-	h := make(http.Header, len(q.r.Header)+8)
-	relay.CopyHeader(h, q.r.Header)
-	delete(h, model.HeaderIdempotencyKey)
-	h[model.HeaderRoute] = []string{q.match.Route.Name}
+	q.fields = make([]relay.Field, 0, maxFields)
+	q.addField(model.HeaderRoute, q.match.Route.Name)
 	if account := q.r.Header[model.HeaderAccount]; len(account) > 0 {
-		h[model.HeaderAccount] = account[:1]
+		q.addField(model.HeaderAccount, account[0])
 	}
-	q.header = h
 	if p := q.edge.config.Poison; p != nil {
 		fingerprint := p.Fingerprint(PoisonRequest{
 			Service: q.match.Service, Method: q.r.Method, Path: q.r.URL.Path, Query: q.r.URL.RawQuery,
@@ -131,11 +132,15 @@
 		if p.Quarantined(q.match.Service, fingerprint) {
 			return poisoned(), false
 		}
-		h[model.HeaderFingerprint] = []string{strconv.FormatUint(fingerprint, 16)}
+		q.addField(model.HeaderFingerprint, strconv.FormatUint(fingerprint, 16))
 	}
 	return relay.Refusal{}, true
 }
 
+func (q *request) addField(name, value string) {
+	q.fields = append(q.fields, relay.Field{Name: name, Value: value})
+}
+
 // run sends attempts until one is answered or no further one is permitted.
 func (q *request) run(ctx context.Context) {
 	for {
--- a/internal/edge/resume.go
+++ b/internal/edge/resume.go
@@ -10,6 +10,7 @@
 
 	"github.com/auburnwinch/auburnwinch/internal/relay"
 	"github.com/auburnwinch/auburnwinch/internal/retry"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
 // span is the part of a representation that the caller is to get. Both ends are included.
@@ -83,7 +84,7 @@
 // fetch continues the body with the answer of one leg.
 func (r *resumption) fetch(ctx context.Context, l *leg) *failure {
 	q := r.request
-	if f := l.send(ctx, r.header()); f != nil {
+	if f := l.send(ctx, r); f != nil {
 		return f
 	}
 	h := l.response.Header
@@ -106,15 +107,17 @@
 	return d.failed(ctx, err)
 }
 
-// header returns the header of the request for the rest.
-func (r *resumption) header() http.Header {
-	h := r.request.header.Clone()
-	for _, name := range [...]string{"If-Match", "If-None-Match", "If-Modified-Since", "If-Unmodified-Since"} {
-		delete(h, name)
-	}
-	h["Range"] = []string{fmt.Sprintf("bytes=%d-%d", r.next, r.span.last)}
-	h["If-Range"] = []string{r.validate}
-	return h
+// conditions are the callers' headers that the request for the rest replaces.
+var conditions = []string{
+	model.HeaderIdempotencyKey, "Range", "If-Range", "If-Match", "If-None-Match", "If-Modified-Since",
+	"If-Unmodified-Since",
+}
+
+// apply makes the request ask for the rest.
+func (r *resumption) apply(request *relay.Request, fields []relay.Field) []relay.Field {
+	request.Omit = conditions
+	return append(fields, relay.Field{Name: "Range", Value: fmt.Sprintf("bytes=%d-%d", r.next, r.span.last)},
+		relay.Field{Name: "If-Range", Value: r.validate})
 }
 
 // parseContentRange reads `bytes first-last/total`.
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -27,7 +27,11 @@
 	Method string
 	URI    string
 	Host   string
+	// Header is the header of the request as net/http has read it. Headers of one hop, those of the fleet and those
+	// named in Omit are left out; Fields are added.
 	Header http.Header
+	Omit   []string
+	Fields []Field
 	// Body is nil without a body. ContentLength -1 sends it chunked.
 	Body          io.Reader
 	ContentLength int64
@@ -54,6 +58,11 @@
 	request   *Request
 	written   chan error
 	response  *http.Response
+	// timed tells that the connection has a read deadline.
+	timed bool
+	raw   syscall.RawConn
+	peek  func(fd uintptr) bool
+	open  bool
 }
 
 // headerLimit bounds the bytes read for a header.
@@ -66,6 +75,8 @@
 	c := &Conn{conn: conn, pool: p, limit: headerLimit{conn: conn}}
 	c.reader = bufio.NewReaderSize(&c.limit, bufferBytes)
 	c.writer = bufio.NewWriterSize(conn, bufferBytes)
+	c.raw = rawOf(conn)
+	c.peek = c.peekFD
 	return c
 }
 
@@ -145,11 +156,14 @@
 
 // SetReadTimeout bounds the time until the next bytes of the body arrive; zero removes the bound.
 func (c *Conn) SetReadTimeout(d time.Duration) {
-	if d <= 0 {
+	switch {
+	case d > 0:
+		c.timed = true
+		_ = c.conn.SetReadDeadline(time.Now().Add(d))
+	case c.timed:
+		c.timed = false
 		_ = c.conn.SetReadDeadline(time.Time{})
-		return
 	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(d))
 }
 
 func (c *Conn) finished() bool {
@@ -168,7 +182,8 @@
 			return false
 		}
 	}
-	return c.conn.SetReadDeadline(time.Time{}) == nil
+	c.SetReadTimeout(0)
+	return true
 }
 
 func (c *Conn) exchange(r *Request) (*http.Response, error) {
@@ -219,7 +234,7 @@
 	if r.WaitContinue {
 		_, _ = w.WriteString("Expect: 100-continue\r\n")
 	}
-	_ = r.Header.Write(w)
+	writeHeader(w, r.Header, r.Omit, r.Fields)
 	_, _ = w.WriteString("\r\n")
 }
 
@@ -342,24 +357,33 @@
 // alive reports whether an idle connection is still open and has nothing to read. A closed connection would otherwise
 // leave the outcome of the next request in doubt.
 func (c *Conn) alive() bool {
-	conn := c.conn
+	if c.raw == nil {
+		return true
+	}
+	err := c.raw.Read(c.peek)
+	return err == nil && c.open
+}
+
+// peekFD looks whether the peer has sent or closed, without taking anything.
+func (c *Conn) peekFD(fd uintptr) bool {
+	var one [1]byte
+	n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	c.open = n <= 0 && (errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK))
+	return true
+}
+
+// rawOf returns the socket under the connection, or nil when it has none.
+func rawOf(conn net.Conn) syscall.RawConn {
 	if wrapped, ok := conn.(interface{ NetConn() net.Conn }); ok {
 		conn = wrapped.NetConn() // TLS
 	}
-	raw, ok := conn.(syscall.Conn)
+	socket, ok := conn.(syscall.Conn)
 	if !ok {
-		return true
+		return nil
 	}
-	control, err := raw.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false
+		return nil
 	}
-	open := false
-	err = control.Read(func(fd uintptr) bool {
-		var one [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = n <= 0 && (errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK))
-		return true
-	})
-	return err == nil && open
+	return raw
 }
--- a/internal/relay/header.go
+++ b/internal/relay/header.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"bufio"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -45,6 +47,36 @@
 	}
 }
 
+// Field is a header that the fleet adds to a request.
+type Field struct {
+	Name  string
+	Value string
+}
+
+// writeHeader writes the end-to-end headers of src, which was read by net/http and so holds no line breaks, and the
+// fields. It spares the copy and the sorting of a header that is written only once.
+func writeHeader(w *bufio.Writer, src http.Header, omit []string, fields []Field) {
+	connection := src["Connection"]
+	for name, values := range src {
+		if hopByHop(name) || strings.HasPrefix(name, ownPrefix) || listed(connection, name) || slices.Contains(omit, name) {
+			continue
+		}
+		for _, value := range values {
+			writeField(w, name, value)
+		}
+	}
+	for _, f := range fields {
+		writeField(w, f.Name, f.Value)
+	}
+}
+
+func writeField(w *bufio.Writer, name, value string) {
+	_, _ = w.WriteString(name)
+	_, _ = w.WriteString(": ")
+	_, _ = w.WriteString(value)
+	_, _ = w.WriteString("\r\n")
+}
+
 // FormatTarget writes a target reference as it stands in the header.
 func FormatTarget(ref model.TargetRef) string {
 	return ref.Service + "/" + ref.ID + "/" + strconv.FormatUint(ref.Incarnation, 10)
--- a/internal/relay/sign.go
+++ b/internal/relay/sign.go
@@ -17,6 +17,14 @@
 	hashes sync.Pool
 }
 
+// signScratch is the memory for one signature.
+type signScratch struct {
+	mac    hash.Hash
+	text   []byte
+	sum    [sha256.Size]byte
+	digits [2 * sha256.Size]byte
+}
+
 // Signed are the parts of a relayed request that the signature covers.
 type Signed struct {
 	Exchange string
@@ -43,19 +51,20 @@
 	if len(s.secret) == 0 {
 		return ""
 	}
-	mac, ok := s.hashes.Get().(hash.Hash)
+	scratch, ok := s.hashes.Get().(*signScratch)
 	if !ok {
-		mac = hmac.New(sha256.New, s.secret)
+		scratch = &signScratch{mac: hmac.New(sha256.New, s.secret)}
 	}
-	mac.Reset()
+	defer s.hashes.Put(scratch)
+	text := scratch.text[:0]
 	for _, part := range [...]string{parts.Exchange, parts.Method, parts.URI, parts.Target, parts.Key} {
-		_, _ = mac.Write([]byte(part))
-		_, _ = mac.Write([]byte{0})
+		text = append(append(text, part...), 0)
 	}
-	var sum [sha256.Size]byte
-	text := hex.EncodeToString(mac.Sum(sum[:0]))
-	s.hashes.Put(mac)
-	return text
+	scratch.text = text
+	scratch.mac.Reset()
+	_, _ = scratch.mac.Write(text)
+	hex.Encode(scratch.digits[:], scratch.mac.Sum(scratch.sum[:0]))
+	return string(scratch.digits[:])
 }
 
 // Verify fails with ErrSignature unless the signature belongs to the parts.
