edge, agent: don't cancel requests that follow an upload on their connection

After an upload, the edge could abort the read of a body that had been read to its end, because the writer's report was a moment late. net/http takes such an abort for a caller that went away and cancels all later requests of the connection: they were answered not-run with 503 (seen once in TestLargeBodiesNeedBoundedMemory; TestRequestsAfterUploads failed at upload 28 before this change). A source now knows whether its body has ended and is aborted only before that. An answer that starts before the end of the upload says Connection: close, at edge and agent, since its connection can't be used any more.

--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -39,6 +39,8 @@
 	deadline time.Time
 	interim  interim
 	suspect  Suspect
+	// source is the body of the request, if it has one.
+	source *relay.Source
 	// alone tells that this request holds the only place for suspect requests.
 	alone bool
 	// abort makes the server close the connection without ending the answer.
@@ -225,17 +227,12 @@
 		r.Fields = append(r.Fields, relay.Field{Name: model.HeaderAccount, Value: account})
 	}
 	if x.r.ContentLength != 0 {
-		r.Body = x.r.Body
-		r.AbortBody = x.abortBody
+		x.source = relay.NewSource(x.w, x.r.Body)
+		r.Body, r.Source = x.source, x.source
 	}
 	return r
 }
 
-// abortBody makes a pending read of the request body return, after the target has answered without reading all of it.
-func (x *exchange) abortBody() {
-	_ = http.NewResponseController(x.w).SetReadDeadline(time.Now())
-}
-
 // notSent answers that no connection to the target could be made, so that the request did not run.
 func (x *exchange) notSent(ctx context.Context, err error) {
 	if ctx.Err() != nil {
@@ -339,6 +336,9 @@
 		// Keeps the server from guessing a type that the target did not state.
 		h["Content-Type"] = nil
 	}
+	if x.source != nil && !x.source.Ended() {
+		h["Connection"] = []string{"close"}
+	}
 	if response.ContentLength >= 0 {
 		h[model.HeaderLength] = []string{strconv.FormatInt(response.ContentLength, 10)}
 	}
@@ -387,7 +387,7 @@
 	if x.local != nil {
 		x.w.Header()[model.HeaderLoad] = []string{x.local.limiter.Load().String()}
 	}
-	if x.agent.leaving.Load() {
+	if x.agent.leaving.Load() || x.source != nil && !x.source.Ended() {
 		x.w.Header()["Connection"] = []string{"close"}
 	}
 	relay.WriteRefusal(x.w, relay.Refusal{
--- a/internal/edge/body.go
+++ b/internal/edge/body.go
@@ -13,18 +13,19 @@
 // body is the body of a caller's request. Bodies of up to one block are held in memory, so that they can be sent
 // again; of larger ones only the first block is held until it is sent.
 type body struct {
-	w       http.ResponseWriter
-	rest    io.Reader
+	source  *relay.Source
 	block   *[relay.BlockBytes]byte
 	held    []byte
 	length  int64
 	whole   bool
 	started bool
+	// begun tells that the edge itself reads the body, so that the server does not take the rest of it.
+	begun bool
 }
 
 // read reads the first block; it fails when the caller sends less than announced.
 func (b *body) read(w http.ResponseWriter, r *http.Request, deadline time.Time) error {
-	b.w, b.rest, b.length = w, r.Body, r.ContentLength
+	b.length = r.ContentLength
 	if r.ContentLength == 0 {
 		b.whole = true
 		return nil
@@ -33,6 +34,7 @@
 	control := http.NewResponseController(w)
 	_ = control.EnableFullDuplex()
 	_ = control.SetReadDeadline(deadline.Add(relay.DeadlineSlack))
+	b.begun = true
 	b.block = relay.GetBlock()
 	n, err := io.ReadFull(r.Body, b.block[:])
 	b.held = b.block[:n]
@@ -49,7 +51,9 @@
 	}
 	if b.whole {
 		_ = control.SetReadDeadline(time.Time{})
+		return nil
 	}
+	b.source = relay.NewSource(w, r.Body)
 	return nil
 }
 
@@ -60,7 +64,7 @@
 
 // complete reports whether the whole body has been read from the caller.
 func (b *body) complete() bool {
-	return b.whole
+	return b.whole || b.source != nil && b.source.Ended()
 }
 
 // attach sets the body of an attempt.
@@ -75,12 +79,7 @@
 	}
 	r.WaitContinue = true
 	r.Body = io.MultiReader(bytes.NewReader(b.held), startReader{b})
-	r.AbortBody = b.abort
-}
-
-// abort makes a pending read from the caller return.
-func (b *body) abort() {
-	_ = http.NewResponseController(b.w).SetReadDeadline(time.Now())
+	r.Source = b.source
 }
 
 // release returns the memory; no attempt may read the body any more.
@@ -99,5 +98,5 @@
 // Read reads from the caller.
 func (s startReader) Read(p []byte) (int, error) {
 	s.body.started = true
-	return s.body.rest.Read(p)
+	return s.body.source.Read(p)
 }
--- a/internal/edge/deliver.go
+++ b/internal/edge/deliver.go
@@ -169,6 +169,9 @@
 		// Keeps the server from guessing a type that the target did not state.
 		h["Content-Type"] = nil
 	}
+	if !q.body.complete() {
+		h["Connection"] = []string{"close"}
+	}
 	q.sentHeader = true
 	if d.length < 0 || d.length > relay.BlockBytes {
 		// A caller that stops reading must not hold a slot of the target for ever.
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -214,7 +214,7 @@
 }
 
 func (q *request) refuse(r relay.Refusal) {
-	if !q.body.complete() && q.r.ContentLength != 0 {
+	if q.body.begun && !q.body.complete() {
 		q.w.Header()["Connection"] = []string{"close"}
 	}
 	relay.WriteRefusal(q.w, r)
--- a/internal/edge/upload_test.go
+++ b/internal/edge/upload_test.go
@@ -114,3 +114,17 @@
 	require.Equal(t, model.OutcomeDone, got.outcome())
 	require.Eventually(t, func() bool { return f.edge.InFlight() == 0 && f.agents[0].InFlight() == 0 }, 5*time.Second, 10*time.Millisecond)
 }
+
+// Guards against requests that are canceled because the body of an earlier request on their connection was aborted.
+func TestRequestsAfterUploads(t *testing.T) {
+	f := newFleet(t, fleetConfig{targets: []http.Handler{&counter{}}})
+	body := make([]byte, 200<<10)
+	for i := range 300 {
+		got := f.send(http.MethodPost, "/orders/1", body)
+		require.NoError(t, got.err)
+		require.Equal(t, 200, got.status, "upload %d: %s", i, got.body)
+		got = f.send(http.MethodPost, "/orders/1", nil)
+		require.NoError(t, got.err)
+		require.Equal(t, 200, got.status, "request after upload %d: %s", i, got.body)
+	}
+}
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -20,6 +20,8 @@
 	bufferBytes = 16 << 10
 	// maxHeaderBytes bounds the header of an answer, interim answers included.
 	maxHeaderBytes = 256 << 10
+	// bodyEndWait bounds the wait for the last bytes of a body after its answer.
+	bodyEndWait = 50 * time.Millisecond
 )
 
 // Request is one request on a connection. URI and Host are sent as they are.
@@ -41,8 +43,8 @@
 	SilentAny    time.Duration
 	// WaitContinue sends the body only after a 100 answer, so that a refusal leaves the body untouched.
 	WaitContinue bool
-	// AbortBody makes a pending read of the body return, when the answer or the connection ends before the body.
-	AbortBody func()
+	// Source is set when Body reads from a server's request; its read is aborted when the connection ends before it.
+	Source *Source
 }
 
 // Conn is a connection that carries one request at a time and sends each request exactly once.
@@ -137,8 +139,8 @@
 	if c.written == nil {
 		return
 	}
-	if c.request.AbortBody != nil {
-		c.request.AbortBody()
+	if c.request.Source != nil {
+		c.request.Source.abort()
 	}
 	<-c.written
 	c.written = nil
@@ -171,19 +173,27 @@
 	if c.response == nil || c.response.Close || c.reader.Buffered() > 0 || unsent || !c.stop() {
 		return false
 	}
-	if c.written != nil {
-		select {
-		case err := <-c.written:
-			c.written = nil
-			if err != nil {
-				return false
-			}
-		default:
-			return false
-		}
-	}
 	c.SetReadTimeout(0)
-	return true
+	return c.bodySent()
+}
+
+// bodySent waits for the end of a body whose last bytes are on their way; the peer has answered already.
+func (c *Conn) bodySent() bool {
+	if c.written == nil {
+		return true
+	}
+	if c.request.Source != nil && !c.request.Source.Ended() {
+		return false
+	}
+	timer := time.NewTimer(bodyEndWait)
+	defer timer.Stop()
+	select {
+	case err := <-c.written:
+		c.written = nil
+		return err == nil
+	case <-timer.C:
+		return false
+	}
 }
 
 func (c *Conn) exchange(r *Request) (*http.Response, error) {
--- /dev/null
+++ b/internal/relay/source.go
@@ -0,0 +1,43 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// Source is the body of a request that is still being received by a server.
+type Source struct {
+	body  io.Reader
+	w     http.ResponseWriter
+	ended atomic.Bool
+}
+
+// NewSource returns the source of the request's body; w is the writer of its answer.
+func NewSource(w http.ResponseWriter, body io.Reader) *Source {
+	return &Source{body: body, w: w}
+}
+
+// Read reads from the sender.
+func (s *Source) Read(p []byte) (int, error) {
+	n, err := s.body.Read(p)
+	if errors.Is(err, io.EOF) {
+		s.ended.Store(true)
+	}
+	return n, err
+}
+
+// Ended reports whether the whole body has been received. An answer that starts before must close the connection,
+// because net/http cancels all later requests of a connection whose body read was aborted.
+func (s *Source) Ended() bool {
+	return s.ended.Load()
+}
+
+// abort makes a pending read return.
+func (s *Source) abort() {
+	if !s.Ended() {
+		_ = http.NewResponseController(s.w).SetReadDeadline(time.Now())
+	}
+}
