edge, agent: state dumps, counters, assertions; timeouts count as such

The edge closes its connection at the same deadline at which the agent gives up, so that the agent took timeouts of a stalled target for callers that went away, and detection missed them. Within 100 ms of the deadline they now count as timeouts. Answers that end after the node began to leave say Connection: close at the relay too.

--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -23,6 +23,8 @@
 	firstInterim = 100 * time.Millisecond
 	// retryAfterBusy is the smallest value that Retry-After can express.
 	retryAfterBusy = time.Second
+	// deadlineSlack is the time by which the deadlines of edge and agent may differ.
+	deadlineSlack = 100 * time.Millisecond
 	// unboundedTime is the deadline of a request whose edge states none.
 	unboundedTime = time.Hour
 )
@@ -254,12 +256,12 @@
 	case errors.Is(err, relay.ErrNotSent):
 		x.refuse(relay.ReasonDeadline, model.OutcomeNotRun)
 		return ResultCanceled
-	case x.r.Context().Err() != nil:
-		x.refuse(relay.ReasonBroken, model.OutcomeUnknown)
-		return ResultCanceled
-	case ctx.Err() != nil:
+	case x.timedOut(ctx):
 		x.refuse(relay.ReasonTimeout, model.OutcomeUnknown)
 		return ResultTimeout
+	case ctx.Err() != nil:
+		x.refuse(relay.ReasonBroken, model.OutcomeUnknown)
+		return ResultCanceled
 	case errors.Is(err, relay.ErrBody):
 		x.refuse(relay.ReasonBadRequest, model.OutcomeUnknown)
 		return ResultCanceled
@@ -274,6 +276,12 @@
 	return ResultReset
 }
 
+// timedOut reports whether the time of the request ran out. The edge closes the connection at the same deadline, which
+// must not look like a caller that went away.
+func (x *exchange) timedOut(ctx context.Context) bool {
+	return ctx.Err() != nil && time.Until(x.deadline) < deadlineSlack
+}
+
 func (x *exchange) fail() {
 	if x.keyed() {
 		x.agent.config.Ledger.Fail(x.key)
@@ -314,10 +322,10 @@
 func (x *exchange) brokenBody(ctx context.Context, length int64, err error) ResultKind {
 	x.abort = true
 	switch {
-	case x.r.Context().Err() != nil || errors.Is(err, errWrite):
-		return ResultCanceled
-	case ctx.Err() != nil:
+	case x.timedOut(ctx):
 		return ResultTimeout
+	case ctx.Err() != nil || errors.Is(err, errWrite):
+		return ResultCanceled
 	}
 	_ = level.Warn(x.agent.config.Logger).Log("msg", "target broke off its answer", "service",
 		x.local.target.Ref.Service, "target", x.local.target.Ref.ID, "bytes", length, "err", err)
@@ -336,7 +344,7 @@
 		// Keeps the server from guessing a type that the target did not state.
 		h["Content-Type"] = nil
 	}
-	if x.source != nil && !x.source.Ended() {
+	if x.closes() {
 		h["Connection"] = []string{"close"}
 	}
 	if response.ContentLength >= 0 {
@@ -348,6 +356,11 @@
 	x.w.WriteHeader(response.StatusCode)
 }
 
+// closes reports whether the connection must end with this answer: the node leaves, or a part of the body is unread.
+func (x *exchange) closes() bool {
+	return x.agent.leaving.Load() || x.source != nil && !x.source.Ended()
+}
+
 // errWrite marks that the edge no longer takes the answer.
 var errWrite = eris.New("the edge closed the connection; nothing to do")
 
@@ -387,7 +400,7 @@
 	if x.local != nil {
 		x.w.Header()[model.HeaderLoad] = []string{x.local.limiter.Load().String()}
 	}
-	if x.agent.leaving.Load() || x.source != nil && !x.source.Ended() {
+	if x.closes() {
 		x.w.Header()["Connection"] = []string{"close"}
 	}
 	relay.WriteRefusal(x.w, relay.Refusal{
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -61,6 +61,7 @@
 func (q *request) endAttempt(f *failure) {
 	switch {
 	case f == nil:
+		q.count(model.OutcomeDone)
 		if q.owned() {
 			q.edge.config.Keys.FinishAttempt(q.key)
 		}
@@ -68,6 +69,7 @@
 	case f.result == retry.NotRun && q.owned():
 		q.edge.config.Keys.RefuseAttempt(q.key)
 	case f.kind == ResultPathFailure:
+		q.edge.counters.pathFailures.Add(1)
 		q.reuse = relay.ConnNew
 	}
 }
--- a/internal/edge/deliver.go
+++ b/internal/edge/deliver.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/auburnwinch/auburnwinch/internal/invar"
 	"github.com/auburnwinch/auburnwinch/internal/relay"
 	"github.com/auburnwinch/auburnwinch/internal/retry"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
@@ -45,6 +46,7 @@
 	}
 	err := d.copy()
 	if err == nil {
+		d.checkWhole()
 		l.conn.Release()
 		return d, nil
 	}
@@ -52,6 +54,11 @@
 	return d, d.failed(ctx, err)
 }
 
+// checkWhole asserts that the caller got as many bytes as the answer stated.
+func (d *delivery) checkWhole() {
+	invar.Check(d.length < 0 || d.written == d.length, "edge", "delivered %d of %d bytes as whole", d.written, d.length)
+}
+
 func (d *delivery) failed(ctx context.Context, err error) *failure {
 	switch {
 	case errors.Is(err, errCaller), errors.Is(ctx.Err(), context.Canceled):
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -27,6 +27,7 @@
 	budgets  sync.Map // service name to *retry.Budget
 	leaving  atomic.Bool
 	inFlight atomic.Int64
+	counters counters
 	stop     chan struct{}
 	stopped  atomic.Bool
 	group    conc.WaitGroup
--- a/internal/edge/keys.go
+++ b/internal/edge/keys.go
@@ -98,6 +98,7 @@
 	h := q.w.Header()
 	relay.CopyHeader(h, http.Header(a.Header))
 	h[model.HeaderOutcome] = []string{string(model.OutcomeDone)}
+	q.count(model.OutcomeDone)
 	q.w.WriteHeader(a.Status)
 	if relay.BodyAllowed(q.r.Method, a.Status) {
 		_, _ = q.w.Write(a.Body)
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/auburnwinch/auburnwinch/internal/invar"
 	"github.com/auburnwinch/auburnwinch/internal/relay"
 	"github.com/auburnwinch/auburnwinch/internal/retry"
 	"github.com/auburnwinch/auburnwinch/internal/router"
@@ -64,6 +65,7 @@
 	if !q.beginKey(ctx) {
 		return
 	}
+	q.edge.counters.requests.Add(1)
 	q.edge.budget(q.match.Service).Begin()
 	q.run(ctx)
 	if q.limited != nil {
@@ -169,7 +171,11 @@
 		Number: q.attempts, Result: f.result, Idempotent: q.match.Route.Idempotent, BodyHeld: q.body.repeatable(),
 		Answered: q.sentHeader,
 	})
-	return allowed && ctx.Err() == nil && q.edge.budget(q.match.Service).Spend()
+	if !allowed || ctx.Err() != nil || !q.edge.budget(q.match.Service).Spend() {
+		return false
+	}
+	q.edge.counters.retries.Add(1)
+	return true
 }
 
 // giveUp answers for the last attempt.
@@ -177,6 +183,7 @@
 	switch {
 	case q.sentHeader:
 		q.endKey(model.OutcomeUnknown)
+		q.edge.counters.broken.Add(1)
 		q.abort = true
 	case f.result == retry.NotRun:
 		q.refuseAttempts(ofAgent(f.reason))
@@ -214,6 +221,13 @@
 }
 
 func (q *request) refuse(r relay.Refusal) {
+	invar.Check(!q.doubted || r.Answer.Outcome != model.OutcomeNotRun, "edge", "not-run after an attempt in doubt: %s",
+		r.Answer.Reason)
+	q.count(r.Answer.Outcome)
+	if r.Status == http.StatusBadRequest {
+		_ = level.Info(q.edge.config.Logger).Log("msg", "bad request refused", "peer", q.r.RemoteAddr, "path",
+			q.r.URL.Path, "reason", r.Answer.Reason)
+	}
 	if q.body.begun && !q.body.complete() {
 		q.w.Header()["Connection"] = []string{"close"}
 	}
--- a/internal/edge/resume.go
+++ b/internal/edge/resume.go
@@ -42,6 +42,7 @@
 			return f
 		}
 		q.attempts++
+		q.edge.counters.resumptions.Add(1)
 		l := q.begin(choice)
 		if f.kind == ResultPathFailure {
 			q.reuse = relay.ConnNew
--- /dev/null
+++ b/internal/edge/state.go
@@ -0,0 +1,80 @@
+package edge
+
+import (
+	"cmp"
+	"slices"
+	"sync/atomic"
+
+	"github.com/auburnwinch/auburnwinch/internal/relay"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// Counters are totals since the start of the edge.
+type Counters struct {
+	// Requests are those that were admitted to a first attempt.
+	Requests     uint64 `json:"requests"`
+	Retries      uint64 `json:"retries"`
+	Resumptions  uint64 `json:"resumptions"`
+	PathFailures uint64 `json:"path-failures"`
+	// Done, NotRun and Unknown count answers; Broken counts answers that broke off at the caller.
+	Done    uint64 `json:"done"`
+	NotRun  uint64 `json:"not-run"`
+	Unknown uint64 `json:"unknown"`
+	Broken  uint64 `json:"broken"`
+}
+
+// PoolState is the state of the connections to one agent.
+type PoolState struct {
+	Address string `json:"address"`
+	Idle    int    `json:"idle"`
+}
+
+// State is the state of an edge for operators.
+type State struct {
+	InFlight int         `json:"in-flight"`
+	Leaving  bool        `json:"leaving"`
+	Routes   int         `json:"routes"`
+	Number   uint64      `json:"number"`
+	Counters Counters    `json:"counters"`
+	Pools    []PoolState `json:"pools"`
+}
+
+type counters struct {
+	requests, retries, resumptions, pathFailures, done, notRun, unknown, broken atomic.Uint64
+}
+
+// Counters returns the totals; they are read one after the other.
+func (e *Edge) Counters() Counters {
+	c := &e.counters
+	return Counters{
+		Requests: c.requests.Load(), Retries: c.retries.Load(), Resumptions: c.resumptions.Load(),
+		PathFailures: c.pathFailures.Load(), Done: c.done.Load(), NotRun: c.notRun.Load(), Unknown: c.unknown.Load(),
+		Broken: c.broken.Load(),
+	}
+}
+
+// State returns the state for the state dump.
+func (e *Edge) State() State {
+	s := State{InFlight: e.InFlight(), Leaving: e.leaving.Load(), Counters: e.Counters(), Pools: []PoolState{}}
+	if table := e.routes.Load(); table != nil {
+		s.Routes, s.Number = table.Len(), table.Number()
+	}
+	e.pools.Range(func(address, pool any) bool {
+		s.Pools = append(s.Pools, PoolState{Address: address.(string), Idle: pool.(*relay.Pool).Idle()})
+		return true
+	})
+	slices.SortFunc(s.Pools, func(a, b PoolState) int { return cmp.Compare(a.Address, b.Address) })
+	return s
+}
+
+func (q *request) count(o model.Outcome) {
+	c := &q.edge.counters
+	switch o {
+	case model.OutcomeDone:
+		c.done.Add(1)
+	case model.OutcomeNotRun:
+		c.notRun.Add(1)
+	default:
+		c.unknown.Add(1)
+	}
+}
--- a/internal/relay/header.go
+++ b/internal/relay/header.go
@@ -101,8 +101,8 @@
 
 // Load is the load that an agent reports for a target.
 type Load struct {
-	InFlight int
-	Limit    int
+	InFlight int `json:"in-flight"`
+	Limit    int `json:"limit"`
 }
 
 // String writes the load as `in-flight/limit`.
