relay: hold no buffers on idle connections

An edge keeps connections to hundreds of agents; with 32 KiB of buffers each, some thousand idle connections would exceed the memory of a small VM. Idle connections now give their buffers back to a pool.

--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -10,6 +10,7 @@
 	"net/http/httputil"
 	"os"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
@@ -24,6 +25,8 @@
 	bodyEndWait = 50 * time.Millisecond
 )
 
+var readers, writers sync.Pool
+
 // Request is one request on a connection. URI and Host are sent as they are.
 type Request struct {
 	Method string
@@ -75,13 +78,35 @@
 
 func newConn(conn net.Conn, p *Pool) *Conn {
 	c := &Conn{conn: conn, pool: p, limit: headerLimit{conn: conn}}
-	c.reader = bufio.NewReaderSize(&c.limit, bufferBytes)
-	c.writer = bufio.NewWriterSize(conn, bufferBytes)
+	c.takeBuffers()
 	c.raw = rawOf(conn)
 	c.peek = c.peekFD
 	return c
 }
 
+// takeBuffers takes memory for the next request. Idle connections hold none, because an edge keeps connections to
+// hundreds of agents.
+func (c *Conn) takeBuffers() {
+	var ok bool
+	if c.reader, ok = readers.Get().(*bufio.Reader); !ok {
+		c.reader = bufio.NewReaderSize(nil, bufferBytes)
+	}
+	if c.writer, ok = writers.Get().(*bufio.Writer); !ok {
+		c.writer = bufio.NewWriterSize(nil, bufferBytes)
+	}
+	c.reader.Reset(&c.limit)
+	c.writer.Reset(c.conn)
+}
+
+// giveBuffers gives the memory back while the connection is idle and its buffers are empty.
+func (c *Conn) giveBuffers() {
+	c.reader.Reset(nil)
+	c.writer.Reset(nil)
+	readers.Put(c.reader)
+	writers.Put(c.writer)
+	c.reader, c.writer = nil, nil
+}
+
 // Read reads from the connection; it fails when the header is larger than the limit.
 func (l *headerLimit) Read(p []byte) (int, error) {
 	if l.left <= 0 {
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -68,6 +68,7 @@
 		for c := p.takeIdle(); c != nil; c = p.takeIdle() {
 			if c.alive() {
 				c.reused = true
+				c.takeBuffers()
 				return c, nil
 			}
 			c.Close()
@@ -150,6 +151,7 @@
 }
 
 func (p *Pool) put(c *Conn) {
+	c.giveBuffers()
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	keep := !p.closed && len(p.idle) < p.config.MaxIdle
