--- a/internal/edge/fault_test.go
+++ b/internal/edge/fault_test.go
@@ -84,6 +84,7 @@
 	require.Equal(t, 200, got.status, "%s", got.body)
 	require.Less(t, time.Since(begin), 2*time.Second)
 	require.Equal(t, int64(1), fresh.Load())
+	require.Equal(t, 1, f.edge.State().Pools[0].Idle, "the siblings of the silent connection must be closed")
 }
 
 // Guards against Go's transport, or any other layer, repeating a request by itself when a reused connection breaks.
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -20,6 +20,9 @@
 // maxFields are the headers that the edge adds to a relayed request.
 const maxFields = 8
 
+// maxCrashes bounds the targets that one request may take down.
+const maxCrashes = 2
+
 // request is one request of a caller.
 type request struct {
 	edge    *Edge
@@ -40,6 +43,9 @@
 	doubted bool
 	// limited is set while writes to the caller have a deadline.
 	limited *http.ResponseController
+	// fingerprint identifies the request for the detection of poison requests; crashes counts targets that died.
+	fingerprint uint64
+	crashes     int
 	// sentHeader tells that the caller has received the header of an answer.
 	sentHeader bool
 	// abort makes the server close the connection without ending the answer.
@@ -127,14 +133,14 @@
 		q.addField(model.HeaderAccount, account[0])
 	}
 	if p := q.edge.config.Poison; p != nil {
-		fingerprint := p.Fingerprint(PoisonRequest{
+		q.fingerprint = p.Fingerprint(PoisonRequest{
 			Service: q.match.Service, Method: q.r.Method, Path: q.r.URL.Path, Query: q.r.URL.RawQuery,
 			Body: q.body.held, Key: q.r.Header.Get(model.HeaderIdempotencyKey),
 		})
-		if p.Quarantined(q.match.Service, fingerprint) {
+		if p.Quarantined(q.match.Service, q.fingerprint) {
 			return poisoned(), false
 		}
-		q.addField(model.HeaderFingerprint, strconv.FormatUint(fingerprint, 16))
+		q.addField(model.HeaderFingerprint, strconv.FormatUint(q.fingerprint, 16))
 	}
 	return relay.Refusal{}, true
 }
@@ -159,6 +165,10 @@
 			return
 		}
 		q.doubted = q.doubted || f.result == retry.InDoubt
+		if q.poisoned(f) && !q.sentHeader {
+			q.refuseAttempts(poisoned())
+			return
+		}
 		if !q.mayRepeat(ctx, f) {
 			q.giveUp(ctx, f)
 			return
@@ -166,6 +176,15 @@
 	}
 }
 
+// poisoned reports whether the request must not be sent again because targets crashed while they ran it.
+func (q *request) poisoned(f *failure) bool {
+	if f.reason == relay.ReasonCrashed {
+		q.crashes++
+	}
+	p := q.edge.config.Poison
+	return q.crashes >= maxCrashes || p != nil && p.Quarantined(q.match.Service, q.fingerprint)
+}
+
 func (q *request) mayRepeat(ctx context.Context, f *failure) bool {
 	allowed := f.repeat && retry.Allowed(retry.Attempt{
 		Number: q.attempts, Result: f.result, Idempotent: q.match.Route.Idempotent, BodyHeld: q.body.repeatable(),
