edge, agent: forget agents without connections, report targets in order

Reports of targets by concurrent changes could arrive out of order, so that an old list came last. A request whose deadline had passed used its key up although it was not sent. Subscriptions to the clock are made before New returns, which spares the tests a sleep. go test -race -short -count=2 passes.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/auburnwinch/auburnwinch/internal/relay"
+	"github.com/auburnwinch/auburnwinch/internal/timer"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
@@ -31,6 +33,7 @@
 	inFlight atomic.Int64
 	// suspectRuns is the place for the one request that is suspect of crashing targets.
 	suspectRuns atomic.Bool
+	publishing  sync.Mutex
 	stop        chan struct{}
 	stopped     atomic.Bool
 	group       conc.WaitGroup
@@ -40,7 +43,8 @@
 func New(c Config) (*Agent, error) {
 	c = c.withDefaults()
 	a := &Agent{config: c, registry: newRegistry(c), signer: relay.NewSigner(c.Secret), stop: make(chan struct{})}
-	a.group.Go(a.watchExpiry)
+	ticks := c.Clock.Subscribe(expiryCheck)
+	a.group.Go(func() { a.watchExpiry(ticks) })
 	return a, nil
 }
 
@@ -86,8 +90,7 @@
 	return nil
 }
 
-func (a *Agent) watchExpiry() {
-	ticks := a.config.Clock.Subscribe(expiryCheck)
+func (a *Agent) watchExpiry(ticks *timer.Subscription) {
 	defer ticks.Stop()
 	for {
 		select {
@@ -143,10 +146,14 @@
 	a.publish()
 }
 
+// publish reports the targets. Reports are made one after the other, so that the last one is the newest.
 func (a *Agent) publish() {
-	if a.config.OnTargets != nil {
-		a.config.OnTargets(a.registry.targets())
+	if a.config.OnTargets == nil {
+		return
 	}
+	a.publishing.Lock()
+	defer a.publishing.Unlock()
+	a.config.OnTargets(a.registry.targets())
 }
 
 func (a *Agent) service(name string) (model.ServiceSpec, bool) {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -130,7 +130,6 @@
 	b := newBench(t, agent.Config{Clock: clock})
 	status, _ := b.local("/v1/announce", announcementOf("127.0.0.1:1", 1))
 	require.Equal(t, http.StatusNoContent, status)
-	time.Sleep(50 * time.Millisecond) // The agent subscribes to the clock in a goroutine of its own.
 	for range 5 {
 		clock.Advance(time.Second)
 	}
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -164,6 +164,11 @@
 		x.notSent(ctx, err)
 		return
 	}
+	if ctx.Err() != nil {
+		conn.Discard()
+		x.refuse(relay.ReasonDeadline, model.OutcomeNotRun)
+		return
+	}
 	// The key is marked as seen only when the request is handed to the target.
 	if x.keyed() && !x.agent.config.Ledger.Admit(x.key) {
 		conn.Discard()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -12,6 +12,7 @@
 	"github.com/auburnwinch/auburnwinch/internal/relay"
 	"github.com/auburnwinch/auburnwinch/internal/retry"
 	"github.com/auburnwinch/auburnwinch/internal/router"
+	"github.com/auburnwinch/auburnwinch/internal/timer"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
@@ -36,7 +37,8 @@
 // New starts an edge; Close stops it.
 func New(c Config) (*Edge, error) {
 	e := &Edge{config: c.withDefaults(), signer: relay.NewSigner(c.Secret), stop: make(chan struct{})}
-	e.group.Go(e.watchPools)
+	ticks := e.config.Clock.Subscribe(poolCheck)
+	e.group.Go(func() { e.watchPools(ticks) })
 	return e, nil
 }
 
@@ -90,22 +92,30 @@
 	}
 }
 
-func (e *Edge) watchPools() {
-	ticks := e.config.Clock.Subscribe(poolCheck)
+func (e *Edge) watchPools(ticks *timer.Subscription) {
 	defer ticks.Stop()
 	for {
 		select {
 		case <-e.stop:
 			return
 		case now := <-ticks.C:
-			e.pools.Range(func(_, pool any) bool {
-				pool.(*relay.Pool).CloseExpired(now)
-				return true
-			})
+			e.expirePools(now)
 		}
 	}
 }
 
+// expirePools closes expired connections and forgets agents without any, since nodes come and go all day.
+func (e *Edge) expirePools(now time.Time) {
+	e.pools.Range(func(address, pool any) bool {
+		p := pool.(*relay.Pool)
+		p.CloseExpired(now)
+		if p.CloseIfEmpty() {
+			e.pools.Delete(address)
+		}
+		return true
+	})
+}
+
 func (e *Edge) pool(address string) *relay.Pool {
 	if pool, ok := e.pools.Load(address); ok {
 		return pool.(*relay.Pool)
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -96,6 +96,15 @@
 	p.CloseIdle()
 }
 
+// CloseIfEmpty closes a pool without idle connections and reports whether it did. Connections in use are closed when
+// they come back.
+func (p *Pool) CloseIfEmpty() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = p.closed || len(p.idle) == 0
+	return p.closed
+}
+
 // CloseExpired closes connections that were idle for longer than the idle timeout.
 func (p *Pool) CloseExpired(now time.Time) {
 	p.mu.Lock()
