--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -23,6 +23,8 @@
 	firstInterim = 100 * time.Millisecond
 	// retryAfterBusy is the smallest value that Retry-After can express.
 	retryAfterBusy = time.Second
+	// deadlineSlack is the time by which the deadlines of edge and agent may differ.
+	deadlineSlack = 100 * time.Millisecond
 	// unboundedTime is the deadline of a request whose edge states none.
 	unboundedTime = time.Hour
 )
@@ -39,6 +41,8 @@
 	deadline time.Time
 	interim  interim
 	suspect  Suspect
+	// source is the body of the request, if it has one.
+	source *relay.Source
 	// alone tells that this request holds the only place for suspect requests.
 	alone bool
 	// abort makes the server close the connection without ending the answer.
@@ -160,6 +164,11 @@
 		x.notSent(ctx, err)
 		return
 	}
+	if ctx.Err() != nil {
+		conn.Discard()
+		x.refuse(relay.ReasonDeadline, model.OutcomeNotRun)
+		return
+	}
 	// The key is marked as seen only when the request is handed to the target.
 	if x.keyed() && !x.agent.config.Ledger.Admit(x.key) {
 		conn.Discard()
@@ -212,27 +221,22 @@
 }
 
 func (x *exchange) request() *relay.Request {
-	header := make(http.Header, len(x.r.Header))
-	relay.CopyHeader(header, x.r.Header)
-	header[model.HeaderTimeout] = []string{time.Until(x.deadline).Round(time.Millisecond).String()}
-	if account := x.r.Header[model.HeaderAccount]; len(account) > 0 {
-		header[model.HeaderAccount] = account
-	}
 	r := &relay.Request{
-		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: header, ContentLength: x.r.ContentLength,
+		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: x.r.Header, ContentLength: x.r.ContentLength,
+	}
+	r.Fields = append(make([]relay.Field, 0, 3), relay.Field{
+		Name: model.HeaderTimeout, Value: time.Until(x.deadline).Round(time.Millisecond).String(),
+	})
+	if account := x.r.Header.Get(model.HeaderAccount); account != "" {
+		r.Fields = append(r.Fields, relay.Field{Name: model.HeaderAccount, Value: account})
 	}
 	if x.r.ContentLength != 0 {
-		r.Body = x.r.Body
-		r.AbortBody = x.abortBody
+		x.source = relay.NewSource(x.w, x.r.Body)
+		r.Body, r.Source = x.source, x.source
 	}
 	return r
 }
 
-// abortBody makes a pending read of the request body return, after the target has answered without reading all of it.
-func (x *exchange) abortBody() {
-	_ = http.NewResponseController(x.w).SetReadDeadline(time.Now())
-}
-
 // notSent answers that no connection to the target could be made, so that the request did not run.
 func (x *exchange) notSent(ctx context.Context, err error) {
 	if ctx.Err() != nil {
@@ -254,12 +258,12 @@
 	case errors.Is(err, relay.ErrNotSent):
 		x.refuse(relay.ReasonDeadline, model.OutcomeNotRun)
 		return ResultCanceled
-	case x.r.Context().Err() != nil:
-		x.refuse(relay.ReasonBroken, model.OutcomeUnknown)
-		return ResultCanceled
-	case ctx.Err() != nil:
+	case x.timedOut(ctx):
 		x.refuse(relay.ReasonTimeout, model.OutcomeUnknown)
 		return ResultTimeout
+	case ctx.Err() != nil:
+		x.refuse(relay.ReasonBroken, model.OutcomeUnknown)
+		return ResultCanceled
 	case errors.Is(err, relay.ErrBody):
 		x.refuse(relay.ReasonBadRequest, model.OutcomeUnknown)
 		return ResultCanceled
@@ -274,6 +278,12 @@
 	return ResultReset
 }
 
+// timedOut reports whether the time of the request ran out. The edge closes the connection at the same deadline, which
+// must not look like a caller that went away.
+func (x *exchange) timedOut(ctx context.Context) bool {
+	return ctx.Err() != nil && time.Until(x.deadline) < deadlineSlack
+}
+
 func (x *exchange) fail() {
 	if x.keyed() {
 		x.agent.config.Ledger.Fail(x.key)
@@ -291,7 +301,7 @@
 		defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 	}
 	var sum relay.Checksum
-	kept, err := x.copyBody(response.Body, &sum)
+	kept, err := x.copyBody(conn, response, &sum)
 	if err != nil {
 		conn.Close()
 		x.fail()
@@ -314,10 +324,10 @@
 func (x *exchange) brokenBody(ctx context.Context, length int64, err error) ResultKind {
 	x.abort = true
 	switch {
-	case x.r.Context().Err() != nil || errors.Is(err, errWrite):
-		return ResultCanceled
-	case ctx.Err() != nil:
+	case x.timedOut(ctx):
 		return ResultTimeout
+	case ctx.Err() != nil || errors.Is(err, errWrite):
+		return ResultCanceled
 	}
 	_ = level.Warn(x.agent.config.Logger).Log("msg", "target broke off its answer", "service",
 		x.local.target.Ref.Service, "target", x.local.target.Ref.ID, "bytes", length, "err", err)
@@ -336,6 +346,9 @@
 		// Keeps the server from guessing a type that the target did not state.
 		h["Content-Type"] = nil
 	}
+	if x.closes() {
+		h["Connection"] = []string{"close"}
+	}
 	if response.ContentLength >= 0 {
 		h[model.HeaderLength] = []string{strconv.FormatInt(response.ContentLength, 10)}
 	}
@@ -345,14 +358,22 @@
 	x.w.WriteHeader(response.StatusCode)
 }
 
+// closes reports whether the connection must end with this answer: the node leaves, or a part of the body is unread.
+func (x *exchange) closes() bool {
+	return x.agent.leaving.Load() || x.source != nil && !x.source.Ended()
+}
+
 // errWrite marks that the edge no longer takes the answer.
 var errWrite = eris.New("the edge closed the connection; nothing to do")
 
-func (x *exchange) copyBody(body io.Reader, sum *relay.Checksum) (*keptBody, error) {
+// copyBody flushes only when it has to wait for more of the body, so that a short answer and its trailer leave in one
+// packet.
+func (x *exchange) copyBody(conn *relay.Conn, response *http.Response, sum *relay.Checksum) (*keptBody, error) {
 	block := relay.GetBlock()
 	defer relay.PutBlock(block)
 	kept := &keptBody{wanted: x.keyed()}
 	flusher, _ := x.w.(http.Flusher)
+	body := response.Body
 	for {
 		n, err := relay.ReadBlock(body, block[:])
 		if n > 0 {
@@ -361,7 +382,7 @@
 			if _, err := x.w.Write(block[:n]); err != nil {
 				return nil, errWrite
 			}
-			if flusher != nil && n < len(block) {
+			if flusher != nil && !conn.Buffered() && sum.Length != response.ContentLength {
 				flusher.Flush()
 			}
 		}
@@ -381,7 +402,7 @@
 	if x.local != nil {
 		x.w.Header()[model.HeaderLoad] = []string{x.local.limiter.Load().String()}
 	}
-	if x.agent.leaving.Load() {
+	if x.closes() {
 		x.w.Header()["Connection"] = []string{"close"}
 	}
 	relay.WriteRefusal(x.w, relay.Refusal{
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -42,7 +42,7 @@
 	var d *delivery
 	f := q.startAttempt(c)
 	if f == nil {
-		f = l.send(ctx, q.header)
+		f = l.send(ctx, nil)
 	}
 	if f == nil {
 		d, f = q.deliver(ctx, l)
@@ -65,13 +65,13 @@
 		return &failure{result: retry.InDoubt, kind: ResultCanceled, reason: "the key may no longer run on this node"}
 	}
 	q.attemptKey = attempt
-	q.header[model.HeaderKey] = []string{attempt}
 	return nil
 }
 
 func (q *request) endAttempt(f *failure) {
 	switch {
 	case f == nil:
+		q.count(model.OutcomeDone)
 		if q.owned() {
 			q.edge.config.Keys.FinishAttempt(q.key)
 		}
@@ -79,6 +79,7 @@
 	case f.result == retry.NotRun && q.owned():
 		q.edge.config.Keys.RefuseAttempt(q.key)
 	case f.kind == ResultPathFailure:
+		q.edge.counters.pathFailures.Add(1)
 		q.reuse = relay.ConnNew
 	}
 }
@@ -120,14 +121,15 @@
 }
 
 // send relays the request and reads the header of the answer.
-func (l *leg) send(ctx context.Context, header http.Header) *failure {
+// part is nil but for the rest of a download.
+func (l *leg) send(ctx context.Context, part *resumption) *failure {
 	q := l.request
 	conn, err := l.pool.Get(ctx, q.reuse)
 	if err != nil {
 		return l.notSent(ctx, err)
 	}
 	l.conn = conn
-	l.response, err = conn.RoundTrip(ctx, l.relayed(header))
+	l.response, err = conn.RoundTrip(ctx, l.relayed(part))
 	if err != nil {
 		return l.broken(ctx, err)
 	}
@@ -146,23 +148,29 @@
 	return l.refused()
 }
 
-func (l *leg) relayed(header http.Header) *relay.Request {
+func (l *leg) relayed(part *resumption) *relay.Request {
 	q := l.request
 	target := relay.FormatTarget(l.choice.Candidate.Target.Ref)
 	l.exchange = relay.NewExchange()
-	header[model.HeaderExchange] = []string{l.exchange}
-	header[model.HeaderTarget] = []string{target}
-	header[model.HeaderTimeout] = []string{q.remaining()}
+	fields := append(q.fields, relay.Field{Name: model.HeaderExchange, Value: l.exchange},
+		relay.Field{Name: model.HeaderTarget, Value: target}, relay.Field{Name: model.HeaderTimeout, Value: q.remaining()})
 	signature := q.edge.signer.Sign(relay.Signed{
 		Exchange: l.exchange, Method: q.r.Method, URI: q.uri, Target: target, Key: q.attemptKey,
 	})
+	if q.attemptKey != "" {
+		fields = append(fields, relay.Field{Name: model.HeaderKey, Value: q.attemptKey})
+	}
 	if signature != "" {
-		header[model.HeaderSignature] = []string{signature}
+		fields = append(fields, relay.Field{Name: model.HeaderSignature, Value: signature})
 	}
 	r := &relay.Request{
-		Method: q.r.Method, URI: q.uri, Host: q.r.Host, Header: header,
+		Method: q.r.Method, URI: q.uri, Host: q.r.Host, Header: q.r.Header,
 		SilentReused: q.edge.config.SilentReused, SilentAny: q.edge.config.SilentAny,
 	}
+	if part != nil {
+		fields = part.apply(r, fields)
+	}
+	r.Fields = fields
 	q.body.attach(r)
 	return r
 }
--- a/internal/edge/fault_test.go
+++ b/internal/edge/fault_test.go
@@ -84,6 +84,7 @@
 	require.Equal(t, 200, got.status, "%s", got.body)
 	require.Less(t, time.Since(begin), 2*time.Second)
 	require.Equal(t, int64(1), fresh.Load())
+	require.Equal(t, 1, f.edge.State().Pools[0].Idle, "the siblings of the silent connection must be closed")
 }
 
 // Guards against Go's transport, or any other layer, repeating a request by itself when a reused connection breaks.
@@ -444,3 +445,19 @@
 		}
 	}
 }
+
+// Guards against retries that multiply the load while all targets refuse.
+func TestRetriesStayWithinBudget(t *testing.T) {
+	f := newFleet(t, fleetConfig{targets: []http.Handler{&counter{}, &counter{}, &counter{}}})
+	for i := range f.agents {
+		f.agents[i].SetLeaving(true)
+	}
+	const requests = 500
+	for range requests {
+		got := f.send(http.MethodGet, "/reads/1", nil)
+		require.Equal(t, model.OutcomeNotRun, got.outcome())
+	}
+	require.Equal(t, uint64(requests), f.edge.Counters().Requests)
+	require.LessOrEqual(t, f.edge.Counters().Retries, uint64(requests/10))
+	require.Positive(t, f.edge.Counters().Retries)
+}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/auburnwinch/auburnwinch/internal/invar"
 	"github.com/auburnwinch/auburnwinch/internal/relay"
 	"github.com/auburnwinch/auburnwinch/internal/retry"
 	"github.com/auburnwinch/auburnwinch/internal/router"
@@ -16,6 +17,12 @@
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
+// maxFields are the headers that the edge adds to a relayed request.
+const maxFields = 8
+
+// maxCrashes bounds the targets that one request may take down.
+const maxCrashes = 2
+
 // request is one request of a caller.
 type request struct {
 	edge    *Edge
@@ -28,15 +35,19 @@
 	key     string
 	// attemptKey is the value of Auburnwinch-Key for the current attempt.
 	attemptKey string
-	header     http.Header
-	deadline   time.Time
-	tried      []model.TargetRef
-	attempts   int
-	reuse      relay.Reuse
+	// fields are the headers that all attempts share.
+	fields   []relay.Field
+	deadline time.Time
+	tried    []model.TargetRef
+	attempts int
+	reuse    relay.Reuse
 	// doubted tells that an earlier attempt may have run, so that no answer may say not-run any more.
 	doubted bool
 	// limited is set while writes to the caller have a deadline.
 	limited *http.ResponseController
+	// fingerprint identifies the request for the detection of poison requests; crashes counts targets that died.
+	fingerprint uint64
+	crashes     int
 	// sentHeader tells that the caller has received the header of an answer.
 	sentHeader bool
 	// abort makes the server close the connection without ending the answer.
@@ -62,6 +73,7 @@
 	if !q.beginKey(ctx) {
 		return
 	}
+	q.edge.counters.requests.Add(1)
 	q.edge.budget(q.match.Service).Begin()
 	q.run(ctx)
 	if q.limited != nil {
@@ -117,26 +129,28 @@
 
 // prepareHeader builds the part of the relayed header that all attempts share.
 func (q *request) prepareHeader() (relay.Refusal, bool) {
-	h := make(http.Header, len(q.r.Header)+8)
-	relay.CopyHeader(h, q.r.Header)
-	h[model.HeaderRoute] = []string{q.match.Route.Name}
+	q.fields = make([]relay.Field, 0, maxFields)
+	q.addField(model.HeaderRoute, q.match.Route.Name)
 	if account := q.r.Header[model.HeaderAccount]; len(account) > 0 {
-		h[model.HeaderAccount] = account[:1]
+		q.addField(model.HeaderAccount, account[0])
 	}
-	q.header = h
 	if p := q.edge.config.Poison; p != nil {
-		fingerprint := p.Fingerprint(PoisonRequest{
+		q.fingerprint = p.Fingerprint(PoisonRequest{
 			Service: q.match.Service, Method: q.r.Method, Path: q.r.URL.Path, Query: q.r.URL.RawQuery,
 			Body: q.body.held, Key: q.r.Header.Get(model.HeaderIdempotencyKey),
 		})
-		if p.Quarantined(q.match.Service, fingerprint) {
+		if p.Quarantined(q.match.Service, q.fingerprint) {
 			return poisoned(), false
 		}
-		h[model.HeaderFingerprint] = []string{strconv.FormatUint(fingerprint, 16)}
+		q.addField(model.HeaderFingerprint, strconv.FormatUint(q.fingerprint, 16))
 	}
 	return relay.Refusal{}, true
 }
 
+func (q *request) addField(name, value string) {
+	q.fields = append(q.fields, relay.Field{Name: name, Value: value})
+}
+
 // run sends attempts until one is answered or no further one is permitted.
 func (q *request) run(ctx context.Context) {
 	for {
@@ -153,6 +167,10 @@
 			return
 		}
 		q.doubted = q.doubted || f.result == retry.InDoubt
+		if q.poisoned(f) && !q.sentHeader {
+			q.refuseAttempts(poisoned())
+			return
+		}
 		if !q.mayRepeat(ctx, f) {
 			q.giveUp(ctx, f)
 			return
@@ -160,12 +178,25 @@
 	}
 }
 
+// poisoned reports whether the request must not be sent again because targets crashed while they ran it.
+func (q *request) poisoned(f *failure) bool {
+	if f.reason == relay.ReasonCrashed {
+		q.crashes++
+	}
+	p := q.edge.config.Poison
+	return q.crashes >= maxCrashes || p != nil && p.Quarantined(q.match.Service, q.fingerprint)
+}
+
 func (q *request) mayRepeat(ctx context.Context, f *failure) bool {
 	allowed := f.repeat && retry.Allowed(retry.Attempt{
 		Number: q.attempts, Result: f.result, Idempotent: q.match.Route.Idempotent, BodyHeld: q.body.repeatable(),
 		Answered: q.sentHeader,
 	})
-	return allowed && ctx.Err() == nil && q.edge.budget(q.match.Service).Spend()
+	if !allowed || ctx.Err() != nil || !q.edge.budget(q.match.Service).Spend() {
+		return false
+	}
+	q.edge.counters.retries.Add(1)
+	return true
 }
 
 // giveUp answers for the last attempt.
@@ -173,6 +204,7 @@
 	switch {
 	case q.sentHeader:
 		q.endKey(model.OutcomeUnknown)
+		q.edge.counters.broken.Add(1)
 		q.abort = true
 	case f.result == retry.NotRun:
 		q.refuseAttempts(ofAgent(f.reason))
@@ -210,7 +242,14 @@
 }
 
 func (q *request) refuse(r relay.Refusal) {
-	if !q.body.complete() && q.r.ContentLength != 0 {
+	invar.Check(!q.doubted || r.Answer.Outcome != model.OutcomeNotRun, "edge", "not-run after an attempt in doubt: %s",
+		r.Answer.Reason)
+	q.count(r.Answer.Outcome)
+	if r.Status == http.StatusBadRequest {
+		_ = level.Info(q.edge.config.Logger).Log("msg", "bad request refused", "peer", q.r.RemoteAddr, "path",
+			q.r.URL.Path, "reason", r.Answer.Reason)
+	}
+	if q.body.begun && !q.body.complete() {
 		q.w.Header()["Connection"] = []string{"close"}
 	}
 	relay.WriteRefusal(q.w, r)
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -10,6 +10,7 @@
 	"net/http/httputil"
 	"os"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
@@ -20,14 +21,22 @@
 	bufferBytes = 16 << 10
 	// maxHeaderBytes bounds the header of an answer, interim answers included.
 	maxHeaderBytes = 256 << 10
+	// bodyEndWait bounds the wait for the last bytes of a body after its answer.
+	bodyEndWait = 50 * time.Millisecond
 )
 
+var readers, writers sync.Pool
+
 // Request is one request on a connection. URI and Host are sent as they are.
 type Request struct {
 	Method string
 	URI    string
 	Host   string
+	// Header is the header of the request as net/http has read it. Headers of one hop, those of the fleet and those
+	// named in Omit are left out; Fields are added.
 	Header http.Header
+	Omit   []string
+	Fields []Field
 	// Body is nil without a body. ContentLength -1 sends it chunked.
 	Body          io.Reader
 	ContentLength int64
@@ -37,8 +46,8 @@
 	SilentAny    time.Duration
 	// WaitContinue sends the body only after a 100 answer, so that a refusal leaves the body untouched.
 	WaitContinue bool
-	// AbortBody makes a pending read of the body return, when the answer or the connection ends before the body.
-	AbortBody func()
+	// Source is set when Body reads from a server's request; its read is aborted when the connection ends before it.
+	Source *Source
 }
 
 // Conn is a connection that carries one request at a time and sends each request exactly once.
@@ -54,6 +63,11 @@
 	request   *Request
 	written   chan error
 	response  *http.Response
+	// timed tells that the connection has a read deadline.
+	timed bool
+	raw   syscall.RawConn
+	peek  func(fd uintptr) bool
+	open  bool
 }
 
 // headerLimit bounds the bytes read for a header.
@@ -64,11 +78,35 @@
 
 func newConn(conn net.Conn, p *Pool) *Conn {
 	c := &Conn{conn: conn, pool: p, limit: headerLimit{conn: conn}}
-	c.reader = bufio.NewReaderSize(&c.limit, bufferBytes)
-	c.writer = bufio.NewWriterSize(conn, bufferBytes)
+	c.takeBuffers()
+	c.raw = rawOf(conn)
+	c.peek = c.peekFD
 	return c
 }
 
+// takeBuffers takes memory for the next request. Idle connections hold none, because an edge keeps connections to
+// hundreds of agents.
+func (c *Conn) takeBuffers() {
+	var ok bool
+	if c.reader, ok = readers.Get().(*bufio.Reader); !ok {
+		c.reader = bufio.NewReaderSize(nil, bufferBytes)
+	}
+	if c.writer, ok = writers.Get().(*bufio.Writer); !ok {
+		c.writer = bufio.NewWriterSize(nil, bufferBytes)
+	}
+	c.reader.Reset(&c.limit)
+	c.writer.Reset(c.conn)
+}
+
+// giveBuffers gives the memory back while the connection is idle and its buffers are empty.
+func (c *Conn) giveBuffers() {
+	c.reader.Reset(nil)
+	c.writer.Reset(nil)
+	readers.Put(c.reader)
+	writers.Put(c.writer)
+	c.reader, c.writer = nil, nil
+}
+
 // Read reads from the connection; it fails when the header is larger than the limit.
 func (l *headerLimit) Read(p []byte) (int, error) {
 	if l.left <= 0 {
@@ -126,13 +164,18 @@
 	if c.written == nil {
 		return
 	}
-	if c.request.AbortBody != nil {
-		c.request.AbortBody()
+	if c.request.Source != nil {
+		c.request.Source.abort()
 	}
 	<-c.written
 	c.written = nil
 }
 
+// Buffered reports whether more bytes of the answer are there without waiting.
+func (c *Conn) Buffered() bool {
+	return c.reader.Buffered() > 0
+}
+
 // Discard returns a connection that was not used to its pool.
 func (c *Conn) Discard() {
 	c.pool.put(c)
@@ -140,11 +183,14 @@
 
 // SetReadTimeout bounds the time until the next bytes of the body arrive; zero removes the bound.
 func (c *Conn) SetReadTimeout(d time.Duration) {
-	if d <= 0 {
+	switch {
+	case d > 0:
+		c.timed = true
+		_ = c.conn.SetReadDeadline(time.Now().Add(d))
+	case c.timed:
+		c.timed = false
 		_ = c.conn.SetReadDeadline(time.Time{})
-		return
 	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(d))
 }
 
 func (c *Conn) finished() bool {
@@ -152,18 +198,27 @@
 	if c.response == nil || c.response.Close || c.reader.Buffered() > 0 || unsent || !c.stop() {
 		return false
 	}
-	if c.written != nil {
-		select {
-		case err := <-c.written:
-			c.written = nil
-			if err != nil {
-				return false
-			}
-		default:
-			return false
-		}
+	c.SetReadTimeout(0)
+	return c.bodySent()
+}
+
+// bodySent waits for the end of a body whose last bytes are on their way; the peer has answered already.
+func (c *Conn) bodySent() bool {
+	if c.written == nil {
+		return true
+	}
+	if c.request.Source != nil && !c.request.Source.Ended() {
+		return false
+	}
+	timer := time.NewTimer(bodyEndWait)
+	defer timer.Stop()
+	select {
+	case err := <-c.written:
+		c.written = nil
+		return err == nil
+	case <-timer.C:
+		return false
 	}
-	return c.conn.SetReadDeadline(time.Time{}) == nil
 }
 
 func (c *Conn) exchange(r *Request) (*http.Response, error) {
@@ -214,7 +269,7 @@
 	if r.WaitContinue {
 		_, _ = w.WriteString("Expect: 100-continue\r\n")
 	}
-	_ = r.Header.Write(w)
+	writeHeader(w, r.Header, r.Omit, r.Fields)
 	_, _ = w.WriteString("\r\n")
 }
 
@@ -337,24 +392,33 @@
 // alive reports whether an idle connection is still open and has nothing to read. A closed connection would otherwise
 // leave the outcome of the next request in doubt.
 func (c *Conn) alive() bool {
-	conn := c.conn
+	if c.raw == nil {
+		return true
+	}
+	err := c.raw.Read(c.peek)
+	return err == nil && c.open
+}
+
+// peekFD looks whether the peer has sent or closed, without taking anything.
+func (c *Conn) peekFD(fd uintptr) bool {
+	var one [1]byte
+	n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	c.open = n <= 0 && (errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK))
+	return true
+}
+
+// rawOf returns the socket under the connection, or nil when it has none.
+func rawOf(conn net.Conn) syscall.RawConn {
 	if wrapped, ok := conn.(interface{ NetConn() net.Conn }); ok {
 		conn = wrapped.NetConn() // TLS
 	}
-	raw, ok := conn.(syscall.Conn)
+	socket, ok := conn.(syscall.Conn)
 	if !ok {
-		return true
+		return nil
 	}
-	control, err := raw.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false
+		return nil
 	}
-	open := false
-	err = control.Read(func(fd uintptr) bool {
-		var one [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = n <= 0 && (errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK))
-		return true
-	})
-	return err == nil && open
+	return raw
 }
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -68,6 +68,7 @@
 		for c := p.takeIdle(); c != nil; c = p.takeIdle() {
 			if c.alive() {
 				c.reused = true
+				c.takeBuffers()
 				return c, nil
 			}
 			c.Close()
@@ -95,6 +96,15 @@
 	p.CloseIdle()
 }
 
+// CloseIfEmpty closes a pool without idle connections and reports whether it did. Connections in use are closed when
+// they come back.
+func (p *Pool) CloseIfEmpty() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = p.closed || len(p.idle) == 0
+	return p.closed
+}
+
 // CloseExpired closes connections that were idle for longer than the idle timeout.
 func (p *Pool) CloseExpired(now time.Time) {
 	p.mu.Lock()
@@ -150,6 +160,7 @@
 }
 
 func (p *Pool) put(c *Conn) {
+	c.giveBuffers()
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	keep := !p.closed && len(p.idle) < p.config.MaxIdle
