eject: bound the memory of durations; test differing views and the cost of a tick

A ring of 64 samples for each class of each target could grow to 225 MB at the design size; samples now take 16 bytes, are allocated on use and freed after two minutes without requests of the class.

--- a/cmd/bench/setting.go
+++ b/cmd/bench/setting.go
@@ -20,6 +20,7 @@
 	point("eager-2", 500*time.Millisecond, 3, 0.4, 2.5, 10, 100*time.Millisecond),
 	point("middle-1", time.Second, 4, 0.4, 3, 10, 200*time.Millisecond),
 	point("middle-2", 1500*time.Millisecond, 5, 0.5, 3, 16, 500*time.Millisecond),
+	point("middle-3", 2*time.Second, 6, 0.5, 3.5, 16, 700*time.Millisecond),
 	point("reluctant-1", 3*time.Second, 7, 0.5, 4, 20, time.Second),
 	point("reluctant-2", 5*time.Second, 10, 0.6, 5, 32, 2*time.Second),
 	profile(model.ProfileDetection),
--- a/internal/eject/evidence.go
+++ b/internal/eject/evidence.go
@@ -8,16 +8,17 @@
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
-// sample is the duration of one good request.
+// sample is the duration of one good request and its end in Unix nanoseconds.
 type sample struct {
-	at   time.Time
+	at   int64
 	took time.Duration
 }
 
 // classEvidence holds the observations of one request class at one target.
 type classEvidence struct {
-	// samples is a ring; one sample per sampleSpacing is kept, so that it covers several seconds at any rate.
-	samples [maxWindow]sample
+	// samples is a ring that grows to maxWindow; one sample per sampleSpacing is kept, so that it covers several seconds
+	// at any rate.
+	samples []sample
 	count   int
 	// errors counts the failures in a row; outcomes holds the last results, 1 for a failure.
 	errors   int
@@ -128,13 +129,22 @@
 	c.errors = 0
 	c.lastOK = m.Now
 	c.learn(m.Duration.Seconds(), gain)
-	if c.count > 0 && m.Now.Sub(c.samples[(c.count-1)%maxWindow].at) < sampleSpacing {
+	at := m.Now.UnixNano()
+	if c.count > 0 && at-c.samples[(c.count-1)%maxWindow].at < int64(sampleSpacing) {
 		return
 	}
-	c.samples[c.count%maxWindow] = sample{at: m.Now, took: m.Duration}
+	if len(c.samples) < maxWindow {
+		c.samples = append(c.samples, sample{})
+	}
+	c.samples[c.count%maxWindow] = sample{at: at, took: m.Duration}
 	c.count++
 }
 
+// release frees the samples of a class that is no longer used; it bounds the memory of an edge that sees all targets.
+func (c *classEvidence) release() {
+	c.samples, c.count, c.medianOf = nil, 0, medianCache{}
+}
+
 // learn moves the baseline; once it is usable, one long request counts as twice the baseline at most.
 func (c *classEvidence) learn(seconds, gain float64) {
 	c.baselineCount++
@@ -196,7 +206,7 @@
 func (c *classEvidence) since(from time.Time, list []time.Duration) []time.Duration {
 	for i := c.count - 1; i >= max(0, c.count-maxWindow); i-- {
 		s := c.samples[i%maxWindow]
-		if s.at.Before(from) {
+		if s.at < from.UnixNano() {
 			break
 		}
 		list = append(list, s.took)
--- a/internal/eject/judge.go
+++ b/internal/eject/judge.go
@@ -23,6 +23,9 @@
 	s.refs = make(map[string]*reference)
 	for _, t := range s.targets {
 		for name, c := range t.evidence.classes {
+			if now.Sub(c.lastAt) > samplesMaxAge && c.count > 0 {
+				c.release()
+			}
 			value, ok := c.median(s.thresholds.MinSamples)
 			if !ok {
 				continue
--- a/internal/eject/module_test.go
+++ b/internal/eject/module_test.go
@@ -415,3 +415,53 @@
 	r.tick(50 * time.Millisecond)
 	require.Empty(t, r.module.Claims())
 }
+
+// Guards against a floor that fails when all nodes decide at once on differing views of the targets and claims.
+func TestFloorHoldsForAllChoosersOnDifferingViews(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		floor := rapid.IntRange(0, 84).Draw(t, "floor")
+		for range 8 {
+			r := newRig(ObserverEdge, 12, 7, floor, model.ProfileDetection)
+			for i := range r.targets {
+				if rapid.IntRange(0, 3).Draw(t, "stale") == 0 {
+					r.targets[i].State = model.TargetDraining
+				}
+			}
+			r.announce()
+			for range 3 {
+				claims := rapid.SliceOfNDistinct(rapid.IntRange(0, 11), 0, 12, rapid.ID[int]).Draw(t, "claims")
+				r.claim(model.SeverityCrashed, claims...)
+				r.checkFloor(t)
+				r.tick(time.Duration(rapid.IntRange(0, 20000).Draw(t, "pause")) * time.Millisecond)
+				r.checkFloor(t)
+			}
+		}
+	})
+}
+
+// BenchmarkTick measures one judgement of an edge at the design size: 7,500 targets of 170 services, 270 requests/s.
+func BenchmarkTick(b *testing.B) {
+	m := New(Config{Observer: ObserverEdge})
+	var services []Service
+	var refs []model.TargetRef
+	for s := range 170 {
+		service := Service{Spec: model.ServiceSpec{Name: fmt.Sprintf("s%03d", s), FloorSlots: 100}}
+		for i := range 44 {
+			target := model.TargetRef{Service: service.Spec.Name, ID: fmt.Sprintf("t%02d", i), Incarnation: 1}
+			refs = append(refs, target)
+			service.Targets = append(service.Targets, model.Target{Ref: target, Slots: 4, State: model.TargetServing})
+		}
+		services = append(services, service)
+	}
+	now := testStart
+	m.Update(ServicesMsg{Now: now, Services: services})
+	n := 0
+	for b.Loop() {
+		for range 14 { // The requests of 50 ms.
+			n = (n + 7919) % len(refs)
+			m.Update(ResultMsg{Now: now, Target: refs[n], Class: "read", Duration: 20 * time.Millisecond, Kind: KindOK})
+		}
+		now = now.Add(50 * time.Millisecond)
+		m.Update(TickMsg{Now: now})
+	}
+}
--- a/internal/eject/settings.go
+++ b/internal/eject/settings.go
@@ -53,6 +53,8 @@
 	patience = 30 * time.Second
 	// evidenceMaxAge is the age after which an observation no longer counts as current.
 	evidenceMaxAge = 10 * time.Second
+	// samplesMaxAge is the age after which the durations of an unused class are freed.
+	samplesMaxAge = 2 * time.Minute
 	// failureMaxAge is the age after which the latest failure ejects no more. It is shorter than evidenceMaxAge, so that
 	// the failures of the others still count as a common cause.
 	failureMaxAge = evidenceMaxAge / 2
