--- a/cmd/bench/fleet.go
+++ b/cmd/bench/fleet.go
@@ -84,6 +84,9 @@
 	flights  *flights
 	budget   float64
 	silences map[int]int
+	// version counts the agent's publications, versions holds the latest one received from each agent.
+	version  int
+	versions [targetCount]int
 }
 
 // target is a fake target behind the real limiter.
@@ -365,13 +368,20 @@
 	}
 }
 
-// publish spreads the claims of one agent with the delay of gossip.
+// publish spreads the claims of one agent with the delay of gossip; an older version never replaces a newer one.
 func (f *fleet) publish(from *node, claims []model.Claim) {
+	from.version++
+	version := from.version
 	for _, n := range f.nodes {
 		d := claimDelayMin + f.upTo(claimDelayMax-claimDelayMin)
 		if n == from {
 			d = ownClaimDelay
 		}
-		f.after(d, func() { n.policy.claims(from.index, f.now, claims) })
+		f.after(d, func() {
+			if n.versions[from.index] < version {
+				n.versions[from.index] = version
+				n.policy.claims(from.index, f.now, claims)
+			}
+		})
 	}
 }
