--- a/cmd/bench/detection.go
+++ b/cmd/bench/detection.go
@@ -15,6 +15,8 @@
 	// shareMin is the share of the target's requests from which an edge counts as one of its choosers.
 	shareMin = 0.03
 	all      = "all"
+	// usualLoad is the default of --load.
+	usualLoad = 0.5
 )
 
 // faultNames are the faults whose detection is timed.
@@ -24,14 +26,15 @@
 var quietNames = []string{"noise", "overload", "shared-slow", "store-outage"}
 
 type detectionCmd struct {
-	Deployment string  `enum:"all,instituto,kleefwerk" default:"all" help:"Deployment to simulate."`
-	Setting    string  `default:"all" help:"Setting to measure, or all."`
-	Fault      string  `default:"all" help:"Fault or condition to measure, or all."`
-	Runs       int     `default:"10" help:"Runs per row; run n uses seed+n."`
-	Seed       uint64  `default:"1" help:"Seed of the first run."`
-	Load       float64 `default:"0.5" help:"Rate of requests in relation to the capacity."`
-	Workers    int     `default:"4" help:"Runs at the same time."`
-	Plot       string  `help:"File for the trade-off curve, such as docs/detection.svg."`
+	Deployment string        `enum:"all,instituto,kleefwerk" default:"all" help:"Deployment to simulate."`
+	Setting    string        `default:"all" help:"Setting to measure, or all."`
+	Fault      string        `default:"all" help:"Fault or condition to measure, or all."`
+	Runs       int           `default:"10" help:"Runs per row; run n uses seed+n."`
+	Seed       uint64        `default:"1" help:"Seed of the first run."`
+	Load       float64       `default:"0.5" help:"Rate of requests in relation to the capacity."`
+	Gossip     time.Duration `default:"3s" help:"Longest time in which a claim reaches another node."`
+	Workers    int           `default:"4" help:"Runs at the same time."`
+	Plot       string        `help:"File for the trade-off curve, such as docs/detection.svg."`
 }
 
 // detectionRow is the figure of one deployment, setting and fault.
@@ -88,6 +91,7 @@
 func (c *detectionCmd) config(r *detectionRow, seed uint64) fleetConfig {
 	return fleetConfig{
 		deployment: r.deployment, policy: r.setting.policy, thresholds: r.setting.thresholds, load: c.Load, seed: seed,
+		gossip: c.Gossip,
 	}
 }
 
@@ -162,8 +166,15 @@
 }
 
 func (c *detectionCmd) command(r *detectionRow) string {
-	return fmt.Sprintf("`bench detection --deployment %s --setting %s --fault %s --runs %d --seed %d`",
+	line := fmt.Sprintf("bench detection --deployment %s --setting %s --fault %s --runs %d --seed %d",
 		r.deployment.name, r.setting.name, r.fault, c.Runs, c.Seed)
+	if c.Load != usualLoad {
+		line += fmt.Sprintf(" --load %g", c.Load)
+	}
+	if c.Gossip != usualGossip {
+		line += fmt.Sprintf(" --gossip %s", c.Gossip)
+	}
+	return "`" + line + "`"
 }
 
 func (c *detectionCmd) printTimes(rows []*detectionRow) {
--- a/cmd/bench/fleet.go
+++ b/cmd/bench/fleet.go
@@ -26,7 +26,8 @@
 	lightShare     = 0.1
 	lightDuration  = 2 * time.Millisecond
 	claimDelayMin  = 100 * time.Millisecond
-	claimDelayMax  = 3 * time.Second
+	unlimitedSlots = 1 << 20
+	usualGossip    = 3 * time.Second
 	ownClaimDelay  = 50 * time.Millisecond
 	durationSpread = 0.5
 )
@@ -55,6 +56,10 @@
 	// deadline is how long a caller waits.
 	deadline time.Duration
 	seed     uint64
+	// unlimited admits every request; a target with more requests than slots then slows down in proportion.
+	unlimited bool
+	// gossip is the longest time in which a claim reaches another node; zero means 3 s.
+	gossip time.Duration
 	// spread is the standard deviation of the logarithm of the durations.
 	spread float64
 }
@@ -124,6 +129,9 @@
 	if c.deadline == 0 {
 		c.deadline = routeTimeout
 	}
+	if c.gossip == 0 {
+		c.gossip = usualGossip
+	}
 	if c.spread == 0 {
 		c.spread = durationSpread
 	}
@@ -153,6 +161,9 @@
 		index: i, node: n, model: f.deployment.target(i), waiting: make(map[uint64]*attempt), flights: &flights{},
 		limiter: limit.NewModule(limit.SettingsOf(f.deployment.spec(), f.deployment.slots)),
 	}
+	if f.unlimited {
+		t.limiter = limit.NewModule(limit.Settings{Slots: unlimitedSlots})
+	}
 	f.targets = append(f.targets, t)
 	n.agent = eject.New(eject.Config{Observer: eject.ObserverAgent, Seed: f.seed + uint64(i), Thresholds: f.thresholdsOf()})
 	n.agent.Update(eject.ServicesMsg{Now: f.now, Services: []eject.Service{
@@ -275,6 +286,9 @@
 	f.answer(a, func(a *attempt) { a.heard = true })
 	t.flights.add(a, t.index, f.now)
 	b := f.fault.serve(f, t.index, f.usual(a.request.class), a.request.class)
+	if f.unlimited {
+		b.took = max(b.took, b.took*time.Duration(t.limiter.Load().InFlight)/time.Duration(f.deployment.slots))
+	}
 	if !b.stalled {
 		f.after(b.took, func() { f.endAtAgent(a, b.kind) })
 	}
@@ -373,7 +387,7 @@
 	from.version++
 	version := from.version
 	for _, n := range f.nodes {
-		d := claimDelayMin + f.upTo(claimDelayMax-claimDelayMin)
+		d := claimDelayMin + f.upTo(f.gossip-claimDelayMin)
 		if n == from {
 			d = ownClaimDelay
 		}
--- a/cmd/bench/overload.go
+++ b/cmd/bench/overload.go
@@ -29,19 +29,20 @@
 	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- |")
 	for _, d := range deployments {
 		for _, s := range []setting{profile(d.profile), {name: "round-robin", policy: newPlain(0)}, {name: "plain-5", policy: newPlain(5)}} {
-			c.print(d, s)
+			c.print(d, s, false)
 		}
+		c.print(d, setting{name: "round-robin, no admission", policy: newPlain(0)}, true)
 	}
 	printRefusals()
 	return nil
 }
 
-func (c *overloadCmd) print(d deployment, s setting) {
+func (c *overloadCmd) print(d deployment, s setting, unlimited bool) {
 	var sum counts
 	for n := range c.Runs {
 		f := newFleet(fleetConfig{
 			deployment: d, policy: s.policy, thresholds: s.thresholds, fault: noFault{}, load: overloadFactor,
-			deadline: overloadDeadline, seed: c.Seed + uint64(n),
+			deadline: overloadDeadline, seed: c.Seed + uint64(n), unlimited: unlimited,
 		})
 		f.runUntil(f.start.Add(warmUp))
 		before := f.counts
@@ -53,7 +54,7 @@
 		sum.failed += f.counts.failed - before.failed
 	}
 	capacity := float64(sum.requests) / overloadFactor
-	fmt.Printf("| %s | %s | %.2f | %.1f%% of capacity | %.1f%% | %d | %d | `bench overload --runs %d --seed %d` |\n",
+	fmt.Printf("| %s | %s | %.2f | %.1f%% of capacity | %.2f%% | %d | %d | `bench overload --runs %d --seed %d` |\n",
 		d.name, s.name, float64(overloadFactor), 100*float64(sum.done)/capacity,
 		100*float64(sum.retries)/float64(sum.requests), sum.refused, sum.failed, c.Runs, c.Seed)
 }
