poison: permit one trial of a suspect by the agent that crashed

Counting crashes alone lets two edges try a suspect at the same time, and a resend reach an agent that has not heard of the suspicion, so that a third target is lost. The agent that crashed is now the authority: it sends the suspicion to the agents of the service (SpreadCmd) before the crash is answered, and grants one trial when none of them runs the request. A trial is never granted twice, since its result may be lost. An entry that its node withdrew counts no longer, but only after its record held it: an older record that arrives late must not clear a suspicion that came by call.

Tests: go test -race ./internal/poison -rapid.checks=3000 passes.

--- /dev/null
+++ b/internal/poison/fleet_test.go
@@ -0,0 +1,225 @@
+package poison
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// fleet is a few agents of one service; their records arrive late and in any order, their calls arrive.
+type fleet struct {
+	t       *rapid.T
+	now     time.Time
+	modules []*Module
+	// records holds the versions of each node's record, seen the last one that each node got of each other.
+	records [][][]model.PoisonEntry
+	seen    [][]int
+	running [][]uint64
+	lost    map[uint64]int
+	runs    map[uint64]int
+}
+
+const service = "kassa"
+
+func newFleet(t *rapid.T, n int) *fleet {
+	f := &fleet{t: t, now: start, lost: map[uint64]int{}, runs: map[uint64]int{}}
+	f.records, f.running = make([][][]model.PoisonEntry, n), make([][]uint64, n)
+	for i := range n {
+		f.modules = append(f.modules, New(Config{Self: ref(i)}))
+		f.records[i] = [][]model.PoisonEntry{nil}
+		f.seen = append(f.seen, make([]int, n))
+	}
+	return f
+}
+
+func ref(i int) model.NodeRef { return model.NodeRef{ID: fmt.Sprint("n", i), Incarnation: 1} }
+
+// update carries the commands of agent i out; calls between agents arrive.
+func (f *fleet) update(i int, msg Msg) (granted bool) {
+	for _, cmd := range f.modules[i].Update(msg) {
+		switch c := cmd.(type) {
+		case PublishCmd:
+			f.records[i] = append(f.records[i], c.Entries)
+		case TrialCmd:
+			granted = c.Granted
+		case SpreadCmd:
+			f.spread(i, c)
+		}
+	}
+	return granted
+}
+
+func (f *fleet) spread(i int, c SpreadCmd) {
+	done := SpreadMsg{Now: f.now, Service: service, Fingerprints: c.Fingerprints}
+	for j, m := range f.modules {
+		if j == i {
+			continue
+		}
+		msg := SuspectMsg{Now: f.now, Node: ref(i), Service: service, Fingerprints: c.Fingerprints}
+		for _, fp := range c.Fingerprints {
+			if slices.Contains(f.running[j], fp) {
+				msg.Running = append(msg.Running, fp)
+			}
+		}
+		reply := m.Update(msg)[0].(SuspectCmd)
+		done.Running, done.Crashed = append(done.Running, reply.Running...), append(done.Crashed, reply.Crashed...)
+	}
+	f.update(i, done)
+}
+
+// gossip delivers a newer version of one record to one node.
+func (f *fleet) gossip() {
+	from, to := f.node("from"), f.node("to")
+	if from == to || f.seen[to][from] == len(f.records[from])-1 {
+		return
+	}
+	version := rapid.IntRange(f.seen[to][from]+1, len(f.records[from])-1).Draw(f.t, "version")
+	f.seen[to][from] = version
+	f.update(to, ReportMsg{Now: f.now, Node: ref(from), Entries: f.records[from][version]})
+}
+
+func (f *fleet) node(label string) int {
+	return rapid.IntRange(0, len(f.modules)-1).Draw(f.t, label)
+}
+
+// send starts the request at an agent, or asks each possible authority for a trial when it is suspect there.
+func (f *fleet) send(fp uint64) {
+	i := f.node("agent")
+	switch f.modules[i].Snapshot().Verdict(service, fp) {
+	case Clear:
+		f.runs[fp]++
+		f.running[i] = append(f.running[i], fp)
+	case Suspect:
+		for a := range f.modules {
+			if f.update(a, TrialMsg{Now: f.now, Service: service, Fingerprint: fp}) {
+				f.trial(a, i, fp)
+				return
+			}
+		}
+	}
+}
+
+// trial runs the request alone; its result may be lost.
+func (f *fleet) trial(authority, i int, fp uint64) {
+	f.runs[fp]++
+	survived := !deadly(fp)
+	if !survived {
+		f.crash(i, []uint64{fp})
+	}
+	if rapid.Bool().Draw(f.t, "result arrives") {
+		f.update(authority, TrialEndMsg{Now: f.now, Service: service, Fingerprint: fp, Survived: survived})
+	}
+}
+
+// finish ends the requests of one agent; a deadly one takes the target and its neighbours down.
+func (f *fleet) finish(i int) {
+	all := f.running[i]
+	f.running[i] = nil
+	if slices.ContainsFunc(all, deadly) {
+		f.crash(i, all)
+	}
+}
+
+func (f *fleet) crash(i int, all []uint64) {
+	msg := CrashMsg{Now: f.now, Target: model.TargetRef{Service: service, ID: fmt.Sprint(i)}}
+	for _, fp := range all {
+		if deadly(fp) {
+			f.lost[fp]++
+		}
+		msg.InFlight = append(msg.InFlight, Request{Fingerprint: fp, Idempotent: idempotent(fp)})
+	}
+	f.update(i, msg)
+}
+
+// Fingerprints up to 2 are deadly; even ones belong to idempotent requests.
+func deadly(fp uint64) bool     { return fp <= 2 }
+func idempotent(fp uint64) bool { return fp%2 == 0 }
+
+// mayBegin keeps to what the module promises: two runs may overlap before the first crash, afterwards one caller sends
+// again and again; of a non-idempotent request the owner of its key allows one run at a time.
+func (f *fleet) mayBegin(fp uint64) bool {
+	same := 0
+	for _, running := range f.running {
+		for _, r := range running {
+			if r == fp {
+				same++
+			}
+		}
+	}
+	return same == 0 || idempotent(fp) && same < 2 && f.lost[fp] == 0
+}
+
+// Guards against a third target lost to one request, a second run of a non-idempotent one after a crash, and an
+// innocent neighbour that stays quarantined.
+func TestFleetLosesAtMostTwoTargets(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFleet(rt, 4)
+		for range rapid.IntRange(20, 200).Draw(rt, "steps") {
+			switch fp := rapid.Uint64Range(1, 6).Draw(rt, "fingerprint"); rapid.IntRange(0, 3).Draw(rt, "step") {
+			case 0:
+				f.gossip()
+			case 1:
+				f.finish(f.node("finishing"))
+			default:
+				if f.mayBegin(fp) {
+					f.send(fp)
+				}
+			}
+			for fp, n := range f.lost {
+				if n > 2 || !idempotent(fp) && f.runs[fp] > 1 {
+					rt.Fatalf("fingerprint %d took down %d targets in %d runs", fp, n, f.runs[fp])
+				}
+			}
+		}
+		f.now = f.now.Add(defaultExpiry)
+		for i := range f.modules {
+			f.update(i, TickMsg{Now: f.now})
+			for fp := uint64(1); fp <= 6; fp++ {
+				if v := f.modules[i].Snapshot().Verdict(service, fp); v != Clear {
+					rt.Fatalf("fingerprint %d is still %s", fp, v)
+				}
+			}
+		}
+	})
+}
+
+// Guards against two trials of one suspect, also when the result of the first is lost.
+func TestSingleTrial(t *testing.T) {
+	m := New(Config{Self: ref(0)})
+	m.Update(CrashMsg{Now: start, Target: model.TargetRef{Service: service}, InFlight: []Request{{Fingerprint: 2, Idempotent: true}}})
+	ask := TrialMsg{Now: start, Service: service, Fingerprint: 2}
+	if c := m.Update(ask); c[0].(TrialCmd).Granted {
+		t.Fatal("granted before the suspicion was sent")
+	}
+	m.Update(SpreadMsg{Now: start, Service: service, Fingerprints: []uint64{2}, Running: []uint64{2}})
+	if c := m.Update(ask); c[0].(TrialCmd).Granted {
+		t.Fatal("granted while the request runs elsewhere")
+	}
+	m.Update(SpreadMsg{Now: start, Service: service, Fingerprints: []uint64{2}})
+	if c := m.Update(ask); !c[0].(TrialCmd).Granted {
+		t.Fatal("not granted")
+	}
+	if c := m.Update(ask); c[0].(TrialCmd).Granted {
+		t.Fatal("granted twice")
+	}
+}
+
+// Guards against entries without a bound, and against a quarantine that a flood of suspects pushes out.
+func TestEntriesAreBounded(t *testing.T) {
+	m := New(Config{Self: ref(0), MaxEntries: 10})
+	m.Update(CrashMsg{Now: start, Target: model.TargetRef{Service: service}, InFlight: []Request{{Fingerprint: 1}}})
+	for fp := uint64(100); fp < 200; fp++ {
+		m.Update(CrashMsg{
+			Now: start.Add(time.Second), Target: model.TargetRef{Service: service},
+			InFlight: []Request{{Fingerprint: fp, Idempotent: true}},
+		})
+	}
+	if len(m.entries) != 10 || m.Snapshot().Verdict(service, 1) != Quarantined {
+		t.Fatalf("%d entries", len(m.entries))
+	}
+}
