once: bound calls, share node addresses, make handover repeatable

Found while testing the shells: - StartAttempt kept a copy of the agent's addresses per key; nodeCache shares one per node. - A paused node made Begin wait as long as the caller did; calls are bounded by 2 s and claims by 1 s each. - A handover whose answer was lost could not be repeated, because the estate was gone. It is now kept until the successor accepts, and another successor is refused: two heirs could both decide. - Query called an attempt in doubt 'ran, answer not kept'.

--- /dev/null
+++ b/internal/once/bench_test.go
@@ -0,0 +1,155 @@
+package once
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"runtime"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwinch/auburnwinch/internal/timer"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// ratesVariable starts the measurement that fills the memory of several nodes.
+const ratesVariable = "ONCE_MEASURE"
+
+func benchKeys(n int, token string) []string {
+	keys := make([]string, n)
+	for i := range keys {
+		keys[i] = token + ".5f0c9a3e-7d51-4c2e-9a70-" + strconv.Itoa(i)
+	}
+	return keys
+}
+
+// benchmark runs one call per key on all cores after prepare was called for every key.
+func benchmark(b *testing.B, prepare, call func(n *testNode, key string)) {
+	f := newFleet()
+	n := &testNode{fleet: f, self: model.Node{Ref: model.NodeRef{ID: "norte-a-0417", Incarnation: 1_764_819_330_000_000}}}
+	max := b.N*2 + shards*64
+	var err error
+	n.ledger, err = NewLedger(LedgerConfig{Self: n.self.Ref, MaxKeys: max})
+	require.NoError(b, err)
+	n.owner, err = NewOwner(Config{Self: n.self, Peers: f, Claims: f, Directory: f, Ledger: n.ledger, MaxKeys: max, EpochKeys: b.N + 1})
+	require.NoError(b, err)
+	defer func() { n.owner.Close(); n.ledger.Close() }()
+	keys := benchKeys(b.N, n.owner.Token())
+	for _, key := range keys {
+		prepare(n, key)
+	}
+	var next atomic.Int64
+	b.ReportAllocs()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			call(n, keys[next.Add(1)-1])
+		}
+	})
+}
+
+func begin(n *testNode, key string) {
+	if n.owner.Begin(context.Background(), Send{Key: key, Fingerprint: 1}).Kind != KindRun {
+		panic(key)
+	}
+}
+
+func start(n *testNode, key string) {
+	if _, ok := n.owner.StartAttempt(key, model.TargetRef{}, n.self); !ok {
+		panic(key)
+	}
+}
+
+func admit(n *testNode, key string) {
+	if !n.ledger.Admit(formatAttempt(key, 1, n.self.Ref.Incarnation)) {
+		panic(key)
+	}
+}
+
+func BenchmarkBegin(b *testing.B) {
+	benchmark(b, func(*testNode, string) {}, begin)
+}
+
+func BenchmarkStartAttempt(b *testing.B) {
+	benchmark(b, begin, start)
+}
+
+func BenchmarkFinishAttempt(b *testing.B) {
+	benchmark(b, func(n *testNode, key string) { begin(n, key); start(n, key) }, func(n *testNode, key string) {
+		n.owner.FinishAttempt(key)
+	})
+}
+
+func BenchmarkEnd(b *testing.B) {
+	benchmark(b, func(n *testNode, key string) { begin(n, key); start(n, key); n.owner.FinishAttempt(key) }, func(n *testNode, key string) {
+		n.owner.End(key, model.OutcomeDone)
+	})
+}
+
+// BenchmarkAdmit includes the formatting of the attempt, which the owner does otherwise.
+func BenchmarkAdmit(b *testing.B) {
+	benchmark(b, func(*testNode, string) {}, admit)
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// Guards against keys that take more memory than the node has for control work: 128 MB at 270 keys/s for eleven
+// minutes is 700 bytes per key for owner and agent together. Measures rates up to 1,000 keys/s when asked.
+func TestMemoryPerKey(t *testing.T) {
+	const bytesPerKey = 700
+	rates := []int{10, 100}
+	if os.Getenv(ratesVariable) != "" {
+		rates = append(rates, 1000)
+	}
+	for _, rate := range rates {
+		t.Run(fmt.Sprint(rate, " keys per second"), func(t *testing.T) {
+			clock := timer.NewManual(moment)
+			f, n := newFleet(), &testNode{self: model.Node{Ref: model.NodeRef{ID: "norte-a-0417", Incarnation: 1_764_819_330_000_000}}}
+			before := heap()
+			var err error
+			n.ledger, err = NewLedger(LedgerConfig{Self: n.self.Ref, Clock: clock, MaxKeys: 1_000_000})
+			require.NoError(t, err)
+			n.owner, err = NewOwner(Config{Self: n.self, Peers: f, Claims: f, Directory: f, Clock: clock, MaxKeys: 1_000_000})
+			require.NoError(t, err)
+			slowest, spent := time.Duration(0), time.Duration(0)
+			for second := range 600 {
+				clock.Advance(time.Second)
+				if second%10 == 0 {
+					began := time.Now()
+					n.owner.tick(clock.Now())
+					n.ledger.expire(clock.Now())
+					slowest = max(slowest, time.Since(began))
+				}
+				began := time.Now()
+				for _, key := range benchKeys(rate, n.owner.Token()+"."+strconv.Itoa(second)) {
+					begin(n, key)
+					start(n, key)
+					admit(n, key)
+					n.ledger.Finish(formatAttempt(key, 1, n.self.Ref.Incarnation), nil)
+					n.owner.FinishAttempt(key)
+					n.owner.End(key, model.OutcomeDone)
+				}
+				spent += time.Since(began)
+			}
+			keys := 600 * rate
+			per := float64(heap()-before) / float64(keys)
+			t.Logf("%d keys: %.0f bytes per key, %.0f MB, slowest tick %s, %.2f%% of a core", keys, per, per*float64(keys)/1e6,
+				slowest, 100*spent.Seconds()/600)
+			if keys > 10_000 {
+				require.Less(t, per, float64(bytesPerKey))
+			}
+			runtime.KeepAlive(n)
+			n.owner.Close()
+			n.ledger.Close()
+		})
+	}
+}
--- a/internal/once/errand.go
+++ b/internal/once/errand.go
@@ -68,8 +68,8 @@
 	return FenceReplyMsg{Now: now, ID: e.id, Purpose: c.Purpose, State: reply.State, Requester: c.Requester}
 }
 
-// fetched decides by what the agent of a finished attempt knows.
-func (e *errand) fetched(reply FenceReply, ok bool) Decision {
+// fetched decides by what the agent of an attempt knows.
+func (e *errand) fetched(c FetchCmd, reply FenceReply, ok bool) Decision {
 	switch {
 	case !ok:
 		return e.decision(KindUnknown, ReasonAgentGone)
@@ -78,8 +78,12 @@
 	case reply.State == FenceDone:
 		e.answer = reply.Answer
 		return e.decision(KindAnswer, "")
-	default:
+	case c.Ran:
 		return e.decision(KindUnknown, ReasonAnswerNotKept)
+	case reply.State == FenceNeverSeen:
+		return e.decision(KindUnknown, ReasonNeverSeen)
+	default:
+		return e.decision(KindUnknown, reply.State.reason())
 	}
 }
 
--- a/internal/once/message.go
+++ b/internal/once/message.go
@@ -124,9 +124,10 @@
 	Requester model.NodeRef
 }
 
-// FetchCmd asks the shell to read the stored answer from the agent.
+// FetchCmd asks the shell to read the stored answer from the agent; Ran is set when the key certainly ran.
 type FetchCmd struct {
 	Agent *model.Node
+	Ran   bool
 }
 
 // AskCmd asks the shell to call Keys.Resolve at the holder of the key.
@@ -151,6 +152,9 @@
 	Estate Estate
 }
 
+// InheritedCmd confirms that this node decides about the keys of an estate.
+type InheritedCmd struct{}
+
 // FencePurpose tells what follows after a fence that found the key never seen.
 type FencePurpose uint8
 
@@ -226,11 +230,12 @@
 func (SealMsg) isMsg()       {}
 func (InheritMsg) isMsg()    {}
 
-func (RunCmd) isCmd()    {}
-func (DecideCmd) isCmd() {}
-func (FenceCmd) isCmd()  {}
-func (FetchCmd) isCmd()  {}
-func (AskCmd) isCmd()    {}
-func (GrantCmd) isCmd()  {}
-func (MovedCmd) isCmd()  {}
-func (EstateCmd) isCmd() {}
+func (RunCmd) isCmd()       {}
+func (DecideCmd) isCmd()    {}
+func (FenceCmd) isCmd()     {}
+func (FetchCmd) isCmd()     {}
+func (AskCmd) isCmd()       {}
+func (GrantCmd) isCmd()     {}
+func (MovedCmd) isCmd()     {}
+func (EstateCmd) isCmd()    {}
+func (InheritedCmd) isCmd() {}
--- a/internal/once/owner.go
+++ b/internal/once/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,6 +20,8 @@
 	epochInterval = time.Minute
 	// epochsInBound starts a new epoch early, so that dropping one epoch frees at most a tenth of the bound.
 	epochsInBound = 10
+	// claimTimeout bounds one write to a slow platform; the caller gets unknown after claimTries of them.
+	claimTimeout = time.Second
 	// reservedMark starts the unique part of the keys that the edge gives to sends without a key.
 	reservedMark = "!"
 )
@@ -66,6 +69,7 @@
 	token  atomic.Pointer[string]
 	unique atomic.Uint64
 	fresh  atomic.Int64
+	nodes  nodeCache
 	epochs sync.Mutex
 	epoch  uint64
 	begun  time.Time
@@ -75,7 +79,9 @@
 type ownerShard struct {
 	mu     sync.Mutex
 	module *ownerModule
-	_      [48]byte // keeps the locks of two shards off one cache line
+	// estate is what a successor has not acknowledged yet.
+	estate *Estate
+	_      [40]byte // keeps the locks of two shards off one cache line
 }
 
 // NewOwner returns an owner in epoch 1 that starts and drops epochs until Close.
@@ -128,7 +134,7 @@
 	if err != nil {
 		return "", false
 	}
-	run, ok := o.update(id, StartMsg{Now: o.now(), ID: id, Agent: &node}).(RunCmd)
+	run, ok := o.update(id, StartMsg{Now: o.now(), ID: id, Agent: o.nodes.intern(node)}).(RunCmd)
 	if !ok {
 		return "", false
 	}
@@ -174,25 +180,50 @@
 	return o.carryOut(ctx, &errand{key: key, id: id, query: true}, o.query(id))
 }
 
-// Handover ends the ownership of all keys and gives them to the successor; call it when no send is in flight.
+// Handover ends the ownership of all keys and gives them to the successor; call it when no send is in flight. After an
+// error it may be repeated with the same successor only, because that one may have taken the keys over already.
 func (o *Owner) Handover(ctx context.Context, successor model.Node) error {
+	var failures error
 	for i := range o.shards {
-		s := &o.shards[i]
-		s.mu.Lock()
-		cmd := only(s.module.Update(SealMsg{Successor: &successor}))
-		s.mu.Unlock()
-		estate, ok := cmd.(EstateCmd)
-		if !ok {
-			continue
-		}
-		args := HandoverArgs{Successor: successor.Ref, Shard: i, Estate: estate.Estate}
-		if err := o.config.Peers.Call(ctx, successor, methodHandover, args, &HandoverReply{}); err != nil {
-			return eris.Wrapf(err, "once: hand over keys to %s; resends of these keys get the outcome unknown", successor.Ref)
-		}
+		failures = errors.Join(failures, o.handOver(ctx, i, successor))
+	}
+	return failures
+}
+
+func (o *Owner) handOver(ctx context.Context, shard int, successor model.Node) error {
+	estate, err := o.seal(shard, successor)
+	if estate == nil || err != nil {
+		return err
+	}
+	args := HandoverArgs{Successor: successor.Ref, Shard: shard, Estate: *estate}
+	reply := HandoverReply{}
+	if err := o.call(ctx, successor, methodHandover, args, &reply); err != nil {
+		return eris.Wrapf(err, "once: hand keys over to %s; repeat it, or resends of these keys get the outcome unknown", successor.Ref)
 	}
+	if !reply.Accepted {
+		return eris.Errorf("once: %s is leaving itself and refused the keys; resends of them get the outcome unknown", successor.Ref)
+	}
+	s := &o.shards[shard]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.estate = nil
 	return nil
 }
 
+// seal returns what is still to be handed over, or nil when the successor has it.
+func (o *Owner) seal(shard int, successor model.Node) (*Estate, error) {
+	s := &o.shards[shard]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if sealed := s.module.sealed; sealed != nil && sealed.Ref != successor.Ref {
+		return nil, eris.Errorf("once: keys were handed over to %s already; name the same successor again", sealed.Ref)
+	}
+	if cmd, ok := only(s.module.Update(SealMsg{Successor: &successor})).(EstateCmd); ok {
+		s.estate = &cmd.Estate
+	}
+	return s.estate, nil
+}
+
 // Close stops the epochs.
 func (o *Owner) Close() {
 	o.ticker.close()
@@ -247,13 +278,19 @@
 
 func (o *Owner) claim(ctx context.Context, row string) (token string, err error) {
 	for range claimTries {
-		if token, err = o.config.Claims.ClaimKey(ctx, row, o.Token()); err == nil {
+		if token, err = o.claimOnce(ctx, row); err == nil {
 			return token, nil
 		}
 	}
 	return "", err
 }
 
+func (o *Owner) claimOnce(ctx context.Context, row string) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	return o.config.Claims.ClaimKey(ctx, row, o.Token())
+}
+
 func (o *Owner) carryOut(ctx context.Context, e *errand, cmd Cmd) Decision {
 	for {
 		switch c := cmd.(type) {
@@ -289,7 +326,7 @@
 	}
 	reply := FenceReply{}
 	args := FenceArgs{Agent: agent.Ref, Key: e.key, Fingerprint: fingerprint}
-	if err := o.config.Peers.Call(ctx, agent, methodFence, args, &reply); err != nil {
+	if err := o.call(ctx, agent, methodFence, args, &reply); err != nil {
 		return FenceReply{State: FenceFailed}
 	}
 	return reply
@@ -309,7 +346,7 @@
 
 func (o *Owner) fetch(ctx context.Context, e *errand, c FetchCmd) Decision {
 	reply, err := o.lookupCall(ctx, e, *c.Agent, o.fingerprint(e))
-	return e.fetched(reply, err == nil)
+	return e.fetched(c, reply, err == nil)
 }
 
 func (o *Owner) lookupCall(ctx context.Context, e *errand, agent model.Node, fingerprint uint64) (FenceReply, error) {
@@ -319,10 +356,17 @@
 	}
 	reply := FenceReply{}
 	args := LookupArgs{Key: e.key, Fingerprint: fingerprint, AnyRequest: e.query}
-	err := o.config.Peers.Call(ctx, agent, methodLookup, args, &reply)
+	err := o.call(ctx, agent, methodLookup, args, &reply)
 	return reply, err
 }
 
+// call bounds the wait, since a node that is paused or gone does not answer at all.
+func (o *Owner) call(ctx context.Context, node model.Node, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, rpcTimeout)
+	defer cancel()
+	return o.config.Peers.Call(ctx, node, method, args, reply)
+}
+
 func (o *Owner) local(agent model.Node) bool {
 	return o.config.Ledger != nil && agent.Ref == o.config.Self.Ref
 }
@@ -353,7 +397,7 @@
 		return ResolveReply{}, false
 	}
 	reply := ResolveReply{}
-	err := o.config.Peers.Call(ctx, node, methodResolve, e.resolveArgs(o.config.Self.Ref, c), &reply)
+	err := o.call(ctx, node, methodResolve, e.resolveArgs(o.config.Self.Ref, c), &reply)
 	return reply, err == nil
 }
 
@@ -394,11 +438,12 @@
 	return e.served(cmd)
 }
 
-func (o *Owner) inherit(shard int, estate Estate) {
+func (o *Owner) inherit(shard int, estate Estate) bool {
 	s := &o.shards[shard]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.module.Update(InheritMsg{Now: o.now(), Estate: estate})
+	_, ok := only(s.module.Update(InheritMsg{Now: o.now(), Estate: estate})).(InheritedCmd)
+	return ok
 }
 
 func (o *Owner) countFresh() {
--- a/internal/once/owner_module.go
+++ b/internal/once/owner_module.go
@@ -124,7 +124,7 @@
 	case r.Phase == phaseMoved:
 		m.emit(AskCmd{Holder: r.Node.Ref, Generation: r.Generation})
 	case r.Phase == phaseSent, r.Phase == phaseDone:
-		m.emit(FetchCmd{Agent: r.Node})
+		m.emit(FetchCmd{Agent: r.Node, Ran: r.Phase == phaseDone})
 	default:
 		m.decide(KindUnknown, r.Phase.reason())
 	}
@@ -182,7 +182,7 @@
 	case r.Phase == phaseMoved:
 		m.emit(AskCmd{Holder: r.Node.Ref, Generation: r.Generation})
 	case r.Phase == phaseDone:
-		m.emit(FetchCmd{Agent: r.Node})
+		m.emit(FetchCmd{Agent: r.Node, Ran: true})
 	case r.Held:
 		m.decide(KindInProgress, ReasonRunning)
 	case r.Phase == phaseIdle:
@@ -274,7 +274,7 @@
 	case r.Phase == phaseIdle:
 		m.emit(RunCmd{Fingerprint: r.Fingerprint})
 	case r.Phase == phaseDone:
-		m.emit(FetchCmd{Agent: r.Node})
+		m.emit(FetchCmd{Agent: r.Node, Ran: true})
 	default:
 		m.decide(KindUnknown, r.Phase.reason())
 	}
@@ -358,7 +358,7 @@
 func (m *ownerModule) resolveKnown(msg ResolveMsg, r ownerRecord) {
 	switch {
 	case r.Phase == phaseDone:
-		m.emit(FetchCmd{Agent: r.Node})
+		m.emit(FetchCmd{Agent: r.Node, Ran: true})
 	case r.Held:
 		m.decide(KindInProgress, ReasonRunning)
 	case r.Phase == phaseIdle:
@@ -474,9 +474,13 @@
 }
 
 func (m *ownerModule) inherit(msg InheritMsg) {
+	if m.sealed != nil {
+		return
+	}
+	m.emit(InheritedCmd{})
 	for _, d := range msg.Estate.Domains {
 		id := epochID{Owner: d.Owner, Epoch: d.Epoch}
-		if m.owns(d.Owner) || m.sealed != nil || !m.shelf.accepts(id) {
+		if m.owns(d.Owner) || !m.shelf.accepts(id) {
 			return // a repeated or late handover
 		}
 	}
--- a/internal/once/rpc.go
+++ b/internal/once/rpc.go
@@ -71,7 +71,7 @@
 	Estate    Estate
 }
 
-// HandoverReply acknowledges a handover.
+// HandoverReply acknowledges a handover; a successor that is leaving itself does not accept.
 type HandoverReply struct {
 	Accepted bool
 }
@@ -135,7 +135,6 @@
 	if args.Shard < 0 || args.Shard >= shards {
 		return eris.Errorf("once: shard %d is not in 0..%d; run the same version on all nodes", args.Shard, shards-1)
 	}
-	k.owner.inherit(args.Shard, args.Estate)
-	reply.Accepted = true
+	reply.Accepted = k.owner.inherit(args.Shard, args.Estate)
 	return nil
 }
--- a/internal/search/search.go
+++ b/internal/search/search.go
@@ -30,7 +30,7 @@
 // Options bound a search; the zero value explores everything on all cores.
 type Options struct {
 	Workers int
-	// Limit ends the search after the level in which this number of states is reached.
+	// Limit ends the search when this number of states is reached, which also bounds its memory.
 	Limit int
 }
 
@@ -93,7 +93,7 @@
 	first := m.Initial()
 	x.reach(first, Print{})
 	frontier, depth := []S{first}, 0
-	for len(frontier) > 0 && x.bad == nil && (o.Limit == 0 || int(x.states.Load()) < o.Limit) {
+	for len(frontier) > 0 && x.bad == nil && !x.full() {
 		frontier = x.level(frontier)
 		depth++
 	}
@@ -101,12 +101,16 @@
 		States:      int(x.states.Load()),
 		Transitions: int(x.transitions.Load()),
 		Depth:       depth,
-		Complete:    len(frontier) == 0,
+		Complete:    len(frontier) == 0 && !x.full(),
 		Elapsed:     time.Since(start),
 		Violation:   x.violation(),
 	}
 }
 
+func (x *explorer[S]) full() bool {
+	return x.options.Limit > 0 && int(x.states.Load()) >= x.options.Limit
+}
+
 // level explores all states of the frontier and returns the next one.
 func (x *explorer[S]) level(frontier []S) []S {
 	const chunk = 64
@@ -117,7 +121,7 @@
 		wg.Go(func() {
 			for {
 				end := int(cursor.Add(chunk))
-				if end-chunk >= len(frontier) {
+				if end-chunk >= len(frontier) || x.full() {
 					return
 				}
 				for _, s := range frontier[end-chunk : min(end, len(frontier))] {
