Use the servers, counters and state dumps of edge and agent in the node

The node counted outcomes by itself and replaced limiters when slots changed, which forgot requests in flight. It now uses the counters of the edge and reconfigures limiters.

--- a/cmd/auburnwinch/state.go
+++ b/cmd/auburnwinch/state.go
@@ -14,7 +14,7 @@
 type stateCmd struct {
 	settingsFlag
 	Node    string `placeholder:"HOST:PORT" help:"Admin address of the node; by default the one in the settings."`
-	Section string `help:"Print only this section, for example members, view, requests or control."`
+	Section string `help:"Print only this section, for example members, view, edge, agent or control."`
 }
 
 // Run asks the admin listener of the node.
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -42,6 +42,11 @@
 	return admissionPermit{permit}, nil
 }
 
+// Configure follows changed slots and service settings; requests in flight keep their slots.
+func (a admission) Configure(slots int, spec model.ServiceSpec) {
+	a.limiter.SetSettings(limit.SettingsOf(spec, slots))
+}
+
 // Load returns the present use.
 func (a admission) Load() relay.Load {
 	load := a.limiter.Load()
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -1,8 +1,7 @@
 package node
 
 import (
-	"sync/atomic"
-
+	"github.com/auburnwinch/auburnwinch/internal/edge"
 	"github.com/auburnwinch/auburnwinch/internal/invar"
 )
 
@@ -15,20 +14,36 @@
 func (n *Node) registerRequestMetrics() {
 	for _, c := range []struct {
 		name, description string
-		value             *atomic.Int64
+		value             func(edge.Counters) uint64
 	}{
-		{"auburnwinch.edge.done", "requests answered by a target", &n.counts.done},
-		{"auburnwinch.edge.not-run", "requests refused as not run", &n.counts.notRun},
-		{"auburnwinch.edge.unknown", "requests answered with an unknown outcome", &n.counts.unknown},
-		{"auburnwinch.edge.broken", "answers broken off", &n.counts.broken},
-		{"auburnwinch.eject.ejections", "targets taken out of the choice", &n.counts.ejections},
-		{"auburnwinch.eject.readmissions", "targets that passed probation", &n.counts.readmits},
-		{"auburnwinch.eject.retained", "unhealthy targets kept because of the floor", &n.counts.retained},
+		{"auburnwinch.edge.requests", "requests admitted to a first attempt", func(c edge.Counters) uint64 { return c.Requests }},
+		{"auburnwinch.edge.retries", "attempts after the first", func(c edge.Counters) uint64 { return c.Retries }},
+		{"auburnwinch.edge.resumptions", "downloads continued from another target", func(c edge.Counters) uint64 { return c.Resumptions }},
+		{"auburnwinch.edge.path-failures", "attempts that failed between edge and agent", func(c edge.Counters) uint64 { return c.PathFailures }},
+		{"auburnwinch.edge.done", "requests answered by a target", func(c edge.Counters) uint64 { return c.Done }},
+		{"auburnwinch.edge.not-run", "requests refused as not run", func(c edge.Counters) uint64 { return c.NotRun }},
+		{"auburnwinch.edge.unknown", "requests answered with an unknown outcome", func(c edge.Counters) uint64 { return c.Unknown }},
+		{"auburnwinch.edge.broken", "answers broken off", func(c edge.Counters) uint64 { return c.Broken }},
 	} {
-		n.meter.Counter(c.name, c.description, c.value.Load)
+		n.meter.Counter(c.name, c.description, func() int64 { return int64(c.value(n.edge.Counters())) })
 	}
 	n.meter.Gauge("auburnwinch.edge.in-flight", "requests of callers in flight", func() int64 { return int64(n.edge.InFlight()) })
 	n.meter.Gauge("auburnwinch.agent.in-flight", "relayed requests in flight", func() int64 { return int64(n.agent.InFlight()) })
+	n.meter.Gauge("auburnwinch.agent.limits-lowered", "targets whose learned limit is below their slots", n.limitsLowered)
+	n.meter.Counter("auburnwinch.eject.ejections", "targets taken out of the choice", n.verdicts.ejections.Load)
+	n.meter.Counter("auburnwinch.eject.readmissions", "targets that passed probation", n.verdicts.readmits.Load)
+	n.meter.Counter("auburnwinch.eject.retained", "unhealthy targets kept because of the floor", n.verdicts.retained.Load)
+}
+
+// limitsLowered counts the targets whose learned limit is below the slots that they announce.
+func (n *Node) limitsLowered() int64 {
+	lowered := int64(0)
+	for _, t := range n.agent.State().Targets {
+		if t.Load.Limit < t.Target.Slots {
+			lowered++
+		}
+	}
+	return lowered
 }
 
 func (n *Node) registerControlMetrics() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,13 +49,12 @@
 	peer      *peer.Peer
 	peers     *lateCaller
 	meter     *meter.Meter
-	detection *meter.DurationHistogram
 
 	listeners listeners
 	cancel    context.CancelFunc
 	group     conc.WaitGroup
 	closing   sync.Once
-	counts    *outcomes
+	verdicts  *verdictCounts
 }
 
 type listeners struct {
@@ -68,7 +67,7 @@
 // New builds all parts and opens the listeners; Run serves.
 func New(c Config) (*Node, error) {
 	c = c.withDefaults()
-	n := &Node{config: c, began: c.Clock.Now(), fleet: &fleet{}, record: &ownRecord{}, peers: &lateCaller{}, counts: &outcomes{}}
+	n := &Node{config: c, began: c.Clock.Now(), fleet: &fleet{}, record: &ownRecord{}, peers: &lateCaller{}, verdicts: &verdictCounts{}}
 	n.self = c.Settings.Self(uint64(n.began.UnixMicro()))
 	n.logger = log.With(c.Logger, "node", n.self.Ref.ID)
 	invar.OnViolation(n.logViolation)
@@ -96,11 +95,7 @@
 
 func (n *Node) buildMeter() (err error) {
 	n.meter, err = meter.New()
-	if err != nil {
-		return err
-	}
-	n.detection = n.meter.Histogram("auburnwinch.eject.evidence", "time from the first evidence of a request to the ejection")
-	return nil
+	return err
 }
 
 func (n *Node) buildHealth() error {
@@ -160,28 +155,6 @@
 	return nil
 }
 
-func (n *Node) openListeners() (err error) {
-	addresses := n.config.Settings.Listeners
-	open := func(name, address string, into **listener, build func() (*listener, error)) {
-		if err == nil {
-			*into, err = build()
-		}
-	}
-	open("callers", addresses.Callers, &n.listeners.callers, func() (*listener, error) {
-		return n.listen("callers", addresses.Callers, n.counts.around(n.edge))
-	})
-	open("relay", addresses.Relay, &n.listeners.relay, func() (*listener, error) {
-		return n.listen("relay", addresses.Relay, n.agent)
-	})
-	open("local", addresses.Local, &n.listeners.local, func() (*listener, error) {
-		return n.listen("local", addresses.Local, n.agent.Local())
-	})
-	open("admin", addresses.Admin, &n.listeners.admin, func() (*listener, error) {
-		return n.listen("admin", addresses.Admin, n.adminHandler())
-	})
-	return err
-}
-
 func (n *Node) buildPeer() (err error) {
 	tlsConfig, err := loadTLS(n.config.Settings.TLS)
 	if err != nil {
@@ -252,7 +225,7 @@
 
 func (n *Node) logVerdict(role string) func(eject.VerdictCmd) {
 	return func(cmd eject.VerdictCmd) {
-		n.counts.verdict(cmd)
+		n.verdicts.add(cmd)
 		_ = level.Info(n.logger).Log("msg", "verdict changed", "role", role, "service", cmd.Target.Service, "target", cmd.Target.ID,
 			"from", cmd.From, "to", cmd.To, "severity", cmd.Severity)
 	}
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -16,16 +16,6 @@
 	Violations uint64     `json:"violations"`
 }
 
-type requestState struct {
-	EdgeInFlight  int            `json:"edge-in-flight"`
-	AgentInFlight int            `json:"agent-in-flight"`
-	Done          int64          `json:"done"`
-	NotRun        int64          `json:"not-run"`
-	Unknown       int64          `json:"unknown"`
-	Broken        int64          `json:"broken"`
-	Targets       []model.Target `json:"targets"`
-}
-
 type ticketState struct {
 	Number uint64 `json:"number"`
 	Head   uint64 `json:"head"`
@@ -55,7 +45,8 @@
 				Uptime: n.config.Clock.Now().Sub(n.began).Round(time.Second).String(),
 			}
 		}},
-		{Name: "requests", Dump: n.requestState},
+		{Name: "edge", Dump: func() any { return n.edge.State() }},
+		{Name: "agent", Dump: func() any { return n.agent.State() }},
 		{Name: "tickets", Dump: func() any {
 			return ticketState{Number: n.tickets.Configuration().Number, Head: n.tickets.Head(), Ready: n.tickets.Ready()}
 		}},
@@ -70,14 +61,6 @@
 	}
 }
 
-func (n *Node) requestState() any {
-	return requestState{
-		EdgeInFlight: n.edge.InFlight(), AgentInFlight: n.agent.InFlight(), Done: n.counts.done.Load(),
-		NotRun: n.counts.notRun.Load(), Unknown: n.counts.unknown.Load(), Broken: n.counts.broken.Load(),
-		Targets: n.agent.Targets(),
-	}
-}
-
 func (n *Node) health() admin.Health {
 	switch {
 	case !n.tickets.Ready():
