--- a/internal/once/history_test.go
+++ b/internal/once/history_test.go
@@ -37,7 +37,7 @@
 	seen := &search.Counter{}
 	rapid.Check(t, func(rt *rapid.T) {
 		p := &protocol{seen: seen, scenario: scenario{
-			Sends: 60, Attempts: 10, Restarts: 6, AgentRestarts: 6, Drops: 1, Dups: 40, Lossy: true,
+			Sends: 60, Attempts: 10, Restarts: 6, AgentRestarts: 6, Drops: 1, Dups: 40, Lossy: true, Three: true,
 			Plain: rapid.Bool().Draw(rt, "plain"), Handover: rapid.Bool().Draw(rt, "handover"),
 			Join: rapid.Bool().Draw(rt, "join"), Refuse: rapid.SampledFrom([]uint8{0, 40}).Draw(rt, "refuse"),
 		}}
--- a/internal/once/model_test.go
+++ b/internal/once/model_test.go
@@ -29,7 +29,7 @@
 )
 
 const (
-	entrances = 2
+	entrances = 3
 	agents    = 3
 	maxSends  = 6
 	servers   = 2
@@ -45,7 +45,9 @@
 	// Expect makes the search go on until a problem with this text is found.
 	Expect string
 	// Lossy makes histories lose letters when there are too many.
-	Lossy   bool
+	Lossy bool
+	// Three lets sends arrive at the third entrance as well.
+	Three   bool
 	Without safeguard
 	Limit   int
 }
@@ -496,8 +498,8 @@
 		return
 	}
 	for i := range uint8(entrances) {
-		if p.Plain && w.Sent == 0 && i > 0 {
-			continue // the entrances are alike before the first send
+		if i == 2 && !p.Three || p.Plain && w.Sent == 0 && i > 0 {
+			continue // the entrances are alike before the first send of a plain key
 		}
 		step(say("send %d arrives at %s", k, entrance(i, w.Inc[i])), func(n *world) {
 			n.Sent++
@@ -975,7 +977,7 @@
 // faults restarts nodes, drops epochs, lets the third agent join and shuts the first entrance down.
 func (p *protocol) faults(w *world, step stepper) {
 	for i := range uint8(entrances) {
-		if w.Restarts < p.Restarts {
+		if w.Restarts < p.Restarts && (i < 2 || p.Three) {
 			step(say("%s restarts", entrance(i, w.Inc[i])), func(n *world) { p.restart(n, i) })
 		}
 		if w.Drops < p.Drops && w.owners[i].m.shelf.count > 0 {
