--- a/internal/poison/fleet_test.go
+++ b/internal/poison/fleet_test.go
@@ -57,17 +57,12 @@
 func (f *fleet) spread(i int, c SpreadCmd) {
 	done := SpreadMsg{Now: f.now, Service: service, Fingerprints: c.Fingerprints}
 	for j, m := range f.modules {
+		done.Running = append(done.Running, f.running[j]...)
 		if j == i {
 			continue
 		}
 		msg := SuspectMsg{Now: f.now, Node: ref(i), Service: service, Fingerprints: c.Fingerprints}
-		for _, fp := range c.Fingerprints {
-			if slices.Contains(f.running[j], fp) {
-				msg.Running = append(msg.Running, fp)
-			}
-		}
-		reply := m.Update(msg)[0].(SuspectCmd)
-		done.Running, done.Crashed = append(done.Running, reply.Running...), append(done.Crashed, reply.Crashed...)
+		done.Crashed = append(done.Crashed, m.Update(msg)[0].(SuspectCmd).Crashed...)
 	}
 	f.update(i, done)
 }
--- a/internal/poison/message.go
+++ b/internal/poison/message.go
@@ -32,13 +32,12 @@
 	Entries []model.PoisonEntry
 }
 
-// SuspectMsg carries the SpreadCmd of another node; Running lists which of the fingerprints run on this node's targets.
+// SuspectMsg carries the SpreadCmd of another node.
 type SuspectMsg struct {
 	Now          time.Time
 	Node         model.NodeRef
 	Service      string
 	Fingerprints []uint64
-	Running      []uint64
 }
 
 // SpreadMsg reports how the agents of the service answered a SpreadCmd.
@@ -48,7 +47,7 @@
 	Fingerprints []uint64
 	// Unreached counts the agents that are not dead and did not answer.
 	Unreached int
-	// Running and Crashed merge the lists of all SuspectCmd.
+	// Running lists the fingerprints that still run somewhere, Crashed those of all SuspectCmd.
 	Running []uint64
 	Crashed []uint64
 }
@@ -84,9 +83,8 @@
 	Fingerprints []uint64
 }
 
-// SuspectCmd answers a SuspectMsg.
+// SuspectCmd answers a SuspectMsg with the fingerprints that crashed targets of this node.
 type SuspectCmd struct {
-	Running []uint64
 	Crashed []uint64
 }
 
--- a/internal/poison/module.go
+++ b/internal/poison/module.go
@@ -134,7 +134,7 @@
 }
 
 func (m *Module) suspect(msg SuspectMsg) []Cmd {
-	reply := SuspectCmd{Running: msg.Running}
+	reply := SuspectCmd{}
 	for _, f := range msg.Fingerprints {
 		id := entryID{Service: msg.Service, Fingerprint: f}
 		m.learn(msg.Now, msg.Node, id, remote{Crashes: 1}, false)
