search: order and number by prints, add envelopes and guards

Prints replace the byte strings that ordered letters and sends in the model of once; envelopes hold what is known about a sender that waits no longer.

--- a/internal/once/ledger_module.go
+++ b/internal/once/ledger_module.go
@@ -1,6 +1,7 @@
 package once
 
 import (
+	"slices"
 	"time"
 
 	"github.com/auburnwinch/auburnwinch/internal/invar"
@@ -99,6 +100,13 @@
 	return &ledgerModule{config: c, shelf: newShelf[ledgerRecord](c.MaxRecords, c.MaxFloors)}
 }
 
+// clone returns a copy that shares only answers, for searches that try several messages; the copy must not evict any.
+func (m *ledgerModule) clone() *ledgerModule {
+	c := *m
+	c.shelf, c.answers = m.shelf.clone(), slices.Clone(m.answers)
+	return &c
+}
+
 // Update applies the message.
 func (m *ledgerModule) Update(msg Msg) Cmd {
 	switch msg := msg.(type) {
--- a/internal/once/model_test.go
+++ b/internal/once/model_test.go
@@ -1,8 +1,8 @@
 package once
 
 import (
+	"cmp"
 	"fmt"
-	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -90,15 +90,14 @@
 	letterReply
 )
 
-// letter is a message on its way; Live is cleared when its sender no longer waits.
+// letter is a message on its way.
 type letter struct {
+	search.Envelope
 	Kind                 letterKind
-	Live                 bool
-	From, To, ToInc      uint8
+	To, ToInc            uint8
 	Owner, OwnerInc      uint8
 	ReqAt, ReqInc, Gen   uint8
-	State                uint8
-	Ans                  uint8
+	State, Ans           uint8
 	Granted, Moved, Gone bool
 }
 
@@ -227,44 +226,24 @@
 	return &boxed[*ledgerModule]{m: m, print: p.Add(search.PrintOf(m.config.Self))}
 }
 
-func cloneShelf[R any](s shelf[R]) shelf[R] {
-	buckets := make(map[epochID]*bucket[R], len(s.buckets))
-	for id, b := range s.buckets {
-		buckets[id] = &bucket[R]{ID: b.ID, Touched: b.Touched, Records: maps.Clone(b.Records)}
-	}
-	s.buckets, s.floors = buckets, maps.Clone(s.floors)
-	return s
-}
-
 // tell lets a copy of the entrance's owner module handle the message.
 func (w *world) tell(i uint8, msg Msg) Cmd {
-	m := *w.owners[i].m
-	m.shelf, m.domains, m.out = cloneShelf(m.shelf), maps.Clone(m.domains), nil
+	m := w.owners[i].m.clone()
 	var cmds []Cmd
-	w.guard(func() { cmds = m.Update(msg) })
-	w.owners[i] = boxOwner(&m)
+	w.problem = cmp.Or(w.problem, search.Guard(func() { cmds = m.Update(msg) }))
+	w.owners[i] = boxOwner(m)
 	return only(cmds)
 }
 
 // tellAgent lets a copy of the agent's ledger module handle the message.
 func (w *world) tellAgent(j uint8, msg Msg) Cmd {
-	m := *w.ledgers[j].m
-	m.shelf, m.answers = cloneShelf(m.shelf), slices.Clone(m.answers)
+	m := w.ledgers[j].m.clone()
 	var cmd Cmd
-	w.guard(func() { cmd = m.Update(msg) })
-	w.ledgers[j] = boxLedger(&m)
+	w.problem = cmp.Or(w.problem, search.Guard(func() { cmd = m.Update(msg) }))
+	w.ledgers[j] = boxLedger(m)
 	return cmd
 }
 
-func (w *world) guard(f func()) {
-	defer func() {
-		if r := recover(); r != nil {
-			w.problem = fmt.Sprint(r)
-		}
-	}()
-	f()
-}
-
 func (p *protocol) Initial() *world {
 	w := &world{core: core{Inc: [entrances]uint8{1, 1}, AgentInc: [agents]uint8{1, 1, 1}, Joined: !p.Join, Lossy: p.Lossy}}
 	for i := range uint8(entrances) {
@@ -310,11 +289,11 @@
 		p.process(w, uint8(i), step)
 	}
 	for i, l := range w.Net.All() {
-		p.deliver(w, l, say("deliver %s", l), func(label func() string, f func(n *world)) {
+		p.deliver(w, l, search.Label("deliver %s", l), func(label func() string, f func(n *world)) {
 			step(label, func(n *world) { n.Net.Remove(i); f(n) })
 		})
 		if w.Dups < p.Dups && (l.Kind != letterAttempt || p.Copies) && l.Kind != letterReply {
-			p.deliver(w, l, say("duplicate %s", l), func(label func() string, f func(n *world)) {
+			p.deliver(w, l, search.Label("duplicate %s", l), func(label func() string, f func(n *world)) {
 				step(label, func(n *world) { n.Dups++; f(n) })
 			})
 		}
@@ -325,11 +304,6 @@
 
 type stepper func(label func() string, f func(n *world))
 
-// say formats a label only when a violation needs it.
-func say(format string, args ...any) func() string {
-	return func() string { return fmt.Sprintf(format, args...) }
-}
-
 func (l letter) String() string {
 	kinds := [...]string{"", "attempt", "fence", "resolve", "claim", "reply"}
 	return fmt.Sprintf("%s of process %d to %d.%d", kinds[l.Kind], l.From, l.To, l.ToInc)
@@ -341,7 +315,7 @@
 		return !l.Live && (l.Kind == letterReply || without == allSafeguards && w.idle(l))
 	}))
 	w.sortSends()
-	w.Net.Order(func(a, b letter) int { return strings.Compare(a.order(), b.order()) })
+	w.Net.Order()
 }
 
 // idle reports whether a letter whose sender no longer waits can't change anything any more.
@@ -361,91 +335,61 @@
 // sortSends numbers the sends by what they do, since the number of a send means nothing.
 func (w *world) sortSends() {
 	sends := w.Procs[:min(w.Sent, maxSends)]
-	if len(sends) < 2 {
-		return
-	}
-	marks := make([]string, len(sends))
+	marks := make([]search.Print, len(sends))
 	for i, pr := range sends {
-		marks[i] = pr.order() + w.refersTo(uint8(i))
+		mark, _ := w.refersTo(uint8(i))
+		marks[i] = mark.Add(search.PrintOf(pr))
 	}
 	places := search.Number(marks)
 	if slices.IsSorted(places) {
 		return
 	}
-	sorted := slices.Clone(sends)
-	for old, place := range places {
-		sorted[place] = sends[old]
-	}
-	copy(sends, sorted)
-	number := func(old uint8) uint8 {
-		if int(old) < len(places) {
-			return uint8(places[old])
-		}
-		return old
+	old := slices.Clone(sends)
+	for i, place := range places {
+		sends[place] = old[i]
 	}
 	for k := range w.Net.All() {
-		w.Net.All()[k].renumber(number)
+		w.Net.All()[k].Renumber(places)
 	}
 	for k := range w.Busy {
-		w.Busy[k].renumber(number)
+		w.Busy[k].Renumber(places)
 	}
 	for k := maxSends; k < len(w.Procs); k++ {
-		if w.Procs[k].Wanted {
-			w.Procs[k].From = number(w.Procs[k].From)
+		if pr := &w.Procs[k]; pr.Wanted {
+			pr.From = uint8(places[pr.From])
 		}
 	}
 }
 
-func (l *letter) renumber(number func(uint8) uint8) {
-	if l.Kind == letterAttempt || l.Live {
-		l.From = number(l.From)
-	}
-}
-
-// refersTo describes what refers to the send, without its number.
-func (w *world) refersTo(i uint8) string {
-	var marks []string
-	note := func(place byte, l letter) {
-		if l.Kind != 0 && l.From == i && (l.Live || l.Kind == letterAttempt) {
-			l.From = 0
-			marks = append(marks, string(place)+l.order())
+// refersTo describes what refers to the send, without its number, and tells whether anything does.
+func (w *world) refersTo(i uint8) (mark search.Print, any bool) {
+	note := func(place int, l letter) {
+		if l.Kind != 0 && l.IsFrom(i) {
+			l.From, any = 0, true
+			mark = mark.Add(search.PrintOf(l).At(place))
 		}
 	}
 	for _, l := range w.Net.All() {
-		note('n', l)
+		note(-1, l)
 	}
 	for j, l := range w.Busy {
-		note('0'+byte(j), l)
+		note(j, l)
 	}
 	for k, pr := range w.Procs[maxSends:] {
 		if pr.Wanted && pr.From == i {
-			marks = append(marks, string('a'+rune(k)))
+			mark, any = mark.Add(search.Print{}.At(agents+k)), true
 		}
 	}
-	slices.Sort(marks)
-	return strings.Join(marks, "")
-}
-
-func (pr process) order() string {
-	flag := byte(0)
-	for i, b := range []bool{pr.Held, pr.NotRun, pr.Wanted} {
-		if b {
-			flag |= 1 << i
-		}
-	}
-	return string([]byte{
-		byte(pr.Stage), pr.At, pr.Attempts, pr.Hops, pr.Owner, pr.OwnerInc, flag,
-		pr.Ans, pr.Tries, pr.To, pr.ToInc, pr.Gen, byte(pr.Purpose), pr.ReqAt, pr.ReqInc, pr.From,
-	})
+	return mark, any
 }
 
 // moveOn makes the process deaf to the letters that it waited for.
 func (w *world) moveOn(i uint8) {
 	for k := range w.Net.All() {
-		w.Net.All()[k].moveOn(i)
+		w.Net.All()[k].MoveOn(i)
 	}
 	for k := range w.Busy {
-		w.Busy[k].moveOn(i)
+		w.Busy[k].MoveOn(i)
 	}
 	for k := maxSends; k < len(w.Procs); k++ {
 		if pr := &w.Procs[k]; pr.Wanted && pr.From == i {
@@ -454,29 +398,6 @@
 	}
 }
 
-func (l *letter) moveOn(i uint8) {
-	if !l.Live || l.From != i {
-		return
-	}
-	l.Live = false
-	if l.Kind != letterAttempt {
-		l.From = 0
-	}
-}
-
-func (l letter) order() string {
-	flag := byte(0)
-	for i, b := range []bool{l.Granted, l.Moved, l.Gone, l.Live} {
-		if b {
-			flag |= 1 << i
-		}
-	}
-	return string([]byte{
-		byte(l.Kind), l.From, l.To, l.ToInc, l.Owner, l.OwnerInc,
-		l.ReqAt, l.ReqInc, l.Gen, l.State, l.Ans, flag,
-	})
-}
-
 // answer posts the reply to a letter if its sender still waits.
 func (w *world) answer(l, reply letter) {
 	if l.Live {
@@ -501,7 +422,7 @@
 		if i == 2 && !p.Three || p.Plain && w.Sent == 0 && i > 0 {
 			continue // the entrances are alike before the first send of a plain key
 		}
-		step(say("send %d arrives at %s", k, entrance(i, w.Inc[i])), func(n *world) {
+		step(search.Label("send %d arrives at %s", k, entrance(i, w.Inc[i])), func(n *world) {
 			n.Sent++
 			n.Procs[k] = process{At: i, Owner: 0, OwnerInc: 1}
 			if p.Plain {
@@ -519,7 +440,7 @@
 		return w.Sent, true
 	}
 	for k := range uint8(maxSends) {
-		if w.Procs[k].Stage == stageOver && w.refersTo(k) == "" {
+		if _, referred := w.refersTo(k); !referred && w.Procs[k].Stage == stageOver {
 			return k, true
 		}
 	}
@@ -531,7 +452,7 @@
 	pr.Stage = stageClaim
 	n.moveOn(i)
 	pr.Tries++
-	n.post(letter{Kind: letterClaim, Live: true, From: i, ReqAt: pr.At, ReqInc: n.Inc[pr.At]})
+	n.post(letter{Kind: letterClaim, Envelope: search.Envelope{Live: true, From: i}, ReqAt: pr.At, ReqInc: n.Inc[pr.At]})
 }
 
 func (p *protocol) begin(n *world, i uint8) {
@@ -585,7 +506,7 @@
 		pr.To, pr.ToInc = indexOf(c.Holder, 'A')
 		pr.Gen = uint8(c.Generation)
 		n.post(letter{
-			Kind: letterResolve, Live: true, From: i, To: pr.To, ToInc: pr.ToInc, Owner: pr.Owner, OwnerInc: pr.OwnerInc,
+			Kind: letterResolve, Envelope: search.Envelope{Live: true, From: i}, To: pr.To, ToInc: pr.ToInc, Owner: pr.Owner, OwnerInc: pr.OwnerInc,
 			ReqAt: pr.At, ReqInc: n.Inc[pr.At], Gen: pr.Gen,
 		})
 	}
@@ -620,7 +541,7 @@
 		return
 	}
 	n.post(letter{
-		Kind: letterFence, Live: true, From: i, To: pr.To, ToInc: pr.ToInc, Owner: pr.Owner, OwnerInc: pr.OwnerInc,
+		Kind: letterFence, Envelope: search.Envelope{Live: true, From: i}, To: pr.To, ToInc: pr.ToInc, Owner: pr.Owner, OwnerInc: pr.OwnerInc,
 	})
 }
 
@@ -664,7 +585,7 @@
 }
 
 func (p *protocol) reply(n *world, to uint8, r ResolveReply) {
-	l := letter{Kind: letterReply, Live: true, From: to, Granted: r.Granted, Moved: r.Moved, Gone: r.Gone, Gen: uint8(r.Generation)}
+	l := letter{Kind: letterReply, Envelope: search.Envelope{Live: true, From: to}, Granted: r.Granted, Moved: r.Moved, Gone: r.Gone, Gen: uint8(r.Generation)}
 	if r.Moved {
 		l.ReqAt, l.ReqInc = indexOf(r.Holder, 'A')
 	}
@@ -710,7 +631,9 @@
 // process visits what a send can do by itself: choose an agent, give up, or stop waiting.
 func (p *protocol) process(w *world, i uint8, step stepper) {
 	pr := w.Procs[i]
-	at := func(f string, args ...any) func() string { return say("process %d "+f, append([]any{i}, args...)...) }
+	at := func(f string, args ...any) func() string {
+		return search.Label("process %d "+f, append([]any{i}, args...)...)
+	}
 	switch pr.Stage {
 	case stageReady:
 		step(at("gives up"), func(n *world) { p.told(n, i, Decision{Kind: KindNotRun}) })
@@ -774,7 +697,7 @@
 	pr.Stage = stageAttempt
 	pr.Attempts++
 	n.post(letter{
-		Kind: letterAttempt, Live: true, From: i, To: j, ToInc: n.AgentInc[j], Owner: pr.Owner, OwnerInc: pr.OwnerInc,
+		Kind: letterAttempt, Envelope: search.Envelope{Live: true, From: i, Signed: true}, To: j, ToInc: n.AgentInc[j], Owner: pr.Owner, OwnerInc: pr.OwnerInc,
 	})
 }
 
@@ -819,7 +742,7 @@
 	case letterAttempt:
 		step(label, func(n *world) { p.admit(n, l) })
 		if w.Refused < p.Refuse && l.ToInc == w.AgentInc[l.To] {
-			step(say("%s, refused for load", l), func(n *world) {
+			step(search.Label("%s, refused for load", l), func(n *world) {
 				n.Refused++
 				n.answer(l, letter{State: replyRefused})
 			})
@@ -907,7 +830,7 @@
 		*pr = process{}
 	})
 	if fetch != nil {
-		step(say("%s, agent silent", l), func(n *world) { p.fetched(n, l, FenceReply{}, false) })
+		step(search.Label("%s, agent silent", l), func(n *world) { p.fetched(n, l, FenceReply{}, false) })
 	}
 }
 
@@ -962,12 +885,12 @@
 			continue
 		}
 		id := attemptID{Key: modelKey(l.Owner, l.OwnerInc), Fingerprint: 1, Agent: uint64(w.AgentInc[j])}
-		step(say("target at %s answers", agentRef(uint8(j), w.AgentInc[j])), func(n *world) {
+		step(search.Label("target at %s answers", agentRef(uint8(j), w.AgentInc[j])), func(n *world) {
 			n.Busy[j] = letter{}
 			n.tellAgent(uint8(j), CompleteMsg{Now: moment, ID: id, Answer: &Answer{Status: int(n.RunID)}})
 			n.answer(l, letter{State: replyAnswered, Ans: n.RunID})
 		})
-		step(say("target at %s breaks", agentRef(uint8(j), w.AgentInc[j])), func(n *world) {
+		step(search.Label("target at %s breaks", agentRef(uint8(j), w.AgentInc[j])), func(n *world) {
 			n.Busy[j] = letter{}
 			n.tellAgent(uint8(j), CompleteMsg{Now: moment, ID: id, Broken: true})
 		})
@@ -978,10 +901,10 @@
 func (p *protocol) faults(w *world, step stepper) {
 	for i := range uint8(entrances) {
 		if w.Restarts < p.Restarts && (i < 2 || p.Three) {
-			step(say("%s restarts", entrance(i, w.Inc[i])), func(n *world) { p.restart(n, i) })
+			step(search.Label("%s restarts", entrance(i, w.Inc[i])), func(n *world) { p.restart(n, i) })
 		}
 		if w.Drops < p.Drops && w.owners[i].m.shelf.count > 0 {
-			step(say("%s drops its epochs", entrance(i, w.Inc[i])), func(n *world) {
+			step(search.Label("%s drops its epochs", entrance(i, w.Inc[i])), func(n *world) {
 				n.Drops++
 				n.tell(i, ExpireMsg{Before: moment.Add(1)})
 				n.clearFloors(p.Without, n.owners[i].m.shelf.floors)
@@ -991,7 +914,7 @@
 	}
 	for j := range uint8(agents) {
 		if w.AgentRestarts < p.AgentRestarts && w.distinct(j) {
-			step(say("%s restarts", agentRef(j, w.AgentInc[j])), func(n *world) {
+			step(search.Label("%s restarts", agentRef(j, w.AgentInc[j])), func(n *world) {
 				n.AgentRestarts++
 				n.Touched[j] = true
 				n.AgentInc[j]++
@@ -1000,7 +923,7 @@
 			})
 		}
 		if w.Drops < p.Drops && w.ledgers[j].m.shelf.count > 0 {
-			step(say("%s drops its epochs", agentRef(j, w.AgentInc[j])), func(n *world) {
+			step(search.Label("%s drops its epochs", agentRef(j, w.AgentInc[j])), func(n *world) {
 				n.Drops++
 				n.tellAgent(j, ExpireMsg{Before: moment.Add(1)})
 				n.clearFloors(p.Without, n.ledgers[j].m.shelf.floors)
@@ -1009,10 +932,10 @@
 		}
 	}
 	if !w.Joined {
-		step(say("the third agent joins"), func(n *world) { n.Joined = true })
+		step(search.Label("the third agent joins"), func(n *world) { n.Joined = true })
 	}
 	if p.Handover && !w.Sealed {
-		step(say("A hands its keys to B"), func(n *world) { p.handover(n) })
+		step(search.Label("A hands its keys to B"), func(n *world) { p.handover(n) })
 	}
 }
 
@@ -1057,8 +980,7 @@
 
 // forget removes the record of the key without a trace.
 func (w *world) forget(i uint8, id keyID) {
-	m := *w.owners[i].m
-	m.shelf = cloneShelf(m.shelf)
+	m := w.owners[i].m.clone()
 	m.shelf.remove(id)
-	w.owners[i] = boxOwner(&m)
+	w.owners[i] = boxOwner(m)
 }
--- a/internal/once/owner_module.go
+++ b/internal/once/owner_module.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -71,6 +72,13 @@
 	}
 }
 
+// clone returns a copy that shares no state, for searches that try several messages.
+func (m *ownerModule) clone() *ownerModule {
+	c := *m
+	c.shelf, c.domains, c.out = m.shelf.clone(), maps.Clone(m.domains), nil
+	return &c
+}
+
 // Update applies the message; the returned commands are valid until the next call.
 func (m *ownerModule) Update(msg Msg) []Cmd {
 	m.out = m.out[:0]
--- a/internal/search/bag.go
+++ b/internal/search/bag.go
@@ -38,6 +38,14 @@
 }
 
 // Order sorts the items, so that bags with the same items are equal.
-func (b *Bag[T]) Order(compare func(x, y T) int) {
-	slices.SortFunc(b.All(), compare)
+func (b *Bag[T]) Order() {
+	prints := make([]Print, b.n)
+	for i, item := range b.All() {
+		prints[i] = PrintOf(item)
+	}
+	ordered := make([]T, b.n)
+	for i, place := range Number(prints) {
+		ordered[place] = b.items[i]
+	}
+	b.Set(ordered)
 }
--- a/internal/search/number.go
+++ b/internal/search/number.go
@@ -1,18 +1,15 @@
 package search
 
-import (
-	"cmp"
-	"slices"
-)
+import "slices"
 
 // Number returns, per actor, its place in the order of the marks, so that actors which differ only in their number get
 // one numbering. The order of actors with equal marks is kept.
-func Number(marks []string) []int {
+func Number(marks []Print) []int {
 	actors := make([]int, len(marks))
 	for i := range actors {
 		actors[i] = i
 	}
-	slices.SortStableFunc(actors, func(a, b int) int { return cmp.Compare(marks[a], marks[b]) })
+	slices.SortStableFunc(actors, func(a, b int) int { return marks[a].Compare(marks[b]) })
 	places := make([]int, len(marks))
 	for place, actor := range actors {
 		places[actor] = place
--- a/internal/search/print.go
+++ b/internal/search/print.go
@@ -1,6 +1,9 @@
 package search
 
-import "hash/maphash"
+import (
+	"cmp"
+	"hash/maphash"
+)
 
 // Print identifies a state; two states with one print are taken for the same state. Prints differ from process to
 // process. With 128 bits, the chance that a search of a billion states mistakes one is below 10^-20.
@@ -25,3 +28,8 @@
 		print Print
 	}{place, p})
 }
+
+// Compare orders prints; the order means nothing, but it is the same throughout the process.
+func (p Print) Compare(other Print) int {
+	return cmp.Or(cmp.Compare(p[0], other[0]), cmp.Compare(p[1], other[1]))
+}
