--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -33,6 +33,7 @@
 	inFlight atomic.Int64
 	// suspectRuns is the place for the one request that is suspect of crashing targets.
 	suspectRuns atomic.Bool
+	running     running
 	publishing  sync.Mutex
 	stop        chan struct{}
 	stopped     atomic.Bool
@@ -130,6 +131,7 @@
 		return false
 	}
 	a.targetGone(x.local)
+	x.leaveRunning()
 	if a.config.Poison != nil && x.suspect.Fingerprint != 0 && x.local.shared.report(x.suspect.Fingerprint) {
 		a.config.Poison.Crashed(x.local.target.Ref, x.suspect)
 	}
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -133,7 +133,7 @@
 // The verdicts on a request.
 const (
 	PoisonClear PoisonVerdict = iota
-	// PoisonSuspect permits the request to run alone.
+	// PoisonSuspect permits the request to run only as a granted trial.
 	PoisonSuspect
 	PoisonQuarantined
 )
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -45,6 +45,8 @@
 	source *relay.Source
 	// alone tells that this request holds the only place for suspect requests.
 	alone bool
+	// listed tells that the request counts as running, for agents that ask about a suspect.
+	listed bool
 	// abort makes the server close the connection without ending the answer.
 	abort bool
 }
@@ -71,6 +73,7 @@
 }
 
 func (x *exchange) leave() {
+	x.leaveRunning()
 	if x.alone {
 		x.agent.suspectRuns.Store(false)
 	}
@@ -82,6 +85,7 @@
 	text := h.Get(model.HeaderTarget)
 	err := x.agent.signer.Verify(relay.Signed{
 		Exchange: h.Get(model.HeaderExchange), Method: x.r.Method, URI: x.r.RequestURI, Target: text, Key: x.key,
+		Trial: h.Get(model.HeaderTrial),
 	}, h.Get(model.HeaderSignature))
 	if err != nil {
 		_ = level.Warn(x.agent.config.Logger).Log("msg", "relayed request refused", "peer", x.r.RemoteAddr, "err", err)
@@ -119,16 +123,27 @@
 	return ""
 }
 
-// checkPoison lets a request that is suspect of crashing targets run only while no other suspect one runs here.
+func (x *exchange) leaveRunning() {
+	if x.listed {
+		x.listed = false
+		x.agent.running.remove(x.suspect.Service, x.suspect.Fingerprint)
+	}
+}
+
+// checkPoison lets a request that is suspect of crashing targets run only as the granted trial, and only while no other
+// trial runs here. The request counts as running before its verdict is read, so that none starts unseen while the
+// suspicion arrives.
 func (x *exchange) checkPoison() string {
 	if x.agent.config.Poison == nil {
 		return ""
 	}
+	x.agent.running.add(x.suspect.Service, x.suspect.Fingerprint)
+	x.listed = true
 	switch x.agent.config.Poison.Verdict(x.suspect.Service, x.suspect.Fingerprint) {
 	case PoisonQuarantined:
 		return relay.ReasonPoison
 	case PoisonSuspect:
-		if !x.agent.suspectRuns.CompareAndSwap(false, true) {
+		if x.r.Header.Get(model.HeaderTrial) == "" || !x.agent.suspectRuns.CompareAndSwap(false, true) {
 			return relay.ReasonSuspect
 		}
 		x.alone = true
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -52,6 +52,7 @@
 		f = q.resume(ctx, d, f)
 	}
 	q.endAttempt(f)
+	q.endTrial(f)
 	return f
 }
 
@@ -155,8 +156,11 @@
 	fields := append(q.fields, relay.Field{Name: model.HeaderExchange, Value: l.exchange},
 		relay.Field{Name: model.HeaderTarget, Value: target}, relay.Field{Name: model.HeaderTimeout, Value: q.remaining()})
 	signature := q.edge.signer.Sign(relay.Signed{
-		Exchange: l.exchange, Method: q.r.Method, URI: q.uri, Target: target, Key: q.attemptKey,
+		Exchange: l.exchange, Method: q.r.Method, URI: q.uri, Target: target, Key: q.attemptKey, Trial: q.trialHeader(),
 	})
+	if trial := q.trialHeader(); trial != "" {
+		fields = append(fields, relay.Field{Name: model.HeaderTrial, Value: trial})
+	}
 	if q.attemptKey != "" {
 		fields = append(fields, relay.Field{Name: model.HeaderKey, Value: q.attemptKey})
 	}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -48,6 +48,8 @@
 	// fingerprint identifies the request for the detection of poison requests; crashes counts targets that died.
 	fingerprint uint64
 	crashes     int
+	// trial is the agent that granted one more attempt of a suspect request; it is zero without a grant.
+	trial model.Node
 	// sentHeader tells that the caller has received the header of an answer.
 	sentHeader bool
 	// abort makes the server close the connection without ending the answer.
@@ -175,6 +177,10 @@
 			q.giveUp(ctx, f)
 			return
 		}
+		if f.reason == relay.ReasonCrashed && !q.askTrial(ctx, choice.Candidate.Node) {
+			q.refuseAttempts(poisoned())
+			return
+		}
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/auburnwinch/auburnwinch/internal/once"
 	"github.com/auburnwinch/auburnwinch/internal/peer"
 	"github.com/auburnwinch/auburnwinch/internal/picker"
+	"github.com/auburnwinch/auburnwinch/internal/poison"
 	"github.com/auburnwinch/auburnwinch/internal/router"
 	"github.com/auburnwinch/auburnwinch/internal/store"
 	"github.com/auburnwinch/auburnwinch/internal/ticket"
@@ -45,6 +46,7 @@
 	targets   *eject.Tracker
 	owner     *once.Owner
 	ledger    *once.Ledger
+	poison    *poison.Guard
 	suspicion *suspicion
 	peer      *peer.Peer
 	peers     *lateCaller
@@ -72,7 +74,7 @@
 	n.logger = log.With(c.Logger, "node", n.self.Ref.ID)
 	invar.OnViolation(n.logViolation)
 	for _, build := range []func() error{
-		n.buildStore, n.buildMeter, n.buildHealth, n.buildKeys, n.buildAgent, n.buildEdge, n.openListeners, n.buildTickets,
+		n.buildStore, n.buildMeter, n.buildHealth, n.buildPoison, n.buildKeys, n.buildAgent, n.buildEdge, n.openListeners, n.buildTickets,
 		n.buildPeer, n.registerMetrics,
 	} {
 		if err := build(); err != nil {
@@ -111,12 +113,19 @@
 		OnVerdict: n.logVerdict("agent"),
 	})
 	n.picker = picker.New(picker.Config{Health: n.paths, Now: n.config.Clock.Now, Seed: n.self.Ref.Incarnation})
-	n.suspicion = newSuspicion(&suspicion{
-		self: n.self.Ref, peers: n.peers, fleet: n.fleet, clock: n.config.Clock, logger: n.logger, publish: n.record.setPoison,
-	})
 	return nil
 }
 
+func (n *Node) buildPoison() (err error) {
+	n.poison, err = poison.NewGuard(poison.GuardConfig{
+		Config: poison.Config{Self: n.self.Ref}, Peers: n.peers, Directory: n.fleet, Clock: n.config.Clock,
+		Running: func(service string, fingerprints []uint64) []uint64 { return n.agent.Running(service, fingerprints) },
+		Publish: n.record.setPoison,
+	})
+	n.suspicion = &suspicion{self: n.self.Ref, guard: n.poison, peers: n.peers, logger: n.logger}
+	return err
+}
+
 func (n *Node) buildKeys() (err error) {
 	n.ledger, err = once.NewLedger(once.LedgerConfig{Self: n.self.Ref, Clock: n.config.Clock})
 	if err != nil {
@@ -165,7 +174,7 @@
 		Services: []peer.Service{
 			{Name: once.ServiceName, Receiver: once.NewKeys(n.owner, n.ledger)},
 			{Name: ticket.RPCService, Receiver: &ticket.Receiver{Keeper: n.tickets}},
-			{Name: poisonService, Receiver: &Poison{suspicion: n.suspicion}},
+			{Name: poison.ServiceName, Receiver: poison.NewCalls(n.poison)},
 		},
 		OnChange: n.membersChanged, OnTicketBehind: func(p model.Node, number uint64) { n.tickets.Hear(p.Ref, number) }, Clock: n.config.Clock, Logger: n.logger,
 	})
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -171,8 +171,8 @@
 	if n.ledger != nil {
 		n.ledger.Close()
 	}
-	if n.suspicion != nil {
-		n.suspicion.close()
+	if n.poison != nil {
+		n.poison.Close()
 	}
 	if n.peer != nil {
 		_ = n.peer.Close() // The process ends; peers detect the closed sockets.
--- a/pkg/model/header.go
+++ b/pkg/model/header.go
@@ -23,6 +23,8 @@
 	HeaderRoute = "Auburnwinch-Route"
 	// HeaderFingerprint holds the fingerprint of the request in hexadecimal, for the detection of poison requests.
 	HeaderFingerprint = "Auburnwinch-Fingerprint"
+	// HeaderTrial marks the one attempt that a suspect request was granted.
+	HeaderTrial = "Auburnwinch-Trial"
 )
 
 // Paths of the callers' listener that the fleet serves itself.
