--- a/internal/eject/regression_test.go
+++ b/internal/eject/regression_test.go
@@ -22,14 +22,37 @@
 		return failing(3)(i)
 	})
 	require.False(t, r.module.Snapshot().Verdict(ref(3)).InService())
-	for range 1200 {
-		if r.state(3) == StateProbation {
-			r.classResult(3, "light", KindOK, time.Millisecond)
-			r.result(3, KindTimeout, 0)
-		}
+	for r.state(3) != StateProbation {
+		r.tick(50 * time.Millisecond)
+	}
+	for range 100 {
+		r.classResult(3, "light", KindOK, time.Millisecond)
 		r.tick(50 * time.Millisecond)
-		require.False(t, r.module.Snapshot().Verdict(ref(3)).InService(), "light requests must not end probation")
+		require.Equal(t, StateProbation, r.state(3), "light requests must not end probation")
+	}
+	r.result(3, KindTimeout, 0)
+	r.tick(50 * time.Millisecond)
+	require.Equal(t, StateEjected, r.state(3))
+}
+
+// Guards against ejecting for failures that are long past, when the next request comes much later.
+func TestOldFailuresEjectNothing(t *testing.T) {
+	r := newRig(ObserverEdge, 12, 7, 50, model.ProfileCapacity)
+	r.warm()
+	for range 3 { // Too few in a row for an ejection, but a large share of the window.
+		for range 6 {
+			r.result(3, KindError, 0)
+		}
+		r.result(3, KindOK, 20*time.Millisecond)
 	}
+	r.tick(evidenceMaxAge + time.Second)
+	r.serve(5*time.Second, func(i int) (Kind, time.Duration) {
+		require.True(t, r.module.Snapshot().Verdict(ref(3)).InService())
+		if i == 3 {
+			return KindNone, 0
+		}
+		return healthy(i)
+	})
 }
 
 // Guards against taking one hanging request of a rare class for a stall while the target answers all others.
@@ -136,6 +159,21 @@
 	})
 }
 
+// Guards against the same at an agent, which mostly has no other target to compare with.
+func TestShortPauseMakesNoClaim(t *testing.T) {
+	r := newRig(ObserverAgent, 1, 7, 1, model.ProfileDetection)
+	r.warm()
+	for step := range 200 {
+		took := 20 * time.Millisecond
+		if step >= 20 && step < 60 { // A pause of 400 ms at 100 requests/s.
+			took = 400 * time.Millisecond
+		}
+		r.result(0, KindOK, took)
+		r.tick(10 * time.Millisecond)
+		require.Empty(t, r.module.Claims())
+	}
+}
+
 // Guards against results that depend on the order of a map: the same messages must give the same verdicts.
 func TestSameMessagesSameVerdicts(t *testing.T) {
 	run := func() []TargetVerdict {
@@ -158,3 +196,76 @@
 	}
 	require.Equal(t, run(), run())
 }
+
+// Guards against ejecting many slow targets: the more look slow, the likelier the cause is common.
+func TestAllowanceForSlownessShrinks(t *testing.T) {
+	for claimed := range 9 {
+		r := newRig(ObserverEdge, 12, 7, 1, model.ProfileDetection)
+		r.warm()
+		var list []int
+		for i := range claimed {
+			list = append(list, i)
+		}
+		r.claim(model.SeveritySlow, list...)
+		out := 0
+		r.serve(claimSpread+500*time.Millisecond, func(i int) (Kind, time.Duration) {
+			now := 0
+			for j := range r.targets {
+				if !r.module.Snapshot().Verdict(ref(j)).InService() {
+					now++
+				}
+			}
+			out = max(out, now)
+			return healthy(i)
+		})
+		require.Equal(t, min(claimed, max(0, 7-claimed)), out, "%d of 12 claimed", claimed)
+	}
+}
+
+// Guards against a claim of slowness that outlives a common slowness, as an agent with few requests withdraws it late.
+func TestClaimFromACommonSlownessLapses(t *testing.T) {
+	r := newRig(ObserverEdge, 12, 7, 50, model.ProfileDetection)
+	r.warm()
+	r.claim(model.SeveritySlow, 0, 1, 2, 3, 4, 5, 6)
+	r.serve(5*time.Second, healthy)
+	r.claim(model.SeveritySlow, 6)
+	r.serve(20*time.Second, func(i int) (Kind, time.Duration) {
+		require.True(t, r.module.Snapshot().Verdict(ref(6)).InService())
+		return healthy(i)
+	})
+	r.claim(model.SeveritySlow)
+	r.claim(model.SeveritySlow, 6)
+	r.serve(claimSpread+500*time.Millisecond, healthy)
+	require.Equal(t, StateEjected, r.state(6), "a new claim must count")
+}
+
+// Guards against an edge that sees two targets and ejects the busier one when both begin to fail.
+func TestOneAffectedOtherDelaysTheEjection(t *testing.T) {
+	r := newRig(ObserverEdge, 12, 7, 50, model.ProfileDetection)
+	r.warm()
+	r.tick(2 * time.Second)
+	begin := r.now
+	for r.state(3) != StateEjected {
+		r.result(3, KindError, 0)
+		r.result(4, KindError, 0)
+		r.result(4, KindOK, 0)
+		r.result(4, KindError, 0)
+		r.tick(50 * time.Millisecond)
+		require.Less(t, r.now.Sub(begin), claimSpread+time.Second)
+	}
+	require.GreaterOrEqual(t, r.now.Sub(begin), claimSpread)
+}
+
+// Guards against an ejection that stays when the others turn out to fail as well.
+func TestEjectionIsUndoneWhenOthersFailToo(t *testing.T) {
+	r := newRig(ObserverEdge, 12, 7, 50, model.ProfileDetection)
+	r.warm()
+	r.tick(2 * time.Second)
+	for r.state(3) != StateEjected {
+		r.result(3, KindError, 0)
+		r.tick(50 * time.Millisecond)
+	}
+	r.serve(time.Second, func(int) (Kind, time.Duration) { return KindError, 0 })
+	require.Equal(t, StateHealthy, r.state(3))
+	require.Zero(t, r.module.byName[testService].targets[3].history.ejections, "the next wait must not grow")
+}
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -165,6 +165,23 @@
 	require.Len(t, s.running, 6)
 }
 
+// Guards against an account that takes each slot it frees while another account is refused for want of slots.
+func TestShareWithoutQueue(t *testing.T) {
+	s := newShell(Settings{Slots: 4, AccountShare: 0.5})
+	for range 4 {
+		s.acquire("greedy", 0)
+	}
+	id := s.acquire("modest", 0)
+	require.Equal(t, ReasonFull, s.refused[id].Reason)
+	s.release(first(s.running))
+	id = s.acquire("greedy", 0)
+	require.Equal(t, ReasonShare, s.refused[id].Reason)
+	require.Contains(t, s.running, s.acquire("modest", 0))
+	s.now = s.now.Add(2 * contentionMemory)
+	s.release(first(s.running))
+	require.Contains(t, s.running, s.acquire("greedy", 0), "the share must not bind when nobody else wants slots")
+}
+
 // Guards against a limit that stays at announced slots which the target can't serve, and one that never returns.
 func TestLimitIsLearnedDownwards(t *testing.T) {
 	var l learner
