Keep control traffic within 5 KB/s in a storm of urgent changes

Each record now has an allowance for pushes and for hastening a synchronisation; urgent rumours go first in a datagram; a record that changes all the time ranks behind the others; a rumour ends after 30 s.

--- a/internal/member/own.go
+++ b/internal/member/own.go
@@ -33,7 +33,7 @@
 	}
 	m.contentChanged = true
 	m.own.pending = true
-	if isUrgent(&previous, &next) {
+	if isUrgent(&previous, &next) && (next.Leaving || m.mayPush(m.self)) {
 		m.publishNow(true)
 	} else {
 		m.publishOwn()
--- a/internal/member/rumour.go
+++ b/internal/member/rumour.go
@@ -16,8 +16,18 @@
 	pushFanout = 4
 	// pushRate and pushBurst bound the bytes of pushes, so that a burst of urgent updates keeps within the budget of
 	// 5 KB/s; what exceeds them spreads as ordinary rumours.
-	pushRate  = 1500
+	pushRate  = 800
 	pushBurst = 32 << 10
+	// urgentBurst and urgentRefill bound the urgent updates of one record, in updates and updates per second. A target
+	// that flaps then cannot use up the budget of pushes that other nodes need for a drain. The burst covers a VM that
+	// drains its targets one after the other; an exit is always urgent.
+	urgentBurst  = 12
+	urgentRefill = 1.0 / 120
+	// pushOverhead is the size of the headers and the authentication of a datagram, in bytes.
+	pushOverhead = 45
+	// maxRumourAge is how long a rumour is passed on. Only after the start of a region does it take longer, and then
+	// anti-entropy has already spread the records.
+	maxRumourAge = 30 * time.Second
 	// maxKeySize is the size of the key of the receiver in a datagram, in bytes.
 	maxKeySize = 10
 	// maxRumourRecord is the largest record that travels in a datagram, in bytes; larger ones are fetched by RPC.
@@ -30,8 +40,12 @@
 	withRecord bool
 	urgent     bool
 	// limit is how often the rumour is passed on, from the size of the fleet when it was heard.
-	limit int
-	sends int
+	limit   int
+	sends   int
+	started time.Time
+	// rank is the number of sendings of this and of superseded states; the lowest goes first. A record that changes all
+	// the time therefore does not hold up the others.
+	rank int
 }
 
 // rumourState holds the rumours that are being passed on.
@@ -46,22 +60,36 @@
 	numbers []*entry
 }
 
-// spread starts passing on the state of an entry.
+// spread starts passing on the state of an entry; it takes an urgent update from the budget of the entry.
 func (m *Module) spread(e *entry, withRecord, urgent bool) {
+	urgent = urgent && m.takePush(e)
 	r := e.rumour
 	if r == nil {
 		r = &rumour{entry: e}
 		e.rumour = r
 		m.rumours.pending = append(m.rumours.pending, r)
 	}
-	r.sends, r.limit = 0, m.maxSends()
+	r.sends, r.limit, r.started = 0, m.maxSends(), m.now
 	r.withRecord = r.withRecord || withRecord
-	r.urgent = r.urgent || urgent
+	r.urgent = urgent
 	if urgent && !slices.Contains(m.rumours.urgent, r) {
 		m.rumours.urgent = append(m.rumours.urgent, r)
 	}
 }
 
+// mayPush reports whether the budget of an entry allows another urgent update.
+func (m *Module) mayPush(e *entry) bool {
+	return e.record.Leaving || e.status.gone() || e.urgents.has(m.now, urgentBurst, urgentRefill)
+}
+
+func (m *Module) takePush(e *entry) bool {
+	if e.record.Leaving || e.status.gone() || e.urgents.take(m.now, urgentBurst, urgentRefill) {
+		return true
+	}
+	m.counts.Deferred++
+	return false
+}
+
 // dropRumour stops passing on an entry that leaves the table.
 func (m *Module) dropRumour(e *entry) {
 	if e.rumour == nil {
@@ -96,9 +124,17 @@
 	d.From, d.Ticket, d.Root = m.self.record.Node.Ref, m.self.record.Ticket, m.table.root()
 }
 
-// pack adds the rumours that were sent least often and returns the space that is left.
+// pack adds urgent rumours first, then those that were sent least often, and returns the space that is left.
 func (m *Module) pack(d *Datagram, space int) int {
-	slices.SortStableFunc(m.rumours.pending, func(a, b *rumour) int { return cmp.Compare(a.sends, b.sends) })
+	slices.SortStableFunc(m.rumours.pending, func(a, b *rumour) int {
+		if a.urgent != b.urgent {
+			if a.urgent {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.rank, b.rank)
+	})
 	for _, r := range m.rumours.pending {
 		if space < minRumour {
 			break
@@ -120,6 +156,7 @@
 	}
 	d.Rumours = append(d.Rumours, text)
 	r.sends++
+	r.rank++
 	return space - size
 }
 
@@ -131,7 +168,7 @@
 func (m *Module) finishRumours() {
 	m.rumours.pending = slices.DeleteFunc(m.rumours.pending, func(r *rumour) bool {
 		invar.Check(r.sends <= r.limit+pushFanout, "member", "rumour passed on %d times, limit %d", r.sends, r.limit)
-		if r.sends < r.limit {
+		if r.sends < r.limit && (r.sends == 0 || m.now.Sub(r.started) < maxRumourAge) {
 			return false
 		}
 		r.entry.rumour = nil
@@ -184,11 +221,12 @@
 	sent.To = receiver.key
 	for _, r := range packed {
 		r.sends++
+		r.rank++
 	}
 	for i := range d.Rumours {
 		m.rumours.tokens -= float64(d.Rumours[i].size())
 	}
-	m.rumours.tokens -= float64(d.headerSize())
+	m.rumours.tokens -= float64(d.headerSize() + pushOverhead)
 	m.counts.Pushes++
 	m.emit(SendCmd{Address: receiver.record.Node.PeerAddress, Datagram: &sent})
 }
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -12,6 +12,10 @@
 	// a region starts or a partition ends. On an ordinary day fewer records differ.
 	busySyncInterval = time.Second
 	busyRecords      = 4
+	// movesBurst and movesRefill bound how often one record counts towards busyRecords, in times and times per second, so
+	// that records that change all the time do not lead to constant synchronisation.
+	movesBurst  = 12
+	movesRefill = 1.0 / 30
 	// remoteSyncs is the share of synchronisations with any region, one in this many; the others stay in the own one.
 	remoteSyncs = 4
 	// maxSyncRecords bounds the records of one answer; the rest follows with the next synchronisation.
@@ -74,7 +78,7 @@
 		return
 	}
 	interval := syncInterval
-	if m.syncs.moved >= busyRecords {
+	if m.isBusy() {
 		interval = busySyncInterval
 	}
 	m.syncs.moved = 0
@@ -172,7 +176,7 @@
 		request.Numbers = m.allNumbers()
 	}
 	if len(request.Rumours)+len(request.Want)+len(request.Numbers) > 0 {
-		m.syncs.moved += len(request.Rumours) + len(request.Want)
+		m.countMoved(&request)
 		m.emit(FetchCmd{Address: msg.Address, Request: request})
 	}
 	m.hastenSync()
@@ -180,11 +184,34 @@
 
 // hastenSync brings the next synchronisation forward while much differs.
 func (m *Module) hastenSync() {
-	if soon := m.now.Add(busySyncInterval); m.syncs.moved >= busyRecords && m.syncs.next.After(soon) {
+	if soon := m.now.Add(busySyncInterval); m.isBusy() && m.syncs.next.After(soon) {
 		m.syncs.next = soon
 	}
 }
 
+func (m *Module) isBusy() bool { return m.syncs.moved >= busyRecords }
+
+// countMoved counts the records of a synchronisation that were not counted lately.
+func (m *Module) countMoved(request *FetchRequest) {
+	for i := range request.Rumours {
+		m.countOne(request.Rumours[i].Key)
+	}
+	for _, key := range request.Want {
+		m.countOne(key)
+	}
+}
+
+func (m *Module) countOne(key uint64) {
+	e := m.table.byKey[key]
+	if e == nil {
+		m.syncs.moved++
+		return
+	}
+	if e.moves.take(m.now, movesBurst, movesRefill) {
+		m.syncs.moved++
+	}
+}
+
 // difference compares the heads of the other node with the own entries of the same buckets.
 func (m *Module) difference(r *SyncReply) FetchRequest {
 	var request FetchRequest
@@ -232,7 +259,7 @@
 		m.apply(&r.Rumours[i], "", false)
 	}
 	m.applyNumbers(r.Numbers)
-	m.syncs.moved += len(r.Rumours) + len(r.Want)
+	m.countMoved(&r)
 	m.hastenSync()
 	m.emit(FetchReplyCmd{Reply: reply})
 }
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -31,6 +31,9 @@
 	// fetchAgain is the earliest time at which missing content is asked for again.
 	fetchAgain time.Time
 	rumour     *rumour
+	// urgents and moves bound how often the record is pushed and hastens a synchronisation.
+	urgents allowance
+	moves   allowance
 	// numberSends counts how often the ticket number was passed on; it is meaningful while numberQueued.
 	numberSends  int
 	numberQueued bool
