--- a/internal/once/bench_test.go
+++ b/internal/once/bench_test.go
@@ -27,17 +27,23 @@
 	return keys
 }
 
-// benchmark runs one call per key on all cores after prepare was called for every key.
-func benchmark(b *testing.B, prepare, call func(n *testNode, key string)) {
+func newBenchNode(t testing.TB, clock timer.Service, maxKeys, epochKeys int) *testNode {
 	f := newFleet()
-	n := &testNode{fleet: f, self: model.Node{Ref: model.NodeRef{ID: "norte-a-0417", Incarnation: 1_764_819_330_000_000}}}
-	max := b.N*2 + shards*64
+	n := &testNode{self: model.Node{Ref: model.NodeRef{ID: "norte-a-0417", Incarnation: 1_764_819_330_000_000}}}
 	var err error
-	n.ledger, err = NewLedger(LedgerConfig{Self: n.self.Ref, MaxKeys: max})
-	require.NoError(b, err)
-	n.owner, err = NewOwner(Config{Self: n.self, Peers: f, Claims: f, Directory: f, Ledger: n.ledger, MaxKeys: max, EpochKeys: b.N + 1})
-	require.NoError(b, err)
-	defer func() { n.owner.Close(); n.ledger.Close() }()
+	n.ledger, err = NewLedger(LedgerConfig{Self: n.self.Ref, Clock: clock, MaxKeys: maxKeys})
+	require.NoError(t, err)
+	n.owner, err = NewOwner(Config{
+		Self: n.self, Peers: f, Claims: f, Directory: f, Clock: clock, MaxKeys: maxKeys, EpochKeys: epochKeys,
+	})
+	require.NoError(t, err)
+	t.Cleanup(func() { n.owner.Close(); n.ledger.Close() })
+	return n
+}
+
+// benchmark runs one call per key on all cores after prepare was called for every key.
+func benchmark(b *testing.B, prepare, call func(n *testNode, key string)) {
+	n := newBenchNode(b, timer.NewReal(), b.N*2+shards*64, b.N+1)
 	keys := benchKeys(b.N, n.owner.Token())
 	for _, key := range keys {
 		prepare(n, key)
@@ -107,13 +113,8 @@
 	for _, rate := range rates {
 		t.Run(fmt.Sprint(rate, " keys per second"), func(t *testing.T) {
 			clock := timer.NewManual(moment)
-			f, n := newFleet(), &testNode{self: model.Node{Ref: model.NodeRef{ID: "norte-a-0417", Incarnation: 1_764_819_330_000_000}}}
 			before := heap()
-			var err error
-			n.ledger, err = NewLedger(LedgerConfig{Self: n.self.Ref, Clock: clock, MaxKeys: 1_000_000})
-			require.NoError(t, err)
-			n.owner, err = NewOwner(Config{Self: n.self, Peers: f, Claims: f, Directory: f, Clock: clock, MaxKeys: 1_000_000})
-			require.NoError(t, err)
+			n := newBenchNode(t, clock, 1_000_000, 0)
 			slowest, spent := time.Duration(0), time.Duration(0)
 			for second := range 600 {
 				clock.Advance(time.Second)
@@ -144,8 +145,6 @@
 			require.Equal(t, keys, n.owner.State().Keys)
 			require.Equal(t, keys, n.ledger.State().Keys)
 			require.Zero(t, n.owner.State().Held)
-			n.owner.Close()
-			n.ledger.Close()
 		})
 	}
 }
--- a/internal/once/model_test.go
+++ b/internal/once/model_test.go
@@ -175,53 +175,48 @@
 	}))
 }
 
-func printShelf[R any](s *shelf[R], flat func(R) [6]uint64) (p search.Print) {
+// printShelf adds up the prints of all entries; flat returns the record without pointers.
+func printShelf[R any, F comparable](s *shelf[R], flat func(R) F) (p search.Print) {
 	for id, b := range s.buckets {
 		p = p.Add(search.PrintOf(id))
 		for key, r := range b.Records {
 			p = p.Add(search.PrintOf(struct {
 				e epochID
 				d digest
-				r [6]uint64
+				r F
 			}{id, key, flat(r)}))
 		}
 	}
 	for id, f := range s.floors {
-		p = p.Add(search.PrintOf(struct {
-			id string
-			f  position
-		}{id, f}))
+		p = p.Add(search.PrintOf(epochID{Owner: model.NodeRef{ID: id, Incarnation: f.Incarnation}, Epoch: ^f.Epoch}))
 	}
 	return p
 }
 
 func boxOwner(m *ownerModule) *boxed[*ownerModule] {
-	p := printShelf(&m.shelf, func(r ownerRecord) (out [6]uint64) {
-		out[0], out[1], out[2] = uint64(r.Generation), uint64(r.Phase), 0
-		if r.Held {
-			out[2] = 1
-		}
+	type flat struct {
+		ownerRecord
+		ref model.NodeRef
+	}
+	p := printShelf(&m.shelf, func(r ownerRecord) flat {
+		f := flat{ownerRecord: r}
 		if r.Node != nil {
-			out[3], out[4] = uint64(r.Node.Ref.ID[0]), r.Node.Ref.Incarnation
+			f.ref, f.Node = r.Node.Ref, nil
 		}
-		return out
+		return f
 	})
 	for ref := range m.domains {
 		p = p.Add(search.PrintOf(ref))
 	}
-	if m.sealed != nil {
-		p = p.Add(search.PrintOf("sealed"))
-	}
-	return &boxed[*ownerModule]{m: m, print: p}
+	return &boxed[*ownerModule]{m: m, print: p.Add(search.PrintOf(m.sealed != nil))}
 }
 
 func boxLedger(m *ledgerModule) *boxed[*ledgerModule] {
-	p := printShelf(&m.shelf, func(r ledgerRecord) (out [6]uint64) {
-		out[0] = uint64(r.State)
+	p := printShelf(&m.shelf, func(r ledgerRecord) [2]int {
 		if r.Stored != nil && r.Stored.Answer != nil {
-			out[1] = uint64(r.Stored.Answer.Status)
+			return [2]int{int(r.State), r.Stored.Answer.Status}
 		}
-		return out
+		return [2]int{int(r.State)}
 	})
 	return &boxed[*ledgerModule]{m: m, print: p.Add(search.PrintOf(m.config.Self))}
 }
@@ -245,7 +240,7 @@
 }
 
 func (p *protocol) Initial() *world {
-	w := &world{core: core{Inc: [entrances]uint8{1, 1}, AgentInc: [agents]uint8{1, 1, 1}, Joined: !p.Join, Lossy: p.Lossy}}
+	w := &world{core: core{Inc: [entrances]uint8{1, 1, 1}, AgentInc: [agents]uint8{1, 1, 1}, Joined: !p.Join, Lossy: p.Lossy}}
 	for i := range uint8(entrances) {
 		w.owners[i] = newModelOwner(i, 1)
 	}
--- /dev/null
+++ b/internal/poison/fingerprint.go
@@ -0,0 +1,21 @@
+package poison
+
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// BodyBytes is how much of a body the fingerprint covers.
+const BodyBytes = 4 << 10
+
+// Fingerprint identifies a request that is sent again; body is its start, of which BodyBytes count. Requests with the
+// same fingerprint share suspicion and quarantine.
+func Fingerprint(service, method, path, query, key string, body []byte) uint64 {
+	h := xxhash.New()
+	for _, part := range []string{service, method, path, query, key} {
+		_, _ = fmt.Fprintf(h, "%d:%s", len(part), part)
+	}
+	_, _ = h.Write(body[:min(len(body), BodyBytes)])
+	return h.Sum64()
+}
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -26,3 +26,12 @@
 	b.Update(TickMsg{Now: start.Add(defaultExpiry)})
 	require.Equal(t, Clear, b.Snapshot().Verdict("kassa", 1))
 }
+
+// Guards against requests of different parts that share a fingerprint, and against bodies that are read to the end.
+func TestFingerprint(t *testing.T) {
+	body := make([]byte, 2*BodyBytes)
+	whole := Fingerprint("s", "GET", "/a", "b=c", "k", body)
+	require.Equal(t, whole, Fingerprint("s", "GET", "/a", "b=c", "k", body[:BodyBytes]))
+	require.NotEqual(t, whole, Fingerprint("s", "GET", "/ab", "=c", "k", body))
+	require.NotEqual(t, whole, Fingerprint("s", "GET", "/a", "b=c", "l", body))
+}
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -145,3 +145,18 @@
 	_, err = c.Do(t.Context(), Request{Method: http.MethodPost, Path: "/"})
 	require.NoError(t, err)
 }
+
+// Guards against a query that sends the request again or takes a foreign answer for an outcome.
+func TestQuery(t *testing.T) {
+	e := &edge{script: []http.HandlerFunc{answer(model.OutcomeDone, 200, ""), answer("", 200, "")}}
+	server := httptest.NewServer(e)
+	defer server.Close()
+	c, err := New(Config{Edges: []string{server.URL}})
+	require.NoError(t, err)
+	a, err := c.Query(t.Context(), token+".x/y")
+	require.NoError(t, err)
+	require.Equal(t, model.OutcomeDone, a.Outcome)
+	_, err = c.Query(t.Context(), token+".x/y")
+	require.ErrorContains(t, err, "Config.Edges")
+	require.Equal(t, []string{"", ""}, e.sent(), "a query carries no key header")
+}
