--- a/internal/once/model_test.go
+++ b/internal/once/model_test.go
@@ -885,6 +885,14 @@
 			n.tellAgent(uint8(j), CompleteMsg{Now: moment, ID: id, Answer: &Answer{Status: int(n.RunID)}})
 			n.answer(l, letter{State: replyAnswered, Ans: n.RunID})
 		})
+		if w.Refused < p.Refuse {
+			step(search.Label("target at %s can't be reached", agentRef(uint8(j), w.AgentInc[j])), func(n *world) {
+				n.Busy[j], n.Runs, n.RunID = letter{}, n.Runs-1, 0
+				n.Refused++
+				n.tellAgent(uint8(j), ReleaseMsg{ID: id})
+				n.answer(l, letter{State: replyRefused})
+			})
+		}
 		step(search.Label("target at %s breaks", agentRef(uint8(j), w.AgentInc[j])), func(n *world) {
 			n.Busy[j] = letter{}
 			n.tellAgent(uint8(j), CompleteMsg{Now: moment, ID: id, Broken: true})
