once: refuse unseen keys of expired tokens

A caller that goes on using an old token touched the records of its epoch for ever. Epochs are dropped lowest first, so all later ones stayed until the bound was reached, and then everything up to them was dropped at once. An owner now refuses a key that it has not seen when its token was replaced more than five minutes ago. The refusal is a certain not-run for ever, since only the owner could run the key and the limit only grows; the relayed refusal is part of the model ('expired token').

--- a/internal/once/decision.go
+++ b/internal/once/decision.go
@@ -25,6 +25,7 @@
 const (
 	ReasonRunning        = "running"
 	ReasonEpochDropped   = "epoch-dropped"
+	ReasonTokenExpired   = "token-expired"
 	ReasonEpochUnissued  = "epoch-not-issued"
 	ReasonKeyReused      = "key-reused-for-another-request"
 	ReasonKeyInvalid     = "key-invalid"
--- a/internal/once/errand.go
+++ b/internal/once/errand.go
@@ -119,7 +119,7 @@
 		return turn{Msg: e.granted(now, reply.Generation)}
 	case reply.Moved:
 		return turn{Cmd: AskCmd{Holder: reply.Holder, Generation: reply.Generation}}
-	case reply.Kind != KindAnswer && reply.Kind != KindInProgress:
+	case reply.Kind != KindAnswer && reply.Kind != KindInProgress && reply.Kind != KindNotRun:
 		// A holder permits a run by a grant only.
 		return turn{Decision: e.decision(KindUnknown, reply.Reason)}
 	default:
--- a/internal/once/history_test.go
+++ b/internal/once/history_test.go
@@ -39,7 +39,7 @@
 		p := &protocol{seen: seen, scenario: scenario{
 			Sends: 60, Attempts: 10, Restarts: 6, AgentRestarts: 6, Drops: 1, Dups: 40, Lossy: true, Three: true,
 			Plain: rapid.Bool().Draw(rt, "plain"), Handover: rapid.Bool().Draw(rt, "handover"),
-			Join: rapid.Bool().Draw(rt, "join"), Refuse: rapid.SampledFrom([]uint8{0, 40}).Draw(rt, "refuse"),
+			Aging: rapid.Bool().Draw(rt, "aging"), Join: rapid.Bool().Draw(rt, "join"), Refuse: rapid.SampledFrom([]uint8{0, 40}).Draw(rt, "refuse"),
 		}}
 		p.Copies = p.Refuse == 0
 		left := rapid.IntRange(100, 600).Draw(rt, "length")
--- a/internal/once/message.go
+++ b/internal/once/message.go
@@ -84,9 +84,10 @@
 	ID keyID
 }
 
-// EpochMsg starts the epoch of the node's own keys.
+// EpochMsg starts the epoch of the node's own keys. Unseen keys of epochs before Oldest are refused from then on.
 type EpochMsg struct {
-	Epoch uint64
+	Epoch  uint64
+	Oldest uint64
 }
 
 // ExpireMsg drops the epochs that were last touched before the given time.
@@ -198,8 +199,9 @@
 // EstateDomain is one owner whose keys the estate covers completely.
 type EstateDomain struct {
 	Owner model.NodeRef
-	// Epoch is the last epoch that the owner started.
-	Epoch uint64
+	// Epoch is the last epoch that the owner started, Oldest the lowest one whose unseen keys may run.
+	Epoch  uint64
+	Oldest uint64
 	// Floor is the lowest epoch whose records are complete.
 	Floor uint64
 }
--- a/internal/once/model_test.go
+++ b/internal/once/model_test.go
@@ -39,7 +39,7 @@
 type scenario struct {
 	Name                                                          string
 	Sends, Attempts, Restarts, AgentRestarts, Drops, Dups, Refuse uint8
-	Plain, Join, Handover                                         bool
+	Plain, Join, Handover, Aging                                  bool
 	// Copies lets duplicates of attempts arrive, which the transport must not make.
 	Copies bool
 	// Expect makes the search go on until a problem with this text is found.
@@ -119,7 +119,7 @@
 	Runs, RunID                                uint8
 	Sent, Restarts, AgentRestarts, Drops, Dups uint8
 	Refused                                    uint8
-	Joined, Sealed                             bool
+	Joined, Sealed, Aged                       bool
 	Heir                                       uint8
 	// Lossy loses letters when there are too many, which an exhaustive search must not.
 	Lossy bool
@@ -205,8 +205,8 @@
 		}
 		return f
 	})
-	for ref := range m.domains {
-		p = p.Add(search.PrintOf(ref))
+	for ref, d := range m.domains {
+		p = p.Add(search.PrintOf(epochID{Owner: ref, Epoch: d.Oldest}))
 	}
 	return &boxed[*ownerModule]{m: m, print: p.Add(search.PrintOf(m.sealed != nil))}
 }
@@ -587,7 +587,7 @@
 	if r.Answer != nil {
 		l.Ans = uint8(r.Answer.Status)
 	}
-	l.State = uint8(slices.Index([]Kind{KindUnknown, KindAnswer, KindInProgress}, r.Kind) + 1)
+	l.State = uint8(slices.Index([]Kind{KindUnknown, KindAnswer, KindInProgress, KindNotRun}, r.Kind) + 1)
 	n.post(l)
 }
 
@@ -847,7 +847,7 @@
 	case stageFence:
 		p.fenced(n, l.From, l)
 	case stageResolve:
-		kinds := []Kind{"", KindUnknown, KindAnswer, KindInProgress}
+		kinds := []Kind{"", KindUnknown, KindAnswer, KindInProgress, KindNotRun}
 		r := ResolveReply{Granted: l.Granted, Moved: l.Moved, Gone: l.Gone, Generation: uint32(l.Gen), Kind: kinds[l.State]}
 		if l.Moved {
 			r.Holder = entrance(l.ReqAt, l.ReqInc)
@@ -937,6 +937,12 @@
 	if !w.Joined {
 		step(search.Label("the third agent joins"), func(n *world) { n.Joined = true })
 	}
+	if p.Aging && !w.Aged {
+		step(search.Label("tokens of A expire"), func(n *world) {
+			n.Aged = true
+			n.tell(0, EpochMsg{Epoch: 2, Oldest: 2})
+		})
+	}
 	if p.Handover && !w.Sealed {
 		step(search.Label("A hands its keys to B"), func(n *world) { p.handover(n) })
 	}
--- a/internal/once/owner.go
+++ b/internal/once/owner.go
@@ -18,6 +18,9 @@
 
 const (
 	epochInterval = time.Minute
+	// tokenAge is how long an owner token is good for new keys at least; it is less than the retention, so that the records
+	// of an epoch come to rest and expire.
+	tokenAge = 5 * time.Minute
 	// epochsInBound starts a new epoch early, so that dropping one epoch frees at most a tenth of the bound.
 	epochsInBound = 10
 	// claimTimeout bounds one write to a slow platform; the caller gets unknown after claimTries of them.
@@ -62,6 +65,12 @@
 	EpochKeys int
 }
 
+// epochStart tells when an epoch began.
+type epochStart struct {
+	Epoch uint64
+	Begun time.Time
+}
+
 // Owner decides where requests with keys run, for all sends that arrive at this node.
 type Owner struct {
 	config Config
@@ -73,6 +82,7 @@
 	epochs sync.Mutex
 	epoch  uint64
 	begun  time.Time
+	oldest []epochStart
 	ticker ticker
 }
 
@@ -472,10 +482,14 @@
 	o.epoch++
 	o.begun = now
 	o.fresh.Store(0)
+	o.oldest = append(o.oldest, epochStart{Epoch: o.epoch, Begun: now})
+	for len(o.oldest) > 1 && now.Sub(o.oldest[1].Begun) > tokenAge {
+		o.oldest = o.oldest[1:]
+	}
 	for i := range o.shards {
 		s := &o.shards[i]
 		s.mu.Lock()
-		s.module.Update(EpochMsg{Epoch: o.epoch})
+		s.module.Update(EpochMsg{Epoch: o.epoch, Oldest: o.oldest[0].Epoch})
 		s.mu.Unlock()
 	}
 	token := FormatToken(o.config.Self.Ref, o.epoch)
--- a/internal/once/owner_module.go
+++ b/internal/once/owner_module.go
@@ -44,7 +44,10 @@
 
 // domain is one owner whose keys this node may decide without a grant.
 type domain struct {
-	Epoch     uint64
+	Epoch uint64
+	// Oldest is the lowest epoch whose unseen keys may run. Without it, one caller with an old token would keep the records
+	// of all later epochs from expiring. It only grows, so a refusal is a not-run for ever.
+	Oldest    uint64
 	Inherited time.Time
 }
 
@@ -152,6 +155,12 @@
 	return ok
 }
 
+// expired reports whether an unseen key of this node is too old to run.
+func (m *ownerModule) expired(id keyID) bool {
+	d, owned := m.domains[id.Owner]
+	return owned && id.Epoch < d.Oldest
+}
+
 // outside returns why this node can't decide the key, or an empty string.
 func (m *ownerModule) outside(id keyID) string {
 	d, owned := m.domains[id.Owner]
@@ -176,6 +185,8 @@
 	switch {
 	case ok:
 		m.beginKnown(msg, r)
+	case m.expired(msg.ID):
+		m.decide(KindNotRun, ReasonTokenExpired)
 	case m.owns(msg.ID.Owner):
 		m.hold(msg.Now, msg.ID, ownerRecord{Fingerprint: msg.Fingerprint, Phase: phaseIdle})
 	default:
@@ -346,6 +357,8 @@
 		m.resolveMoved(msg, r)
 	case ok && r.Phase != phaseMoved:
 		m.resolveKnown(msg, r)
+	case !ok && msg.Generation == 0 && m.expired(msg.ID):
+		m.decide(KindNotRun, ReasonTokenExpired)
 	case ok || m.owns(msg.ID.Owner) || msg.Generation > 0:
 		// A generation above the own record means that a grant to this node was lost on its way.
 		m.move(msg.Now, msg.ID, ownerRecord{Fingerprint: msg.Fingerprint, Generation: msg.Generation}, msg.Requester)
@@ -408,7 +421,7 @@
 func (m *ownerModule) startEpoch(msg EpochMsg) {
 	d := m.domains[m.self]
 	invar.Check(msg.Epoch >= d.Epoch, "once", "epoch went from %d to %d", d.Epoch, msg.Epoch)
-	d.Epoch = max(d.Epoch, msg.Epoch)
+	d.Epoch, d.Oldest = max(d.Epoch, msg.Epoch), max(d.Oldest, msg.Oldest)
 	m.domains[m.self] = d
 }
 
@@ -419,7 +432,12 @@
 		kept[e.Owner] = struct{}{}
 	}
 	for owner, d := range m.domains {
-		if _, ok := kept[owner]; ok || owner == m.self || !d.Inherited.Before(msg.Before) {
+		if owner == m.self || !d.Inherited.Before(msg.Before) {
+			continue
+		}
+		if _, ok := kept[owner]; ok {
+			d.Oldest = d.Epoch + 1
+			m.domains[owner] = d
 			continue
 		}
 		delete(m.domains, owner)
@@ -438,7 +456,7 @@
 		if f := m.shelf.floors[owner.ID]; f.Incarnation == owner.Incarnation {
 			floor = f.Epoch
 		}
-		e.Domains = append(e.Domains, EstateDomain{Owner: owner, Epoch: d.Epoch, Floor: floor})
+		e.Domains = append(e.Domains, EstateDomain{Owner: owner, Epoch: d.Epoch, Oldest: d.Oldest, Floor: floor})
 	}
 	for id, b := range m.shelf.buckets {
 		for key, r := range b.Records {
@@ -493,7 +511,7 @@
 		}
 	}
 	for _, d := range msg.Estate.Domains {
-		m.domains[d.Owner] = domain{Epoch: d.Epoch, Inherited: msg.Now}
+		m.domains[d.Owner] = domain{Epoch: d.Epoch, Oldest: d.Oldest, Inherited: msg.Now}
 		m.shelf.raise(d.Owner.ID, position{Incarnation: d.Owner.Incarnation, Epoch: d.Floor})
 	}
 	for _, r := range msg.Estate.Records {
--- a/internal/once/search_test.go
+++ b/internal/once/search_test.go
@@ -23,7 +23,7 @@
 	{Name: "copies of attempts", Sends: 2, Attempts: 2, Dups: 1, Copies: true},
 	{Name: "dropped epoch", Sends: 2, Attempts: 1, Drops: 1, Join: true},
 	{Name: "plain key", Sends: 2, Attempts: 1, Plain: true},
-	{Name: "handover", Sends: 2, Attempts: 1, Handover: true},
+	{Name: "handover", Sends: 2, Attempts: 1, Handover: true, Aging: true},
 }
 
 // deep scenarios combine faults; those with a limit are cut off.
@@ -35,6 +35,7 @@
 	{Name: "three sends, plain key", Sends: 3, Attempts: 1, Plain: true},
 	{Name: "plain key, restarts", Sends: 2, Attempts: 2, Plain: true, Restarts: 1, AgentRestarts: 1, Drops: 1},
 	{Name: "restarts, drop, join", Sends: 2, Attempts: 2, Restarts: 1, AgentRestarts: 1, Drops: 1, Join: true},
+	{Name: "expired token", Sends: 3, Attempts: 2, Aging: true},
 	{Name: "handover, restart", Sends: 2, Attempts: 2, Restarts: 1, Handover: true, Dups: 1},
 	{
 		Name: "three sends, all faults", Sends: 3, Attempts: 2, Restarts: 1, AgentRestarts: 1, Drops: 1, Dups: 1, Refuse: 1,
--- a/internal/once/shell_test.go
+++ b/internal/once/shell_test.go
@@ -131,6 +131,16 @@
 	require.Equal(t, KindRun, a.owner.Begin(t.Context(), Send{Key: a.owner.Token() + ".x"}).Kind)
 	d := a.owner.Begin(t.Context(), Send{Key: FormatToken(a.self.Ref, 99) + ".x"})
 	require.Equal(t, ReasonEpochUnissued, d.Reason)
+	for minutes := range 7 {
+		d = a.owner.Begin(t.Context(), Send{Key: fmt.Sprint(first, ".age-", minutes)})
+		if minutes < 6 {
+			require.Equal(t, KindRun, d.Kind, "minute %d", minutes)
+		}
+		a.owner.tick(f.clock.Now().Add(time.Duration(minutes+2) * epochInterval))
+	}
+	require.Equal(t, KindNotRun, d.Kind, "an old token would keep records from expiring")
+	require.Equal(t, ReasonTokenExpired, d.Reason)
+	require.Equal(t, KindInProgress, a.owner.Begin(t.Context(), Send{Key: first + ".age-0"}).Kind, "a known key is not refused")
 }
 
 // Guards against records, answers and floors without a bound; internal/invar panics in tests.
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -23,7 +23,7 @@
 	defaultMaxBody  = 16 << 20
 	// backoff is the wait after a send without an answer; it doubles with every send.
 	backoff = 200 * time.Millisecond
-	// tokenAge is the age from which a token is replaced: nodes keep keys for ten minutes, and resends must fit in.
+	// tokenAge is the age from which a token is replaced: it is good for new keys for five minutes, and resends must fit in.
 	tokenAge = 3 * time.Minute
 	// uniqueBytes makes it impossible in practice that two requests get one key.
 	uniqueBytes = 16
