--- a/internal/once/model_test.go
+++ b/internal/once/model_test.go
@@ -39,7 +39,7 @@
 type scenario struct {
 	Name                                                          string
 	Sends, Attempts, Restarts, AgentRestarts, Drops, Dups, Refuse uint8
-	Plain, Join, Handover                                         bool
+	Plain, Join, Handover, Aging                                  bool
 	// Copies lets duplicates of attempts arrive, which the transport must not make.
 	Copies bool
 	// Expect makes the search go on until a problem with this text is found.
@@ -119,7 +119,7 @@
 	Runs, RunID                                uint8
 	Sent, Restarts, AgentRestarts, Drops, Dups uint8
 	Refused                                    uint8
-	Joined, Sealed                             bool
+	Joined, Sealed, Aged                       bool
 	Heir                                       uint8
 	// Lossy loses letters when there are too many, which an exhaustive search must not.
 	Lossy bool
@@ -175,53 +175,48 @@
 	}))
 }
 
-func printShelf[R any](s *shelf[R], flat func(R) [6]uint64) (p search.Print) {
+// printShelf adds up the prints of all entries; flat returns the record without pointers.
+func printShelf[R any, F comparable](s *shelf[R], flat func(R) F) (p search.Print) {
 	for id, b := range s.buckets {
 		p = p.Add(search.PrintOf(id))
 		for key, r := range b.Records {
 			p = p.Add(search.PrintOf(struct {
 				e epochID
 				d digest
-				r [6]uint64
+				r F
 			}{id, key, flat(r)}))
 		}
 	}
 	for id, f := range s.floors {
-		p = p.Add(search.PrintOf(struct {
-			id string
-			f  position
-		}{id, f}))
+		p = p.Add(search.PrintOf(epochID{Owner: model.NodeRef{ID: id, Incarnation: f.Incarnation}, Epoch: ^f.Epoch}))
 	}
 	return p
 }
 
 func boxOwner(m *ownerModule) *boxed[*ownerModule] {
-	p := printShelf(&m.shelf, func(r ownerRecord) (out [6]uint64) {
-		out[0], out[1], out[2] = uint64(r.Generation), uint64(r.Phase), 0
-		if r.Held {
-			out[2] = 1
-		}
+	type flat struct {
+		ownerRecord
+		ref model.NodeRef
+	}
+	p := printShelf(&m.shelf, func(r ownerRecord) flat {
+		f := flat{ownerRecord: r}
 		if r.Node != nil {
-			out[3], out[4] = uint64(r.Node.Ref.ID[0]), r.Node.Ref.Incarnation
+			f.ref, f.Node = r.Node.Ref, nil
 		}
-		return out
+		return f
 	})
-	for ref := range m.domains {
-		p = p.Add(search.PrintOf(ref))
-	}
-	if m.sealed != nil {
-		p = p.Add(search.PrintOf("sealed"))
+	for ref, d := range m.domains {
+		p = p.Add(search.PrintOf(epochID{Owner: ref, Epoch: d.Oldest}))
 	}
-	return &boxed[*ownerModule]{m: m, print: p}
+	return &boxed[*ownerModule]{m: m, print: p.Add(search.PrintOf(m.sealed != nil))}
 }
 
 func boxLedger(m *ledgerModule) *boxed[*ledgerModule] {
-	p := printShelf(&m.shelf, func(r ledgerRecord) (out [6]uint64) {
-		out[0] = uint64(r.State)
+	p := printShelf(&m.shelf, func(r ledgerRecord) [2]int {
 		if r.Stored != nil && r.Stored.Answer != nil {
-			out[1] = uint64(r.Stored.Answer.Status)
+			return [2]int{int(r.State), r.Stored.Answer.Status}
 		}
-		return out
+		return [2]int{int(r.State)}
 	})
 	return &boxed[*ledgerModule]{m: m, print: p.Add(search.PrintOf(m.config.Self))}
 }
@@ -245,7 +240,7 @@
 }
 
 func (p *protocol) Initial() *world {
-	w := &world{core: core{Inc: [entrances]uint8{1, 1}, AgentInc: [agents]uint8{1, 1, 1}, Joined: !p.Join, Lossy: p.Lossy}}
+	w := &world{core: core{Inc: [entrances]uint8{1, 1, 1}, AgentInc: [agents]uint8{1, 1, 1}, Joined: !p.Join, Lossy: p.Lossy}}
 	for i := range uint8(entrances) {
 		w.owners[i] = newModelOwner(i, 1)
 	}
@@ -592,7 +587,7 @@
 	if r.Answer != nil {
 		l.Ans = uint8(r.Answer.Status)
 	}
-	l.State = uint8(slices.Index([]Kind{KindUnknown, KindAnswer, KindInProgress}, r.Kind) + 1)
+	l.State = uint8(slices.Index([]Kind{KindUnknown, KindAnswer, KindInProgress, KindNotRun}, r.Kind) + 1)
 	n.post(l)
 }
 
@@ -852,7 +847,7 @@
 	case stageFence:
 		p.fenced(n, l.From, l)
 	case stageResolve:
-		kinds := []Kind{"", KindUnknown, KindAnswer, KindInProgress}
+		kinds := []Kind{"", KindUnknown, KindAnswer, KindInProgress, KindNotRun}
 		r := ResolveReply{Granted: l.Granted, Moved: l.Moved, Gone: l.Gone, Generation: uint32(l.Gen), Kind: kinds[l.State]}
 		if l.Moved {
 			r.Holder = entrance(l.ReqAt, l.ReqInc)
@@ -890,6 +885,14 @@
 			n.tellAgent(uint8(j), CompleteMsg{Now: moment, ID: id, Answer: &Answer{Status: int(n.RunID)}})
 			n.answer(l, letter{State: replyAnswered, Ans: n.RunID})
 		})
+		if w.Refused < p.Refuse {
+			step(search.Label("target at %s can't be reached", agentRef(uint8(j), w.AgentInc[j])), func(n *world) {
+				n.Busy[j], n.Runs, n.RunID = letter{}, n.Runs-1, 0
+				n.Refused++
+				n.tellAgent(uint8(j), ReleaseMsg{ID: id})
+				n.answer(l, letter{State: replyRefused})
+			})
+		}
 		step(search.Label("target at %s breaks", agentRef(uint8(j), w.AgentInc[j])), func(n *world) {
 			n.Busy[j] = letter{}
 			n.tellAgent(uint8(j), CompleteMsg{Now: moment, ID: id, Broken: true})
@@ -934,6 +937,12 @@
 	if !w.Joined {
 		step(search.Label("the third agent joins"), func(n *world) { n.Joined = true })
 	}
+	if p.Aging && !w.Aged {
+		step(search.Label("tokens of A expire"), func(n *world) {
+			n.Aged = true
+			n.tell(0, EpochMsg{Epoch: 2, Oldest: 2})
+		})
+	}
 	if p.Handover && !w.Sealed {
 		step(search.Label("A hands its keys to B"), func(n *world) { p.handover(n) })
 	}
--- a/internal/once/owner.go
+++ b/internal/once/owner.go
@@ -18,6 +18,9 @@
 
 const (
 	epochInterval = time.Minute
+	// tokenAge is how long an owner token is good for new keys at least; it is less than the retention, so that the records
+	// of an epoch come to rest and expire.
+	tokenAge = 5 * time.Minute
 	// epochsInBound starts a new epoch early, so that dropping one epoch frees at most a tenth of the bound.
 	epochsInBound = 10
 	// claimTimeout bounds one write to a slow platform; the caller gets unknown after claimTries of them.
@@ -62,6 +65,12 @@
 	EpochKeys int
 }
 
+// epochStart tells when an epoch began.
+type epochStart struct {
+	Epoch uint64
+	Begun time.Time
+}
+
 // Owner decides where requests with keys run, for all sends that arrive at this node.
 type Owner struct {
 	config Config
@@ -73,6 +82,7 @@
 	epochs sync.Mutex
 	epoch  uint64
 	begun  time.Time
+	oldest []epochStart
 	ticker ticker
 }
 
@@ -121,7 +131,7 @@
 	}
 	id, err := parseKey(key)
 	if err != nil {
-		return Decision{Kind: KindNotRun, Key: key, Reason: ReasonKeyInvalid}
+		return invalid(s.Key)
 	}
 	e := &errand{key: key, id: id, send: s}
 	return o.carryOut(ctx, e, o.update(id, BeginMsg{Now: o.now(), ID: id, Fingerprint: s.Fingerprint}))
@@ -229,6 +239,15 @@
 	o.ticker.close()
 }
 
+// invalid refuses a malformed key. No send with a malformed issued key ever runs; a plain key becomes malformed only by a
+// row that this version can't read.
+func invalid(key string) Decision {
+	if IsIssued(key) {
+		return Decision{Kind: KindNotRun, Key: key, Reason: ReasonKeyInvalid}
+	}
+	return Decision{Kind: KindUnknown, Key: key, Reason: ReasonKeyInvalid}
+}
+
 func (o *Owner) now() time.Time {
 	return o.config.Clock.Now()
 }
@@ -263,7 +282,8 @@
 		return o.Token() + "." + reservedMark + strconv.FormatUint(o.unique.Add(1), 10), nil
 	case IsIssued(s.Key):
 		if strings.Contains(s.Key, "."+reservedMark) {
-			return "", &Decision{Kind: KindNotRun, Reason: ReasonKeyInvalid}
+			// The edge itself may have run this key.
+			return "", &Decision{Kind: KindUnknown, Reason: ReasonKeyInvalid}
 		}
 		return s.Key, nil
 	}
@@ -462,10 +482,14 @@
 	o.epoch++
 	o.begun = now
 	o.fresh.Store(0)
+	o.oldest = append(o.oldest, epochStart{Epoch: o.epoch, Begun: now})
+	for len(o.oldest) > 1 && now.Sub(o.oldest[1].Begun) > tokenAge {
+		o.oldest = o.oldest[1:]
+	}
 	for i := range o.shards {
 		s := &o.shards[i]
 		s.mu.Lock()
-		s.module.Update(EpochMsg{Epoch: o.epoch})
+		s.module.Update(EpochMsg{Epoch: o.epoch, Oldest: o.oldest[0].Epoch})
 		s.mu.Unlock()
 	}
 	token := FormatToken(o.config.Self.Ref, o.epoch)
--- a/internal/once/shell_test.go
+++ b/internal/once/shell_test.go
@@ -109,6 +109,18 @@
 	require.Equal(t, KindUnknown, b.owner.Begin(ctx, send).Kind)
 }
 
+// Guards against not-run for a key that the edge or an earlier version may have run.
+func TestUnusableKeys(t *testing.T) {
+	f := newFleet()
+	a := f.start(t, "a", 1)
+	own := a.owner.Begin(t.Context(), Send{})
+	require.Equal(t, KindRun, own.Kind)
+	require.Equal(t, KindUnknown, a.owner.Begin(t.Context(), Send{Key: own.Key}).Kind)
+	require.Equal(t, KindNotRun, a.owner.Begin(t.Context(), Send{Key: "aw1.a.1"}).Kind)
+	f.rows[plainRow("", "plain")] = "aw2.from.the.future"
+	require.Equal(t, KindUnknown, a.owner.Begin(t.Context(), Send{Key: "plain"}).Kind)
+}
+
 // Guards against a token of an epoch that the owner does not know yet, and against one epoch for ever.
 func TestEpochs(t *testing.T) {
 	f := newFleet()
@@ -119,6 +131,16 @@
 	require.Equal(t, KindRun, a.owner.Begin(t.Context(), Send{Key: a.owner.Token() + ".x"}).Kind)
 	d := a.owner.Begin(t.Context(), Send{Key: FormatToken(a.self.Ref, 99) + ".x"})
 	require.Equal(t, ReasonEpochUnissued, d.Reason)
+	for minutes := range 7 {
+		d = a.owner.Begin(t.Context(), Send{Key: fmt.Sprint(first, ".age-", minutes)})
+		if minutes < 6 {
+			require.Equal(t, KindRun, d.Kind, "minute %d", minutes)
+		}
+		a.owner.tick(f.clock.Now().Add(time.Duration(minutes+2) * epochInterval))
+	}
+	require.Equal(t, KindNotRun, d.Kind, "an old token would keep records from expiring")
+	require.Equal(t, ReasonTokenExpired, d.Reason)
+	require.Equal(t, KindInProgress, a.owner.Begin(t.Context(), Send{Key: first + ".age-0"}).Kind, "a known key is not refused")
 }
 
 // Guards against records, answers and floors without a bound; internal/invar panics in tests.
