bench: measure what one node computes and keeps at three sizes

The budgets per node are stated for 670 nodes, 7,500 targets and 2,500 routes, but only membership had measuring tests. bench capacity builds the real modules at 10, 100 and 670 nodes and fits a line to each figure.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 MINUTES ?= 1
 
-.PHONY: help build demo test fmt lint vet unit
+.PHONY: help build demo capacity test fmt lint vet unit
 
 help:
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
@@ -30,3 +30,6 @@
 
 unit:
 	go test -race -timeout 600s ./...
+
+capacity: build ## measure the slopes of control work and print the tables of docs/CAPACITY.md
+	$(BIN)/bench capacity
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -12,6 +12,7 @@
 
 type commandLine struct {
 	Detection detectionCmd `cmd:"" help:"Measure detection time and false ejections in simulated time."`
+	Capacity  capacityCmd  `cmd:"" help:"Measure what one node computes and keeps, and work out the design size."`
 	Overload  overloadCmd  `cmd:"" help:"Measure goodput, retries and the cost of a refusal at twice the capacity."`
 }
 
