eject: collect only from the pairs of target and class that are in use

The tracker visited every pair of target and class that it had ever seen, 20 times a second. An edge of the design size can come to 105,000 pairs (7,500 targets, 14 routes each), and idle pairs cost as much as busy ones.

Ruled out: dropping idle pairs after a time. It bounds the visits by the rate of requests and the time kept, and still visits idle pairs. Requests now put their cell on a lock-free list that the collection empties; a cell with requests in flight goes back on it.

--- a/internal/eject/tracker.go
+++ b/internal/eject/tracker.go
@@ -40,9 +40,11 @@
 
 // Tracker is the concurrent shell of Module; requests touch atomics only.
 type Tracker struct {
-	config   TrackerConfig
-	base     time.Time
-	cells    sync.Map
+	config TrackerConfig
+	base   time.Time
+	cells  sync.Map
+	// touched holds the cells that requests have used since the last collection, each once.
+	touched  atomic.Pointer[cell]
 	snapshot atomic.Pointer[Snapshot]
 	claims   atomic.Pointer[[]model.Claim]
 
@@ -62,9 +64,14 @@
 
 // cell collects what the requests of one class at one target report.
 type cell struct {
+	key      cellKey
 	starts   startTimes
 	results  results
 	reported bool
+	// queued tells that the cell is in the list of touched cells, and next is the following cell there.
+	queued  atomic.Bool
+	next    *cell
+	dropped atomic.Bool
 }
 
 // Handle is one request in flight.
@@ -103,11 +110,13 @@
 	key := cellKey{r.Target, r.Class}
 	found, ok := t.cells.Load(key)
 	if !ok {
-		found, _ = t.cells.LoadOrStore(key, &cell{})
+		found, _ = t.cells.LoadOrStore(key, &cell{key: key})
 	}
 	c := found.(*cell)
 	start := t.elapsed()
-	return &Handle{tracker: t, cell: c, slot: c.starts.claim(start), start: start, idempotent: r.Idempotent}
+	slot := c.starts.claim(start)
+	t.touch(c)
+	return &Handle{tracker: t, cell: c, slot: slot, start: start, idempotent: r.Idempotent}
 }
 
 // Progress tells that the target still works on the request, as when a part of a download arrives.
@@ -127,6 +136,21 @@
 	h.cell.results.push(&finished{
 		at: now, duration: time.Duration(now - h.start), kind: r.Kind, idempotent: h.idempotent,
 	})
+	h.tracker.touch(h.cell)
+}
+
+// touch puts the cell on the list that the next collection visits.
+func (t *Tracker) touch(c *cell) {
+	if c.queued.Load() || !c.queued.CompareAndSwap(false, true) {
+		return
+	}
+	for {
+		head := t.touched.Load()
+		c.next = head
+		if t.touched.CompareAndSwap(head, c) {
+			return
+		}
+	}
 }
 
 // Snapshot returns the current verdicts.
@@ -172,8 +196,9 @@
 			known[target.Ref] = struct{}{}
 		}
 	}
-	t.cells.Range(func(key, _ any) bool {
+	t.cells.Range(func(key, value any) bool {
 		if _, found := known[key.(cellKey).target]; !found {
+			value.(*cell).dropped.Store(true)
 			t.cells.Delete(key)
 		}
 		return true
@@ -201,25 +226,38 @@
 	}
 }
 
-// collect feeds what the requests reported to the module and lets it judge.
+// collect feeds what the requests reported to the module and lets it judge. It visits only the cells that were used
+// since the last collection or hold requests in flight: an edge of a large fleet has some 100,000 cells, most of them
+// idle, and visiting all of them took half a core.
 func (t *Tracker) collect(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	snapshot := t.snapshot.Load()
-	t.cells.Range(func(key, value any) bool {
-		k, c := key.(cellKey), value.(*cell)
-		for f := c.results.drain(); f != nil; f = f.next {
-			t.module.Update(ResultMsg{
-				Now: t.base.Add(time.Duration(f.at)), Target: k.target, Class: k.class,
-				Duration: f.duration, Kind: f.kind, Idempotent: f.idempotent,
-			})
+	for c := t.touched.Swap(nil); c != nil; {
+		next := c.next
+		// Whatever comes after this line puts the cell on the list again.
+		c.queued.Store(false)
+		if !c.dropped.Load() {
+			t.collectCell(now, c, snapshot.Verdict(c.key.target).EvidenceFrom)
 		}
-		t.collectInFlight(now, k, c, snapshot.Verdict(k.target).EvidenceFrom)
-		return true
-	})
+		c = next
+	}
 	t.apply(t.module.Update(TickMsg{Now: now}))
 }
 
+func (t *Tracker) collectCell(now time.Time, c *cell, evidenceFrom time.Time) {
+	for f := c.results.drain(); f != nil; f = f.next {
+		t.module.Update(ResultMsg{
+			Now: t.base.Add(time.Duration(f.at)), Target: c.key.target, Class: c.key.class,
+			Duration: f.duration, Kind: f.kind, Idempotent: f.idempotent,
+		})
+	}
+	t.collectInFlight(now, c.key, c, evidenceFrom)
+	if count, _, _ := c.starts.oldest(0); count > 0 || c.reported {
+		t.touch(c)
+	}
+}
+
 func (t *Tracker) collectInFlight(now time.Time, k cellKey, c *cell, from time.Time) {
 	var since int64
 	if !from.IsZero() {
--- a/internal/eject/tracker_test.go
+++ b/internal/eject/tracker_test.go
@@ -97,3 +97,51 @@
 		}
 	})
 }
+
+// Guards against a tick that visits every pair of target and class that was ever used, which took half a core on an
+// edge with 100,000 pairs, and against a list that loses a pair whose request is still in flight.
+func TestCollectVisitsOnlyPairsInUse(t *testing.T) {
+	clock := timer.NewManual(testStart)
+	tracker := NewTracker(TrackerConfig{Config: Config{Observer: ObserverEdge}, Clock: clock})
+	tracker.Close() // The test collects by itself.
+	tracker.SetServices([]Service{{
+		Spec:    model.ServiceSpec{Name: testService},
+		Targets: []model.Target{{Ref: ref(0), Slots: 7, State: model.TargetServing}, {Ref: ref(1), Slots: 7, State: model.TargetServing}},
+	}})
+	listed := func() (count int) {
+		for c := tracker.touched.Load(); c != nil; c = c.next {
+			count++
+		}
+		return count
+	}
+	for _, class := range []string{"read", "write", "list"} {
+		tracker.Start(Request{Target: ref(0), Class: class}).Finish(Result{Kind: KindOK})
+	}
+	handle := tracker.Start(Request{Target: ref(1), Class: "read"})
+	require.Equal(t, 4, listed())
+	for range 3 {
+		clock.Advance(defaultInterval)
+		tracker.collect(clock.Now())
+		require.Equal(t, 1, listed())
+	}
+	handle.Finish(Result{Kind: KindOK})
+	tracker.collect(clock.Now())
+	tracker.collect(clock.Now())
+	require.Zero(t, listed())
+	require.Equal(t, 1, tracker.module.byName[testService].byRef[ref(1)].evidence.classes["read"].count, "the result must not be lost")
+}
+
+// Guards against requests in flight at a target that left and came back, whose ages would overwrite those of new ones.
+func TestDroppedPairsAreNotReported(t *testing.T) {
+	clock := timer.NewManual(testStart)
+	tracker := NewTracker(TrackerConfig{Config: Config{Observer: ObserverEdge}, Clock: clock})
+	tracker.Close() // The test collects by itself.
+	service := Service{Spec: model.ServiceSpec{Name: testService}, Targets: []model.Target{{Ref: ref(0), Slots: 7, State: model.TargetServing}}}
+	tracker.SetServices([]Service{service})
+	tracker.Start(Request{Target: ref(0), Class: "read"})
+	tracker.collect(clock.Now())
+	tracker.SetServices(nil)
+	tracker.SetServices([]Service{service})
+	tracker.collect(clock.Now())
+	require.Nil(t, tracker.touched.Load())
+}
