--- a/internal/member/capacity_test.go
+++ b/internal/member/capacity_test.go
@@ -93,6 +93,12 @@
 	}
 	seconds := d.Seconds()
 	core := c.sim.busy.Seconds() / seconds / alive
+	var content, numbers float64
+	for _, n := range c.sim.running() {
+		content, numbers = content+float64(n.changes.content), numbers+float64(n.changes.numbers)
+	}
+	c.print(name+" messages", "%.3f datagrams/s per node, %.0f B/s between regions in all, %.4f snapshots/s per node after content, %.4f after numbers",
+		float64(c.sim.datagrams)/seconds/alive, float64(c.sim.crossed)/seconds, content/alive/seconds, numbers/alive/seconds)
 	c.print(name, "sent %.0f B/s, received %.0f B/s, worst node %.0f B/s, %.3f%% of a core (module and codec)",
 		sent/alive/seconds, got/alive/seconds, worst/seconds, 100*core)
 	require.Less(c.t, sent/alive/seconds, float64(limitBytesPerSecond))
--- a/internal/member/sim_test.go
+++ b/internal/member/sim_test.go
@@ -30,6 +30,7 @@
 	sent    int
 	got     int
 	applies bool
+	changes simChanges
 }
 
 // sim runs modules over a network with delays, losses and cuts; equal seeds give equal runs.
@@ -44,6 +45,32 @@
 	cut    func(from, to *simNode) bool
 	loss   float64
 	busy   time.Duration
+	// datagrams counts those sent, crossed the bytes sent to another region.
+	datagrams int
+	crossed   int
+}
+
+// Pauses of the shell between two snapshots after changes of content and of ticket numbers.
+const (
+	simContentPause = 50 * time.Millisecond
+	simNumberPause  = time.Second
+)
+
+// simChanges counts the snapshots that the shell would publish.
+type simChanges struct {
+	content, numbers         int
+	lastContent, lastNumbers time.Time
+}
+
+func (c *simChanges) note(now time.Time, content bool) {
+	switch {
+	case content && now.Sub(c.lastContent) >= simContentPause:
+		c.content++
+		c.lastContent = now
+	case !content && now.Sub(c.lastContent) >= simContentPause && now.Sub(c.lastNumbers) >= simNumberPause:
+		c.numbers++
+		c.lastNumbers = now
+	}
 }
 
 type simEvent struct {
@@ -173,6 +200,8 @@
 			reply = cmd
 		case TicketBehindCmd:
 			s.fetchTicket(n, cmd)
+		case ChangedCmd:
+			n.changes.note(s.now, cmd.Content)
 		case RefusedCmd:
 			require.ErrorIs(s.t, cmd.Err, ErrStale)
 		}
@@ -213,6 +242,8 @@
 	require.LessOrEqual(s.t, len(data), MaxDatagram)
 	n.sent += len(data) + simDatagramOverhead
 	to := s.byAddr[cmd.Address]
+	s.datagrams++
+	s.cross(n, to, len(data)+simDatagramOverhead)
 	if to == nil || s.cut(n, to) || s.random.Float64() < s.loss {
 		return
 	}
@@ -259,6 +290,7 @@
 		}
 		size := s.encodedSize(request)
 		n.sent, to.got = n.sent+size+simCallOverhead/2, to.got+size+simCallOverhead/2
+		s.cross(n, to, size+simCallOverhead/2)
 		reply := s.update(to, ask(to))
 		if reply == nil {
 			return
@@ -266,6 +298,7 @@
 		size = s.encodedSize(reply)
 		s.after(s.delay(n, to), func() {
 			to.sent, n.got = to.sent+size+simCallOverhead/2, n.got+size+simCallOverhead/2
+			s.cross(to, n, size+simCallOverhead/2)
 			if n.up && !n.paused {
 				s.update(n, answer(reply))
 			}
@@ -273,6 +306,12 @@
 	})
 }
 
+func (s *sim) cross(from, to *simNode, size int) {
+	if to != nil && from.node.Region != to.node.Region {
+		s.crossed += size
+	}
+}
+
 func (s *sim) encodedSize(value any) int {
 	start := time.Now()
 	size := len(must(encoding.Marshal(value)))
@@ -334,9 +373,9 @@
 }
 
 func (s *sim) resetCounters() {
-	s.busy = 0
+	s.busy, s.datagrams, s.crossed = 0, 0, 0
 	for _, n := range s.nodes {
-		n.sent, n.got = 0, 0
+		n.sent, n.got, n.changes = 0, 0, simChanges{}
 	}
 }
 
