bench: compare the path with the target, and observe idle nodes, in real processes

bench overhead starts one target per service, sends reads and writes in turns to the target and through an edge that has none, and prints the added latency, processor time and allocations of edge and agent. bench idle starts the whole deployment and reads /proc and the state dump. The state dump of a node tells allocations and heap for it, and procs.Process its process ID.

The benchmark of internal/edge stays: it needs no processes. It can't tell processor time of edge and agent from that of client and target, which share its process.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -13,6 +13,8 @@
 type commandLine struct {
 	Detection detectionCmd `cmd:"" help:"Measure detection time and false ejections in simulated time."`
 	Capacity  capacityCmd  `cmd:"" help:"Measure what one node computes and keeps, and work out the design size."`
+	Idle      idleCmd      `cmd:"" help:"Measure what the idle nodes of a real deployment use."`
+	Overhead  overheadCmd  `cmd:"" help:"Compare requests through the fleet with requests to the target."`
 	Overload  overloadCmd  `cmd:"" help:"Measure goodput, retries and the cost of a refusal at twice the capacity."`
 }
 
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"runtime/metrics"
 	"time"
 
 	"github.com/auburnwinch/auburnwinch/internal/admin"
@@ -14,6 +15,10 @@
 	Version    string     `json:"version"`
 	Uptime     string     `json:"uptime"`
 	Violations uint64     `json:"violations"`
+	// Allocations counts the heap objects allocated since the start, HeapBytes is the size of the live ones and of those
+	// not yet collected.
+	Allocations uint64 `json:"allocations"`
+	HeapBytes   uint64 `json:"heap-bytes"`
 }
 
 type requestState struct {
@@ -50,9 +55,12 @@
 func (n *Node) sections() []admin.Section {
 	return []admin.Section{
 		{Name: "process", Dump: func() any {
+			heap := []metrics.Sample{{Name: "/gc/heap/allocs:objects"}, {Name: "/memory/classes/heap/objects:bytes"}}
+			metrics.Read(heap)
 			return processState{
 				Self: n.self, Version: n.config.Version, Violations: invar.Violations(),
-				Uptime: n.config.Clock.Now().Sub(n.began).Round(time.Second).String(),
+				Uptime:      n.config.Clock.Now().Sub(n.began).Round(time.Second).String(),
+				Allocations: heap[0].Value.Uint64(), HeapBytes: heap[1].Value.Uint64(),
 			}
 		}},
 		{Name: "requests", Dump: n.requestState},
--- a/internal/procs/process.go
+++ b/internal/procs/process.go
@@ -70,6 +70,11 @@
 	return p.signal(syscall.SIGTERM)
 }
 
+// PID returns the process ID.
+func (p *Process) PID() int {
+	return p.command.Process.Pid
+}
+
 // Running reports whether the process has not ended yet.
 func (p *Process) Running() bool {
 	select {
