eject: publish anew only the services that were judged

Every judgement visited all 7,500 targets of the design size to rank ejections and list verdicts, though some 13 of 170 services have evidence in 50 ms. It was two fifths of the profile of BenchmarkTick. What a publication depends on changes only by a judgement, so a service keeps its verdicts and claims until the next one.

Ruled out: a longer interval of judgement. It adds to the detection time directly.

A test compares the kept verdicts with a fresh publication after each of many random messages; it fails when a judgement does not mark its service.

--- a/internal/eject/decide.go
+++ b/internal/eject/decide.go
@@ -13,7 +13,7 @@
 		return
 	}
 	s.dirty, s.active = false, false
-	m.changed = true
+	m.changed, s.judged = true, true
 	s.refreshReferences(m.now)
 	for _, t := range s.targets {
 		if t.dirty || t.found.hints(true) || t.out() {
@@ -216,15 +216,14 @@
 	next := &Snapshot{index: make(map[model.TargetRef]Verdict)}
 	var claims []model.Claim
 	for _, s := range m.services {
-		if m.config.Observer == ObserverEdge {
-			s.honour()
-		}
-		for _, t := range s.targets {
-			next.add(t, s.thresholds, m.now)
-			if t.out() {
-				claims = append(claims, model.Claim{Target: t.Ref, Severity: t.severity})
-			}
+		if s.judged {
+			m.renew(s)
 		}
+		next.Verdicts = append(next.Verdicts, s.verdicts...)
+		claims = append(claims, s.claims...)
+	}
+	for _, v := range next.Verdicts {
+		next.index[v.Target] = v.Verdict
 	}
 	cmds := changes(m.snapshot, next)
 	if !slices.Equal(m.snapshot.Verdicts, next.Verdicts) {
@@ -233,6 +232,24 @@
 	return append(cmds, m.publishClaims(claims)...)
 }
 
+// renew brings verdicts and claims of one service up to date. Only a judgement changes what they depend on, so the
+// services without one since the last publication keep theirs.
+func (m *Module) renew(s *service) {
+	s.judged = false
+	if m.config.Observer == ObserverEdge {
+		s.honour()
+	}
+	s.verdicts, s.claims = nil, nil
+	for _, t := range s.targets {
+		if v, differs := t.verdict(s.thresholds, m.now); differs {
+			s.verdicts = append(s.verdicts, TargetVerdict{Target: t.Ref, Verdict: v})
+		}
+		if t.out() {
+			s.claims = append(s.claims, model.Claim{Target: t.Ref, Severity: t.severity})
+		}
+	}
+}
+
 func (m *Module) publishClaims(claims []model.Claim) []Cmd {
 	if m.config.Observer != ObserverAgent {
 		return nil
--- a/internal/eject/module.go
+++ b/internal/eject/module.go
@@ -38,6 +38,10 @@
 	// dirty tells that evidence came since the last judgement, active that a target is not simply healthy.
 	dirty  bool
 	active bool
+	// judged tells that verdicts and claims are older than the latest judgement.
+	judged   bool
+	verdicts []TargetVerdict
+	claims   []model.Claim
 	// doubtUntil and slowDoubtUntil are the times up to which symptoms and slowness are taken as common to the service.
 	doubtUntil     time.Time
 	slowDoubtUntil time.Time
@@ -108,7 +112,7 @@
 
 func (m *Module) newService(item Service, old *service, first bool) *service {
 	s := &service{
-		spec: item.Spec, thresholds: m.config.Thresholds(item.Spec), slack: edgeSlack, dirty: true,
+		spec: item.Spec, thresholds: m.config.Thresholds(item.Spec), slack: edgeSlack, dirty: true, judged: true,
 		byRef: make(map[model.TargetRef]*target, len(item.Targets)), classCounts: make(map[string]int),
 	}
 	if m.config.Observer == ObserverAgent {
--- a/internal/eject/module_test.go
+++ b/internal/eject/module_test.go
@@ -465,3 +465,56 @@
 		m.Update(TickMsg{Now: now})
 	}
 }
+
+// Guards against a publication that keeps the verdicts of a service although a judgement changed them.
+func TestKeptVerdictsAreThoseOfAFreshPublication(t *testing.T) {
+	for _, observer := range []Observer{ObserverEdge, ObserverAgent} {
+		rapid.Check(t, func(t *rapid.T) {
+			now := testStart
+			m := New(Config{Observer: observer, Seed: 1})
+			announce := func() {
+				var services []Service
+				for s := range 3 {
+					item := Service{Spec: model.ServiceSpec{Name: fmt.Sprint("s", s), FloorSlots: 10, Profile: model.ProfileDetection}}
+					for i := range 6 {
+						state := rapid.SampledFrom([]model.TargetState{model.TargetServing, model.TargetServing, model.TargetDraining}).Draw(t, "state")
+						target := model.TargetRef{Service: item.Spec.Name, ID: fmt.Sprint("t", i), Incarnation: 1}
+						item.Targets = append(item.Targets, model.Target{Ref: target, Slots: 4, State: state})
+					}
+					services = append(services, item)
+				}
+				m.Update(ServicesMsg{Now: now, Services: services})
+			}
+			announce()
+			for range rapid.IntRange(1, 60).Draw(t, "steps") {
+				target := model.TargetRef{
+					Service: fmt.Sprint("s", rapid.IntRange(0, 2).Draw(t, "service")), ID: fmt.Sprint("t", rapid.IntRange(0, 5).Draw(t, "target")),
+					Incarnation: 1,
+				}
+				switch rapid.IntRange(0, 9).Draw(t, "message") {
+				case 0:
+					announce()
+				case 1, 2:
+					severity := rapid.SampledFrom([]model.Severity{0, model.SeveritySlow, model.SeverityCrashed}).Draw(t, "severity")
+					m.Update(ClaimMsg{Now: now, Claims: []model.Claim{{Target: target, Severity: severity}}})
+				case 3, 4, 5:
+					kind := rapid.SampledFrom([]Kind{KindOK, KindError, KindReset}).Draw(t, "kind")
+					for range 8 {
+						m.Update(ResultMsg{Now: now, Target: target, Class: "read", Duration: 20 * time.Millisecond, Kind: kind, Idempotent: true})
+					}
+				default:
+					now = now.Add(time.Duration(rapid.IntRange(50, 6000).Draw(t, "pause")) * time.Millisecond)
+					m.Update(TickMsg{Now: now})
+				}
+				kept, claims := m.Snapshot().Verdicts, m.Claims()
+				for _, s := range m.services {
+					s.judged = true
+				}
+				m.changed = true
+				require.Empty(t, m.publish())
+				require.Equal(t, kept, m.Snapshot().Verdicts)
+				require.Equal(t, claims, m.Claims())
+			}
+		})
+	}
+}
--- a/internal/eject/snapshot.go
+++ b/internal/eject/snapshot.go
@@ -83,7 +83,8 @@
 	return []byte(s.String()), nil
 }
 
-func (s *Snapshot) add(t *target, thresholds Thresholds, now time.Time) {
+// verdict returns the verdict on the target and whether it differs from the default.
+func (t *target) verdict(thresholds Thresholds, now time.Time) (Verdict, bool) {
 	v := Verdict{State: t.phase, Severity: t.severity, Weight: t.weight(now, thresholds.SlowStart), EvidenceFrom: t.evidenceFrom}
 	switch {
 	case t.out() && t.honoured:
@@ -91,11 +92,7 @@
 	case t.out():
 		v.State, v.Weight = StateRetained, retainedWeight
 	}
-	if v.State == StateHealthy && v.EvidenceFrom.IsZero() {
-		return
-	}
-	s.Verdicts = append(s.Verdicts, TargetVerdict{Target: t.Ref, Verdict: v})
-	s.index[t.Ref] = v
+	return v, v.State != StateHealthy || !v.EvidenceFrom.IsZero()
 }
 
 func changes(old, next *Snapshot) []Cmd {
