bench: work the budgets of the design size out from slopes and measuring tests

bench capacity reads what the measuring tests of the packages print, so that nothing is measured twice, and works out roles, the whole node, the platform and the links between regions. make capacity runs the tests at 10, 100 and 670 nodes and prints all tables. The cost of a tick no longer contains the measuring loop, and a hash of 1 MiB shows how disturbed the machine is.

--- a/Makefile
+++ b/Makefile
@@ -31,5 +31,15 @@
 unit:
 	go test -race -timeout 600s ./...
 
-capacity: build ## measure the slopes of control work and print the tables of docs/CAPACITY.md
-	$(BIN)/bench capacity
+CAPACITY := $(BIN)/capacity
+MEASURE := go test -v -count=1 -timeout 1800s
+
+capacity: build ## measure and work out the tables of docs/CAPACITY.md (some ten minutes)
+	mkdir -p $(CAPACITY)
+	for n in 10 100 670; do AUBURNWINCH_CAPACITY_NODES=$$n $(MEASURE) -run '^TestCapacity$$' ./internal/member || exit 1; done > $(CAPACITY)/member.txt
+	AUBURNWINCH_CAPACITY_NODES=670 $(MEASURE) -run '^TestBadDays$$' ./internal/member > $(CAPACITY)/baddays.txt
+	for n in 10 100; do AUBURNWINCH_CAPACITY_NODES=$$n $(MEASURE) -run '^TestLoopbackCapacity$$' ./internal/peer || exit 1; done > $(CAPACITY)/peer.txt
+	ONCE_MEASURE=1 $(MEASURE) -run '^TestMemoryPerKey$$' ./internal/once > $(CAPACITY)/keys.txt
+	$(MEASURE) -run '^$$' -bench . -benchtime 300ms ./internal/eject ./internal/router ./internal/ticket ./internal/peer ./internal/picker ./internal/limit ./internal/store > $(CAPACITY)/parts.txt
+	$(BIN)/bench idle --programs $(BIN)
+	$(BIN)/bench capacity --measurements $(CAPACITY)
--- a/cmd/bench/capacity.go
+++ b/cmd/bench/capacity.go
@@ -21,6 +21,29 @@
 	fmt.Println("\n### Slopes of one node's state")
 	fmt.Println()
 	printSlopes(figures.slopes())
+	if c.Measurements == "" {
+		return nil
+	}
+	tests, err := readMeasurements(c.Measurements)
+	if err != nil {
+		return err
+	}
+	b, err := newBudget(figures, tests)
+	if err != nil {
+		return err
+	}
+	if err := b.print(); err != nil {
+		return err
+	}
+	fmt.Println("\n### Fleets in simulated time")
+	fmt.Println()
+	tests.printMeasured("capacity")
+	fmt.Println("\n### Fleets of real sockets in one process")
+	fmt.Println()
+	tests.printMeasured("loopback")
+	fmt.Println("\n### Parts")
+	fmt.Println()
+	tests.printBenchmarks()
 	return nil
 }
 
--- a/cmd/bench/rebuild.go
+++ b/cmd/bench/rebuild.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"fmt"
+	"math"
 	"runtime"
 	"slices"
 	"time"
@@ -21,8 +23,15 @@
 // ticksPerRound is the number of judgements of one round: half a second.
 const ticksPerRound = 10
 
+// referenceBytes are hashed for a figure that depends on the machine only.
+const referenceBytes = 1 << 20
+
 // scaleFigures collects slopes by name in the order of their first sample.
-type scaleFigures struct{ list []*slope }
+type scaleFigures struct {
+	list []*slope
+	// loop is the processor time of an interval without any load, in microseconds.
+	loop float64
+}
 
 func (f *scaleFigures) add(name, unit, per string, size int, value float64) {
 	for _, s := range f.list {
@@ -53,6 +62,7 @@
 
 // Names of the figures that the budgets use.
 const (
+	figureReference = "reference: SHA-256"
 	figureSnapshot  = "copy of the records after a change"
 	figureReaders   = "choice of the ticket readers"
 	figureView      = "view from records and configuration"
@@ -61,6 +71,7 @@
 	figurePicker    = "view to the choice of targets"
 	figureRoutes    = "route table from the configuration"
 	figureEdgeTick  = "tick of the edge's detection, busy"
+	figureAgentTick = "tick of the agent's detection, busy"
 	figureIdleTick  = "tick of the edge's detection, idle"
 	heapRecords     = "records of the membership"
 	heapView        = "view"
@@ -74,7 +85,9 @@
 
 // measureScale measures what one node of fleets of several sizes computes and keeps.
 func measureScale() (*scaleFigures, error) {
-	f := &scaleFigures{}
+	f := &scaleFigures{loop: intervalCost(func() {})}
+	block := make([]byte, referenceBytes)
+	f.add(figureReference, "µs", "MiB", 1, cost(func() { sha256.Sum256(block) }))
 	for _, nodes := range scaleSizes {
 		f.measureMembership(nodes)
 	}
@@ -86,6 +99,7 @@
 	for _, cells := range []int{designTargets / 10, designTargets, designTargets * routesPerService} {
 		f.measureTick(cells)
 	}
+	f.measureAgentTick()
 	for _, accounts := range []int{100, 1000, designAccounts} {
 		if err := f.measureAccounts(accounts); err != nil {
 			return nil, err
@@ -167,15 +181,7 @@
 	tracker := eject.NewTracker(eject.TrackerConfig{Config: eject.Config{Observer: eject.ObserverEdge}, Clock: timer.NewReal()})
 	defer tracker.Close()
 	tracker.SetView(v)
-	requests := make([]eject.Request, 0, cells)
-	for class := 0; len(requests) < cells; class++ {
-		for _, s := range v.Services {
-			for _, c := range s.Candidates {
-				requests = append(requests, eject.Request{Target: c.Target.Ref, Class: fmt.Sprintf("route-%02d", class), Idempotent: true})
-			}
-		}
-	}
-	requests = requests[:cells]
+	requests := pairsOf(v, cells, func(view.Candidate) bool { return true })
 	_, kept := heapOf(func() *eject.Tracker {
 		for _, r := range requests {
 			tracker.Start(r).Finish(eject.Result{Kind: eject.KindOK})
@@ -184,18 +190,55 @@
 		return tracker
 	})
 	f.add(heapCells, "kB of heap", "pairs", cells, kept)
-	f.add(figureIdleTick, "µs", "pairs", cells, tickCost(func() {}))
+	f.add(figureIdleTick, "µs", "pairs", cells, f.tickCost(func() {}))
+	f.add(figureEdgeTick, "µs", "pairs", cells, f.tickCost(busyLoad(tracker, requests)))
+}
+
+// measureAgentTick observes the tracker of an agent whose targets serve the requests of one node.
+func (f *scaleFigures) measureAgentTick() {
+	self := scaledNode(0)
+	v := viewOf(self, scaledConfiguration(designRoutes), scaledMembers(designNodes).Snapshot())
+	tracker := eject.NewTracker(eject.TrackerConfig{Config: eject.Config{Observer: eject.ObserverAgent}, Clock: timer.NewReal()})
+	defer tracker.Close()
+	tracker.SetView(v)
+	cells := designTargets / designNodes * routesPerService
+	requests := pairsOf(v, cells, func(c view.Candidate) bool { return c.Node.Ref == self.Ref })
+	f.add(figureAgentTick, "µs", "pairs", cells, f.tickCost(busyLoad(tracker, requests)))
+}
+
+// pairsOf returns pairs of target and route, each target once before any twice.
+func pairsOf(v *view.View, count int, wanted func(view.Candidate) bool) []eject.Request {
+	var requests []eject.Request
+	for class := 0; len(requests) < count; class++ {
+		for _, s := range v.Services {
+			for _, c := range s.Candidates {
+				if wanted(c) {
+					requests = append(requests, eject.Request{Target: c.Target.Ref, Class: fmt.Sprintf("route-%02d", class), Idempotent: true})
+				}
+			}
+		}
+	}
+	return requests[:count]
+}
+
+// busyLoad reports the requests that one node has in one interval of judgement.
+func busyLoad(tracker *eject.Tracker, requests []eject.Request) func() {
 	next := 0
-	f.add(figureEdgeTick, "µs", "pairs", cells, tickCost(func() {
-		for range int(requestsPerNode * judgeInterval.Seconds()) {
-			next = (next + 7919) % cells
+	return func() {
+		for range int(math.Round(requestsPerNode * judgeInterval.Seconds())) {
+			next = (next + 7919) % len(requests)
 			tracker.Start(requests[next]).Finish(eject.Result{Kind: eject.KindOK})
 		}
-	}))
+	}
+}
+
+// tickCost returns the processor time of the process per interval of judgement, in microseconds. The time of the
+// measuring loop without any tracker is taken out.
+func (f *scaleFigures) tickCost(load func()) float64 {
+	return max(0, intervalCost(load)-f.loop)
 }
 
-// tickCost returns the processor time of the process per interval of judgement, in microseconds.
-func tickCost(load func()) float64 {
+func intervalCost(load func()) float64 {
 	rounds := make([]float64, costRounds)
 	for i := range rounds {
 		runtime.GC()
--- a/cmd/bench/scale.go
+++ b/cmd/bench/scale.go
@@ -36,7 +36,6 @@
 	scaleIncarnation    = 1 << 50
 	routesPerService    = designRoutes / designServices
 	requestsPerNode     = designRequests / float64(designNodes)
-	targetsPerNode      = designTargets / float64(designNodes)
 	incarnationOfOthers = 1 << 49
 )
 
