bench: add soak, which proves the invariants under random faults

The process tests inject one fault each. `bench soak` runs a whole fleet under load and injects a sequence drawn from a seed, several faults at once and one fault twice, and checks answers against the records of the targets, numbers in force, failed invariant checks, shutdowns and recovery.

The stand-in targets keep their records in files now, so that the runs of a killed target are counted, and can work for a while before a marked request crashes them (crash-after). A crash without that time ends before a second agent can have the request, which hides overlapping runs.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 MINUTES ?= 1
 
-.PHONY: help build demo test fmt lint vet unit
+.PHONY: help build demo soak test fmt lint vet unit
 
 help:
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
@@ -16,6 +16,9 @@
 demo: build ## serve both deployments through faults and check every answer
 	$(BIN)/standin demo
 
+soak: build ## run a fleet under random faults; SEED and MINUTES choose the run
+	$(BIN)/bench soak --seed $(SEED) --duration $(MINUTES)m
+
 test: fmt lint vet unit ## formatter, linter, vet and race tests
 
 fmt:
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -12,6 +12,7 @@
 
 type commandLine struct {
 	Detection detectionCmd `cmd:"" help:"Measure detection time and false ejections in simulated time."`
+	Soak      soakCmd      `cmd:"" help:"Run a fleet of processes under random faults and check every invariant."`
 	Overload  overloadCmd  `cmd:"" help:"Measure goodput, retries and the cost of a refusal at twice the capacity."`
 }
 
--- a/cmd/standin/target_fault.go
+++ b/cmd/standin/target_fault.go
@@ -31,6 +31,8 @@
 	StallAfter int64 `json:"stall-after"`
 	// CrashMark crashes the target on requests whose header Standin-Mark has this value.
 	CrashMark string `json:"crash-mark"`
+	// CrashAfter is the time of work before such a crash.
+	CrashAfter model.Duration `json:"crash-after"`
 	// For takes the fault back after this time; zero keeps it.
 	For model.Duration `json:"for"`
 }
--- a/cmd/standin/target_serve.go
+++ b/cmd/standin/target_serve.go
@@ -51,6 +51,8 @@
 	whole := false
 	defer func() { t.records.end(id, whole) }()
 	if current.CrashMark != "" && r.Header.Get(headerMark) == current.CrashMark {
+		// A caller that goes away does not save the target.
+		time.Sleep(time.Duration(current.CrashAfter))
 		t.config.Crash()
 		reset(w)
 		return
--- a/internal/load/control.go
+++ b/internal/load/control.go
@@ -22,6 +22,7 @@
 	TruncateAfter int64          `json:"truncate-after"`
 	StallAfter    int64          `json:"stall-after"`
 	CrashMark     string         `json:"crash-mark"`
+	CrashAfter    model.Duration `json:"crash-after"`
 	For           model.Duration `json:"for"`
 }
 
@@ -67,19 +68,28 @@
 		if !fleet.Targets[i].Running() {
 			continue
 		}
-		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.Control+"/runs", nil)
+		known, err := CollectRunsOf(ctx, t)
 		if err != nil {
-			return nil, eris.Wrap(err, "build the request")
+			return nil, err
 		}
-		var records targetRecords
-		if err := exchange(request, &records); err != nil {
-			return nil, eris.Wrapf(err, "read the records of target %s", t.ID)
-		}
-		runs = append(runs, records.Runs...)
+		runs = append(runs, known...)
 	}
 	return runs, nil
 }
 
+// CollectRunsOf returns the records of one running target, those of its earlier processes included.
+func CollectRunsOf(ctx context.Context, t procs.TargetPlan) ([]Run, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.Control+"/runs", nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "build the request")
+	}
+	var records targetRecords
+	if err := exchange(request, &records); err != nil {
+		return nil, eris.Wrapf(err, "read the records of target %s", t.ID)
+	}
+	return records.Runs, nil
+}
+
 func put(ctx context.Context, url string, body any) error {
 	data, err := json.Marshal(body)
 	if err != nil {
--- a/internal/procs/fleet.go
+++ b/internal/procs/fleet.go
@@ -195,7 +195,7 @@
 	for _, t := range f.Plan.Targets {
 		p, err := startProcess(t.ID, f.Plan.Directory, f.program("standin"), "target",
 			"--node", f.Plan.Nodes[t.Node].Settings.Listeners.Local, "--service", t.Service, "--id", t.ID,
-			"--listen", t.Address, "--control", t.Control, "--slots", strconv.Itoa(t.Slots),
+			"--listen", t.Address, "--control", t.Control, "--records", t.Records, "--slots", strconv.Itoa(t.Slots),
 			"--service-time", f.Plan.ServiceTime.String())
 		if err != nil {
 			return err
--- a/internal/procs/plan.go
+++ b/internal/procs/plan.go
@@ -80,6 +80,8 @@
 	Node    int
 	Address string
 	Control string
+	// Records is the file in which the target keeps its runs, so that they survive a crash.
+	Records string
 }
 
 // LoadPlan reads the example settings and the first ticket of a deployment and moves them to loopback addresses.
@@ -171,9 +173,11 @@
 	for s, spec := range p.Ticket.Services {
 		for i := range p.TargetsPerService {
 			node := (i + s) % len(p.Nodes)
+			id := fmt.Sprintf("%s-%02d", spec.Name, i+1)
 			p.Targets = append(p.Targets, TargetPlan{
 				Service: spec.Name,
-				ID:      fmt.Sprintf("%s-%02d", spec.Name, i+1),
+				ID:      id,
+				Records: filepath.Join(p.Directory, id+".records"),
 				Slots:   p.slots(),
 				Node:    node,
 				Address: p.address(node+1, targetPort+perNode[node]),
