edge: ask the key owner before a quarantine answers not-run

A quarantine by the agent was ruled out: the records hold one run and the agents logged no second exchange.

The owner now decides first. A key that may have run gets the owner's answer (unknown, or the stored answer); a key that did not run gets 422 not-run as before, and its end is recorded.

TestQuarantineAsksKeyOwner: before, 422 and no question to the owner in both cases; after, it passes.

--- a/internal/edge/keys_test.go
+++ b/internal/edge/keys_test.go
@@ -111,3 +111,31 @@
 	require.Equal(t, 404, f.send(http.MethodGet, "/.well-known/auburnwinch/other", nil).status)
 	require.Equal(t, 405, f.send(http.MethodPost, model.PathOwner, nil).status)
 }
+
+// quarantine refuses every request.
+type quarantine struct{}
+
+func (quarantine) Fingerprint(edge.PoisonRequest) uint64 { return 1 }
+func (quarantine) Quarantined(string, uint64) bool       { return true }
+
+// Guards against a quarantined request that is answered not-run although an earlier send of its key may have run.
+func TestQuarantineAsksKeyOwner(t *testing.T) {
+	for name, c := range map[string]struct {
+		begin   edge.Decision
+		status  int
+		outcome model.Outcome
+		events  string
+	}{
+		"first send":  {edge.Decision{Kind: edge.DecisionRun, Key: "x"}, 422, "not-run", "begin:k end:not-run"},
+		"sent before": {edge.Decision{Kind: edge.DecisionUnknown}, 502, "unknown", "begin:k"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			keys := &fakeKeys{begin: c.begin}
+			f := newFleet(t, fleetConfig{edge: edge.Config{Keys: keys, Poison: quarantine{}}})
+			got := f.send(http.MethodPost, "/orders/1", nil, model.HeaderIdempotencyKey, "k")
+			require.Equal(t, c.status, got.status)
+			require.Equal(t, c.outcome, got.outcome())
+			require.Equal(t, c.events, keys.said())
+		})
+	}
+}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -66,11 +66,13 @@
 		q.refuse(notRun(http.StatusBadRequest, "the request body is shorter than announced, malformed or too slow", remedyFix))
 		return
 	}
-	if refusal, ok := q.prepareHeader(); !ok {
-		q.refuse(refusal)
+	q.prepareHeader()
+	if !q.beginKey(ctx) {
 		return
 	}
-	if !q.beginKey(ctx) {
+	// The owner of the key is asked first: an earlier send of the key may have run, and then nothing is a certain not-run.
+	if p := q.edge.config.Poison; p != nil && p.Quarantined(q.match.Service, q.fingerprint) {
+		q.refuseAttempts(poisoned())
 		return
 	}
 	q.edge.counters.requests.Add(1)
@@ -128,7 +130,7 @@
 }
 
 // prepareHeader builds the part of the relayed header that all attempts share.
-func (q *request) prepareHeader() (relay.Refusal, bool) {
+func (q *request) prepareHeader() {
 	q.fields = make([]relay.Field, 0, maxFields)
 	q.addField(model.HeaderRoute, q.match.Route.Name)
 	if account := q.r.Header[model.HeaderAccount]; len(account) > 0 {
@@ -139,12 +141,8 @@
 			Service: q.match.Service, Method: q.r.Method, Path: q.r.URL.Path, Query: q.r.URL.RawQuery,
 			Body: q.body.held, Key: q.r.Header.Get(model.HeaderIdempotencyKey),
 		})
-		if p.Quarantined(q.match.Service, q.fingerprint) {
-			return poisoned(), false
-		}
 		q.addField(model.HeaderFingerprint, strconv.FormatUint(q.fingerprint, 16))
 	}
-	return relay.Refusal{}, true
 }
 
 func (q *request) addField(name, value string) {
