node, agent: run a suspect request only as a granted trial

One request that crashes each target which runs it could take down all targets of its service. The poison module grants a single trial after its suspicion reached every agent of the service and none of them runs the request, but the shell never asked it: each agent let a suspect run as long as no other suspect ran at the same agent, so that six agents tried it at once. The module itself and its property tests were ruled out; they model the trials and pass.

The agent now asks the nodes that saw the crash (Poison.Trial) just before it hands a suspect to the target, after slot and connection, so that no trial is used up by a request that is refused anyway. A suspicion is sent by Poison.Suspect, whose answer tells what runs at the agent; requests are counted as running before their verdict is read.

An innocent neighbour of a crash is cleared by its trial at once. Its entry can come and go before gossip shows it to a node, which would keep it suspect there for 10 minutes, so a node that granted the trial tells others that ask later (ClearMsg), and entries withdrawn from a record are reported to the module.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -33,6 +33,7 @@
 	inFlight atomic.Int64
 	// suspectRuns is the place for the one request that is suspect of crashing targets.
 	suspectRuns atomic.Bool
+	running     running
 	publishing  sync.Mutex
 	stop        chan struct{}
 	stopped     atomic.Bool
@@ -63,6 +64,11 @@
 	return int(a.inFlight.Load())
 }
 
+// Runs reports whether a request with the fingerprint is at a target.
+func (a *Agent) Runs(fingerprint uint64) bool {
+	return a.running.has(fingerprint)
+}
+
 // SetLeaving makes the agent refuse new requests, because the node shuts down.
 func (a *Agent) SetLeaving(leaving bool) {
 	a.leaving.Store(leaving)
@@ -130,6 +136,8 @@
 		return false
 	}
 	a.targetGone(x.local)
+	// The request has ended with its target; as a running one it would keep its own trial from being granted.
+	x.end()
 	if a.config.Poison != nil && x.suspect.Fingerprint != 0 && x.local.shared.report(x.suspect.Fingerprint) {
 		a.config.Poison.Crashed(x.local.target.Ref, x.suspect)
 	}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -196,6 +196,8 @@
 	suspects []agent.Suspect
 	results  []agent.ResultKind
 	verdict  agent.PoisonVerdict
+	trial    agent.TrialVerdict
+	trials   []bool
 }
 
 func (f *fakes) Admit(key string) bool {
@@ -225,6 +227,14 @@
 
 func (f *fakes) Verdict(string, uint64) agent.PoisonVerdict { return f.verdict }
 
+func (f *fakes) Trial(context.Context, agent.Suspect) agent.TrialVerdict { return f.trial }
+
+func (f *fakes) EndTrial(_ agent.Suspect, survived bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.trials = append(f.trials, survived)
+}
+
 func (f *fakes) Crashed(_ model.TargetRef, s agent.Suspect) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -301,3 +311,30 @@
 	response, _ = b.do(b.relayed(t.Context(), ""))
 	require.Equal(t, relay.ReasonPoison, response.Header.Get(model.HeaderReason))
 }
+
+// Guards against a suspect request that runs without a granted trial, and against results of trials that get lost.
+func TestSuspectNeedsTrial(t *testing.T) {
+	f := &fakes{verdict: agent.PoisonSuspect}
+	b := newBench(t, agent.Config{Poison: f})
+	var runs atomic.Int64
+	b.announce(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		require.True(t, b.agent.Runs(0xab))
+	}))
+	response, _ := b.do(b.relayed(t.Context(), ""))
+	require.Equal(t, relay.ReasonSuspect, response.Header.Get(model.HeaderReason))
+	f.trial = agent.TrialQuarantined
+	response, _ = b.do(b.relayed(t.Context(), ""))
+	require.Equal(t, relay.ReasonPoison, response.Header.Get(model.HeaderReason))
+	require.Zero(t, runs.Load())
+	for _, verdict := range []agent.TrialVerdict{agent.TrialGranted, agent.TrialNeedless} {
+		f.trial = verdict
+		response, _ = b.do(b.relayed(t.Context(), ""))
+		require.Equal(t, http.StatusOK, response.StatusCode)
+	}
+	require.EqualValues(t, 2, runs.Load())
+	require.Eventually(t, func() bool { return !b.agent.Runs(0xab) }, time.Second, time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	require.Equal(t, []bool{true}, f.trials)
+}
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -133,14 +133,32 @@
 // The verdicts on a request.
 const (
 	PoisonClear PoisonVerdict = iota
-	// PoisonSuspect permits the request to run alone.
+	// PoisonSuspect permits the request to run only as a granted trial.
 	PoisonSuspect
 	PoisonQuarantined
 )
 
+// TrialVerdict says whether a suspect request may run now.
+type TrialVerdict uint8
+
+// The verdicts on a trial.
+const (
+	// TrialRefused permits no run now; a later request may get the trial.
+	TrialRefused TrialVerdict = iota
+	// TrialGranted permits this run only; its result must be reported.
+	TrialGranted
+	// TrialNeedless means that the request is no longer suspect.
+	TrialNeedless
+	TrialQuarantined
+)
+
 // Poison knows the requests that crash targets.
 type Poison interface {
 	Verdict(service string, fingerprint uint64) PoisonVerdict
+	// Trial asks the nodes that saw the crash for the only further run of a suspect request.
+	Trial(ctx context.Context, s Suspect) TrialVerdict
+	// EndTrial reports whether the target survived a granted trial.
+	EndTrial(s Suspect, survived bool)
 	// Crashed reports a request that was in flight when the target died, once per fingerprint and death. It returns
 	// when the suspicion was sent to the other agents of the service.
 	Crashed(target model.TargetRef, s Suspect)
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -45,6 +45,9 @@
 	source *relay.Source
 	// alone tells that this request holds the only place for suspect requests.
 	alone bool
+	// tried tells that this request runs as a granted trial, counted that it is among the running ones.
+	tried   bool
+	counted bool
 	// abort makes the server close the connection without ending the answer.
 	abort bool
 }
@@ -71,6 +74,7 @@
 }
 
 func (x *exchange) leave() {
+	x.end()
 	if x.alone {
 		x.agent.suspectRuns.Store(false)
 	}
@@ -119,20 +123,11 @@
 	return ""
 }
 
-// checkPoison lets a request that is suspect of crashing targets run only while no other suspect one runs here.
+// checkPoison refuses a quarantined request before it takes a slot; mayRun decides about all others.
 func (x *exchange) checkPoison() string {
-	if x.agent.config.Poison == nil {
-		return ""
-	}
-	switch x.agent.config.Poison.Verdict(x.suspect.Service, x.suspect.Fingerprint) {
-	case PoisonQuarantined:
+	p := x.agent.config.Poison
+	if p != nil && p.Verdict(x.suspect.Service, x.suspect.Fingerprint) == PoisonQuarantined {
 		return relay.ReasonPoison
-	case PoisonSuspect:
-		if !x.agent.suspectRuns.CompareAndSwap(false, true) {
-			return relay.ReasonSuspect
-		}
-		x.alone = true
-	case PoisonClear:
 	}
 	return ""
 }
@@ -169,6 +164,11 @@
 		x.refuse(relay.ReasonDeadline, model.OutcomeNotRun)
 		return
 	}
+	if refusal := x.mayRun(ctx); refusal != "" {
+		conn.Discard()
+		x.refuse(refusal, model.OutcomeNotRun)
+		return
+	}
 	// The key is marked as seen only when the request is handed to the target.
 	if x.keyed() && !x.agent.config.Ledger.Admit(x.key) {
 		conn.Discard()
@@ -176,6 +176,7 @@
 		return
 	}
 	result = x.run(ctx, conn)
+	x.endTrial(result.Kind)
 }
 
 // keyed reports whether the ledger follows the key; idempotent requests may run several times.
--- /dev/null
+++ b/internal/agent/trial.go
@@ -0,0 +1,64 @@
+package agent
+
+import (
+	"context"
+
+	"github.com/auburnwinch/auburnwinch/internal/relay"
+)
+
+// mayRun decides, just before the request is handed to the target, whether it may run: the suspicion may have arrived
+// while the request waited for its slot. It returns the reason of a refusal, or nothing; leave ends what it began.
+func (x *exchange) mayRun(ctx context.Context) string {
+	poison := x.agent.config.Poison
+	if poison == nil || x.suspect.Fingerprint == 0 {
+		return ""
+	}
+	x.begin()
+	if poison.Verdict(x.suspect.Service, x.suspect.Fingerprint) == PoisonClear {
+		return ""
+	}
+	// A request that only asks for its trial must not look like one that runs.
+	x.end()
+	if !x.agent.suspectRuns.CompareAndSwap(false, true) {
+		return relay.ReasonSuspect
+	}
+	x.alone = true
+	switch poison.Trial(ctx, x.suspect) {
+	case TrialGranted:
+		x.tried = true
+		x.begin()
+		return ""
+	case TrialNeedless:
+		x.begin()
+		return ""
+	case TrialQuarantined:
+		return relay.ReasonPoison
+	default:
+		return relay.ReasonSuspect
+	}
+}
+
+func (x *exchange) begin() {
+	x.agent.running.begin(x.suspect.Fingerprint)
+	x.counted = true
+}
+
+func (x *exchange) end() {
+	if x.counted {
+		x.agent.running.end(x.suspect.Fingerprint)
+		x.counted = false
+	}
+}
+
+// endTrial reports the result of a trial. A request without an answer proves nothing, so its trial is not reported.
+func (x *exchange) endTrial(kind ResultKind) {
+	if !x.tried {
+		return
+	}
+	switch kind {
+	case ResultOK, ResultError:
+		x.agent.config.Poison.EndTrial(x.suspect, true)
+	case ResultCrashed:
+		x.agent.config.Poison.EndTrial(x.suspect, false)
+	}
+}
--- /dev/null
+++ b/internal/load/poison_test.go
@@ -0,0 +1,107 @@
+package load_test
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwinch/auburnwinch/internal/load"
+	"github.com/auburnwinch/auburnwinch/internal/procs"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+const (
+	crashMark = "deadly"
+	// crashWork is longer than the spread of a suspicion, so that trials which overlap are seen.
+	crashWork = 400 * time.Millisecond
+	// crashStatus is the exit status of a stand-in target that a marked request crashed.
+	crashStatus = 70
+)
+
+// deadly is a request that crashes every target of courtview.
+type deadly struct {
+	t       *testing.T
+	fleet   *procs.Fleet
+	crashes atomic.Int64
+	final   atomic.Int64
+}
+
+// keepCrashing restarts the target after each crash and makes it crash on the mark again.
+func (d *deadly) keepCrashing(ctx context.Context, i int) {
+	fault := load.Fault{CrashMark: crashMark, CrashAfter: model.Duration(crashWork)}
+	marked := false
+	for ctx.Err() == nil {
+		if p := d.fleet.Targets[i]; !p.Running() {
+			if p.ExitCode() == crashStatus {
+				d.crashes.Add(1)
+			}
+			time.Sleep(100 * time.Millisecond) // Lets the agent find the port closed, as a supervisor's delay does.
+			if d.fleet.StartTarget(i) != nil {
+				return
+			}
+			marked = false
+		}
+		if !marked {
+			marked = load.SetFault(ctx, d.fleet.Plan.Targets[i], fault) == nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (d *deadly) send(ctx context.Context, node int) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet,
+		"http://"+d.fleet.Plan.Nodes[node%len(d.fleet.Plan.Nodes)].Settings.Listeners.Callers+"/courts/deadly", nil)
+	if err != nil {
+		return
+	}
+	request.Host = "courts.instituto.example"
+	request.Header.Set("Standin-Mark", crashMark)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return
+	}
+	if response.StatusCode == http.StatusUnprocessableEntity {
+		d.final.Add(1)
+	}
+	_ = response.Body.Close() // Only the status counts.
+}
+
+// Guards against a third target lost to one request, which happens when several agents try a suspect request at the
+// same time, and against other requests that suffer from it.
+func TestDeadlyRequestTakesTwoTargets(t *testing.T) {
+	t.Parallel()
+	fleet := start(t, "instituto", procs.PlanConfig{})
+	d := &deadly{t: t, fleet: fleet}
+	report := under(t, fleet, load.Config{Callers: 8}, func() {
+		ctx, stop := context.WithTimeout(t.Context(), 8*time.Second)
+		defer stop()
+		var workers sync.WaitGroup
+		for i, target := range fleet.Plan.Targets {
+			if target.Service == "courtview" {
+				workers.Go(func() { d.keepCrashing(ctx, i) })
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+		workers.Go(func() { d.send(ctx, 0) })
+		require.Eventually(t, func() bool { return d.crashes.Load() > 0 }, 5*time.Second, time.Millisecond)
+		for n := range 12 {
+			workers.Go(func() {
+				for i := n; ctx.Err() == nil; i++ {
+					d.send(ctx, i)
+					time.Sleep(20 * time.Millisecond)
+				}
+			})
+		}
+		workers.Wait()
+	})
+	t.Logf("%d targets lost, %d sends refused with the final answer", d.crashes.Load(), d.final.Load())
+	require.LessOrEqual(t, d.crashes.Load(), int64(2), "one request may take down two targets")
+	require.Positive(t, d.final.Load(), "the request must get its final answer")
+	total := report.Total()
+	require.Less(t, total.NotRun+total.Unknown, total.Done/100, "other requests must go on")
+}
--- a/internal/node/suspicion.go
+++ b/internal/node/suspicion.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,11 +21,10 @@
 
 const (
 	poisonTick = time.Second
-	// reportTimeout bounds the report of a crash to the agents of the service; the edge waits for it before it tries
+	// spreadTimeout bounds the report of a crash to the agents of the service; the edge waits for it before it tries
 	// the request on another target.
-	reportTimeout = 300 * time.Millisecond
+	spreadTimeout = 300 * time.Millisecond
 	poisonService = "Poison"
-	methodReport  = poisonService + ".Report"
 )
 
 // caller calls methods of other nodes; peer.Peer implements it.
@@ -40,37 +40,25 @@
 	clock   timer.Service
 	logger  log.Logger
 	publish func([]model.PoisonEntry)
+	// runs tells which requests are at targets of this node.
+	runs func(fingerprint uint64) bool
 
 	mu     sync.Mutex
 	module *poison.Module
+	// spreading are the requests whose suspicion is on its way to the agents.
+	spreading map[trialID]bool
+	// learned are the entries of the latest record of each node. Only one goroutine uses them.
+	learned map[model.NodeRef][]model.PoisonEntry
 
 	stop  chan struct{}
 	group conc.WaitGroup
 }
 
-// ReportArgs carries the crashes at one node to another; net/rpc requires exported types.
-type ReportArgs struct {
-	Node    model.NodeRef
-	Entries []model.PoisonEntry
-}
-
-// ReportReply acknowledges a report.
-type ReportReply struct{}
-
-// Poison takes reports of crashes from other nodes over net/rpc.
-type Poison struct {
-	suspicion *suspicion
-}
-
-// Report records crashes at another node.
-func (p *Poison) Report(args ReportArgs, _ *ReportReply) error {
-	p.suspicion.update(poison.ReportMsg{Now: p.suspicion.clock.Now(), Node: args.Node, Entries: args.Entries})
-	return nil
-}
-
 func newSuspicion(s *suspicion) *suspicion {
 	s.module = poison.New(poison.Config{Self: s.self})
 	s.stop = make(chan struct{})
+	s.spreading = make(map[trialID]bool)
+	s.learned = make(map[model.NodeRef][]model.PoisonEntry)
 	s.group.Go(s.run)
 	return s
 }
@@ -120,50 +108,50 @@
 func (s *suspicion) Crashed(target model.TargetRef, suspect agent.Suspect) {
 	_ = level.Warn(s.logger).Log("msg", "request in flight at a crash is suspect", "service", target.Service, "target", target.ID,
 		"fingerprint", suspect.Fingerprint, "idempotent", suspect.Idempotent)
-	entries := s.update(poison.CrashMsg{
+	s.carryOut(s.update(poison.CrashMsg{
 		Now: s.clock.Now(), Target: target,
 		InFlight: []poison.Request{{Fingerprint: suspect.Fingerprint, Idempotent: suspect.Idempotent}},
-	})
-	s.report(target.Service, entries)
+	}))
 }
 
-// learn takes the entries that other nodes publish in their records.
+// learn takes the entries that other nodes publish in their records, and those that they withdrew.
 func (s *suspicion) learn(snapshot *member.Snapshot) {
+	learned := make(map[model.NodeRef][]model.PoisonEntry)
 	for i := range snapshot.Records {
 		record := &snapshot.Records[i]
-		if len(record.Poison) > 0 && record.Node.Ref != s.self {
+		if record.Node.Ref == s.self {
+			continue
+		}
+		if !slices.Equal(s.learned[record.Node.Ref], record.Poison) {
 			s.update(poison.ReportMsg{Now: s.clock.Now(), Node: record.Node.Ref, Entries: record.Poison})
 		}
+		if len(record.Poison) > 0 {
+			learned[record.Node.Ref] = record.Poison
+		}
 	}
+	s.learned = learned
 }
 
-func (s *suspicion) update(msg poison.Msg) []model.PoisonEntry {
+// update changes the module, publishes its entries and returns the commands that need other nodes or an answer.
+func (s *suspicion) update(msg poison.Msg) []poison.Cmd {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var entries []model.PoisonEntry
+	var rest []poison.Cmd
 	for _, cmd := range s.module.Update(msg) {
 		if published, ok := cmd.(poison.PublishCmd); ok {
-			entries = published.Entries
-			s.publish(entries)
+			s.publish(published.Entries)
+			continue
 		}
+		rest = append(rest, cmd)
 	}
-	return entries
+	return rest
 }
 
-func (s *suspicion) report(service string, entries []model.PoisonEntry) {
-	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
-	defer cancel()
-	var calls conc.WaitGroup
-	for _, node := range s.fleet.Agents(service) {
-		if node.Ref == s.self {
-			continue
+// carryOut sends suspicions to the agents.
+func (s *suspicion) carryOut(cmds []poison.Cmd) {
+	for _, cmd := range cmds {
+		if spread, ok := cmd.(poison.SpreadCmd); ok {
+			s.spread(spread)
 		}
-		calls.Go(func() {
-			err := s.peers.Call(ctx, node, methodReport, ReportArgs{Node: s.self, Entries: entries}, &ReportReply{})
-			if err != nil {
-				_ = level.Warn(s.logger).Log("msg", "crash not reported; the node learns it from the record", "node", node.Ref.ID, "err", err)
-			}
-		})
 	}
-	calls.Wait()
 }
--- a/internal/poison/message.go
+++ b/internal/poison/message.go
@@ -68,6 +68,13 @@
 	Survived    bool
 }
 
+// ClearMsg reports that the node which saw a crash no longer suspects the request.
+type ClearMsg struct {
+	Node        model.NodeRef
+	Service     string
+	Fingerprint uint64
+}
+
 // TickMsg moves the time.
 type TickMsg struct {
 	Now time.Time
@@ -101,6 +108,7 @@
 func (SpreadMsg) isMsg()   {}
 func (TrialMsg) isMsg()    {}
 func (TrialEndMsg) isMsg() {}
+func (ClearMsg) isMsg()    {}
 func (TickMsg) isMsg()     {}
 
 func (PublishCmd) isCmd() {}
--- a/internal/poison/module.go
+++ b/internal/poison/module.go
@@ -59,6 +59,8 @@
 		return m.trial(msg)
 	case TrialEndMsg:
 		return m.trialEnd(msg)
+	case ClearMsg:
+		m.clear(msg)
 	case TickMsg:
 		return m.tick(msg)
 	}
@@ -70,6 +72,24 @@
 	return m.snapshot.Load()
 }
 
+// Authorities returns the nodes that reported a crash of the request, this one included; they may grant its trial.
+func (m *Module) Authorities(service string, fingerprint uint64) []model.NodeRef {
+	e := m.entries[entryID{Service: service, Fingerprint: fingerprint}]
+	var nodes []model.NodeRef
+	if e.own > 0 {
+		nodes = append(nodes, m.config.Self)
+	}
+	for node, r := range e.others {
+		if r.Crashes > 0 {
+			nodes = append(nodes, node)
+		}
+	}
+	slices.SortFunc(nodes, func(a, b model.NodeRef) int {
+		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return nodes
+}
+
 func (m *Module) crash(msg CrashMsg) []Cmd {
 	spread := SpreadCmd{Service: msg.Target.Service}
 	for _, r := range msg.InFlight {
@@ -108,6 +128,20 @@
 	m.publish()
 }
 
+// clear forgets what the node told. Its record may have held the entry for too short a time to be seen here, so that
+// no record withdraws it.
+func (m *Module) clear(msg ClearMsg) {
+	id := entryID{Service: msg.Service, Fingerprint: msg.Fingerprint}
+	e, ok := m.entries[id]
+	if !ok || e.quarantined {
+		return
+	}
+	e.others = maps.Clone(e.others)
+	delete(e.others, msg.Node)
+	m.store(id, e)
+	m.publish()
+}
+
 // store keeps the entry while any node knows a crash.
 func (m *Module) store(id entryID, e entry) {
 	if e.crashes() == 0 {
