--- a/internal/load/drain_test.go
+++ b/internal/load/drain_test.go
@@ -107,4 +107,3 @@
 	require.FailNow(t, "the rate of requests did not change in time")
 	return time.Time{}
 }
-
