--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -15,6 +15,7 @@
 	Capacity  capacityCmd  `cmd:"" help:"Measure what one node computes and keeps, and work out the design size."`
 	Idle      idleCmd      `cmd:"" help:"Measure what the idle nodes of a real deployment use."`
 	Overhead  overheadCmd  `cmd:"" help:"Compare requests through the fleet with requests to the target."`
+	Soak      soakCmd      `cmd:"" help:"Run a fleet of processes under random faults and check every invariant."`
 	Overload  overloadCmd  `cmd:"" help:"Measure goodput, retries and the cost of a refusal at twice the capacity."`
 }
 
--- a/internal/agent/running.go
+++ b/internal/agent/running.go
@@ -2,58 +2,42 @@
 
 import "sync"
 
-// runningShards spreads the requests over locks, so that no lock is shared by all requests.
-const runningShards = 32
+// runningShards keeps requests from sharing one lock.
+const runningShards = 16
 
-// running counts the requests at the targets of this VM by service and fingerprint.
+// running counts the requests on targets by fingerprint. A request is counted before its verdict is read, so that a
+// request which saw no suspicion is counted when the suspicion is answered.
 type running struct {
 	shards [runningShards]runningShard
 }
 
 type runningShard struct {
 	mu     sync.Mutex
-	counts map[runningKey]int
+	counts map[uint64]int
 }
 
-type runningKey struct {
-	service     string
-	fingerprint uint64
-}
-
-func (r *running) add(service string, fingerprint uint64) {
-	shard := &r.shards[fingerprint%runningShards]
-	shard.mu.Lock()
-	defer shard.mu.Unlock()
-	if shard.counts == nil {
-		shard.counts = make(map[runningKey]int)
+func (r *running) begin(fingerprint uint64) {
+	s := &r.shards[fingerprint%runningShards]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.counts == nil {
+		s.counts = make(map[uint64]int)
 	}
-	shard.counts[runningKey{service, fingerprint}]++
+	s.counts[fingerprint]++
 }
 
-func (r *running) remove(service string, fingerprint uint64) {
-	shard := &r.shards[fingerprint%runningShards]
-	shard.mu.Lock()
-	defer shard.mu.Unlock()
-	key := runningKey{service, fingerprint}
-	if shard.counts[key]--; shard.counts[key] <= 0 {
-		delete(shard.counts, key)
+func (r *running) end(fingerprint uint64) {
+	s := &r.shards[fingerprint%runningShards]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.counts[fingerprint]--; s.counts[fingerprint] <= 0 {
+		delete(s.counts, fingerprint)
 	}
 }
 
-func (r *running) has(service string, fingerprint uint64) bool {
-	shard := &r.shards[fingerprint%runningShards]
-	shard.mu.Lock()
-	defer shard.mu.Unlock()
-	return shard.counts[runningKey{service, fingerprint}] > 0
-}
-
-// Running returns which of the fingerprints are at targets of this VM.
-func (a *Agent) Running(service string, fingerprints []uint64) []uint64 {
-	var found []uint64
-	for _, fingerprint := range fingerprints {
-		if a.running.has(service, fingerprint) {
-			found = append(found, fingerprint)
-		}
-	}
-	return found
+func (r *running) has(fingerprint uint64) bool {
+	s := &r.shards[fingerprint%runningShards]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts[fingerprint] > 0
 }
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -45,8 +45,9 @@
 	source *relay.Source
 	// alone tells that this request holds the only place for suspect requests.
 	alone bool
-	// listed tells that the request counts as running, for agents that ask about a suspect.
-	listed bool
+	// tried tells that this request runs as a granted trial, counted that it is among the running ones.
+	tried   bool
+	counted bool
 	// abort makes the server close the connection without ending the answer.
 	abort bool
 }
@@ -73,7 +74,7 @@
 }
 
 func (x *exchange) leave() {
-	x.leaveRunning()
+	x.end()
 	if x.alone {
 		x.agent.suspectRuns.Store(false)
 	}
@@ -85,7 +86,6 @@
 	text := h.Get(model.HeaderTarget)
 	err := x.agent.signer.Verify(relay.Signed{
 		Exchange: h.Get(model.HeaderExchange), Method: x.r.Method, URI: x.r.RequestURI, Target: text, Key: x.key,
-		Trial: h.Get(model.HeaderTrial),
 	}, h.Get(model.HeaderSignature))
 	if err != nil {
 		_ = level.Warn(x.agent.config.Logger).Log("msg", "relayed request refused", "peer", x.r.RemoteAddr, "err", err)
@@ -123,31 +123,11 @@
 	return ""
 }
 
-func (x *exchange) leaveRunning() {
-	if x.listed {
-		x.listed = false
-		x.agent.running.remove(x.suspect.Service, x.suspect.Fingerprint)
-	}
-}
-
-// checkPoison lets a request that is suspect of crashing targets run only as the granted trial, and only while no other
-// trial runs here. The request counts as running before its verdict is read, so that none starts unseen while the
-// suspicion arrives.
+// checkPoison refuses a quarantined request before it takes a slot; mayRun decides about all others.
 func (x *exchange) checkPoison() string {
-	if x.agent.config.Poison == nil {
-		return ""
-	}
-	x.agent.running.add(x.suspect.Service, x.suspect.Fingerprint)
-	x.listed = true
-	switch x.agent.config.Poison.Verdict(x.suspect.Service, x.suspect.Fingerprint) {
-	case PoisonQuarantined:
+	p := x.agent.config.Poison
+	if p != nil && p.Verdict(x.suspect.Service, x.suspect.Fingerprint) == PoisonQuarantined {
 		return relay.ReasonPoison
-	case PoisonSuspect:
-		if x.r.Header.Get(model.HeaderTrial) == "" || !x.agent.suspectRuns.CompareAndSwap(false, true) {
-			return relay.ReasonSuspect
-		}
-		x.alone = true
-	case PoisonClear:
 	}
 	return ""
 }
@@ -184,6 +164,11 @@
 		x.refuse(relay.ReasonDeadline, model.OutcomeNotRun)
 		return
 	}
+	if refusal := x.mayRun(ctx); refusal != "" {
+		conn.Discard()
+		x.refuse(refusal, model.OutcomeNotRun)
+		return
+	}
 	// The key is marked as seen only when the request is handed to the target.
 	if x.keyed() && !x.agent.config.Ledger.Admit(x.key) {
 		conn.Discard()
@@ -191,6 +176,7 @@
 		return
 	}
 	result = x.run(ctx, conn)
+	x.endTrial(result.Kind)
 }
 
 // keyed reports whether the ledger follows the key; idempotent requests may run several times.
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -195,10 +195,6 @@
 type Poison interface {
 	Fingerprint(r PoisonRequest) uint64
 	Quarantined(service string, fingerprint uint64) bool
-	// Trial asks the agent whose target crashed whether the request may be tried once more.
-	Trial(ctx context.Context, agent model.Node, service string, fingerprint uint64) bool
-	// EndTrial tells that agent how the trial ended.
-	EndTrial(agent model.Node, service string, fingerprint uint64, survived bool)
 }
 
 const (
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -62,6 +62,7 @@
 		{Name: "view", Dump: func() any { return n.fleet.view.Load() }},
 		{Name: "edge-verdicts", Dump: func() any { return n.paths.Snapshot() }},
 		{Name: "agent-verdicts", Dump: func() any { return n.targets.Snapshot() }},
+		{Name: "poison", Dump: func() any { return n.suspicion.module.Snapshot().State() }},
 		{Name: "control", Dump: func() any { return n.peer.Stats() }},
 		{Name: "platform", Dump: func() any {
 			return platformState{Table: n.store.TableStats(), Objects: n.store.ObjectStats()}
--- a/internal/node/suspicion.go
+++ b/internal/node/suspicion.go
@@ -2,71 +2,97 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/sourcegraph/conc"
 
 	"github.com/auburnwinch/auburnwinch/internal/agent"
 	"github.com/auburnwinch/auburnwinch/internal/edge"
 	"github.com/auburnwinch/auburnwinch/internal/member"
-	"github.com/auburnwinch/auburnwinch/internal/once"
 	"github.com/auburnwinch/auburnwinch/internal/poison"
+	"github.com/auburnwinch/auburnwinch/internal/timer"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
-// trialTimeout bounds the calls about a trial; without an answer there is no trial.
-const trialTimeout = 2 * time.Second
+const (
+	poisonTick = time.Second
+	// spreadTimeout bounds the report of a crash to the agents of the service; the edge waits for it before it tries
+	// the request on another target.
+	spreadTimeout = 300 * time.Millisecond
+	poisonService = "Poison"
+)
+
+// caller calls methods of other nodes; peer.Peer implements it.
+type caller interface {
+	Call(ctx context.Context, node model.Node, method string, args, reply any) error
+}
 
-// suspicion adapts the detection of requests that crash targets to edge and agent.
+// suspicion is the shell of the poison module.
 type suspicion struct {
-	self   model.NodeRef
-	guard  *poison.Guard
-	peers  poison.Peers
-	logger log.Logger
+	self    model.NodeRef
+	peers   caller
+	fleet   *fleet
+	clock   timer.Service
+	logger  log.Logger
+	publish func([]model.PoisonEntry)
+	// runs tells which requests are at targets of this node.
+	runs func(fingerprint uint64) bool
+
+	mu     sync.Mutex
+	module *poison.Module
+	// spreading are the requests whose suspicion is on its way to the agents.
+	spreading map[trialID]bool
+	// learned are the entries of the latest record of each node. Only one goroutine uses them.
+	learned map[model.NodeRef][]model.PoisonEntry
+
+	stop  chan struct{}
+	group conc.WaitGroup
 }
 
-// Fingerprint identifies a request for the detection of requests that crash targets. The idempotency key is no part of
-// it, because a caller may send the same request again under a new key.
-func (s *suspicion) Fingerprint(r edge.PoisonRequest) uint64 {
-	return once.Fingerprint("", r.Service, r.Method, r.Path, r.Query, r.Body)
+func newSuspicion(s *suspicion) *suspicion {
+	s.module = poison.New(poison.Config{Self: s.self})
+	s.stop = make(chan struct{})
+	s.spreading = make(map[trialID]bool)
+	s.learned = make(map[model.NodeRef][]model.PoisonEntry)
+	s.group.Go(s.run)
+	return s
 }
 
-// Quarantined reports whether the request must not run.
-func (s *suspicion) Quarantined(service string, fingerprint uint64) bool {
-	return s.guard.Snapshot().Verdict(service, fingerprint) == poison.Quarantined
+func (s *suspicion) close() {
+	close(s.stop)
+	s.group.Wait()
 }
 
-// Trial asks the agent whose target crashed whether the request may be tried once more.
-func (s *suspicion) Trial(ctx context.Context, node model.Node, service string, fingerprint uint64) bool {
-	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
-	defer cancel()
-	if node.Ref == s.self {
-		return s.guard.Trial(ctx, service, fingerprint)
-	}
-	granted, err := poison.AskTrial(ctx, s.peers, node, service, fingerprint)
-	if err != nil {
-		_ = level.Warn(s.logger).Log("msg", "trial of a suspect request not granted", "node", node.Ref.ID, "err", err)
+func (s *suspicion) run() {
+	ticks := s.clock.Subscribe(poisonTick)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-s.stop:
+			return
+		case now := <-ticks.C:
+			s.update(poison.TickMsg{Now: now})
+		}
 	}
-	return granted && err == nil
 }
 
-// EndTrial tells that agent how the trial ended.
-func (s *suspicion) EndTrial(node model.Node, service string, fingerprint uint64, survived bool) {
-	if node.Ref == s.self {
-		s.guard.EndTrial(service, fingerprint, survived)
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), trialTimeout)
-	defer cancel()
-	if err := poison.TellTrial(ctx, s.peers, node, service, fingerprint, survived); err != nil {
-		_ = level.Warn(s.logger).Log("msg", "end of a trial not reported; the suspicion expires", "node", node.Ref.ID, "err", err)
-	}
+// Fingerprint identifies a request for the detection of requests that crash targets.
+func (s *suspicion) Fingerprint(r edge.PoisonRequest) uint64 {
+	return poison.Fingerprint(r.Service, r.Method, r.Path, r.Query, r.Body)
+}
+
+// Quarantined reports whether the request must not run.
+func (s *suspicion) Quarantined(service string, fingerprint uint64) bool {
+	return s.module.Snapshot().Verdict(service, fingerprint) == poison.Quarantined
 }
 
 // Verdict returns whether the request may run at this agent.
 func (s *suspicion) Verdict(service string, fingerprint uint64) agent.PoisonVerdict {
-	switch s.guard.Snapshot().Verdict(service, fingerprint) {
+	switch s.module.Snapshot().Verdict(service, fingerprint) {
 	case poison.Quarantined:
 		return agent.PoisonQuarantined
 	case poison.Suspect:
@@ -76,18 +102,54 @@
 	}
 }
 
-// Crashed records a crash and returns when the agents of the service know of it.
+// Crashed records a crash and returns when the agents of the service know of it or the time for that is over.
 func (s *suspicion) Crashed(target model.TargetRef, suspect agent.Suspect) {
 	_ = level.Warn(s.logger).Log("msg", "request in flight at a crash is suspect", "service", target.Service, "target", target.ID,
 		"fingerprint", suspect.Fingerprint, "idempotent", suspect.Idempotent)
-	s.guard.Crash(context.Background(), target, []poison.Request{{Fingerprint: suspect.Fingerprint, Idempotent: suspect.Idempotent}})
+	s.carryOut(s.update(poison.CrashMsg{
+		Now: s.clock.Now(), Target: target,
+		InFlight: []poison.Request{{Fingerprint: suspect.Fingerprint, Idempotent: suspect.Idempotent}},
+	}))
 }
 
-// learn takes the entries that other nodes publish in their records.
+// learn takes the entries that other nodes publish in their records, and those that they withdrew.
 func (s *suspicion) learn(snapshot *member.Snapshot) {
+	learned := make(map[model.NodeRef][]model.PoisonEntry)
 	for i := range snapshot.Records {
-		if record := &snapshot.Records[i]; len(record.Poison) > 0 && record.Node.Ref != s.self {
-			s.guard.Report(record.Node.Ref, record.Poison)
+		record := &snapshot.Records[i]
+		if record.Node.Ref == s.self {
+			continue
+		}
+		if !slices.Equal(s.learned[record.Node.Ref], record.Poison) {
+			s.update(poison.ReportMsg{Now: s.clock.Now(), Node: record.Node.Ref, Entries: record.Poison})
+		}
+		if len(record.Poison) > 0 {
+			learned[record.Node.Ref] = record.Poison
+		}
+	}
+	s.learned = learned
+}
+
+// update changes the module, publishes its entries and returns the commands that need other nodes or an answer.
+func (s *suspicion) update(msg poison.Msg) []poison.Cmd {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rest []poison.Cmd
+	for _, cmd := range s.module.Update(msg) {
+		if published, ok := cmd.(poison.PublishCmd); ok {
+			s.publish(published.Entries)
+			continue
+		}
+		rest = append(rest, cmd)
+	}
+	return rest
+}
+
+// carryOut sends suspicions to the agents.
+func (s *suspicion) carryOut(cmds []poison.Cmd) {
+	for _, cmd := range cmds {
+		if spread, ok := cmd.(poison.SpreadCmd); ok {
+			s.spread(spread)
 		}
 	}
 }
--- a/internal/poison/fingerprint.go
+++ b/internal/poison/fingerprint.go
@@ -10,10 +10,11 @@
 const BodyBytes = 4 << 10
 
 // Fingerprint identifies a request that is sent again; body is its start, of which BodyBytes count. Requests with the
-// same fingerprint share suspicion and quarantine.
-func Fingerprint(service, method, path, query, key string, body []byte) uint64 {
+// same fingerprint share suspicion and quarantine. The idempotency key is no part of it, because a caller may send the
+// same request again under a new key.
+func Fingerprint(service, method, path, query string, body []byte) uint64 {
 	h := xxhash.New()
-	for _, part := range []string{service, method, path, query, key} {
+	for _, part := range []string{service, method, path, query} {
 		_, _ = fmt.Fprintf(h, "%d:%s", len(part), part)
 	}
 	_, _ = h.Write(body[:min(len(body), BodyBytes)])
--- a/internal/relay/sign.go
+++ b/internal/relay/sign.go
@@ -32,8 +32,6 @@
 	URI      string
 	Target   string
 	Key      string
-	// Trial is the value of Auburnwinch-Trial.
-	Trial string
 }
 
 // NewSigner returns a signer; an empty secret signs nothing.
@@ -59,7 +57,7 @@
 	}
 	defer s.hashes.Put(scratch)
 	text := scratch.text[:0]
-	for _, part := range [...]string{parts.Exchange, parts.Method, parts.URI, parts.Target, parts.Key, parts.Trial} {
+	for _, part := range [...]string{parts.Exchange, parts.Method, parts.URI, parts.Target, parts.Key} {
 		text = append(append(text, part...), 0)
 	}
 	scratch.text = text
