--- a/Makefile
+++ b/Makefile
@@ -41,5 +41,5 @@
 	for n in 10 100; do AUBURNWINCH_CAPACITY_NODES=$$n $(MEASURE) -run '^TestLoopbackCapacity$$' ./internal/peer || exit 1; done > $(CAPACITY)/peer.txt
 	ONCE_MEASURE=1 $(MEASURE) -run '^TestMemoryPerKey$$' ./internal/once > $(CAPACITY)/keys.txt
 	$(MEASURE) -run '^$$' -bench . -benchtime 300ms ./internal/eject ./internal/router ./internal/ticket ./internal/peer ./internal/picker ./internal/limit ./internal/store > $(CAPACITY)/parts.txt
-	$(BIN)/bench idle --programs $(BIN)
+	$(BIN)/bench idle --programs $(BIN) > $(CAPACITY)/idle.txt
 	$(BIN)/bench capacity --measurements $(CAPACITY)
--- a/cmd/bench/budget.go
+++ b/cmd/bench/budget.go
@@ -16,7 +16,9 @@
 	registryReadEvery   = 600.0
 	keySeconds          = 660.0
 	snapshotEvery       = 50.0
-	routesPerTicket     = designRoutes / designServices
+	// heapGrowth is the size up to which the collector lets the heap grow, in relation to the live one.
+	heapGrowth      = 2.0
+	routesPerTicket = designRoutes / designServices
 	// startReads are those of one starting node: registry, list of snapshots, snapshot, head and tickets.
 	startReads = 5.0
 	// readCost is the cost of a platform read in microseconds; it is that of a claim over loopback, client and
@@ -67,6 +69,12 @@
 	return judgementsPerSecond * b.figures.get(figureEdgeTick).last() / microsPerSecond
 }
 
+// busyCore is what requests add to the judgements of an idle edge that has used a number of pairs, from the fits.
+func (b *budget) busyCore(pairs float64) float64 {
+	busy, idle := b.figures.get(figureEdgeTick).fit().at(pairs), b.figures.get(figureIdleTick).fit().at(pairs)
+	return judgementsPerSecond * max(0, busy-idle) / microsPerSecond
+}
+
 func (b *budget) agentCore() float64 {
 	return judgementsPerSecond * b.figures.get(figureAgentTick).last() / microsPerSecond
 }
@@ -139,19 +147,37 @@
 		"worked out: 750 tickets a day, each with a rebuild")
 }
 
+// pairsMB is what an edge keeps for the pairs of target and route that it has used, from the fit.
+func (b *budget) pairsMB(pairs float64) float64 {
+	return b.figures.get(heapCells).fit().at(pairs) / 1000
+}
+
+// resident is the memory of a process whose live heap is larger than that of an idle one. The collector lets the heap
+// grow to twice the live one.
+func (b *budget) resident(heapMB float64) float64 { return b.tests.idleMB + heapGrowth*heapMB }
+
 func (b *budget) printNode() {
-	core := b.detectionCore() + b.rebuildCore() + keysCore + b.agentCore() + b.core + readCost/microsPerSecond + b.ticketCore()
-	memory := b.heapMB(heapEdge, heapCells, heapView, heapPicker, heapRoutes, heapAgent, heapRecords)
+	heap := b.heapMB(heapEdge, heapView, heapPicker, heapRoutes, heapAgent, heapRecords)
 	fmt.Println("\n### One node in all")
 	fmt.Println()
 	fmt.Println("| budget | limit | worked out | verdict |")
 	fmt.Println("| --- | --- | --- | --- |")
-	fmt.Printf("| control work, of a core, a reader | %.1f%% | %s%% | %s |\n", 100*budgetCore, short(100*core), verdict(core, budgetCore))
-	fmt.Printf("| memory, no keys | %.0f MB | %.1f MB | %s |\n", budgetMemoryMB, memory, verdict(memory, budgetMemoryMB))
-	fmt.Printf("| memory, every tenth request with a key | %.0f MB | %.1f MB | %s |\n", budgetMemoryMB, memory+b.keysMB(0.1),
-		verdict(memory+b.keysMB(0.1), budgetMemoryMB))
-	fmt.Printf("| memory, every request with a key | %.0f MB | %.1f MB | %s |\n", budgetMemoryMB, memory+b.keysMB(1),
-		verdict(memory+b.keysMB(1), budgetMemoryMB))
+	const perDomain = designTargets / designDomains * routesPerService
+	core := func(name string, pairs float64) {
+		core := b.tests.idleCore + b.busyCore(pairs) + b.agentCore() + b.rebuildCore() + keysCore + b.ticketCore()
+		fmt.Printf("| control work on an ordinary day, of a core, %s | %.1f%% | %s%% | %s |\n", name, 100*budgetCore, short(100*core), verdict(core, budgetCore))
+	}
+	core("targets of the own failure domain used", perDomain)
+	core("every target used with every route", designTargets*routesPerService)
+	memory := func(name string, pairs, share float64) {
+		mb := b.resident(heap + b.pairsMB(pairs) + b.keysMB(share))
+		fmt.Printf("| resident memory, %s | %.0f MB | %.0f MB | %s |\n", name, budgetMemoryMB, mb, verdict(mb, budgetMemoryMB))
+	}
+	memory("targets of the own failure domain used, no keys", perDomain, 0)
+	memory("targets of the own failure domain used, a tenth of the requests with keys", perDomain, 0.1)
+	memory("targets of the own failure domain used, all requests with keys", perDomain, 1)
+	memory("targets of the own region used, a tenth of the requests with keys", perDomain*designDomains/designRegions, 0.1)
+	memory("every target used with every route, no keys", designTargets*routesPerService, 0)
 	fmt.Printf("| bytes/s, sent and received | %.0f | %.0f | %s |\n", budgetBytes, b.sent+b.received, verdict(b.sent+b.received, budgetBytes))
 	fmt.Printf("| bytes/s of the busiest node, one way | %.0f | %.0f | %s |\n", budgetBytes, b.worst, verdict(b.worst, budgetBytes))
 }
--- a/cmd/bench/measured.go
+++ b/cmd/bench/measured.go
@@ -24,6 +24,7 @@
 	measuredLine  = regexp.MustCompile(`^(capacity|loopback) nodes=(\d+) ([^:]+): (.*)$`)
 	benchmarkLine = regexp.MustCompile(`^Benchmark(\S+?)(?:-\d+)?\s+\d+\s+([\d.]+) ns/op`)
 	keysLine      = regexp.MustCompile(`(\d+) keys: (\d+) bytes per key`)
+	idleLine      = regexp.MustCompile(`^\| \S+ \| ([\d.]+)% \| ([\d.]+) \| \d`)
 	figureInText  = regexp.MustCompile(`\d+(?:\.\d+)?`)
 )
 
@@ -32,6 +33,8 @@
 	lines      []measured
 	benchmarks []sampleOf
 	keys       []sample
+	// idleCore and idleMB are those of the costliest idle process: share of a core and resident megabytes.
+	idleCore, idleMB float64
 }
 
 type sampleOf struct {
@@ -54,6 +57,7 @@
 		}
 		for line := range strings.Lines(string(data)) {
 			m.take(strings.TrimSpace(line))
+			m.takeIdle(line)
 		}
 	}
 	return m, nil
@@ -75,6 +79,14 @@
 	}
 }
 
+func (m *measurements) takeIdle(line string) {
+	if parts := idleLine.FindStringSubmatch(line); parts != nil {
+		core, _ := strconv.ParseFloat(parts[1], 64)   // The pattern admits numbers only.
+		memory, _ := strconv.ParseFloat(parts[2], 64) // The pattern admits numbers only.
+		m.idleCore, m.idleMB = max(m.idleCore, core/100), max(m.idleMB, memory)
+	}
+}
+
 // figures returns the numbers in the line of a measuring test, in order.
 func (m *measurements) figures(source, name string, nodes, want int) ([]float64, error) {
 	for _, l := range m.lines {
--- a/cmd/bench/scale.go
+++ b/cmd/bench/scale.go
@@ -42,19 +42,8 @@
 // scaleSizes are the numbers of nodes at which slopes are measured; targets and routes are in proportion.
 var scaleSizes = []int{10, 100, designNodes}
 
-// scaled is the state of one node of a fleet of a given size, in the real modules.
-type scaled struct {
-	nodes         int
-	members       *member.Module
-	configuration *model.Configuration
-}
-
 func targetsOf(nodes int) int { return nodes * designTargets / designNodes }
 
-func newScaled(nodes int) *scaled {
-	return &scaled{nodes: nodes, members: scaledMembers(nodes), configuration: scaledConfiguration(designRoutes)}
-}
-
 // scaledMembers returns the module of node 0 after all others have joined through it.
 func scaledMembers(nodes int) *member.Module {
 	now := time.Unix(1_700_000_000, 0)
