--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -4,6 +4,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/auburnwinch/auburnwinch/internal/config"
+	"github.com/auburnwinch/auburnwinch/internal/relay"
 	"github.com/auburnwinch/auburnwinch/internal/timer"
 )
 
@@ -12,6 +13,10 @@
 	Settings *config.Settings
 	Logger   log.Logger
 	Clock    timer.Service
+	// Dial opens the connections to agents, targets and peers; it defaults to the dialer of the system.
+	Dial relay.DialFunc
+	// LoseDatagram reports that a datagram to the address must not be sent; by default all are sent.
+	LoseDatagram func(address string) bool
 	// Version is the release of the program, for logs and the state dump.
 	Version string
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -138,7 +138,7 @@
 	n.agent, err = agent.New(agent.Config{
 		Self: n.self.Ref, View: &n.fleet.view, Secret: n.secret(), NewLimiter: newAdmission,
 		Tracker: agentTracker{n.targets}, Ledger: ledger{n.ledger}, Poison: n.suspicion,
-		OnTargets: n.record.setTargets, Clock: n.config.Clock, Logger: n.logger,
+		OnTargets: n.record.setTargets, Clock: n.config.Clock, Logger: n.logger, Dial: n.config.Dial,
 	})
 	return err
 }
@@ -146,7 +146,7 @@
 func (n *Node) buildEdge() (err error) {
 	n.edge, err = edge.New(edge.Config{
 		View: &n.fleet.view, Secret: n.secret(), Picker: picks{n.picker}, Tracker: edgeTracker{n.paths},
-		Keys: keys{n.owner}, Poison: n.suspicion, Clock: n.config.Clock, Logger: n.logger,
+		Keys: keys{n.owner}, Poison: n.suspicion, Clock: n.config.Clock, Logger: n.logger, Dial: n.config.Dial,
 	})
 	return err
 }
@@ -196,6 +196,7 @@
 			{Name: poisonService, Receiver: &Poison{suspicion: n.suspicion}},
 		},
 		OnChange: n.membersChanged, OnTicketBehind: func(p model.Node, number uint64) { n.tickets.Hear(p.Ref, number) }, Clock: n.config.Clock, Logger: n.logger,
+		Dial: n.config.Dial, LoseDatagram: n.config.LoseDatagram,
 	})
 	if err != nil {
 		return eris.Wrap(err, "open the peers' listener")
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"net"
 
 	"github.com/auburnwinch/auburnwinch/internal/member"
 	"github.com/auburnwinch/auburnwinch/internal/timer"
@@ -43,6 +44,10 @@
 	OnTicketBehind func(peer model.Node, number uint64)
 	// OnReplaced is called when another process runs under the own ID with a larger incarnation; it must not block.
 	OnReplaced func(by model.NodeRef)
+	// Dial opens connections to other nodes; it defaults to the dialer of the system.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// LoseDatagram reports that a datagram to the address must not be sent; by default all are sent.
+	LoseDatagram func(address string) bool
 	// Clock defaults to the clock of the process.
 	Clock timer.Service
 	// Logger defaults to no logging.
@@ -67,6 +72,9 @@
 	if c.Clock == nil {
 		c.Clock = timer.NewReal()
 	}
+	if c.Dial == nil {
+		c.Dial = (&net.Dialer{}).DialContext
+	}
 	if c.Logger == nil {
 		c.Logger = log.NewNopLogger()
 	}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -49,6 +49,7 @@
 	ctx      context.Context
 	secret   []byte
 	tls      *tls.Config
+	dialer   func(ctx context.Context, network, address string) (net.Conn, error)
 	counters *counters
 	reject   func(source string, err error)
 
@@ -59,7 +60,7 @@
 
 func newPool(ctx context.Context, c Config, counters *counters, reject func(string, error)) *pool {
 	return &pool{
-		ctx: ctx, secret: c.Secret, tls: c.TLS, counters: counters, reject: reject,
+		ctx: ctx, secret: c.Secret, tls: c.TLS, dialer: c.Dial, counters: counters, reject: reject,
 		clients: make(map[string]*client), dials: make(map[string]*dialing),
 	}
 }
@@ -188,8 +189,7 @@
 func (p *pool) connect(address string) (*client, error) {
 	ctx, cancel := context.WithTimeout(p.ctx, dialTimeout)
 	defer cancel()
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := p.dialer(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/socket.go
+++ b/internal/peer/socket.go
@@ -49,6 +49,9 @@
 		level.Warn(p.log).Log("msg", "datagram not sent", "address", cmd.Address, "err", err)
 		return
 	}
+	if p.config.LoseDatagram != nil && p.config.LoseDatagram(cmd.Address) {
+		return
+	}
 	// A datagram that the system refuses is lost like any other; the failure detector deals with it.
 	if n, err := p.packets.WriteToUDPAddrPort(packet, address); err == nil {
 		p.counters.datagramsSent.Add(1)
