agent: tell a crash from a broken connection by idle connections

The agent took a target for alive when a new connection succeeded. A process that dies closes its connections one after the other, so that its listener can still accept when the agent looks; a quick supervisor has the same effect. A restart before the look was ruled out: it came 50 ms later.

The agent now keeps two connections to each target that carry no request. A process that dies closes both at the same moment; an idle timeout does not, as they are opened 1 s apart. A refused connection still counts as a crash.

TestCrashOfTargetThatIsBackAtOnce covers a port that is open again.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -92,6 +92,7 @@
 	a.group.Wait()
 	for _, l := range a.registry.all() {
 		l.pool.Close()
+		l.shared.sentinel.close()
 	}
 	return nil
 }
@@ -122,17 +123,10 @@
 	}
 }
 
-// crashed reports whether the target of a broken exchange is dead: it refuses new connections. Then the request becomes
-// suspect.
+// crashed reports whether the target of a broken exchange is dead: it closed the connection that carries no request, or
+// it refuses new ones. Then the request becomes suspect.
 func (a *Agent) crashed(x *exchange) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), crashCheck)
-	defer cancel()
-	conn, err := x.local.pool.Get(ctx, relay.ConnNew)
-	if err == nil {
-		conn.Discard()
-		return false
-	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
+	if !x.local.shared.sentinel.died() && !a.refuses(x) {
 		return false
 	}
 	a.targetGone(x.local)
@@ -144,6 +138,18 @@
 	return true
 }
 
+// refuses reports whether the target refuses a new connection.
+func (a *Agent) refuses(x *exchange) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), crashCheck)
+	defer cancel()
+	conn, err := x.local.pool.Get(ctx, relay.ConnNew)
+	if err == nil {
+		conn.Discard()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // targetGone removes a target that refuses connections; it comes back with its next announcement.
 func (a *Agent) targetGone(l *local) {
 	if !a.registry.removeRun(l) {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -338,3 +338,35 @@
 	defer f.mu.Unlock()
 	require.Equal(t, []bool{true}, f.trials)
 }
+
+// Guards against a crash that looks like a broken connection, because a supervisor started the target again before the
+// agent looked whether it refuses connections.
+func TestCrashOfTargetThatIsBackAtOnce(t *testing.T) {
+	f := &fakes{}
+	b := newBench(t, agent.Config{Poison: f})
+	idle := make(chan net.Conn, 2)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for range cap(idle) {
+			_ = (<-idle).Close()
+		}
+		conn, _, _ := http.NewResponseController(w).Hijack()
+		_ = conn.Close()
+	})
+	target := httptest.NewUnstartedServer(handler)
+	target.Config.ConnState = func(conn net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			select {
+			case idle <- conn:
+			default: // The connection of the request comes last.
+			}
+		}
+	}
+	target.Start()
+	t.Cleanup(target.Close)
+	status, body := b.local("/v1/announce", announcementOf(target.Listener.Addr().String(), 1))
+	require.Equal(t, http.StatusNoContent, status, body)
+	require.Eventually(t, func() bool { return len(idle) == cap(idle) }, 10*time.Second, time.Millisecond)
+	response, _ := b.do(b.relayed(t.Context(), ""))
+	require.Equal(t, relay.ReasonCrashed, response.Header.Get(model.HeaderReason))
+	require.Len(t, f.suspects, 1)
+}
--- a/internal/agent/registry.go
+++ b/internal/agent/registry.go
@@ -59,13 +59,14 @@
 	known := r.find(next.target.Ref.Service, next.target.Ref.ID)
 	switch {
 	case known == nil || next.target.Ref.Incarnation > known.target.Ref.Incarnation:
-		next.shared = &shared{}
+		next.shared = &shared{sentinel: newSentinel(r.dial, next.address)}
 		next.shared.announced.Store(now.UnixNano())
 		next.limiter = r.newLimiter(next.target, next.spec)
 		next.pool = r.newPool(next.address)
 		r.replace(next)
 		if known != nil {
 			known.pool.Close()
+			known.shared.sentinel.close()
 		}
 		return true, nil
 	case next.target.Ref.Incarnation < known.target.Ref.Incarnation:
@@ -154,6 +155,7 @@
 	delete(next, l.key())
 	r.current.Store(&next)
 	l.pool.Close()
+	l.shared.sentinel.close()
 }
 
 func (r *registry) newPool(address string) *relay.Pool {
--- a/internal/agent/target.go
+++ b/internal/agent/target.go
@@ -26,6 +26,8 @@
 	draining  atomic.Bool
 	inFlight  atomic.Int64
 	announced atomic.Int64
+	// sentinel tells whether the process of this incarnation has died.
+	sentinel *sentinel
 
 	mu sync.Mutex
 	// reported are the fingerprints that were in flight when the target died.
