procs: claim the loopback network of a deployment

Runs of internal/load in two worktrees used 127.61 at the same time and served each other's callers: operations "ran 3 times", and marked requests crashed no target of the own run.

--- a/cmd/bench/soak.go
+++ b/cmd/bench/soak.go
@@ -15,6 +15,9 @@
 	"github.com/auburnwinch/auburnwinch/internal/procs"
 )
 
+// networkChoices is the number of further networks that a run may take.
+const networkChoices = 30
+
 // errSoak reports that the run broke an invariant.
 var errSoak = errors.New("an invariant was broken; see the findings above and the logs")
 
@@ -23,7 +26,7 @@
 	Deployment string        `enum:"instituto,kleefwerk" default:"instituto" help:"Deployment to run."`
 	Programs   string        `default:"bin" help:"Directory of the built programs."`
 	Output     string        `default:"" help:"Directory for settings, records and logs; a temporary one, which a failed run keeps, by default."`
-	Network    int           `default:"110" help:"Second byte of the loopback addresses."`
+	Network    int           `default:"110" help:"Second byte of the loopback addresses; the next ones are tried when it is in use."`
 	Targets    int           `default:"6" help:"Targets of each service."`
 	Seed       uint64        `default:"1" help:"Seed of the sequence of faults."`
 	Duration   time.Duration `default:"1m" help:"Time during which faults begin."`
@@ -57,8 +60,13 @@
 		return err
 	}
 	fmt.Printf("soak: seed %d, %s, deployment %s, records and logs in %s\n", c.Seed, c.Duration, c.Deployment, directory)
+	network, claim, err := procs.ClaimNetwork(c.Network, c.Network+networkChoices)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = claim.Close() }() // The process ends.
 	plan, err := procs.LoadPlan(filepath.Join("examples", c.Deployment), procs.PlanConfig{
-		Programs: c.Programs, Directory: directory, Network: c.Network, TargetsPerService: c.Targets,
+		Programs: c.Programs, Directory: directory, Network: network, TargetsPerService: c.Targets,
 	})
 	if err != nil {
 		return err
