--- a/internal/load/faults_test.go
+++ b/internal/load/faults_test.go
@@ -213,3 +213,19 @@
 	}
 	return dump.Tickets.Number
 }
+
+// Guards against an accepted ticket that waits for the platform: it goes away with the answer of the acceptance, before
+// the nodes that read it every second have seen the ticket.
+func TestTicketInForceWhenPlatformGoesAway(t *testing.T) {
+	t.Parallel()
+	fleet := start(t, "instituto", procs.PlanConfig{TargetsPerService: 1})
+	_, err := fleet.FileTicket(t.Context(), filepath.Join(root, "internal", "load", "testdata", "ticket-2.yaml"))
+	require.NoError(t, err)
+	accepted := time.Now()
+	require.NoError(t, load.SetPlatform(t.Context(), fleet.Plan, load.PlatformRule{Kind: "away"}))
+	for i := range fleet.Nodes {
+		require.Eventually(t, func() bool { return inForce(t, fleet, i) >= 2 }, time.Until(accepted.Add(inForceBound)), 20*time.Millisecond,
+			"node %d", i)
+	}
+	t.Logf("in force everywhere %s after the acceptance", time.Since(accepted).Round(time.Millisecond))
+}
