--- a/internal/member/doc.go
+++ b/internal/member/doc.go
@@ -9,4 +9,6 @@
 //		execute(cmd)
 //	}
 //	records := module.Snapshot().Records
+//
+// TestCapacity prints the cost of membership; AUBURNWINCH_CAPACITY_NODES=10,100,670 selects the sizes.
 package member
