Put an accepted ticket in force when the platform goes away at once

Ruled out: reading more often, which only shortens the gap.

The node also waits for the first membership before it tells the ticket keeper its peers, and stops when peers know a later incarnation of it.

--- a/cmd/auburnwinch/ticket_list.go
+++ b/cmd/auburnwinch/ticket_list.go
@@ -71,7 +71,7 @@
 }
 
 func (e *nodeError) Error() string {
-	return fmt.Sprintf("node %s gave no ticket status: %v; remedy: check --node (the admin listener) and the operator token", e.Address, e.Cause)
+	return fmt.Sprintf("node %s did not answer as expected: %v; remedy: check --node (the admin listener) and the operator token", e.Address, e.Cause)
 }
 
 // Unwrap returns the cause.
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -10,6 +10,9 @@
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
+// maxTicketBytes bounds an offered ticket; 2,500 routes take about 400 KB.
+const maxTicketBytes = 4 << 20
+
 // Section is one named part of the state dump.
 type Section struct {
 	Name string
@@ -43,7 +46,9 @@
 	Sections []Section
 	Health   func() Health
 	Tickets  func() TicketReport
-	Metrics  http.Handler
+	// Offer takes an accepted ticket from the operator's tool; it fails when the ticket is invalid.
+	Offer   func(model.Ticket) error
+	Metrics http.Handler
 }
 
 type server struct {
@@ -57,6 +62,9 @@
 	router.HandlerFunc(http.MethodGet, "/health", s.health)
 	router.Handler(http.MethodGet, "/state", s.authorized(http.HandlerFunc(s.state)))
 	router.Handler(http.MethodGet, "/tickets", s.authorized(http.HandlerFunc(s.tickets)))
+	if config.Offer != nil {
+		router.Handler(http.MethodPost, "/tickets", s.authorized(http.HandlerFunc(s.offer)))
+	}
 	if config.Metrics != nil {
 		router.Handler(http.MethodGet, "/metrics", s.authorized(config.Metrics))
 	}
@@ -95,6 +103,25 @@
 	writeJSON(w, http.StatusOK, s.Tickets())
 }
 
+func (s *server) offer(w http.ResponseWriter, r *http.Request) {
+	var t model.Ticket
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxTicketBytes))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(&t)
+	if err == nil {
+		err = s.Offer(t)
+	}
+	if err != nil {
+		writeJSON(w, http.StatusBadRequest, model.Answer{
+			Outcome: model.OutcomeNotRun,
+			Reason:  "the ticket is refused: " + err.Error(),
+			Remedy:  "hand over the ticket exactly as it was accepted",
+		})
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (s *server) authorized(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !s.isOperator(r) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -55,6 +56,8 @@
 	group     conc.WaitGroup
 	closing   sync.Once
 	verdicts  *verdictCounts
+	// joined tells that the membership is known; before, an empty list of peers says nothing.
+	joined atomic.Bool
 }
 
 type listeners struct {
@@ -186,7 +189,9 @@
 func (n *Node) membersChanged(snapshot *member.Snapshot) {
 	n.fleet.members.Store(snapshot)
 	n.viewer.setMembers(snapshot)
-	n.tickets.SetPeers(nodesOf(snapshot))
+	if n.joined.Load() {
+		n.tickets.SetPeers(nodesOf(snapshot))
+	}
 	n.suspicion.learn(snapshot)
 }
 
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -26,6 +26,7 @@
 		n.serve(l)
 	}
 	n.group.Go(func() { n.register(ctx) })
+	n.group.Go(func() { n.join(ctx) })
 	_ = level.Info(n.logger).Log("msg", "node started", "incarnation", n.self.Ref.Incarnation, "version", n.config.Version,
 		"callers", n.self.CallerAddress, "relay", n.self.RelayAddress, "peers", n.self.PeerAddress)
 	<-ctx.Done()
@@ -35,6 +36,24 @@
 	return nil
 }
 
+// join waits until the membership is known. Keys and tokens carry the incarnation that was drawn at the start; a peer
+// that knows a later one of this node shows that the clock of the VM went back, and the node must not serve under it.
+func (n *Node) join(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-n.peer.Joined():
+	}
+	if known := n.peer.Self().Ref; known != n.self.Ref {
+		_ = level.Error(n.logger).Log("msg", "peers know a later incarnation of this node; set the clock of the VM and start the node again",
+			"incarnation", n.self.Ref.Incarnation, "known", known.Incarnation)
+		n.cancel()
+		return
+	}
+	n.joined.Store(true)
+	n.tickets.SetPeers(nodesOf(n.peer.Snapshot()))
+}
+
 // register keeps the registry row of this node, by which starting nodes find peers.
 func (n *Node) register(ctx context.Context) {
 	ticks := n.config.Clock.Subscribe(registryInterval)
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -7,6 +7,7 @@
 
 	"github.com/auburnwinch/auburnwinch/internal/admin"
 	"github.com/auburnwinch/auburnwinch/internal/invar"
+	"github.com/auburnwinch/auburnwinch/internal/ticket"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
@@ -38,6 +39,7 @@
 		Sections: n.sections(),
 		Health:   n.health,
 		Tickets:  n.ticketReport,
+		Offer:    n.offerTicket,
 		Metrics:  n.meter.Handler(),
 	})
 }
@@ -86,6 +88,14 @@
 	return max(n.tickets.Head(), number) - number
 }
 
+func (n *Node) offerTicket(t model.Ticket) error {
+	if err := ticket.Validate(t); err != nil {
+		return err
+	}
+	n.tickets.Offer(t)
+	return nil
+}
+
 // ticketReport tells the number in force on each node that is alive, as far as its latest record says.
 func (n *Node) ticketReport() admin.TicketReport {
 	report := admin.TicketReport{Head: max(n.tickets.Head(), n.tickets.Configuration().Number)}
--- a/internal/ticket/keeper.go
+++ b/internal/ticket/keeper.go
@@ -124,6 +124,12 @@
 	}
 }
 
+// Offer takes an accepted ticket from the operator's tool, so that it is in force also when the platform goes away right
+// after the acceptance. The platform's own copy wins over it if they differ.
+func (k *Keeper) Offer(t model.Ticket) {
+	k.update(BatchMsg{Source: Operator, Tickets: []model.Ticket{t}})
+}
+
 // SetPeers takes the other nodes that are alive, after each change of the membership.
 // A starting node calls it only after its first membership sync: a node without peers is ready once the platform answered.
 func (k *Keeper) SetPeers(nodes []model.Node) {
--- a/internal/ticket/message.go
+++ b/internal/ticket/message.go
@@ -14,6 +14,9 @@
 // Platform is the source that stands for the platform.
 var Platform = Source{}
 
+// Operator is the source of tickets that the operator's tool hands over after their acceptance.
+var Operator = Source{Peer: model.NodeRef{ID: "operator"}}
+
 // Msg is an input of the module.
 type Msg interface{ ticketMsg() }
 
--- a/internal/ticket/starter.go
+++ b/internal/ticket/starter.go
@@ -63,7 +63,8 @@
 }
 
 func (s *starter) answer(source Source) {
-	if s.done {
+	// The operator's tool knows one ticket, not the configuration.
+	if s.done || source == Operator {
 		return
 	}
 	s.answered[source] = true
