--- a/internal/eject/judge.go
+++ b/internal/eject/judge.go
@@ -102,11 +102,12 @@
 func (s *service) hintErrors() int { return max(2, s.thresholds.ConsecutiveErrors/2) }
 
 func (s *service) examineErrors(name string, c *classEvidence, now time.Time, found *symptom) {
-	if c.lastFail.IsZero() || now.Sub(c.lastFail) > evidenceMaxAge {
+	age := now.Sub(c.lastFail)
+	if c.lastFail.IsZero() || age > evidenceMaxAge {
 		return
 	}
 	ratio, ok := c.errorRatio(s.thresholds.MinSamples)
-	if c.errors >= s.thresholds.ConsecutiveErrors || ok && ratio >= s.thresholds.ErrorRatio {
+	if age <= failureMaxAge && (c.errors >= s.thresholds.ConsecutiveErrors || ok && ratio >= s.thresholds.ErrorRatio) {
 		found.raise(model.SeverityFailing, name)
 	}
 	if c.errors >= s.hintErrors() || ok && ratio >= s.thresholds.ErrorRatio/2 {
--- a/internal/eject/settings.go
+++ b/internal/eject/settings.go
@@ -55,6 +55,9 @@
 	evidenceMaxAge = 10 * time.Second
 	// samplesMaxAge is the age after which the durations of an unused class are freed.
 	samplesMaxAge = 2 * time.Minute
+	// failureMaxAge is the age after which the latest failure ejects no more. It is shorter than evidenceMaxAge, so that
+	// the failures of the others still count as a common cause; without it a store outage ejects after its end.
+	failureMaxAge = evidenceMaxAge / 2
 	// retainedWeight is the weight of an unhealthy target that the floor keeps in service.
 	retainedWeight = 0.25
 	// slowStartFloor is the weight at the beginning of slow start.
