--- a/cmd/bench/fleet_test.go
+++ b/cmd/bench/fleet_test.go
@@ -72,6 +72,7 @@
 	for seed := range uint64(12) {
 		for _, load := range []float64{0.3, 0.01} {
 			t.Run(fmt.Sprintf("seed %d load %v", seed, load), func(t *testing.T) {
+				t.Parallel()
 				d := deployments[seed%2]
 				faults := randomEpisodes(rand.New(rand.NewPCG(seed, 7)))
 				f := newFleet(fleetConfig{deployment: d, policy: newModules, fault: faults, load: load, seed: seed})
