Report the parts of an answer to the detection of unhealthy targets

The tracker takes a request as stalled by its age unless parts arrive, but edge and agent never told it of parts, so a healthy long download could count as a stall. TestPartsOfDownloadAreReported fails without the calls.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -246,6 +246,8 @@
 // handle tracks one request.
 type handle struct{ fakes *fakes }
 
+func (h handle) Progress() {}
+
 func (h handle) Finish(r agent.Result) {
 	h.fakes.mu.Lock()
 	defer h.fakes.mu.Unlock()
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -96,6 +96,8 @@
 
 // Handle tracks one request.
 type Handle interface {
+	// Progress tells that a part of the answer arrived, so that a long download does not count as stalled.
+	Progress()
 	Finish(r Result)
 }
 
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -35,6 +35,7 @@
 	w        http.ResponseWriter
 	r        *http.Request
 	local    *local
+	handle   Handle
 	key      string
 	route    string
 	started  time.Time
@@ -188,16 +189,15 @@
 func (x *exchange) run(ctx context.Context, conn *relay.Conn) Result {
 	x.local.shared.inFlight.Add(1)
 	defer x.local.shared.inFlight.Add(-1)
-	var handle Handle
 	if t := x.agent.config.Tracker; t != nil {
-		handle = t.Start(TrackRequest{Target: x.local.target.Ref, Class: x.route, Idempotent: x.suspect.Idempotent})
+		x.handle = t.Start(TrackRequest{Target: x.local.target.Ref, Class: x.route, Idempotent: x.suspect.Idempotent})
 	}
 	x.admit()
 	begin := x.agent.config.Clock.Now()
 	kind := x.forward(ctx, conn)
 	result := Result{Kind: kind, Duration: x.agent.config.Clock.Now().Sub(begin)}
-	if handle != nil {
-		handle.Finish(result)
+	if x.handle != nil {
+		x.handle.Finish(result)
 	}
 	return result
 }
@@ -369,6 +369,12 @@
 
 // copyBody flushes only when it has to wait for more of the body, so that a short answer and its trailer leave in one
 // packet.
+func (x *exchange) progress() {
+	if x.handle != nil {
+		x.handle.Progress()
+	}
+}
+
 func (x *exchange) copyBody(conn *relay.Conn, response *http.Response, sum *relay.Checksum) (*keptBody, error) {
 	block := relay.GetBlock()
 	defer relay.PutBlock(block)
@@ -378,6 +384,7 @@
 	for {
 		n, err := relay.ReadBlock(body, block[:])
 		if n > 0 {
+			x.progress()
 			sum.Add(block[:n])
 			kept.add(block[:n])
 			if _, err := x.w.Write(block[:n]); err != nil {
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -109,6 +109,8 @@
 
 // Handle tracks one attempt.
 type Handle interface {
+	// Progress tells that a part of the answer arrived, so that a long download does not count as stalled.
+	Progress()
 	Finish(r Result)
 }
 
--- a/internal/edge/deliver.go
+++ b/internal/edge/deliver.go
@@ -89,6 +89,9 @@
 	for {
 		d.leg.conn.SetReadTimeout(d.idle)
 		n, err := relay.ReadBlock(d.leg.response.Body, block[held:])
+		if n > 0 && d.leg.handle != nil {
+			d.leg.handle.Progress()
+		}
 		d.sum.Add(block[held : held+n])
 		held += n
 		if errors.Is(err, io.EOF) {
--- a/internal/edge/track_test.go
+++ b/internal/edge/track_test.go
@@ -18,6 +18,7 @@
 	inOrder
 	mu     sync.Mutex
 	open   int
+	parts  int
 	kinds  []edge.ResultKind
 	loads  []edge.Load
 	target []string
@@ -31,6 +32,12 @@
 	return r
 }
 
+func (r *recorder) Progress() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.parts++
+}
+
 func (r *recorder) Finish(result edge.Result) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -44,6 +51,15 @@
 	r.loads = append(r.loads, l)
 }
 
+// Guards against long downloads that count as stalled although their parts arrive.
+func TestPartsOfDownloadAreReported(t *testing.T) {
+	r := &recorder{}
+	target := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 1<<20)) })
+	f := newFleet(t, fleetConfig{targets: []http.Handler{target}, edge: edge.Config{Picker: r, Tracker: r}})
+	require.NoError(t, f.send(http.MethodGet, "/artwork/1", nil).err)
+	require.Greater(t, r.parts, 10)
+}
+
 // Guards against attempts that detection and choice of targets don't learn of, or learn as something else.
 func TestAttemptsAreReported(t *testing.T) {
 	status := func(code int) http.HandlerFunc {
--- a/internal/node/tracking.go
+++ b/internal/node/tracking.go
@@ -34,6 +34,11 @@
 	h.handle.Finish(eject.Result{Kind: edgeKind(r.Kind)})
 }
 
+// Progress tells that a part of the answer arrived.
+func (h edgeHandle) Progress() {
+	h.handle.Progress()
+}
+
 // Start begins to observe a request.
 func (t agentTracker) Start(r agent.TrackRequest) agent.Handle {
 	return agentHandle{t.tracker.Start(eject.Request{Target: r.Target, Class: r.Class, Idempotent: r.Idempotent})}
@@ -44,6 +49,11 @@
 	h.handle.Finish(eject.Result{Kind: agentKind(r.Kind)})
 }
 
+// Progress tells that a part of the answer arrived.
+func (h agentHandle) Progress() {
+	h.handle.Progress()
+}
+
 func edgeKind(kind edge.ResultKind) eject.Kind {
 	switch kind {
 	case edge.ResultOK:
