--- a/internal/member/baddays_test.go
+++ b/internal/member/baddays_test.go
@@ -63,7 +63,7 @@
 }
 
 // quiet waits until no rumour is passed on any more, so that the next fault starts from the steady state. The nodes agree
-// long before: 224 new records of 500 bytes, nine times each, take 7 minutes in two datagrams per second.
+// long before: 224 new records of 500 bytes, nine times each in two datagrams per second, take five minutes.
 func (c *capacityFigures) quiet(name string) {
 	took := c.sim.runUntil(15*time.Minute, "quiet", c.sim.settled)
 	c.print(name+" quiet", "rumours ended %v after the nodes agreed", took)
