--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -35,6 +36,9 @@
 	if n.listeners.relay, err = n.listen("relay", addresses.Relay, agent.NewServer(n.agent, n.logger)); err != nil {
 		return err
 	}
+	if n.tls != nil {
+		n.listeners.relay.socket = tls.NewListener(n.listeners.relay.socket, n.tls)
+	}
 	if n.listeners.local, err = n.listen("local", addresses.Local, n.plainServer("local", n.agent.Local())); err != nil {
 		return err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,6 +52,7 @@
 	peers     *lateCaller
 	meter     *meter.Meter
 
+	tls       *tls.Config
 	listeners listeners
 	cancel    context.CancelFunc
 	group     conc.WaitGroup
@@ -75,7 +77,7 @@
 	n.logger = log.With(c.Logger, "node", n.self.Ref.ID)
 	invar.OnViolation(n.logViolation)
 	for _, build := range []func() error{
-		n.buildStore, n.buildMeter, n.buildHealth, n.buildKeys, n.buildAgent, n.buildEdge, n.openListeners, n.buildTickets,
+		n.buildTLS, n.buildStore, n.buildMeter, n.buildHealth, n.buildKeys, n.buildAgent, n.buildEdge, n.openListeners, n.buildTickets,
 		n.buildPeer, n.registerMetrics,
 	} {
 		if err := build(); err != nil {
@@ -91,6 +93,11 @@
 	return n.self
 }
 
+func (n *Node) buildTLS() (err error) {
+	n.tls, err = loadTLS(n.config.Settings.TLS)
+	return err
+}
+
 func (n *Node) buildStore() (err error) {
 	n.store, err = store.New(store.Config{Platform: n.config.Settings.Platform, Clock: n.config.Clock})
 	return err
@@ -144,7 +151,7 @@
 func (n *Node) buildEdge() (err error) {
 	n.edge, err = edge.New(edge.Config{
 		View: &n.fleet.view, Secret: n.secret(), Picker: picks{n.picker}, Tracker: edgeTracker{n.paths},
-		Keys: keys{n.owner}, Poison: n.suspicion, Clock: n.config.Clock, Logger: n.logger, Dial: n.config.Dial,
+		Keys: keys{n.owner}, Poison: n.suspicion, Clock: n.config.Clock, Logger: n.logger, Dial: relayDial(n.config.Dial, n.tls),
 	})
 	return err
 }
@@ -160,12 +167,8 @@
 }
 
 func (n *Node) buildPeer() (err error) {
-	tlsConfig, err := loadTLS(n.config.Settings.TLS)
-	if err != nil {
-		return err
-	}
 	n.peer, err = peer.New(peer.Config{
-		Self: n.self, Secret: n.secret(), TLS: tlsConfig, Seeds: n.config.Settings.Seeds, Registered: n.store.Nodes,
+		Self: n.self, Secret: n.secret(), TLS: n.tls, Seeds: n.config.Settings.Seeds, Registered: n.store.Nodes,
 		Services: []peer.Service{
 			{Name: once.ServiceName, Receiver: once.NewKeys(n.owner, n.ledger)},
 			{Name: ticket.RPCService, Receiver: &ticket.Receiver{Keeper: n.tickets}},
--- a/internal/node/tls.go
+++ b/internal/node/tls.go
@@ -1,15 +1,47 @@
 package node
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"net"
 	"os"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/auburnwinch/auburnwinch/internal/config"
+	"github.com/auburnwinch/auburnwinch/internal/relay"
 )
 
+// relayDial opens connections to relay listeners, with mutual TLS when there are keys.
+func relayDial(dial relay.DialFunc, c *tls.Config) relay.DialFunc {
+	if c == nil {
+		return dial
+	}
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		raw, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			_ = raw.Close() // Nothing was sent on it.
+			return nil, eris.Wrapf(err, "relay address %s", address)
+		}
+		own := c.Clone()
+		own.ServerName = host
+		conn := tls.Client(raw, own)
+		if err := conn.HandshakeContext(ctx); err != nil {
+			_ = raw.Close() // Nothing was sent on it.
+			return nil, eris.Wrapf(err, "TLS with %s; check that its certificate names this address and the fleet's authority", address)
+		}
+		return conn, nil
+	}
+}
+
 // loadTLS reads the keys for mutual TLS between nodes; without settings it returns nil.
 func loadTLS(c *config.TLS) (*tls.Config, error) {
 	if c == nil {
--- a/internal/procs/plan.go
+++ b/internal/procs/plan.go
@@ -51,6 +51,8 @@
 	TargetsPerService int
 	// ServiceTime is the median time of work of a target; default 5 ms.
 	ServiceTime time.Duration
+	// TLS makes keys and certificates for mutual TLS between the nodes.
+	TLS bool
 	// LogLevel of the nodes; default info.
 	LogLevel config.Level
 }
@@ -103,6 +105,11 @@
 		return nil, err
 	}
 	p.planTargets()
+	if c.TLS {
+		if err := p.writeKeys(); err != nil {
+			return nil, err
+		}
+	}
 	return p, nil
 }
 
