--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -7,15 +7,17 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/auburnwinch/auburnwinch/internal/drain"
+	"github.com/auburnwinch/auburnwinch/internal/store"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
 const (
-	shutdownTick     = 50 * time.Millisecond
-	registryInterval = 30 * time.Second
-	registryTimeout  = 5 * time.Second
-	handoverTimeout  = 2 * time.Second
-	closeTimeout     = time.Second
+	shutdownTick = 50 * time.Millisecond
+	// registryRetry is the pause after a failed registration.
+	registryRetry   = 30 * time.Second
+	registryTimeout = 5 * time.Second
+	handoverTimeout = 2 * time.Second
+	closeTimeout    = time.Second
 )
 
 // Run serves until the context ends, then leaves the fleet gracefully.
@@ -54,15 +56,19 @@
 	n.tickets.SetPeers(nodesOf(n.peer.Snapshot()))
 }
 
-// register keeps the registry row of this node, by which starting nodes find peers.
+// register keeps the registry row of this node, by which starting nodes find peers; the row expires unless it is renewed.
 func (n *Node) register(ctx context.Context) {
-	ticks := n.config.Clock.Subscribe(registryInterval)
+	ticks := n.config.Clock.Subscribe(registryRetry)
 	defer ticks.Stop()
-	for !n.registerOnce(ctx) {
+	var next time.Time
+	for now := n.config.Clock.Now(); ; {
+		if !now.Before(next) && n.registerOnce(ctx) {
+			next = now.Add(store.RegisterInterval)
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticks.C:
+		case now = <-ticks.C:
 		}
 	}
 }
