member: ask a peer whose digest differs for a while

In 1 of about 12 fleet starts both nodes of a region of two held an old record for more than 20 s, which also made starts of process tests time out. Three of four synchronisations stay in the own region, so a small region that missed rumours hardly asks anybody else; datagrams carried a digest that nobody read. A node now synchronises with a peer whose digest differs for 3 s, at most each 5 s, and not while rumours are pending. Ruled out: asking other regions more often, which costs traffic between regions at all times.

TestSmallRegionCatchesUp fails without it at seed 0 (bound 10 s) and passes for 20 seeds with it.

--- a/internal/member/module_test.go
+++ b/internal/member/module_test.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -97,6 +98,23 @@
 	})
 }
 
+// Guards against a small region that holds an old record for tens of seconds after it missed the rumours of a change:
+// with two nodes, most of their synchronisations are among themselves.
+func TestSmallRegionCatchesUp(t *testing.T) {
+	const limit = 10 * time.Second
+	for seed := range uint64(20) {
+		s := newSim(t, seed)
+		s.fleet(6, 2)
+		s.runUntil(time.Minute, "settled", s.settled)
+		small := s.nodes[0].node.Region
+		s.cut = func(from, to *simNode) bool { return (from.node.Region == small) != (to.node.Region == small) }
+		s.update(s.nodes[1], LocalMsg{Now: s.now, Local: Local{Targets: simTargets(1, 3)}})
+		s.run(3 * time.Second)
+		s.cut = func(_, _ *simNode) bool { return false }
+		s.runUntil(limit, fmt.Sprintf("agreement, seed %d", seed), s.agree)
+	}
+}
+
 // Guards against a node that is paused and resumed but stays dead for the others, or takes them for dead itself.
 func TestPausedNodeRefutes(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -202,6 +202,7 @@
 	} else {
 		m.noteNumber(sender, d.Ticket, false)
 		m.noteBehind(sender.record.Node, d.Ticket)
+		m.compareRoot(d.Root, sender.record.Node.PeerAddress)
 	}
 	m.react(d, msg.Source, sender)
 }
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -22,9 +22,21 @@
 	maxSyncRecords = 4000
 )
 
+const (
+	// rootPatience is how long the digests of peers may differ before one of them is asked; rumours that are still on
+	// their way need less.
+	rootPatience = 3 * time.Second
+	// rootPause bounds how often differing digests lead to a synchronisation.
+	rootPause = 5 * time.Second
+)
+
 // syncState is the state of anti-entropy.
 type syncState struct {
 	next time.Time
+	// equal is when the digest of a peer was last equal to the own one; prompted is the last synchronisation because of
+	// differing ones.
+	equal    time.Time
+	prompted time.Time
 	// moved counts the records that the current synchronisation brought or took.
 	moved        int
 	unknownFetch time.Time
@@ -97,6 +109,21 @@
 	}
 }
 
+// compareRoot synchronises with a peer whose digest differs for a while. Periodic anti-entropy alone takes tens of seconds
+// to reach a small region, because three of four synchronisations stay in the own region. While rumours are pending the
+// digests differ anyway, so a storm of changes causes no further traffic.
+func (m *Module) compareRoot(root uint64, address string) {
+	if root == m.table.root() || !m.joined || len(m.rumours.pending) > 0 {
+		m.syncs.equal = m.now
+		return
+	}
+	if m.now.Sub(m.syncs.equal) < rootPatience || m.now.Sub(m.syncs.prompted) < rootPause {
+		return
+	}
+	m.syncs.prompted = m.now
+	m.startSync(address)
+}
+
 func (m *Module) startSync(address string) {
 	m.counts.Syncs++
 	m.emit(SyncCmd{Address: address, Request: SyncRequest{
