load: begin the resends of the crashing request when every node suspects it

A fixed wait of 300 ms was too short or too long depending on the machine. The test now reads the state dump and also bounds the spread itself by 2 s.

--- a/internal/load/poison_test.go
+++ b/internal/load/poison_test.go
@@ -20,10 +20,10 @@
 
 const (
 	crashMark = "deadly"
-	// crashSpread is the time in which nodes tell each other of a crash; the bound holds for requests that begin later.
-	crashSpread = 300 * time.Millisecond
-	// crashWork is longer, so that trials which overlap are seen.
-	crashWork = 2 * crashSpread
+	// crashWork is longer than the spread of a suspicion, so that trials which overlap are seen.
+	crashWork = 600 * time.Millisecond
+	// spreadBound is the time within which all nodes must know of a crash.
+	spreadBound = 2 * time.Second
 	// crashStatus is the exit status of a stand-in target that a marked request crashed.
 	crashStatus = 70
 )
@@ -57,6 +57,21 @@
 	}
 }
 
+// waitSuspected waits until every node knows of the crash. The bound of two holds for requests that begin later: a node
+// can't refuse a request of which no other has told it.
+func (d *deadly) waitSuspected() {
+	for i := range d.fleet.Nodes {
+		require.Eventually(d.t, func() bool {
+			var dump struct {
+				Poison struct {
+					Entries []any `json:"entries"`
+				} `json:"poison"`
+			}
+			return d.fleet.Admin(d.t.Context(), i, "/state?section=poison", &dump) == nil && len(dump.Poison.Entries) > 0
+		}, spreadBound, time.Millisecond)
+	}
+}
+
 func (d *deadly) send(ctx context.Context, node int) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet,
 		"http://"+d.fleet.Plan.Nodes[node%len(d.fleet.Plan.Nodes)].Settings.Listeners.Callers+"/courts/deadly", nil)
@@ -93,7 +108,7 @@
 		time.Sleep(200 * time.Millisecond)
 		workers.Go(func() { d.send(ctx, 0) })
 		require.Eventually(t, func() bool { return d.crashes.Load() > 0 }, 5*time.Second, time.Millisecond)
-		time.Sleep(crashSpread)
+		d.waitSuspected()
 		for n := range 12 {
 			workers.Go(func() {
 				for i := n; ctx.Err() == nil; i++ {
