--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -219,6 +219,12 @@
 	f.keys[key] = "done:" + string(a.Body)
 }
 
+func (f *fakes) Release(key string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.keys, key)
+}
+
 func (f *fakes) Fail(key string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -120,6 +120,8 @@
 	Finish(key string, answer *Answer)
 	// Fail records that the request may have run and has no answer.
 	Fail(key string)
+	// Release takes back a key whose request certainly did not reach the target.
+	Release(key string)
 }
 
 // Suspect is a request that was in flight when its target died.
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -254,11 +254,13 @@
 
 // broken answers for a request that was sent and has no answer.
 func (x *exchange) broken(ctx context.Context, err error) ResultKind {
-	x.fail()
-	switch {
-	case errors.Is(err, relay.ErrNotSent):
+	if errors.Is(err, relay.ErrNotSent) {
+		x.release()
 		x.refuse(relay.ReasonDeadline, model.OutcomeNotRun)
 		return ResultCanceled
+	}
+	x.fail()
+	switch {
 	case x.timedOut(ctx):
 		x.refuse(relay.ReasonTimeout, model.OutcomeUnknown)
 		return ResultTimeout
@@ -285,6 +287,13 @@
 	return ctx.Err() != nil && time.Until(x.deadline) < deadlineSlack
 }
 
+// release takes the key back after nothing of the request was written, so that an attempt may come here again.
+func (x *exchange) release() {
+	if x.keyed() {
+		x.agent.config.Ledger.Release(x.key)
+	}
+}
+
 func (x *exchange) fail() {
 	if x.keyed() {
 		x.agent.config.Ledger.Fail(x.key)
