Share the fault types of the stand-ins between the programs that use them

The target stand-in and the callers each had the fields of a target's fault, the callers and the platform stand-in those of a platform rule.

--- a/cmd/bench/soak_schedule.go
+++ b/cmd/bench/soak_schedule.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	faults "github.com/auburnwinch/auburnwinch/internal/fakes/fault"
 	"github.com/auburnwinch/auburnwinch/internal/load"
 	"github.com/auburnwinch/auburnwinch/internal/procs"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
@@ -42,7 +43,7 @@
 	twice    bool
 	name     string
 	target   load.Fault
-	platform load.PlatformRule
+	platform faults.Rule
 }
 
 // Bounds of the times between faults and of their lengths.
@@ -70,7 +71,7 @@
 			f.name, f.target = drawTargetFault(rng)
 		case soakPlatform:
 			f.platform = drawPlatformRule(rng)
-			f.name = f.platform.Kind
+			f.name = string(f.platform.Kind)
 		}
 		faults = append(faults, f)
 		if rng.Float64() >= soakTogether {
@@ -99,8 +100,8 @@
 	}
 }
 
-func drawPlatformRule(rng *rand.Rand) load.PlatformRule {
-	rules := []load.PlatformRule{
+func drawPlatformRule(rng *rand.Rand) faults.Rule {
+	rules := []faults.Rule{
 		{Kind: "away"},
 		{Kind: "slow", Delay: model.Duration(between(rng, 100*time.Millisecond, 3*time.Second))},
 		{Kind: "hang", Delay: model.Duration(5 * time.Second)},
--- a/cmd/standin/target_fault.go
+++ b/cmd/standin/target_fault.go
@@ -10,32 +10,11 @@
 
 	"github.com/julienschmidt/httprouter"
 
-	"github.com/auburnwinch/auburnwinch/pkg/model"
+	"github.com/auburnwinch/auburnwinch/internal/load"
 )
 
 // fault is what the target does wrong; the zero value is a healthy target.
-type fault struct {
-	// Stall holds every request until the fault is taken back; probes are still answered.
-	Stall bool `json:"stall"`
-	// StallProbes holds probes as well.
-	StallProbes bool `json:"stall-probes"`
-	// SlowFactor multiplies the service time.
-	SlowFactor float64 `json:"slow-factor"`
-	// ErrorRatio is the share of requests that are answered with 500.
-	ErrorRatio float64 `json:"error-ratio"`
-	// ResetRatio is the share of requests whose connection is reset after the work.
-	ResetRatio float64 `json:"reset-ratio"`
-	// TruncateAfter breaks bodies off after this number of bytes; zero means never.
-	TruncateAfter int64 `json:"truncate-after"`
-	// StallAfter holds bodies after this number of bytes; zero means never.
-	StallAfter int64 `json:"stall-after"`
-	// CrashMark crashes the target on requests whose header Standin-Mark has this value.
-	CrashMark string `json:"crash-mark"`
-	// CrashAfter is the time of work before such a crash.
-	CrashAfter model.Duration `json:"crash-after"`
-	// For takes the fault back after this time; zero keeps it.
-	For model.Duration `json:"for"`
-}
+type fault = load.Fault
 
 // faults holds the current fault; a changed fault releases stalled requests.
 type faults struct {
--- a/internal/load/control.go
+++ b/internal/load/control.go
@@ -8,32 +8,33 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/auburnwinch/auburnwinch/internal/fakes/fault"
 	"github.com/auburnwinch/auburnwinch/internal/procs"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
 // Fault is what a stand-in target does wrong; the zero value is a healthy target.
 type Fault struct {
-	Stall         bool           `json:"stall"`
-	StallProbes   bool           `json:"stall-probes"`
-	SlowFactor    float64        `json:"slow-factor"`
-	ErrorRatio    float64        `json:"error-ratio"`
-	ResetRatio    float64        `json:"reset-ratio"`
-	TruncateAfter int64          `json:"truncate-after"`
-	StallAfter    int64          `json:"stall-after"`
-	CrashMark     string         `json:"crash-mark"`
-	CrashAfter    model.Duration `json:"crash-after"`
-	For           model.Duration `json:"for"`
-}
-
-// PlatformRule is a fault of the platform stand-in.
-type PlatformRule struct {
-	Service   string         `json:"service,omitempty"`
-	Operation string         `json:"operation,omitempty"`
-	Kind      string         `json:"kind"`
-	Delay     model.Duration `json:"delay,omitempty"`
-	Count     int            `json:"count,omitempty"`
-	Share     float64        `json:"share,omitempty"`
+	// Stall holds every request until the fault is taken back; probes are still answered.
+	Stall bool `json:"stall"`
+	// StallProbes holds probes as well.
+	StallProbes bool `json:"stall-probes"`
+	// SlowFactor multiplies the service time.
+	SlowFactor float64 `json:"slow-factor"`
+	// ErrorRatio is the share of requests that are answered with 500.
+	ErrorRatio float64 `json:"error-ratio"`
+	// ResetRatio is the share of requests whose connection is reset after the work.
+	ResetRatio float64 `json:"reset-ratio"`
+	// TruncateAfter breaks bodies off after this number of bytes; zero means never.
+	TruncateAfter int64 `json:"truncate-after"`
+	// StallAfter holds bodies after this number of bytes; zero means never.
+	StallAfter int64 `json:"stall-after"`
+	// CrashMark crashes the target on requests whose header Standin-Mark has this value.
+	CrashMark string `json:"crash-mark"`
+	// CrashAfter is the time of work before such a crash.
+	CrashAfter model.Duration `json:"crash-after"`
+	// For takes the fault back after this time; zero keeps it.
+	For model.Duration `json:"for"`
 }
 
 // Run is what one target knows of one request.
@@ -49,14 +50,14 @@
 }
 
 // SetFault changes the fault of a stand-in target.
-func SetFault(ctx context.Context, target procs.TargetPlan, fault Fault) error {
-	return put(ctx, "http://"+target.Control+"/fault", fault)
+func SetFault(ctx context.Context, target procs.TargetPlan, f Fault) error {
+	return put(ctx, "http://"+target.Control+"/fault", f)
 }
 
 // SetPlatform replaces the faults of the platform stand-in; no rules mean a healthy platform.
-func SetPlatform(ctx context.Context, plan *procs.Plan, rules ...PlatformRule) error {
+func SetPlatform(ctx context.Context, plan *procs.Plan, rules ...fault.Rule) error {
 	if rules == nil {
-		rules = []PlatformRule{}
+		rules = []fault.Rule{}
 	}
 	return put(ctx, "http://"+plan.PlatformControl()+"/v1/faults", rules)
 }
