--- a/internal/once/model_test.go
+++ b/internal/once/model_test.go
@@ -29,10 +29,10 @@
 )
 
 const (
-	edges = 3
-	agents    = 3
-	maxSends  = 6
-	servers   = 2
+	edges    = 3
+	agents   = 3
+	maxSends = 6
+	servers  = 2
 )
 
 // scenario bounds what may happen in one search.
--- a/internal/once/owner.go
+++ b/internal/once/owner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"strconv"
 	"strings"
 	"sync"
@@ -10,7 +9,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/sourcegraph/conc"
 
 	"github.com/auburnwinch/auburnwinch/internal/timer"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
@@ -190,50 +188,6 @@
 	return o.carryOut(ctx, &errand{key: key, id: id, query: true}, o.query(id))
 }
 
-// Handover ends the ownership of all keys and gives them to the successor; call it when no send is in flight. After an
-// error it may be repeated with the same successor only, because that one may have taken the keys over already.
-func (o *Owner) Handover(ctx context.Context, successor model.Node) error {
-	var failures error
-	for i := range o.shards {
-		failures = errors.Join(failures, o.handOver(ctx, i, successor))
-	}
-	return failures
-}
-
-func (o *Owner) handOver(ctx context.Context, shard int, successor model.Node) error {
-	estate, err := o.seal(shard, successor)
-	if estate == nil || err != nil {
-		return err
-	}
-	args := HandoverArgs{Successor: successor.Ref, Shard: shard, Estate: *estate}
-	reply := HandoverReply{}
-	if err := o.call(ctx, successor, methodHandover, args, &reply); err != nil {
-		return eris.Wrapf(err, "once: hand keys over to %s; repeat it, or resends of these keys get the outcome unknown", successor.Ref)
-	}
-	if !reply.Accepted {
-		return eris.Errorf("once: %s is leaving itself and refused the keys; resends of them get the outcome unknown", successor.Ref)
-	}
-	s := &o.shards[shard]
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.estate = nil
-	return nil
-}
-
-// seal returns what is still to be handed over, or nil when the successor has it.
-func (o *Owner) seal(shard int, successor model.Node) (*Estate, error) {
-	s := &o.shards[shard]
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if sealed := s.module.sealed; sealed != nil && sealed.Ref != successor.Ref {
-		return nil, eris.Errorf("once: keys were handed over to %s already; name the same successor again", sealed.Ref)
-	}
-	if cmd, ok := only(s.module.Update(SealMsg{Successor: &successor})).(EstateCmd); ok {
-		s.estate = &cmd.Estate
-	}
-	return s.estate, nil
-}
-
 // Close stops the epochs.
 func (o *Owner) Close() {
 	o.ticker.close()
@@ -334,24 +288,6 @@
 	}
 }
 
-func (o *Owner) fence(ctx context.Context, e *errand, c FenceCmd) Cmd {
-	reply := o.fenceCall(ctx, e, *c.Agent)
-	return o.update(e.id, e.fenced(o.now(), c, reply))
-}
-
-func (o *Owner) fenceCall(ctx context.Context, e *errand, agent model.Node) FenceReply {
-	fingerprint := o.fingerprint(e)
-	if o.local(agent) {
-		return FenceReply(o.config.Ledger.fence(FenceMsg{ID: e.id, Agent: agent.Ref, Fingerprint: fingerprint}))
-	}
-	reply := FenceReply{}
-	args := FenceArgs{Agent: agent.Ref, Key: e.key, Fingerprint: fingerprint}
-	if err := o.call(ctx, agent, methodFence, args, &reply); err != nil {
-		return FenceReply{State: FenceFailed}
-	}
-	return reply
-}
-
 // fingerprint returns the one of the record, since ResolveAttempt does not carry the request.
 func (o *Owner) fingerprint(e *errand) uint64 {
 	s := &o.shards[e.id.Digest.shard()]
@@ -363,145 +299,3 @@
 	}
 	return r.Fingerprint
 }
-
-func (o *Owner) fetch(ctx context.Context, e *errand, c FetchCmd) Decision {
-	reply, err := o.lookupCall(ctx, e, *c.Agent, o.fingerprint(e))
-	return e.fetched(c, reply, err == nil)
-}
-
-func (o *Owner) lookupCall(ctx context.Context, e *errand, agent model.Node, fingerprint uint64) (FenceReply, error) {
-	if o.local(agent) {
-		msg := LookupMsg{ID: e.id, Fingerprint: fingerprint, AnyRequest: e.query}
-		return FenceReply(o.config.Ledger.lookup(msg)), nil
-	}
-	reply := FenceReply{}
-	args := LookupArgs{Key: e.key, Fingerprint: fingerprint, AnyRequest: e.query}
-	err := o.call(ctx, agent, methodLookup, args, &reply)
-	return reply, err
-}
-
-// call bounds the wait, since a node that is paused or gone does not answer at all.
-func (o *Owner) call(ctx context.Context, node model.Node, method string, args, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, rpcTimeout)
-	defer cancel()
-	return o.config.Peers.Call(ctx, node, method, args, reply)
-}
-
-func (o *Owner) local(agent model.Node) bool {
-	return o.config.Ledger != nil && agent.Ref == o.config.Self.Ref
-}
-
-// ask follows the key to its holder and returns the next command, or the decision when there is none.
-func (o *Owner) ask(ctx context.Context, e *errand, c AskCmd) (Cmd, Decision) {
-	t := e.follow(o.config.Self.Ref, c)
-	if t.Call {
-		reply, ok := o.resolveCall(ctx, e, c)
-		successor, _ := o.config.Directory.Successor(c.Holder)
-		t = e.followed(o.now(), c, reply, ok, successor.Ref)
-	}
-	switch {
-	case t.Msg != nil:
-		return o.update(e.id, t.Msg), Decision{}
-	case t.Cmd != nil:
-		return t.Cmd, Decision{}
-	case t.Lookup:
-		return nil, e.evidence(o.lookups(ctx, e))
-	default:
-		return nil, t.Decision
-	}
-}
-
-func (o *Owner) resolveCall(ctx context.Context, e *errand, c AskCmd) (ResolveReply, bool) {
-	node, ok := o.config.Directory.Node(c.Holder)
-	if !ok {
-		return ResolveReply{}, false
-	}
-	reply := ResolveReply{}
-	err := o.call(ctx, node, methodResolve, e.resolveArgs(o.config.Self.Ref, c), &reply)
-	return reply, err == nil
-}
-
-// lookups asks all agents of the service what they know about the key.
-func (o *Owner) lookups(ctx context.Context, e *errand) []FenceReply {
-	agents := o.config.Directory.Agents(e.send.Service)
-	replies := make([]FenceReply, len(agents))
-	var wg conc.WaitGroup
-	for i, agent := range agents {
-		wg.Go(func() {
-			if reply, err := o.lookupCall(ctx, e, agent, e.send.Fingerprint); err == nil {
-				replies[i] = reply
-			}
-		})
-	}
-	wg.Wait()
-	return replies
-}
-
-// serve answers a requester's Keys.Resolve.
-func (o *Owner) serve(ctx context.Context, id keyID, args ResolveArgs) ResolveReply {
-	e := &errand{key: args.Key, id: id, query: args.Query, send: Send{Fingerprint: args.Fingerprint}}
-	var cmd Cmd
-	if args.Query {
-		cmd = o.query(id)
-	} else {
-		cmd = o.update(id, ResolveMsg{
-			Now: o.now(), ID: id, Fingerprint: args.Fingerprint,
-			Requester: args.Requester, Generation: args.Generation,
-		})
-	}
-	if f, ok := cmd.(FenceCmd); ok {
-		cmd = o.fence(ctx, e, f)
-	}
-	if f, ok := cmd.(FetchCmd); ok {
-		return e.reply(o.fetch(ctx, e, f))
-	}
-	return e.served(cmd)
-}
-
-func (o *Owner) inherit(shard int, estate Estate) bool {
-	s := &o.shards[shard]
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_, ok := only(s.module.Update(InheritMsg{Now: o.now(), Estate: estate})).(InheritedCmd)
-	return ok
-}
-
-func (o *Owner) countFresh() {
-	if o.fresh.Add(1) >= int64(o.config.EpochKeys) {
-		o.startEpoch(o.now())
-	}
-}
-
-// startEpoch tells the modules first, so that no caller holds a token that they don't know yet.
-func (o *Owner) startEpoch(now time.Time) {
-	o.epochs.Lock()
-	defer o.epochs.Unlock()
-	if o.epoch > 0 && o.fresh.Load() < int64(o.config.EpochKeys) && now.Sub(o.begun) < epochInterval {
-		return
-	}
-	o.epoch++
-	o.begun = now
-	o.fresh.Store(0)
-	o.oldest = append(o.oldest, epochStart{Epoch: o.epoch, Begun: now})
-	for len(o.oldest) > 1 && now.Sub(o.oldest[1].Begun) > tokenAge {
-		o.oldest = o.oldest[1:]
-	}
-	for i := range o.shards {
-		s := &o.shards[i]
-		s.mu.Lock()
-		s.module.Update(EpochMsg{Epoch: o.epoch, Oldest: o.oldest[0].Epoch})
-		s.mu.Unlock()
-	}
-	token := FormatToken(o.config.Self.Ref, o.epoch)
-	o.token.Store(&token)
-}
-
-func (o *Owner) tick(now time.Time) {
-	o.startEpoch(now)
-	for i := range o.shards {
-		s := &o.shards[i]
-		s.mu.Lock()
-		s.module.Update(ExpireMsg{Before: now.Add(-o.config.Retention)})
-		s.mu.Unlock()
-	}
-}
--- a/internal/once/owner_module.go
+++ b/internal/once/owner_module.go
@@ -1,9 +1,7 @@
 package once
 
 import (
-	"cmp"
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/auburnwinch/auburnwinch/internal/invar"
@@ -340,84 +338,6 @@
 	}
 }
 
-func (m *ownerModule) resolve(msg ResolveMsg) {
-	if m.sealed != nil {
-		m.emit(MovedCmd{Holder: m.sealed.Ref})
-		return
-	}
-	if reason := m.outside(msg.ID); reason != "" {
-		m.decide(KindUnknown, reason)
-		return
-	}
-	r, ok := m.shelf.get(msg.ID)
-	switch {
-	case ok && r.Fingerprint != msg.Fingerprint:
-		m.decide(KindUnknown, ReasonKeyReused)
-	case ok && r.Phase == phaseMoved && msg.Generation <= r.Generation:
-		m.resolveMoved(msg, r)
-	case ok && r.Phase != phaseMoved:
-		m.resolveKnown(msg, r)
-	case !ok && msg.Generation == 0 && m.expired(msg.ID):
-		m.decide(KindNotRun, ReasonTokenExpired)
-	case ok || m.owns(msg.ID.Owner) || msg.Generation > 0:
-		// A generation above the own record means that a grant to this node was lost on its way.
-		m.move(msg.Now, msg.ID, ownerRecord{Fingerprint: msg.Fingerprint, Generation: msg.Generation}, msg.Requester)
-	default:
-		m.decide(KindUnknown, ReasonOwnerGone)
-	}
-}
-
-// resolveMoved repeats the grant when its answer was lost and names the new owner to all others.
-func (m *ownerModule) resolveMoved(msg ResolveMsg, r ownerRecord) {
-	if r.Node.Ref == msg.Requester {
-		m.emit(GrantCmd{Generation: r.Generation})
-		return
-	}
-	m.emit(MovedCmd{Holder: r.Node.Ref, Generation: r.Generation})
-}
-
-func (m *ownerModule) resolveKnown(msg ResolveMsg, r ownerRecord) {
-	switch {
-	case r.Phase == phaseDone:
-		m.emit(FetchCmd{Agent: r.Node, Ran: true})
-	case r.Held:
-		m.decide(KindInProgress, ReasonRunning)
-	case r.Phase == phaseIdle:
-		m.move(msg.Now, msg.ID, r, msg.Requester)
-	case r.Phase == phaseSent:
-		m.fence(msg.Now, msg.ID, r, FenceCmd{Purpose: FenceToGrant, Requester: msg.Requester})
-	default:
-		m.decide(KindUnknown, r.Phase.reason())
-	}
-}
-
-// move records the new owner before the grant is sent.
-func (m *ownerModule) move(now time.Time, id keyID, r ownerRecord, to model.NodeRef) {
-	r.Generation++
-	r.Phase = phaseMoved
-	r.Held = false
-	r.Node = &model.Node{Ref: to}
-	if !m.put(now, id, r) {
-		return
-	}
-	m.emit(GrantCmd{Generation: r.Generation})
-}
-
-func (m *ownerModule) grant(msg GrantMsg) {
-	if reason := m.outside(msg.ID); reason != "" {
-		m.decide(KindUnknown, reason)
-		return
-	}
-	r, ok := m.shelf.get(msg.ID)
-	if ok && r.Generation >= msg.Generation {
-		m.beginKnown(BeginMsg{Now: msg.Now, ID: msg.ID, Fingerprint: msg.Fingerprint}, r)
-		return
-	}
-	invar.Check(!ok || r.Phase == phaseMoved, "once", "generation %d was granted while this node owns generation %d",
-		msg.Generation, r.Generation)
-	m.hold(msg.Now, msg.ID, ownerRecord{Fingerprint: msg.Fingerprint, Generation: msg.Generation, Phase: phaseIdle})
-}
-
 func (m *ownerModule) startEpoch(msg EpochMsg) {
 	d := m.domains[m.self]
 	invar.Check(msg.Epoch >= d.Epoch, "once", "epoch went from %d to %d", d.Epoch, msg.Epoch)
@@ -445,101 +365,6 @@
 	}
 }
 
-func (m *ownerModule) seal(msg SealMsg) {
-	if m.sealed != nil {
-		return
-	}
-	m.sealed = msg.Successor
-	e := Estate{}
-	for owner, d := range m.domains {
-		floor := uint64(0)
-		if f := m.shelf.floors[owner.ID]; f.Incarnation == owner.Incarnation {
-			floor = f.Epoch
-		}
-		e.Domains = append(e.Domains, EstateDomain{Owner: owner, Epoch: d.Epoch, Oldest: d.Oldest, Floor: floor})
-	}
-	for id, b := range m.shelf.buckets {
-		for key, r := range b.Records {
-			e.Records = append(e.Records, estateRecord(id, key, r))
-		}
-	}
-	slices.SortFunc(e.Domains, func(a, b EstateDomain) int {
-		return cmp.Or(cmp.Compare(a.Owner.ID, b.Owner.ID), cmp.Compare(a.Owner.Incarnation, b.Owner.Incarnation))
-	})
-	slices.SortFunc(e.Records, func(a, b EstateRecord) int { return slices.Compare(a.Digest[:], b.Digest[:]) })
-	clear(m.shelf.buckets)
-	m.shelf.count = 0
-	m.emit(EstateCmd{Estate: e})
-}
-
-func estateRecord(id epochID, key digest, r ownerRecord) EstateRecord {
-	out := EstateRecord{
-		Owner: id.Owner, Epoch: id.Epoch, Digest: key,
-		Fingerprint: r.Fingerprint, Generation: r.Generation, Phase: uint8(r.Phase),
-	}
-	if r.Held {
-		out.Phase = uint8(r.Phase.abandoned())
-	}
-	if r.Node != nil {
-		out.Node = *r.Node
-	}
-	return out
-}
-
-// abandoned returns the phase that the successor gets for a key which a send of this node still holds. The send may
-// tell its caller not-run, so the successor must never run the key; it may read the answer from the agent.
-func (p phase) abandoned() phase {
-	switch p {
-	case phaseIdle:
-		return phaseForgotten
-	case phaseSent, phaseFencing:
-		return phaseDone
-	default:
-		return p
-	}
-}
-
-func (m *ownerModule) inherit(msg InheritMsg) {
-	if m.sealed != nil {
-		return
-	}
-	m.emit(InheritedCmd{})
-	for _, d := range msg.Estate.Domains {
-		id := epochID{Owner: d.Owner, Epoch: d.Epoch}
-		if m.owns(d.Owner) || !m.shelf.accepts(id) {
-			return // a repeated or late handover
-		}
-	}
-	for _, d := range msg.Estate.Domains {
-		m.domains[d.Owner] = domain{Epoch: d.Epoch, Oldest: d.Oldest, Inherited: msg.Now}
-		m.shelf.raise(d.Owner.ID, position{Incarnation: d.Owner.Incarnation, Epoch: d.Floor})
-	}
-	for _, r := range msg.Estate.Records {
-		m.inheritRecord(msg.Now, r)
-	}
-}
-
-func (m *ownerModule) inheritRecord(now time.Time, e EstateRecord) {
-	id := keyID{Owner: e.Owner, Epoch: e.Epoch, Digest: e.Digest}
-	own, ok := m.shelf.get(id)
-	if ok && own.Generation >= e.Generation || !m.shelf.accepts(id.epoch()) {
-		return
-	}
-	r := ownerRecord{Fingerprint: e.Fingerprint, Generation: e.Generation, Phase: phase(e.Phase)}
-	if !e.Node.Ref.IsZero() {
-		r.Node = &e.Node
-	}
-	if r.Phase == phaseMoved && e.Node.Ref == m.self {
-		r.Phase = phaseIdle // the grant to this node was lost on its way
-	}
-	if !ok {
-		m.shelf.makeRoom()
-	}
-	if m.shelf.accepts(id.epoch()) {
-		m.shelf.put(id, r, now)
-	}
-}
-
 func phaseAfter(s FenceState) phase {
 	switch s {
 	case FenceNeverSeen:
