--- a/cmd/standin/demo_scenario.go
+++ b/cmd/standin/demo_scenario.go
@@ -7,6 +7,8 @@
 	"os"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/auburnwinch/auburnwinch/internal/load"
 	"github.com/auburnwinch/auburnwinch/internal/procs"
 )
@@ -20,11 +22,8 @@
 	runner := load.New(load.Config{Fleet: fleet})
 	loadContext, stop := context.WithTimeout(ctx, duration)
 	defer stop()
-	finished := make(chan struct{})
-	go func() {
-		defer close(finished)
-		runner.Run(loadContext)
-	}()
+	var callers conc.WaitGroup
+	callers.Go(func() { runner.Run(loadContext) })
 	if !sleep(ctx, duration/4) {
 		return ctx.Err()
 	}
@@ -39,7 +38,7 @@
 	if err := load.SetFault(ctx, fleet.Plan.Targets[stalled], load.Fault{Stall: true}); err != nil {
 		return err
 	}
-	<-finished
+	callers.Wait()
 	runs, err := load.CollectRuns(ctx, fleet)
 	if err != nil {
 		return err
--- a/cmd/standin/target.go
+++ b/cmd/standin/target.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
 )
 
 // targetCmd runs one target.
@@ -75,6 +76,7 @@
 
 // target is a running target.
 type target struct {
+	group       conc.WaitGroup
 	config      targetConfig
 	incarnation uint64
 	requests    net.Listener
@@ -111,9 +113,9 @@
 	t.controller = &http.Server{Handler: t.controlHandler(), ReadHeaderTimeout: readHeaderTimeout}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.cancel = cancel
-	go t.listen(t.server, requests)
-	go t.listen(t.controller, control)
-	go t.announce(ctx)
+	t.group.Go(func() { t.listen(t.server, requests) })
+	t.group.Go(func() { t.listen(t.controller, control) })
+	t.group.Go(func() { t.announce(ctx) })
 	return t, nil
 }
 
--- a/internal/procs/process.go
+++ b/internal/procs/process.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
 )
 
 // terminateTimeout bounds a graceful end before the process is killed.
@@ -21,6 +22,7 @@
 	log     *os.File
 	done    chan struct{}
 	once    sync.Once
+	wait    conc.WaitGroup
 	// restart holds what Restart needs.
 	program   string
 	arguments []string
@@ -43,10 +45,10 @@
 		Name: name, command: command, log: log, done: make(chan struct{}),
 		program: program, arguments: arguments, directory: directory,
 	}
-	go func() {
+	p.wait.Go(func() {
 		_ = command.Wait() // The exit status is read from ProcessState.
 		close(p.done)
-	}()
+	})
 	return p, nil
 }
 
@@ -117,8 +119,8 @@
 		}
 		if !p.Wait(terminateTimeout) {
 			_ = p.Kill() // It may have ended in between.
-			<-p.done
 		}
+		p.wait.Wait()
 		_ = p.log.Close() // Everything was written by the process itself.
 	})
 }
