eject, node: publish the time from the first sign to an ejection

The metrics had no detection time. A verdict now tells how long the symptom or claim stood before the ejection; the node records it as a histogram and logs it.

--- a/internal/eject/cycle.go
+++ b/internal/eject/cycle.go
@@ -23,6 +23,8 @@
 	pending      model.Severity
 	pendingSince time.Time
 	claimSince   time.Time
+	// stood is the time from the first symptom or claim to the latest ejection.
+	stood time.Duration
 	// claimCommon tells that the claim of slowness stood while slowness was widespread.
 	claimCommon  bool
 	phaseSince   time.Time
--- a/internal/eject/decide.go
+++ b/internal/eject/decide.go
@@ -44,6 +44,7 @@
 	switch {
 	case own != 0 || claim != 0:
 		t.own, t.cause = own, t.found.class
+		t.stood = m.now.Sub(t.firstSign(own, claim))
 		t.eject(m.now, max(own, claim), m.rng)
 		t.evidence.proving = t.cause
 	case t.phase == StateSlowStart && !m.now.Before(t.phaseEnds):
@@ -51,6 +52,14 @@
 	}
 }
 
+// firstSign returns when the symptom or the claim that ejects the target was first seen.
+func (t *target) firstSign(own, claim model.Severity) time.Time {
+	if claim == 0 || own != 0 && t.pendingSince.Before(t.claimSince) {
+		return t.pendingSince
+	}
+	return t.claimSince
+}
+
 // standing returns the target's own symptom once it has stood long enough.
 func (m *Module) standing(s *service, t *target) model.Severity {
 	if t.found.severity == 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,6 +58,7 @@
 	group     conc.WaitGroup
 	closing   sync.Once
 	verdicts  *verdictCounts
+	detection *meter.DurationHistogram
 	// joined tells that the membership is known; before, an empty list of peers says nothing.
 	joined atomic.Bool
 }
@@ -104,8 +105,11 @@
 }
 
 func (n *Node) buildMeter() (err error) {
-	n.meter, err = meter.New()
-	return err
+	if n.meter, err = meter.New(); err != nil {
+		return err
+	}
+	n.detection = n.meter.Histogram("auburnwinch.eject.detection", "time from the first symptom or claim to the ejection")
+	return nil
 }
 
 func (n *Node) buildHealth() error {
@@ -236,8 +240,11 @@
 func (n *Node) logVerdict(role string) func(eject.VerdictCmd) {
 	return func(cmd eject.VerdictCmd) {
 		n.verdicts.add(cmd)
+		if cmd.To == eject.StateEjected {
+			n.detection.Record(cmd.Stood)
+		}
 		_ = level.Info(n.logger).Log("msg", "verdict changed", "role", role, "service", cmd.Target.Service, "target", cmd.Target.ID,
-			"from", cmd.From, "to", cmd.To, "severity", cmd.Severity)
+			"from", cmd.From, "to", cmd.To, "severity", cmd.Severity, "stood", cmd.Stood)
 	}
 }
 
