--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -55,6 +55,8 @@
 // Request is a request that the client may send several times.
 type Request struct {
 	Method string
+	// Host selects the route; empty takes the host of the edge's URL.
+	Host string
 	// Path includes the query.
 	Path   string
 	Header http.Header
@@ -207,6 +209,7 @@
 	for name, values := range r.Header {
 		request.Header[name] = values
 	}
+	request.Host = r.Host
 	request.ContentLength = int64(len(r.Body))
 	request.Header.Set(model.HeaderIdempotencyKey, r.Key)
 	if c.config.Account != "" {
