Remove the second choice of platform readers and other unused code

Membership and tickets each chose the readers of a failure domain, by different ranks; only the one of the ticket package was in use. The one of membership goes, and its test moves to the ticket package with the same assertions (two readers in each of 9 domains, the same choice from views in another order), now on the code that runs. Also unused: invar.PanicOnViolation, the key in edge.PoisonRequest, edge.Send.Idempotent and edge.TrackRequest.Node.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -89,7 +89,7 @@
 	l := &leg{request: q, choice: c, pool: q.edge.pool(c.Candidate.Node.RelayAddress), started: time.Now()}
 	if t := q.edge.config.Tracker; t != nil {
 		l.handle = t.Start(TrackRequest{
-			Target: c.Candidate.Target.Ref, Node: c.Candidate.Node.Ref, Class: q.match.Route.Name,
+			Target: c.Candidate.Target.Ref, Class: q.match.Route.Name,
 			Idempotent: q.match.Route.Idempotent,
 		})
 	}
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -102,7 +102,6 @@
 // TrackRequest is what detection needs to know of an attempt.
 type TrackRequest struct {
 	Target     model.TargetRef
-	Node       model.NodeRef
 	Class      string
 	Idempotent bool
 }
@@ -130,8 +129,7 @@
 	Path    string
 	Query   string
 	// Body is the start of the body; with the fields above it tells two requests apart that carry the same key.
-	Body       []byte
-	Idempotent bool
+	Body []byte
 }
 
 // DecisionKind says what to do with a send.
@@ -190,7 +188,6 @@
 	Path    string
 	Query   string
 	Body    []byte
-	Key     string
 }
 
 // Poison knows the requests that crash targets.
--- a/internal/invar/invar.go
+++ b/internal/invar/invar.go
@@ -18,23 +18,13 @@
 var (
 	violations atomic.Uint64
 	handler    atomic.Pointer[Handler]
-	panics     atomic.Bool
 )
 
-func init() {
-	panics.Store(testing.Testing())
-}
-
 // OnViolation sets the handler of failed checks.
 func OnViolation(h Handler) {
 	handler.Store(&h)
 }
 
-// PanicOnViolation makes failed checks panic also outside of tests, for the soak and demo programs.
-func PanicOnViolation(enabled bool) {
-	panics.Store(enabled)
-}
-
 // Violations returns the number of failed checks since the start of the process.
 func Violations() uint64 {
 	return violations.Load()
@@ -50,7 +40,7 @@
 
 func report(v Violation) {
 	violations.Add(1)
-	if panics.Load() {
+	if testing.Testing() {
 		panic("invariant violated in " + v.Module + ": " + v.Detail)
 	}
 	if h := handler.Load(); h != nil {
--- a/internal/member/module_test.go
+++ b/internal/member/module_test.go
@@ -268,23 +268,6 @@
 	}
 }
 
-// Guards against more or fewer than two platform readers per failure domain, and against views that disagree.
-func TestReaders(t *testing.T) {
-	s := newSim(t, 1)
-	s.fleet(36, 0)
-	readers := map[string]int{}
-	for _, n := range s.nodes {
-		if n.module.Snapshot().IsReader() {
-			readers[n.node.Domain]++
-		}
-		require.Equal(t, s.nodes[0].module.Snapshot().Readers("domain-3"), n.module.Snapshot().Readers("domain-3"))
-	}
-	require.Len(t, readers, simRegions*simDomainsPerRegion)
-	for domain, count := range readers {
-		require.Equal(t, readersPerDomain, count, domain)
-	}
-}
-
 // Guards against a record above the size of a datagram that never spreads.
 func TestLargeRecordSpreads(t *testing.T) {
 	s := newSim(t, 1)
--- a/internal/member/rank.go
+++ b/internal/member/rank.go
@@ -8,25 +8,6 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// readersPerDomain is the number of nodes per failure domain that read the platform every second.
-const readersPerDomain = 2
-
-// Readers returns the nodes of a failure domain that read the platform every second: those of the lowest rendezvous
-// rank among the nodes that are not leaving.
-func (s *Snapshot) Readers(domain string) []model.Node {
-	nodes := lowestRank(domain, s.staying(func(n model.Node) bool { return n.Domain == domain }))
-	return nodes[:min(readersPerDomain, len(nodes))]
-}
-
-// IsReader reports whether the own node reads the platform every second.
-func (s *Snapshot) IsReader() bool {
-	self := s.Record(s.Self.ID)
-	if self == nil {
-		return false
-	}
-	return slices.ContainsFunc(s.Readers(self.Node.Domain), func(n model.Node) bool { return n.Ref == s.Self })
-}
-
 // SuccessorFor returns the node that takes over the keys of a leaving node: the lowest rendezvous rank in its failure
 // domain, else in its region, else in the fleet. It returns false when no other node stays.
 func (s *Snapshot) SuccessorFor(leaving model.Node) (model.Node, bool) {
--- a/internal/ticket/reads_test.go
+++ b/internal/ticket/reads_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -61,6 +62,25 @@
 	require.Less(t, reads[0], platformReads/2)
 }
 
+// Guards against more or fewer than two platform readers per failure domain, and against views that disagree.
+func TestTwoReadersPerDomain(t *testing.T) {
+	nodes := designNodes()
+	shuffled := slices.Clone(nodes)
+	rand.New(rand.NewPCG(1, 1)).Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+	require.Equal(t, Readers(nodes), Readers(shuffled))
+	readers := map[string]int{}
+	for _, n := range nodes {
+		readers[n.Domain] += 0
+		if IsReader(n, shuffled) {
+			readers[n.Domain]++
+		}
+	}
+	require.Len(t, readers, 9)
+	for domain, count := range readers {
+		require.Equal(t, 2, count, domain)
+	}
+}
+
 // Guards against a failure domain that loses its readers when they fail, and against readers that change needlessly.
 func TestReadersFollowTheMembership(t *testing.T) {
 	nodes := designNodes()
