--- a/internal/ticket/module.go
+++ b/internal/ticket/module.go
@@ -171,6 +171,7 @@
 	if msg.Snapshot != nil && msg.Snapshot.Number > m.current.Number {
 		m.current = msg.Snapshot
 		m.applied = nil
+		cmds = append(cmds, m.saveSkipped(before.Number, msg.Source)...)
 	}
 	for _, t := range msg.Tickets {
 		cmds = append(cmds, m.keep(t, msg.Source)...)
@@ -242,6 +243,15 @@
 	return cmds
 }
 
+// saveSkipped saves a peer's snapshot that passed a boundary, since the reader can't build the configuration of the boundary.
+// Without it nobody saves one when all readers take the boundary from peers.
+func (m *Module) saveSkipped(before uint64, source Source) []Cmd {
+	if !m.reads.reader || source == Platform || before/SnapshotEvery == m.current.Number/SnapshotEvery {
+		return nil
+	}
+	return []Cmd{SaveSnapshotCmd{Configuration: m.current}}
+}
+
 func (m *Module) remember(e entry) {
 	m.applied = append(m.applied, e)
 	routes := 0
--- a/internal/ticket/module_test.go
+++ b/internal/ticket/module_test.go
@@ -253,6 +253,34 @@
 	}
 }
 
+// Guards against a boundary of which nobody saves a snapshot, because every reader passed it with the snapshot of a peer.
+func TestReadersThatSkipABoundarySaveThePeersSnapshot(t *testing.T) {
+	h := newHistory(2*SnapshotEvery+3, rand.New(rand.NewPCG(1, 1)))
+	for name, c := range map[string]struct {
+		reader bool
+		source Source
+		number int
+		saves  int
+	}{
+		"reader, peer":                 {reader: true, source: peer(1), number: SnapshotEvery + 3, saves: 1},
+		"reader, two boundaries":       {reader: true, source: peer(1), number: 2*SnapshotEvery + 3, saves: 1},
+		"reader, no boundary":          {reader: true, source: peer(1), number: SnapshotEvery - 1},
+		"reader, snapshot of platform": {reader: true, source: Platform, number: SnapshotEvery},
+		"other node, peer":             {source: peer(1), number: SnapshotEvery + 3},
+	} {
+		m := New(Config{})
+		m.Update(ReaderMsg{Reader: c.reader})
+		saved := 0
+		for _, cmd := range m.Update(BatchMsg{Source: c.source, Snapshot: h.configurations[c.number]}) {
+			if save, ok := cmd.(SaveSnapshotCmd); ok {
+				saved++
+				require.Equal(t, h.configurations[c.number], save.Configuration, name)
+			}
+		}
+		require.Equal(t, c.saves, saved, name)
+	}
+}
+
 // Guards against a peer that answers with a gap, or with far more than the node lacks.
 func TestAfterServesTicketsOrASnapshot(t *testing.T) {
 	h := newHistory(200, rand.New(rand.NewPCG(1, 1)))
