node: change fleet secret, operator token and TLS keys without an outage

Cause: all nodes had to use the same fleet secret at every moment, and TLS files were read at the start only. A change of the secret split the fleet until the last node had restarted: datagrams were dropped as forged, calls and relayed requests were refused.

Now a node accepts up to three further secrets for datagrams, connections and relayed requests, and further operator tokens; each use of an accepted secret is counted in the state dump and in a metric. TLS files are read each minute and changed ones serve new connections; files that do not fit together leave the previous keys in use.

Ruled out: a secret in tickets (the platform would be able to join), TLS alone (datagrams carry no certificates).

Conclusion: secret and keys change by rolling restarts and by renewed files. Not measured: the cost of a datagram under an accepted secret, one more HMAC of at most 1,200 bytes.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -4,6 +4,7 @@
 	"crypto/subtle"
 	"encoding/json"
 	"net/http"
+	"slices"
 
 	"github.com/julienschmidt/httprouter"
 
@@ -42,7 +43,9 @@
 // Config holds what the endpoints report.
 type Config struct {
 	// Token is the operator token; an empty token refuses every request but /health.
-	Token    string
+	Token string
+	// Accepted are further tokens that operators may use during a change of the token.
+	Accepted []string
 	Sections []Section
 	Health   func() Health
 	Tickets  func() TicketReport
@@ -138,9 +141,16 @@
 }
 
 func (s *server) isOperator(r *http.Request) bool {
-	want := "Bearer " + s.Token
 	got := r.Header.Get("Authorization")
-	return s.Token != "" && subtle.ConstantTimeCompare([]byte(got), []byte(want)) == 1
+	if isBearer(got, s.Token) {
+		return true
+	}
+	return slices.ContainsFunc(s.Accepted, func(token string) bool { return isBearer(got, token) })
+}
+
+// isBearer compares in constant time, so that a token can't be guessed byte by byte.
+func isBearer(header, token string) bool {
+	return token != "" && subtle.ConstantTimeCompare([]byte(header), []byte("Bearer "+token)) == 1
 }
 
 func writeJSON(w http.ResponseWriter, status int, body any) {
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -23,6 +23,7 @@
 func TestOperatorEndpointsNeedToken(t *testing.T) {
 	handler := New(Config{
 		Token:    "secret",
+		Accepted: []string{"previous", ""},
 		Sections: []Section{{Name: "members", Dump: func() any { return 3 }}},
 		Health:   func() Health { return Health{Ready: true} },
 		Tickets:  func() TicketReport { return TicketReport{Head: 7} },
@@ -30,7 +31,9 @@
 	for _, path := range []string{"/state", "/tickets"} {
 		require.Equal(t, http.StatusUnauthorized, get(t, handler, path, "").Code)
 		require.Equal(t, http.StatusUnauthorized, get(t, handler, path, "wrong").Code)
+		require.Equal(t, http.StatusUnauthorized, get(t, handler, path, "").Code, "an empty accepted token opens nothing")
 		require.Equal(t, http.StatusOK, get(t, handler, path, "secret").Code)
+		require.Equal(t, http.StatusOK, get(t, handler, path, "previous").Code)
 	}
 	require.Equal(t, http.StatusOK, get(t, handler, "/health", "").Code)
 	require.Equal(t, http.StatusNotFound, get(t, handler, "/state?section=nothing", "secret").Code)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -43,7 +43,7 @@
 // New starts an agent; Close stops it.
 func New(c Config) (*Agent, error) {
 	c = c.withDefaults()
-	a := &Agent{config: c, registry: newRegistry(c), signer: relay.NewSigner(c.Secret), stop: make(chan struct{})}
+	a := &Agent{config: c, registry: newRegistry(c), signer: relay.NewSigner(c.Secret, c.Accepted), stop: make(chan struct{})}
 	ticks := c.Clock.Subscribe(expiryCheck)
 	a.group.Go(func() { a.watchExpiry(ticks) })
 	return a, nil
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/auburnwinch/auburnwinch/internal/relay"
+	"github.com/auburnwinch/auburnwinch/internal/secret"
 	"github.com/auburnwinch/auburnwinch/internal/timer"
 	"github.com/auburnwinch/auburnwinch/internal/view"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
@@ -20,6 +21,8 @@
 	View *view.Cell
 	// Secret verifies relayed requests; without it they are not verified.
 	Secret []byte
+	// Accepted are further secrets that edges may sign with during a change of the secret.
+	Accepted *secret.Set
 	// NewLimiter makes the admission control of a target; without it the slots are the limit and nobody waits.
 	NewLimiter func(model.Target, model.ServiceSpec) Limiter
 	// Tracker receives start and end of each request for the detection of unhealthy targets.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -65,6 +65,10 @@
 // Guards against faults that are accepted, or that are reported without file, line, field or remedy.
 func TestEachFaultGivesOneError(t *testing.T) {
 	for _, c := range []struct{ old, changed, says string }{
+		{"log-level: warn", "log-level: warn\naccepted-fleet-secrets: [short]", "accepted-fleet-secrets[0]: the value has 5 characters"},
+		{"log-level: warn", "log-level: warn\naccepted-fleet-secrets: [0123456789abcdef0123456789abcdef]", "accepted-fleet-secrets[0]: the value is used twice"},
+		{"log-level: warn", "log-level: warn\naccepted-operator-tokens: [aaaaaaaaaaaaaaaa, aaaaaaaaaaaaaaaa]", "accepted-operator-tokens[1]: the value is used twice"},
+		{"log-level: warn", "log-level: warn\naccepted-operator-token-files: [missing]", "accepted-operator-token-files[0]: the file can't be read"},
 		{"log-level: warn", "log-levle: warn", "node.yaml:24: log-levle: unknown field"},
 		{"  id: norte-1-vm-01", "  ID: x\n  id: norte-1-vm-01", "node.yaml:2: node.ID: unknown field"},
 		{"shutdown-timeout: 30s", "shutdown-timeout: 30", "node.yaml:23: shutdown-timeout: invalid duration"},
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"path/filepath"
+	"strconv"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -47,6 +48,8 @@
 	var problems strict.Problems
 	readSecret(&problems, "fleet-secret", directory, &s.FleetSecret, &s.FleetSecretFile)
 	readSecret(&problems, "operator-token", directory, &s.OperatorToken, &s.OperatorTokenFile)
+	readSecrets(&problems, "accepted-fleet-secret", directory, &s.AcceptedFleetSecrets, s.AcceptedFleetSecretFiles)
+	readSecrets(&problems, "accepted-operator-token", directory, &s.AcceptedOperatorTokens, s.AcceptedOperatorTokenFiles)
 	if s.TLS != nil {
 		for _, path := range []*string{&s.TLS.Certificate, &s.TLS.Key, &s.TLS.Authority} {
 			*path = absolute(directory, *path)
@@ -64,12 +67,24 @@
 		return
 	}
 	*file = absolute(directory, *file)
-	data, err := strict.ReadFile(*file, maxSecretFile)
+	*value = readSecretFile(problems, field+"-file", *file)
+}
+
+// readSecrets adds the secrets of the files to the values; the values come first.
+func readSecrets(problems *strict.Problems, field, directory string, values *[]string, files []string) {
+	for i, file := range files {
+		files[i] = absolute(directory, file)
+		*values = append(*values, readSecretFile(problems, field+"-files["+strconv.Itoa(i)+"]", files[i]))
+	}
+}
+
+func readSecretFile(problems *strict.Problems, field, file string) string {
+	data, err := strict.ReadFile(file, maxSecretFile)
 	if err != nil {
-		problems.Add(field+"-file", "create the file or correct the path", "the file can't be read: %v", err)
-		return
+		problems.Add(field, "create the file or correct the path", "the file can't be read: %v", err)
+		return ""
 	}
-	*value = strings.TrimSpace(string(data))
+	return strings.TrimSpace(string(data))
 }
 
 func absolute(directory, path string) string {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -29,17 +29,23 @@
 
 // Settings is what one node learns from its settings file.
 type Settings struct {
-	Node              Place          `yaml:"node"`
-	Listeners         Listeners      `yaml:"listeners"`
-	Seeds             []string       `yaml:"seeds,omitempty"`
-	FleetSecret       string         `yaml:"fleet-secret,omitempty"`
-	FleetSecretFile   string         `yaml:"fleet-secret-file,omitempty"`
-	OperatorToken     string         `yaml:"operator-token,omitempty"`
-	OperatorTokenFile string         `yaml:"operator-token-file,omitempty"`
-	TLS               *TLS           `yaml:"tls,omitempty"`
-	Platform          Platform       `yaml:"platform"`
-	ShutdownTimeout   model.Duration `yaml:"shutdown-timeout,omitempty"`
-	LogLevel          Level          `yaml:"log-level,omitempty"`
+	Node            Place     `yaml:"node"`
+	Listeners       Listeners `yaml:"listeners"`
+	Seeds           []string  `yaml:"seeds,omitempty"`
+	FleetSecret     string    `yaml:"fleet-secret,omitempty"`
+	FleetSecretFile string    `yaml:"fleet-secret-file,omitempty"`
+	// AcceptedFleetSecrets are secrets that other nodes may use while the fleet changes its secret.
+	AcceptedFleetSecrets     []string `yaml:"accepted-fleet-secrets,omitempty"`
+	AcceptedFleetSecretFiles []string `yaml:"accepted-fleet-secret-files,omitempty"`
+	OperatorToken            string   `yaml:"operator-token,omitempty"`
+	OperatorTokenFile        string   `yaml:"operator-token-file,omitempty"`
+	// AcceptedOperatorTokens are tokens that operators may use while the token changes.
+	AcceptedOperatorTokens     []string       `yaml:"accepted-operator-tokens,omitempty"`
+	AcceptedOperatorTokenFiles []string       `yaml:"accepted-operator-token-files,omitempty"`
+	TLS                        *TLS           `yaml:"tls,omitempty"`
+	Platform                   Platform       `yaml:"platform"`
+	ShutdownTimeout            model.Duration `yaml:"shutdown-timeout,omitempty"`
+	LogLevel                   Level          `yaml:"log-level,omitempty"`
 }
 
 // Place names a node and where it stands.
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -22,6 +22,8 @@
 	// maxShutdownTimeout is the longest drain that a replaced VM is given.
 	maxShutdownTimeout = time.Hour
 	maxSeeds           = 64
+	// maxAccepted bounds the work on a datagram that no secret authenticates.
+	maxAccepted = 3
 )
 
 // Validate reports all faults of the settings as strict.Problems.
@@ -100,6 +102,23 @@
 	if s.FleetSecret != "" && s.FleetSecret == s.OperatorToken {
 		p.Add("operator-token", "draw a token of its own", "the token equals the fleet secret")
 	}
+	checkAccepted(p, "accepted-fleet-secrets", s.FleetSecret, s.AcceptedFleetSecrets, minSecretLength)
+	checkAccepted(p, "accepted-operator-tokens", s.OperatorToken, s.AcceptedOperatorTokens, minTokenLength)
+}
+
+// checkAccepted checks secrets that are accepted besides the own one.
+func checkAccepted(p *strict.Problems, field, own string, accepted []string, length int) {
+	if len(accepted) > maxAccepted {
+		p.Add(field, "keep the secrets of one change only", "%d secrets are listed, at most %d are possible", len(accepted), maxAccepted)
+		return
+	}
+	for i, value := range accepted {
+		item := field + "[" + strconv.Itoa(i) + "]"
+		checkSecret(p, item, value, length)
+		if value == own || slices.Contains(accepted[:i], value) {
+			p.Add(item, "list each secret once, and not the one that the node uses itself", "the value is used twice")
+		}
+	}
 }
 
 func (t *TLS) check(p *strict.Problems) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -36,7 +36,7 @@
 
 // New starts an edge; Close stops it.
 func New(c Config) (*Edge, error) {
-	e := &Edge{config: c.withDefaults(), signer: relay.NewSigner(c.Secret), stop: make(chan struct{})}
+	e := &Edge{config: c.withDefaults(), signer: relay.NewSigner(c.Secret, nil), stop: make(chan struct{})}
 	ticks := e.config.Clock.Subscribe(poolCheck)
 	e.group.Go(func() { e.watchPools(ticks) })
 	return e, nil
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -37,7 +37,7 @@
 		return err
 	}
 	if n.tls != nil {
-		n.listeners.relay.socket = tls.NewListener(n.listeners.relay.socket, n.tls)
+		n.listeners.relay.socket = tls.NewListener(n.listeners.relay.socket, n.tls.server())
 	}
 	if n.listeners.local, err = n.listen("local", addresses.Local, n.plainServer("local", n.agent.Local())); err != nil {
 		return err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +21,7 @@
 	"github.com/auburnwinch/auburnwinch/internal/peer"
 	"github.com/auburnwinch/auburnwinch/internal/picker"
 	"github.com/auburnwinch/auburnwinch/internal/router"
+	"github.com/auburnwinch/auburnwinch/internal/secret"
 	"github.com/auburnwinch/auburnwinch/internal/store"
 	"github.com/auburnwinch/auburnwinch/internal/ticket"
 	"github.com/auburnwinch/auburnwinch/internal/view"
@@ -52,13 +52,14 @@
 	peers     *lateCaller
 	meter     *meter.Meter
 
-	tls       *tls.Config
+	tls       *keyFiles
 	listeners listeners
 	cancel    context.CancelFunc
 	group     conc.WaitGroup
 	closing   sync.Once
 	verdicts  *verdictCounts
 	detection *meter.DurationHistogram
+	accepted  *secret.Set
 	// joined tells that the membership is known; before, an empty list of peers says nothing.
 	joined atomic.Bool
 }
@@ -76,6 +77,7 @@
 	n := &Node{config: c, began: c.Clock.Now(), fleet: &fleet{}, record: &ownRecord{}, peers: &lateCaller{}, verdicts: &verdictCounts{}}
 	n.self = c.Settings.Self(uint64(n.began.UnixMicro()))
 	n.logger = log.With(c.Logger, "node", n.self.Ref.ID)
+	n.accepted = acceptedSecrets(c)
 	invar.OnViolation(n.logViolation)
 	for _, build := range []func() error{
 		n.buildTLS, n.buildStore, n.buildMeter, n.buildHealth, n.buildKeys, n.buildAgent, n.buildEdge, n.openListeners, n.buildTickets,
@@ -95,7 +97,7 @@
 }
 
 func (n *Node) buildTLS() (err error) {
-	n.tls, err = loadTLS(n.config.Settings.TLS)
+	n.tls, err = openKeyFiles(n.config.Settings.TLS, n.config.Clock, n.logger)
 	return err
 }
 
@@ -145,7 +147,7 @@
 
 func (n *Node) buildAgent() (err error) {
 	n.agent, err = agent.New(agent.Config{
-		Self: n.self.Ref, View: &n.fleet.view, Secret: n.secret(), NewLimiter: newAdmission,
+		Self: n.self.Ref, View: &n.fleet.view, Secret: n.secret(), Accepted: n.accepted, NewLimiter: newAdmission,
 		Tracker: agentTracker{n.targets}, Ledger: ledger{n.ledger}, Poison: n.suspicion,
 		OnTargets: n.record.setTargets, Clock: n.config.Clock, Logger: n.logger, Dial: n.config.Dial,
 	})
@@ -155,7 +157,7 @@
 func (n *Node) buildEdge() (err error) {
 	n.edge, err = edge.New(edge.Config{
 		View: &n.fleet.view, Secret: n.secret(), Picker: picks{n.picker}, Tracker: edgeTracker{n.paths},
-		Keys: keys{n.owner}, Poison: n.suspicion, Clock: n.config.Clock, Logger: n.logger, Dial: relayDial(n.config.Dial, n.tls),
+		Keys: keys{n.owner}, Poison: n.suspicion, Clock: n.config.Clock, Logger: n.logger, Dial: relayDial(n.config.Dial, n.tls.source()),
 	})
 	return err
 }
@@ -172,7 +174,7 @@
 
 func (n *Node) buildPeer() (err error) {
 	n.peer, err = peer.New(peer.Config{
-		Self: n.self, Secret: n.secret(), TLS: n.tls, Seeds: n.config.Settings.Seeds, Registered: n.store.Nodes,
+		Self: n.self, Secret: n.secret(), Accepted: n.accepted, TLS: n.tls.source(), Seeds: n.config.Settings.Seeds, Registered: n.store.Nodes,
 		Services: []peer.Service{
 			{Name: once.ServiceName, Receiver: once.NewKeys(n.owner, n.ledger)},
 			{Name: ticket.RPCService, Receiver: &ticket.Receiver{Keeper: n.tickets}},
@@ -193,6 +195,14 @@
 	return []byte(n.config.Settings.FleetSecret)
 }
 
+func acceptedSecrets(c Config) *secret.Set {
+	set := secret.Config{Clock: c.Clock}
+	for _, s := range c.Settings.AcceptedFleetSecrets {
+		set.Secrets = append(set.Secrets, []byte(s))
+	}
+	return secret.NewSet(set)
+}
+
 func (n *Node) membersChanged(snapshot *member.Snapshot) {
 	n.fleet.members.Store(snapshot)
 	n.viewer.setMembers(snapshot)
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -199,6 +199,7 @@
 	if n.suspicion != nil {
 		n.suspicion.close()
 	}
+	n.tls.close()
 	if n.peer != nil {
 		_ = n.peer.Close() // The process ends; peers detect the closed sockets.
 	}
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -7,6 +7,7 @@
 
 	"github.com/auburnwinch/auburnwinch/internal/admin"
 	"github.com/auburnwinch/auburnwinch/internal/invar"
+	"github.com/auburnwinch/auburnwinch/internal/secret"
 	"github.com/auburnwinch/auburnwinch/internal/ticket"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
@@ -28,6 +29,13 @@
 	Ready  bool   `json:"ready"`
 }
 
+// secretState tells by fingerprint which secret the node uses and which others it accepts, and when its certificate ends.
+type secretState struct {
+	Fingerprint string       `json:"fingerprint"`
+	Accepted    []secret.Use `json:"accepted"`
+	TLS         *tlsState    `json:"tls,omitempty"`
+}
+
 type platformState struct {
 	Table   any `json:"table"`
 	Objects any `json:"objects"`
@@ -36,6 +44,7 @@
 func (n *Node) adminHandler() http.Handler {
 	return admin.New(admin.Config{
 		Token:    n.config.Settings.OperatorToken,
+		Accepted: n.config.Settings.AcceptedOperatorTokens,
 		Sections: n.sections(),
 		Health:   n.health,
 		Tickets:  n.ticketReport,
@@ -66,6 +75,9 @@
 		{Name: "agent-verdicts", Dump: func() any { return n.targets.Snapshot() }},
 		{Name: "poison", Dump: func() any { return n.suspicion.module.Snapshot().State() }},
 		{Name: "control", Dump: func() any { return n.peer.Stats() }},
+		{Name: "secrets", Dump: func() any {
+			return secretState{Fingerprint: secret.Fingerprint(n.secret()), Accepted: n.accepted.State(), TLS: n.tls.state()}
+		}},
 		{Name: "platform", Dump: func() any {
 			return platformState{Table: n.store.TableStats(), Objects: n.store.ObjectStats()}
 		}},
--- a/internal/node/tls.go
+++ b/internal/node/tls.go
@@ -3,19 +3,16 @@
 import (
 	"context"
 	"crypto/tls"
-	"crypto/x509"
 	"net"
-	"os"
 
 	"github.com/rotisserie/eris"
 
-	"github.com/auburnwinch/auburnwinch/internal/config"
 	"github.com/auburnwinch/auburnwinch/internal/relay"
 )
 
 // relayDial opens connections to relay listeners, with mutual TLS when there are keys.
-func relayDial(dial relay.DialFunc, c *tls.Config) relay.DialFunc {
-	if c == nil {
+func relayDial(dial relay.DialFunc, latest func() *tls.Config) relay.DialFunc {
+	if latest == nil {
 		return dial
 	}
 	if dial == nil {
@@ -31,7 +28,7 @@
 			_ = raw.Close() // Nothing was sent on it.
 			return nil, eris.Wrapf(err, "relay address %s", address)
 		}
-		own := c.Clone()
+		own := latest().Clone()
 		own.ServerName = host
 		conn := tls.Client(raw, own)
 		if err := conn.HandshakeContext(ctx); err != nil {
@@ -41,29 +38,3 @@
 		return conn, nil
 	}
 }
-
-// loadTLS reads the keys for mutual TLS between nodes; without settings it returns nil.
-func loadTLS(c *config.TLS) (*tls.Config, error) {
-	if c == nil {
-		return nil, nil
-	}
-	certificate, err := tls.LoadX509KeyPair(c.Certificate, c.Key)
-	if err != nil {
-		return nil, eris.Wrapf(err, "load tls.certificate %s and tls.key %s; check that the files hold a PEM pair", c.Certificate, c.Key)
-	}
-	pem, err := os.ReadFile(c.Authority)
-	if err != nil {
-		return nil, eris.Wrapf(err, "read tls.authority %s", c.Authority)
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return nil, eris.Errorf("tls.authority %s holds no PEM certificate; give the certificate of the fleet's authority", c.Authority)
-	}
-	return &tls.Config{
-		Certificates: []tls.Certificate{certificate},
-		RootCAs:      pool,
-		ClientCAs:    pool,
-		ClientAuth:   tls.RequireAndVerifyClientCert,
-		MinVersion:   tls.VersionTLS13,
-	}, nil
-}
--- a/internal/peer/capacity_test.go
+++ b/internal/peer/capacity_test.go
@@ -149,7 +149,7 @@
 
 // BenchmarkSeal measures encoding and authentication of a datagram with two full records.
 func BenchmarkSeal(b *testing.B) {
-	s, d := newSealer([]byte(testSecret)), benchmarkDatagram(b)
+	s, d := newSealer([]byte(testSecret), nil), benchmarkDatagram(b)
 	for b.Loop() {
 		_, _ = s.seal(d)
 	}
@@ -157,7 +157,7 @@
 
 // BenchmarkOpen measures authentication and decoding of the same datagram.
 func BenchmarkOpen(b *testing.B) {
-	s := newSealer([]byte(testSecret))
+	s := newSealer([]byte(testSecret), nil)
 	packet, err := s.seal(benchmarkDatagram(b))
 	require.NoError(b, err)
 	b.SetBytes(int64(len(packet)))
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -6,6 +6,7 @@
 	"net"
 
 	"github.com/auburnwinch/auburnwinch/internal/member"
+	"github.com/auburnwinch/auburnwinch/internal/secret"
 	"github.com/auburnwinch/auburnwinch/internal/timer"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 	"github.com/go-kit/log"
@@ -30,8 +31,11 @@
 	Listen string
 	// Secret is the fleet secret, at least MinSecret bytes.
 	Secret []byte
-	// TLS enables TLS on the TCP side; set Certificates, RootCAs, ClientCAs and ClientAuth for mutual TLS.
-	TLS *tls.Config
+	// Accepted are further secrets that other nodes may use during a change of the secret.
+	Accepted *secret.Set
+	// TLS enables mutual TLS on the TCP side; it is called for each new connection, so that keys can change. The settings
+	// that it returns hold Certificates, RootCAs and, unless they are the same, ClientCAs.
+	TLS func() *tls.Config
 	// Seeds are peer addresses that are dialled when Registered is nil, fails or lists no other node.
 	Seeds []string
 	// Registered lists the nodes in the registry of the platform.
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/auburnwinch/auburnwinch/internal/secret"
 )
 
 const (
@@ -52,8 +54,9 @@
 	return newSession(secret, transcript), nil
 }
 
-// serverHandshake checks the client's proof of the secret and answers with its own.
-func serverHandshake(conn net.Conn, secret []byte) (*session, error) {
+// serverHandshake checks the client's proof of the own secret or of an accepted one and answers with its own proof of the
+// same secret, so that the client needs to know only one.
+func serverHandshake(conn net.Conn, own []byte, accepted *secret.Set) (*session, error) {
 	defer clearDeadline(conn)
 	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
 		return nil, err
@@ -65,19 +68,38 @@
 	if string(hello[:len(handshakeMagic)]) != handshakeMagic {
 		return nil, eris.Wrap(ErrMalformed, "handshake does not start with the protocol name")
 	}
-	var own [nonceSize]byte
-	rand.Read(own[:])
-	if _, err := conn.Write(own[:]); err != nil {
+	var nonce [nonceSize]byte
+	rand.Read(nonce[:])
+	if _, err := conn.Write(nonce[:]); err != nil {
 		return nil, err
 	}
-	transcript := append(hello[len(handshakeMagic):], own[:]...)
-	if err := readProof(conn, prove(secret, "client", transcript)); err != nil {
+	transcript := append(hello[len(handshakeMagic):], nonce[:]...)
+	proven, err := readClientProof(conn, own, accepted, transcript)
+	if err != nil {
 		return nil, err
 	}
-	if _, err := conn.Write(prove(secret, "server", transcript)); err != nil {
+	if _, err := conn.Write(prove(proven, "server", transcript)); err != nil {
 		return nil, err
 	}
-	return newSession(secret, transcript), nil
+	return newSession(proven, transcript), nil
+}
+
+// readClientProof returns the secret that the client proved to know.
+func readClientProof(conn net.Conn, own []byte, accepted *secret.Set, transcript []byte) ([]byte, error) {
+	proof := make([]byte, sha256.Size)
+	if _, err := io.ReadFull(conn, proof); err != nil {
+		return nil, err
+	}
+	if hmac.Equal(proof, prove(own, "client", transcript)) {
+		return own, nil
+	}
+	for i, other := range accepted.Secrets() {
+		if hmac.Equal(proof, prove(other, "client", transcript)) {
+			accepted.Used(i)
+			return other, nil
+		}
+	}
+	return nil, eris.Wrap(ErrForged, "handshake")
 }
 
 func newSession(secret, transcript []byte) *session {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -92,7 +92,7 @@
 		seed = rand.Uint64()
 	}
 	p := &Peer{
-		config: c, log: c.Logger, packets: packets, sealer: newSealer(c.Secret),
+		config: c, log: c.Logger, packets: packets, sealer: newSealer(c.Secret, c.Accepted),
 		logLimit: rate.NewLimiter(refusalLogRate, refusalLogBurst),
 		module:   member.New(member.Config{Self: c.Self, Seed: seed, Now: c.Clock.Now()}),
 		joined:   make(chan struct{}), contentChanged: make(signal, 1), numberChanged: make(signal, 1),
@@ -101,7 +101,7 @@
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.pool = newPool(p.ctx, c, &p.counters, p.reject)
 	p.server = &server{
-		listener: stream, secret: c.Secret, tls: serverTLS(c.TLS), counters: &p.counters, reject: p.reject,
+		listener: stream, secret: c.Secret, accepted: c.Accepted, tls: c.TLS, counters: &p.counters, reject: p.reject,
 		rpc: rpc.NewServer(), conns: make(map[net.Conn]struct{}),
 	}
 	return p, p.register()
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -48,7 +48,7 @@
 type pool struct {
 	ctx      context.Context
 	secret   []byte
-	tls      *tls.Config
+	tls      func() *tls.Config
 	dialer   func(ctx context.Context, network, address string) (net.Conn, error)
 	counters *counters
 	reject   func(source string, err error)
@@ -198,7 +198,7 @@
 	p.counters.bytesReceived.Add(connectionOverhead / 2)
 	conn = &countedConn{Conn: conn, counters: p.counters}
 	if p.tls != nil {
-		conn = tls.Client(conn, clientTLS(p.tls, address))
+		conn = tls.Client(conn, clientTLS(p.tls(), address))
 	}
 	keys, err := clientHandshake(conn, p.secret)
 	if err != nil {
--- a/internal/peer/refuse_test.go
+++ b/internal/peer/refuse_test.go
@@ -24,13 +24,13 @@
 	p := startPeer(t, "a")
 	stranger := model.NodeRef{ID: "x", Incarnation: 1}
 	seal := func(secret string, d *member.Datagram) []byte {
-		packet, err := newSealer([]byte(secret)).seal(d)
+		packet, err := newSealer([]byte(secret), nil).seal(d)
 		require.NoError(t, err)
 		return packet
 	}
 	mac := func(payload string) []byte {
-		s := newSealer([]byte(testSecret))
-		return append(append([]byte{packetVersion}, s.mac([]byte(payload))...), payload...)
+		s := newSealer([]byte(testSecret), nil)
+		return append(append([]byte{packetVersion}, packetMAC(s.key, []byte(payload))...), payload...)
 	}
 	ping := &member.Datagram{Kind: member.KindPing, From: stranger}
 	conn, err := net.Dial("udp", p.Self().PeerAddress)
@@ -125,7 +125,9 @@
 // Guards against mutual TLS that accepts nodes without a certificate of the fleet.
 func TestMutualTLS(t *testing.T) {
 	fleet, stranger := testTLS(t), testTLS(t)
-	with := func(config *tls.Config) func(*Config) { return func(c *Config) { c.TLS = config } }
+	with := func(config *tls.Config) func(*Config) {
+		return func(c *Config) { c.TLS = func() *tls.Config { return config } }
+	}
 	a := startPeer(t, "a", with(fleet))
 	b := startPeer(t, "b", with(fleet), withSeed(a))
 	eventually(t, "nodes with certificates joined", func() bool { return sees(a, "a", "b") })
@@ -140,7 +142,7 @@
 
 // FuzzOpen guards against packets that crash a node, with and without a valid authentication code.
 func FuzzOpen(f *testing.F) {
-	s := newSealer([]byte(testSecret))
+	s := newSealer([]byte(testSecret), nil)
 	self := model.Node{Ref: model.NodeRef{ID: "a", Incarnation: 5}, PeerAddress: "127.0.0.1:7400"}
 	now := time.Unix(1000, 0)
 	sender := member.New(member.Config{Self: model.Node{Ref: model.NodeRef{ID: "b", Incarnation: 1}}, Now: now})
@@ -159,7 +161,7 @@
 		if _, err := s.open(payload); err == nil {
 			t.Fatal("packet without authentication code accepted")
 		}
-		packet := append(append([]byte{packetVersion}, s.mac(payload)...), payload...)
+		packet := append(append([]byte{packetVersion}, packetMAC(s.key, payload)...), payload...)
 		d, err := s.open(packet)
 		if err != nil {
 			return
--- a/internal/peer/seal.go
+++ b/internal/peer/seal.go
@@ -4,8 +4,10 @@
 	"crypto/hmac"
 	"crypto/sha256"
 
-	"github.com/auburnwinch/auburnwinch/internal/member"
 	"github.com/rotisserie/eris"
+
+	"github.com/auburnwinch/auburnwinch/internal/member"
+	"github.com/auburnwinch/auburnwinch/internal/secret"
 )
 
 const (
@@ -17,11 +19,23 @@
 	packetMACSize = 16
 )
 
-// sealer encodes datagrams and authenticates them with the fleet secret.
-type sealer struct{ key []byte }
+// datagramLabel separates the key of datagrams from the other keys that the fleet secret yields.
+const datagramLabel = "datagram"
+
+// sealer encodes datagrams and authenticates them with the fleet secret; it opens those of accepted secrets as well.
+type sealer struct {
+	key []byte
+	// accepted are the keys of the accepted secrets, in their order.
+	accepted    [][]byte
+	acceptedUse *secret.Set
+}
 
-func newSealer(secret []byte) sealer {
-	return sealer{key: prove(secret, "datagram", nil)}
+func newSealer(own []byte, accepted *secret.Set) sealer {
+	s := sealer{key: prove(own, datagramLabel, nil), acceptedUse: accepted}
+	for _, other := range accepted.Secrets() {
+		s.accepted = append(s.accepted, prove(other, datagramLabel, nil))
+	}
+	return s
 }
 
 // seal returns the packet of a datagram; it fails with ErrOversized above the size bound.
@@ -32,7 +46,7 @@
 	}
 	packet := make([]byte, 1+packetMACSize, 1+packetMACSize+len(payload))
 	packet[0] = packetVersion
-	copy(packet[1:], s.mac(payload))
+	copy(packet[1:], packetMAC(s.key, payload))
 	packet = append(packet, payload...)
 	if len(packet) > maxPacket {
 		return nil, eris.Wrapf(ErrOversized, "datagram of %d bytes", len(packet))
@@ -49,14 +63,27 @@
 		return nil, eris.Wrapf(ErrMalformed, "datagram of %d bytes", len(packet))
 	}
 	payload := packet[1+packetMACSize:]
-	if !hmac.Equal(packet[1:1+packetMACSize], s.mac(payload)) {
+	if !s.authentic(packet[1:1+packetMACSize], payload) {
 		return nil, eris.Wrap(ErrForged, "datagram")
 	}
 	return member.DecodeDatagram(payload)
 }
 
-func (s sealer) mac(payload []byte) []byte {
-	mac := hmac.New(sha256.New, s.key)
+func (s sealer) authentic(mac, payload []byte) bool {
+	if hmac.Equal(mac, packetMAC(s.key, payload)) {
+		return true
+	}
+	for i, key := range s.accepted {
+		if hmac.Equal(mac, packetMAC(key, payload)) {
+			s.acceptedUse.Used(i)
+			return true
+		}
+	}
+	return false
+}
+
+func packetMAC(key, payload []byte) []byte {
+	mac := hmac.New(sha256.New, key)
 	mac.Write([]byte{packetVersion})
 	mac.Write(payload)
 	return mac.Sum(nil)[:packetMACSize]
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -7,6 +7,8 @@
 	"sync"
 
 	"github.com/sourcegraph/conc"
+
+	"github.com/auburnwinch/auburnwinch/internal/secret"
 )
 
 // maxConnections bounds the inbound connections; 670 nodes keep at most one each, and a margin serves reconnects.
@@ -16,7 +18,8 @@
 type server struct {
 	listener net.Listener
 	secret   []byte
-	tls      *tls.Config
+	accepted *secret.Set
+	tls      func() *tls.Config
 	counters *counters
 	reject   func(source string, err error)
 	rpc      *rpc.Server
@@ -53,7 +56,7 @@
 		s.reject(source, err)
 		return
 	}
-	keys, err := serverHandshake(conn, s.secret)
+	keys, err := serverHandshake(conn, s.secret, s.accepted)
 	if err != nil {
 		s.reject(source, err)
 		return
--- a/internal/peer/tls.go
+++ b/internal/peer/tls.go
@@ -12,9 +12,6 @@
 
 // serverTLS requires a certificate of the calling node; the settings may name the authorities as RootCAs only.
 func serverTLS(base *tls.Config) *tls.Config {
-	if base == nil {
-		return nil
-	}
 	config := base.Clone()
 	config.ClientAuth = tls.RequireAndVerifyClientCert
 	if config.ClientCAs == nil {
@@ -35,11 +32,11 @@
 }
 
 // secureServer does the TLS handshake when TLS is set; it fails with ErrForged when the other side cannot be verified.
-func secureServer(raw net.Conn, config *tls.Config) (net.Conn, error) {
-	if config == nil {
+func secureServer(raw net.Conn, latest func() *tls.Config) (net.Conn, error) {
+	if latest == nil {
 		return raw, nil
 	}
-	conn := tls.Server(raw, config)
+	conn := tls.Server(raw, serverTLS(latest()))
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
 	err := conn.HandshakeContext(ctx)
--- a/internal/procs/plan.go
+++ b/internal/procs/plan.go
@@ -53,6 +53,8 @@
 	ServiceTime time.Duration
 	// TLS makes keys and certificates for mutual TLS between the nodes.
 	TLS bool
+	// Prepare changes the settings of each node before they are written; nil changes nothing.
+	Prepare func(*NodePlan)
 	// LogLevel of the nodes; default info.
 	LogLevel config.Level
 }
@@ -209,14 +211,23 @@
 
 // write stores the settings of all nodes.
 func (p *Plan) write() error {
-	for _, n := range p.Nodes {
-		data, err := yaml.Marshal(n.Settings)
-		if err != nil {
-			return eris.Wrapf(err, "encode the settings of %s", n.Settings.Node.ID)
+	for i := range p.Nodes {
+		if p.Prepare != nil {
+			p.Prepare(&p.Nodes[i])
 		}
-		if err := os.WriteFile(n.Path, data, settingsAccess); err != nil {
-			return eris.Wrapf(err, "write the settings of %s", n.Settings.Node.ID)
+		if err := p.WriteSettings(i); err != nil {
+			return err
 		}
 	}
 	return nil
 }
+
+// WriteSettings stores the settings of one node, which it reads when it starts again.
+func (p *Plan) WriteSettings(node int) error {
+	n := p.Nodes[node]
+	data, err := yaml.Marshal(n.Settings)
+	if err != nil {
+		return eris.Wrapf(err, "encode the settings of %s", n.Settings.Node.ID)
+	}
+	return eris.Wrapf(os.WriteFile(n.Path, data, settingsAccess), "write the settings of %s", n.Settings.Node.ID)
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/auburnwinch/auburnwinch/internal/secret"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
@@ -38,7 +39,7 @@
 
 // Guards against signatures that hold for other requests, and against a secret that is ignored.
 func TestSignatureCoversAllParts(t *testing.T) {
-	s := NewSigner([]byte("secret"))
+	s := NewSigner([]byte("secret"), nil)
 	parts := Signed{Exchange: "e", Method: "GET", URI: "/", Target: "t", Key: "k"}
 	signature := s.Sign(parts)
 	require.NoError(t, s.Verify(parts, signature))
@@ -50,7 +51,10 @@
 	} {
 		require.ErrorIs(t, s.Verify(other, signature), ErrSignature)
 	}
-	require.ErrorIs(t, NewSigner([]byte("other")).Verify(parts, signature), ErrSignature)
+	require.ErrorIs(t, NewSigner([]byte("other"), nil).Verify(parts, signature), ErrSignature)
+	accepted := secret.NewSet(secret.Config{Secrets: [][]byte{[]byte("unused"), []byte("secret")}})
+	require.NoError(t, NewSigner([]byte("other"), accepted).Verify(parts, signature), "a secret that is being replaced")
+	require.EqualValues(t, 1, accepted.Uses())
 	require.ErrorIs(t, s.Verify(parts, ""), ErrSignature)
 }
 
--- a/internal/relay/sign.go
+++ b/internal/relay/sign.go
@@ -7,6 +7,8 @@
 	"encoding/hex"
 	"hash"
 	"sync"
+
+	"github.com/auburnwinch/auburnwinch/internal/secret"
 )
 
 const nonceBytes = 16
@@ -15,6 +17,9 @@
 type Signer struct {
 	secret []byte
 	hashes sync.Pool
+	// accepted are signers of the accepted secrets, in their order.
+	accepted    []*Signer
+	acceptedUse *secret.Set
 }
 
 // signScratch is the memory for one signature.
@@ -34,9 +39,13 @@
 	Key      string
 }
 
-// NewSigner returns a signer; an empty secret signs nothing.
-func NewSigner(secret []byte) *Signer {
-	return &Signer{secret: secret}
+// NewSigner returns a signer that verifies signatures of accepted secrets as well; an empty own secret signs nothing.
+func NewSigner(own []byte, accepted *secret.Set) *Signer {
+	s := &Signer{secret: own, acceptedUse: accepted}
+	for _, other := range accepted.Secrets() {
+		s.accepted = append(s.accepted, &Signer{secret: other})
+	}
+	return s
 }
 
 // NewExchange returns a random nonce.
@@ -72,5 +81,11 @@
 	if len(s.secret) == 0 || hmac.Equal([]byte(s.Sign(parts)), []byte(signature)) {
 		return nil
 	}
+	for i, other := range s.accepted {
+		if hmac.Equal([]byte(other.Sign(parts)), []byte(signature)) {
+			s.acceptedUse.Used(i)
+			return nil
+		}
+	}
 	return ErrSignature
 }
--- /dev/null
+++ b/internal/secret/set_test.go
@@ -0,0 +1,33 @@
+package secret
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwinch/auburnwinch/internal/timer"
+)
+
+// Guards against a state dump that hides which secret is still in use, or that reveals it.
+func TestStateTellsUsesByFingerprint(t *testing.T) {
+	start := time.Unix(1000, 0).UTC()
+	s := NewSet(Config{Secrets: [][]byte{[]byte("first"), []byte("second")}, Clock: timer.NewManual(start)})
+	s.Used(1)
+	s.Used(1)
+	require.EqualValues(t, 2, s.Uses())
+	require.Equal(t, []Use{
+		{Fingerprint: Fingerprint([]byte("first"))},
+		{Fingerprint: Fingerprint([]byte("second")), Uses: 2, LastUsed: &start},
+	}, s.State())
+	require.NotContains(t, Fingerprint([]byte("second")), "second")
+	require.NotEqual(t, Fingerprint([]byte("first")), Fingerprint([]byte("second")))
+}
+
+// Guards against a node that fails without accepted secrets.
+func TestNilSetIsEmpty(t *testing.T) {
+	var s *Set
+	require.Empty(t, s.Secrets())
+	require.Zero(t, s.Uses())
+	require.Empty(t, s.State())
+}
