once: search handovers whose parts arrive late, twice or never

Cause: in the model a handover was one step, in which the records left one owner and arrived at the other. In the program they travel: they can arrive late, after the old owner has exited, twice, never, and at a successor that has restarted in between. The search could not find a fault in that.

Two safeguards more are taken out in turn: the check of the successor's incarnation and the seal of the old owner.

--- a/internal/once/history_test.go
+++ b/internal/once/history_test.go
@@ -27,7 +27,7 @@
 // rare steps are taken less often, since a history says little after the key ran or its epoch was dropped.
 func rare(label string) bool {
 	attempt := strings.HasPrefix(label, "deliver attempt") || strings.HasPrefix(label, "duplicate attempt")
-	return attempt || strings.HasSuffix(label, "restarts") || strings.HasSuffix(label, "epochs") || strings.HasSuffix(label, "to B")
+	return attempt || strings.HasSuffix(label, "restarts") || strings.HasSuffix(label, "epochs") || strings.HasSuffix(label, "for B")
 }
 
 // Guards against faults that need more sends, restarts and repeated letters than the exhaustive search reaches.
--- a/internal/once/search_test.go
+++ b/internal/once/search_test.go
@@ -24,6 +24,7 @@
 	{Name: "dropped epoch", Sends: 2, Attempts: 1, Drops: 1, Join: true},
 	{Name: "plain key", Sends: 2, Attempts: 1, Plain: true},
 	{Name: "handover", Sends: 2, Attempts: 1, Handover: true, Aging: true},
+	{Name: "handover, one restart", Sends: 2, Attempts: 1, Handover: true, Restarts: 1},
 }
 
 // deep scenarios combine faults; those with a limit are cut off.
@@ -66,7 +67,7 @@
 	}
 	t.Logf("states in all: %d", states)
 	for _, name := range []string{
-		"grant", "second grant", "attempt after fence", "answer", "evidence", "dropped epoch", "running", "not-run", "handover",
+		"grant", "second grant", "attempt after fence", "answer", "evidence", "dropped epoch", "running", "not-run", "handover", "late handover",
 	} {
 		require.NotZero(t, seen.Counts()[name], "no step reached %q", name)
 	}
@@ -85,6 +86,8 @@
 		{Name: "claim read again", Without: withoutClaimRead, Plain: true, Sends: 2, Attempts: 1, Expect: twice},
 		{Name: "unknown while platform is away", Without: withoutUnclaimed, Plain: true, Sends: 2, Attempts: 1, Expect: notRun},
 		{Name: "doubt after refusal of a seen key", Without: withoutSeenDoubt, Sends: 1, Attempts: 2, Copies: true, Dups: 1, Expect: twice},
+		{Name: "successor incarnation check", Without: withoutHeirIncarnation, Sends: 2, Attempts: 1, Handover: true, Restarts: 1, Expect: twice},
+		{Name: "seal before handover", Without: withoutSealOnce, Sends: 2, Attempts: 1, Handover: true, Expect: twice},
 		{Name: "attempts arrive once", Sends: 1, Attempts: 2, Copies: true, Dups: 1, Refuse: 1, Expect: twice},
 	} {
 		t.Run(s.Name, func(t *testing.T) {
