--- a/internal/once/disturb_test.go
+++ b/internal/once/disturb_test.go
@@ -13,20 +13,20 @@
 		}
 		id := attemptID{Key: modelKey(l.Owner, l.OwnerInc), Fingerprint: 1, Agent: uint64(w.AgentInc[j])}
 		step(search.Label("target at %s answers", agentRef(uint8(j), w.AgentInc[j])), func(n *world) {
-			n.Busy[j] = letter{}
+			n.Busy[j] = packet{}
 			n.tellAgent(uint8(j), CompleteMsg{Now: moment, ID: id, Answer: &Answer{Status: int(n.RunID)}})
-			n.answer(l, letter{State: replyAnswered, Ans: n.RunID})
+			n.answer(l, packet{State: replyAnswered, Ans: n.RunID})
 		})
 		if w.Refused < p.Refuse {
 			step(search.Label("target at %s can't be reached", agentRef(uint8(j), w.AgentInc[j])), func(n *world) {
-				n.Busy[j], n.Runs, n.RunID = letter{}, n.Runs-1, 0
+				n.Busy[j], n.Runs, n.RunID = packet{}, n.Runs-1, 0
 				n.Refused++
 				n.tellAgent(uint8(j), ReleaseMsg{ID: id})
-				n.answer(l, letter{State: replyRefused})
+				n.answer(l, packet{State: replyRefused})
 			})
 		}
 		step(search.Label("target at %s breaks", agentRef(uint8(j), w.AgentInc[j])), func(n *world) {
-			n.Busy[j] = letter{}
+			n.Busy[j] = packet{}
 			n.tellAgent(uint8(j), CompleteMsg{Now: moment, ID: id, Broken: true})
 		})
 	}
@@ -38,11 +38,11 @@
 		if w.Restarts < p.Restarts && (i < 2 || p.Three) {
 			step(search.Label("%s restarts", edge(i, w.Inc[i])), func(n *world) { p.restart(n, i) })
 		}
-		if w.Drops < p.Drops && w.owners[i].m.shelf.count > 0 {
+		if w.Drops < p.Drops && w.owners[i].m.records.count > 0 {
 			step(search.Label("%s drops its epochs", edge(i, w.Inc[i])), func(n *world) {
 				n.Drops++
 				n.tell(i, ExpireMsg{Before: moment.Add(1)})
-				n.clearFloors(p.Without, n.owners[i].m.shelf.floors)
+				n.clearFloors(p.Without, n.owners[i].m.records.floors)
 				n.owners[i] = boxOwner(n.owners[i].m)
 			})
 		}
@@ -54,14 +54,14 @@
 				n.Touched[j] = true
 				n.AgentInc[j]++
 				n.ledgers[j] = newModelLedger(j, n.AgentInc[j])
-				n.Busy[j] = letter{}
+				n.Busy[j] = packet{}
 			})
 		}
-		if w.Drops < p.Drops && w.ledgers[j].m.shelf.count > 0 {
+		if w.Drops < p.Drops && w.ledgers[j].m.records.count > 0 {
 			step(search.Label("%s drops its epochs", agentRef(j, w.AgentInc[j])), func(n *world) {
 				n.Drops++
 				n.tellAgent(j, ExpireMsg{Before: moment.Add(1)})
-				n.clearFloors(p.Without, n.ledgers[j].m.shelf.floors)
+				n.clearFloors(p.Without, n.ledgers[j].m.records.floors)
 				n.ledgers[j] = boxLedger(n.ledgers[j].m)
 			})
 		}
@@ -78,8 +78,8 @@
 	if p.Handover && !w.Sealed {
 		step(search.Label("A seals its keys for B"), func(n *world) { p.seal(n) })
 	}
-	if w.estate != nil && w.Inherits < maxInherits {
-		step(search.Label("the keys of A arrive at B"), func(n *world) { p.inherit(n) })
+	if w.transfer != nil && w.Arrivals < maxArrivals {
+		step(search.Label("the keys of A arrive at B"), func(n *world) { p.takeOver(n) })
 	}
 }
 
@@ -92,27 +92,27 @@
 // seal ends the ownership of A. The keys are on their way to B from then on: they may arrive late, twice or never, also
 // after A has exited, and at a B that has restarted.
 func (p *protocol) seal(n *world) {
-	n.Sealed, n.Sealer, n.Heir = true, n.Inc[0], n.Inc[1]
+	n.Sealed, n.Sealer, n.Successor = true, n.Inc[0], n.Inc[1]
 	before := n.owners[0]
-	cmd := n.tell(0, SealMsg{Now: moment, Successor: &model.Node{Ref: edge(1, n.Heir)}})
-	c, ok := cmd.(EstateCmd)
+	cmd := n.tell(0, SealMsg{Now: moment, Successor: &model.Node{Ref: edge(1, n.Successor)}})
+	c, ok := cmd.(TransferCmd)
 	if !ok {
 		return
 	}
 	p.seen.Add("handover")
-	n.estate = boxEstate(c.Estate)
+	n.transfer = boxTransfer(c.Transfer)
 	if p.Without == withoutSealOnce {
 		n.owners[0] = before
 	}
 }
 
-// inherit lets the keys arrive. Keys.Handover refuses them when they are for another incarnation of B.
-func (p *protocol) inherit(n *world) {
-	n.Inherits++
-	if n.Heir != n.Inc[1] && p.Without != withoutHeirIncarnation {
+// takeOver lets the keys arrive. Keys.Handover refuses them when they are for another incarnation of B.
+func (p *protocol) takeOver(n *world) {
+	n.Arrivals++
+	if n.Successor != n.Inc[1] && p.Without != withoutSuccessorIncarnation {
 		return
 	}
-	n.tell(1, InheritMsg{Now: moment, Estate: n.estate.m})
+	n.tell(1, TakeOverMsg{Now: moment, Transfer: n.transfer.m})
 	if n.Inc[0] != n.Sealer {
 		p.seen.Add("late handover")
 	}
--- a/internal/once/shelf.go
+++ b/internal/once/epoch_store.go
@@ -29,8 +29,8 @@
 	Records map[digest]R
 }
 
-// shelf holds records by epoch and refuses keys of epochs whose records it dropped.
-type shelf[R any] struct {
+// epochStore holds records by epoch and refuses keys of epochs whose records it dropped.
+type epochStore[R any] struct {
 	buckets map[epochID]*bucket[R]
 	// floors holds, per node ID, the lowest position that is still accepted.
 	floors map[string]position
@@ -41,8 +41,8 @@
 	maxFloors  int
 }
 
-func newShelf[R any](maxRecords, maxFloors int) shelf[R] {
-	return shelf[R]{
+func newEpochStore[R any](maxRecords, maxFloors int) epochStore[R] {
+	return epochStore[R]{
 		buckets:    make(map[epochID]*bucket[R]),
 		floors:     make(map[string]position),
 		maxRecords: maxRecords,
@@ -51,7 +51,7 @@
 }
 
 // clone returns a copy that shares no state.
-func (s *shelf[R]) clone() shelf[R] {
+func (s *epochStore[R]) clone() epochStore[R] {
 	c := *s
 	c.floors = maps.Clone(s.floors)
 	c.buckets = make(map[epochID]*bucket[R], len(s.buckets))
@@ -74,14 +74,14 @@
 }
 
 // accepts reports whether no record of the epoch can have been dropped.
-func (s *shelf[R]) accepts(e epochID) bool {
+func (s *epochStore[R]) accepts(e epochID) bool {
 	if floor, ok := s.floors[e.Owner.ID]; ok {
 		return e.position().compare(floor) >= 0
 	}
 	return e.Owner.Incarnation >= s.horizon
 }
 
-func (s *shelf[R]) get(id keyID) (R, bool) {
+func (s *epochStore[R]) get(id keyID) (R, bool) {
 	if b := s.buckets[id.epoch()]; b != nil {
 		r, ok := b.Records[id.Digest]
 		return r, ok
@@ -91,7 +91,7 @@
 }
 
 // put stores the record; the caller has checked that the epoch is accepted.
-func (s *shelf[R]) put(id keyID, r R, now time.Time) {
+func (s *epochStore[R]) put(id keyID, r R, now time.Time) {
 	e := id.epoch()
 	b := s.buckets[e]
 	if b == nil {
@@ -105,7 +105,7 @@
 }
 
 // remove deletes one record whose key certainly never ran.
-func (s *shelf[R]) remove(id keyID) {
+func (s *epochStore[R]) remove(id keyID) {
 	b := s.buckets[id.epoch()]
 	if b == nil {
 		return
@@ -116,7 +116,7 @@
 }
 
 // expire drops the epochs that were last touched before the given time, the lowest of each node ID first.
-func (s *shelf[R]) expire(before time.Time) {
+func (s *epochStore[R]) expire(before time.Time) {
 	oldest := make(map[string]*bucket[R])
 	for {
 		clear(oldest)
@@ -139,14 +139,14 @@
 }
 
 // makeRoom drops whole epochs, the longest untouched first, until one more record fits.
-func (s *shelf[R]) makeRoom() {
+func (s *epochStore[R]) makeRoom() {
 	for s.count >= s.maxRecords && len(s.buckets) > 0 {
 		s.drop(s.leastTouched())
 	}
 	invar.Check(s.count < s.maxRecords, "once", "%d records are kept, the bound is %d", s.count, s.maxRecords)
 }
 
-func (s *shelf[R]) leastTouched() epochID {
+func (s *epochStore[R]) leastTouched() epochID {
 	var least *bucket[R]
 	for _, b := range s.buckets {
 		if least == nil || b.Touched.Before(least.Touched) ||
@@ -162,7 +162,7 @@
 }
 
 // drop removes the epoch and all lower ones of the same node ID and refuses their keys from then on.
-func (s *shelf[R]) drop(e epochID) {
+func (s *epochStore[R]) drop(e epochID) {
 	floor := position{Incarnation: e.Owner.Incarnation, Epoch: e.Epoch + 1}
 	for id, b := range s.buckets {
 		if id.Owner.ID == e.Owner.ID && id.position().compare(floor) < 0 {
@@ -174,7 +174,7 @@
 }
 
 // raise moves the floor of the node ID up; a floor never goes down.
-func (s *shelf[R]) raise(id string, floor position) {
+func (s *epochStore[R]) raise(id string, floor position) {
 	if current, ok := s.floors[id]; ok && current.compare(floor) >= 0 {
 		return
 	}
@@ -186,7 +186,7 @@
 }
 
 // forgetFloor replaces the floor with the lowest incarnation by a horizon that refuses at least the same keys.
-func (s *shelf[R]) forgetFloor() {
+func (s *epochStore[R]) forgetFloor() {
 	ids := make([]string, 0, len(s.floors))
 	for id := range s.floors {
 		ids = append(ids, id)
--- a/internal/once/history_test.go
+++ b/internal/once/history_test.go
@@ -30,7 +30,7 @@
 	return attempt || strings.HasSuffix(label, "restarts") || strings.HasSuffix(label, "epochs") || strings.HasSuffix(label, "for B")
 }
 
-// Guards against faults that need more sends, restarts and repeated letters than the exhaustive search reaches.
+// Guards against faults that need more sends, restarts and repeated packets than the exhaustive search reaches.
 func TestLongHistories(t *testing.T) {
 	seedRapid(t)
 	steps, longest := 0, 0
--- a/internal/once/ledger_module.go
+++ b/internal/once/ledger_module.go
@@ -47,7 +47,7 @@
 // ledgerModule decides which attempts may reach a target; it is deterministic and not safe for concurrent use.
 type ledgerModule struct {
 	config  ledgerConfig
-	shelf   shelf[ledgerRecord]
+	records epochStore[ledgerRecord]
 	answers []*storedAnswer
 	total   int
 }
@@ -97,13 +97,13 @@
 }
 
 func newLedgerModule(c ledgerConfig) *ledgerModule {
-	return &ledgerModule{config: c, shelf: newShelf[ledgerRecord](c.MaxRecords, c.MaxFloors)}
+	return &ledgerModule{config: c, records: newEpochStore[ledgerRecord](c.MaxRecords, c.MaxFloors)}
 }
 
 // clone returns a copy that shares only answers, for searches that try several messages; the copy must not evict any.
 func (m *ledgerModule) clone() *ledgerModule {
 	c := *m
-	c.shelf, c.answers = m.shelf.clone(), slices.Clone(m.answers)
+	c.records, c.answers = m.records.clone(), slices.Clone(m.answers)
 	return &c
 }
 
@@ -119,14 +119,14 @@
 	case FenceMsg:
 		return m.fence(msg)
 	case ExpireMsg:
-		m.shelf.expire(msg.Before)
+		m.records.expire(msg.Before)
 	}
 	return nil
 }
 
 // Lookup returns what is known about the key; FenceNeverSeen is no promise here.
 func (m *ledgerModule) Lookup(msg LookupMsg) EvidenceCmd {
-	r, ok := m.shelf.get(msg.ID)
+	r, ok := m.records.get(msg.ID)
 	if !ok {
 		return EvidenceCmd{State: FenceNeverSeen}
 	}
@@ -140,7 +140,7 @@
 	if msg.ID.Agent != m.config.Self.Incarnation {
 		return nil
 	}
-	if _, seen := m.shelf.get(msg.ID.Key); seen {
+	if _, seen := m.records.get(msg.ID.Key); seen {
 		return nil
 	}
 	if !m.put(msg.Now, msg.ID.Key, ledgerRecord{Fingerprint: msg.ID.Fingerprint, State: ledgerRunning}) {
@@ -151,30 +151,30 @@
 
 // put stores a new record; it fails when the epoch of the key was dropped.
 func (m *ledgerModule) put(now time.Time, id keyID, r ledgerRecord) bool {
-	if !m.shelf.accepts(id.epoch()) {
+	if !m.records.accepts(id.epoch()) {
 		return false
 	}
-	m.shelf.makeRoom()
-	if !m.shelf.accepts(id.epoch()) {
+	m.records.makeRoom()
+	if !m.records.accepts(id.epoch()) {
 		return false
 	}
-	m.shelf.put(id, r, now)
+	m.records.put(id, r, now)
 	return true
 }
 
 func (m *ledgerModule) release(msg ReleaseMsg) {
-	r, ok := m.shelf.get(msg.ID.Key)
+	r, ok := m.records.get(msg.ID.Key)
 	if !ok {
 		return
 	}
 	invar.Check(r.State == ledgerRunning, "once", "a key is released in state %d", r.State)
 	if r.State == ledgerRunning {
-		m.shelf.remove(msg.ID.Key)
+		m.records.remove(msg.ID.Key)
 	}
 }
 
 func (m *ledgerModule) complete(msg CompleteMsg) {
-	r, ok := m.shelf.get(msg.ID.Key)
+	r, ok := m.records.get(msg.ID.Key)
 	if !ok {
 		return
 	}
@@ -188,7 +188,7 @@
 	} else {
 		r.Stored = m.keep(msg.Answer)
 	}
-	m.shelf.put(msg.ID.Key, r, msg.Now)
+	m.records.put(msg.ID.Key, r, msg.Now)
 }
 
 // keep stores the answer and evicts the oldest ones beyond the bound.
@@ -215,7 +215,7 @@
 	if msg.Agent != m.config.Self {
 		return EvidenceCmd{State: FenceOtherIncarnation}
 	}
-	if r, seen := m.shelf.get(msg.ID); seen {
+	if r, seen := m.records.get(msg.ID); seen {
 		return r.evidence(msg.Fingerprint)
 	}
 	if !m.put(msg.Now, msg.ID, ledgerRecord{Fingerprint: msg.Fingerprint, State: ledgerFenced}) {
--- a/internal/once/message.go
+++ b/internal/once/message.go
@@ -101,10 +101,10 @@
 	Successor *model.Node
 }
 
-// InheritMsg takes over the keys of an owner that shut down.
-type InheritMsg struct {
-	Now    time.Time
-	Estate Estate
+// TakeOverMsg takes over the keys of an owner that shut down.
+type TakeOverMsg struct {
+	Now      time.Time
+	Transfer Transfer
 }
 
 // RunCmd permits one attempt.
@@ -148,13 +148,13 @@
 	Generation uint32
 }
 
-// EstateCmd carries what the successor needs to own the sealed keys.
-type EstateCmd struct {
-	Estate Estate
+// TransferCmd carries what the successor needs to own the sealed keys.
+type TransferCmd struct {
+	Transfer Transfer
 }
 
-// InheritedCmd confirms that this node decides about the keys of an estate.
-type InheritedCmd struct{}
+// TakenOverCmd confirms that this node decides about the keys of a transfer.
+type TakenOverCmd struct{}
 
 // FencePurpose tells what follows after a fence that found the key never seen.
 type FencePurpose uint8
@@ -190,14 +190,14 @@
 	FenceMismatch
 )
 
-// Estate is the state of one shard of an owner that shuts down.
-type Estate struct {
-	Domains []EstateDomain
-	Records []EstateRecord
+// Transfer is the state of one shard of an owner that shuts down.
+type Transfer struct {
+	Domains []TransferDomain
+	Records []TransferRecord
 }
 
-// EstateDomain is one owner whose keys the estate covers completely.
-type EstateDomain struct {
+// TransferDomain is one owner whose keys the transfer covers completely.
+type TransferDomain struct {
 	Owner model.NodeRef
 	// Epoch is the last epoch that the owner started, Oldest the lowest one whose unseen keys may run.
 	Epoch  uint64
@@ -206,8 +206,8 @@
 	Floor uint64
 }
 
-// EstateRecord is one key of an estate.
-type EstateRecord struct {
+// TransferRecord is one key of a transfer.
+type TransferRecord struct {
 	Owner       model.NodeRef
 	Epoch       uint64
 	Digest      [16]byte
@@ -230,7 +230,7 @@
 func (EpochMsg) isMsg()      {}
 func (ExpireMsg) isMsg()     {}
 func (SealMsg) isMsg()       {}
-func (InheritMsg) isMsg()    {}
+func (TakeOverMsg) isMsg()   {}
 
 func (RunCmd) isCmd()       {}
 func (DecideCmd) isCmd()    {}
@@ -239,5 +239,5 @@
 func (AskCmd) isCmd()       {}
 func (GrantCmd) isCmd()     {}
 func (MovedCmd) isCmd()     {}
-func (EstateCmd) isCmd()    {}
-func (InheritedCmd) isCmd() {}
+func (TransferCmd) isCmd()  {}
+func (TakenOverCmd) isCmd() {}
--- a/internal/once/model_test.go
+++ b/internal/once/model_test.go
@@ -20,7 +20,7 @@
 	withoutClaimRead
 	withoutUnclaimed
 	withoutSeenDoubt
-	withoutHeirIncarnation
+	withoutSuccessorIncarnation
 	withoutSealOnce
 )
 
@@ -29,8 +29,8 @@
 	agents   = 3
 	maxSends = 6
 	servers  = 2
-	// maxInherits lets a handover that was repeated arrive twice.
-	maxInherits = 2
+	// maxArrivals lets a handover that was repeated arrive twice.
+	maxArrivals = 2
 )
 
 // scenario bounds what may happen in one search.
@@ -42,7 +42,7 @@
 	Copies bool
 	// Expect makes the search go on until a problem with this text is found.
 	Expect string
-	// Lossy makes histories lose letters when there are too many.
+	// Lossy makes histories lose packets when there are too many.
 	Lossy bool
 	// Three lets sends arrive at the third edge as well.
 	Three   bool
@@ -82,7 +82,7 @@
 		p.deliver(w, l, search.Label("deliver %s", l), func(label func() string, f func(n *world)) {
 			step(label, func(n *world) { n.Net.Remove(i); f(n) })
 		})
-		if w.Dups < p.Dups && (l.Kind != letterAttempt || p.Copies) && l.Kind != letterReply {
+		if w.Dups < p.Dups && (l.Kind != packetAttempt || p.Copies) && l.Kind != packetReply {
 			p.deliver(w, l, search.Label("duplicate %s", l), func(label func() string, f func(n *world)) {
 				step(label, func(n *world) { n.Dups++; f(n) })
 			})
--- a/internal/once/owner.go
+++ b/internal/once/owner.go
@@ -87,9 +87,9 @@
 type ownerShard struct {
 	mu     sync.Mutex
 	module *ownerModule
-	// estate is what a successor has not acknowledged yet.
-	estate *Estate
-	_      [40]byte // keeps the locks of two shards off one cache line
+	// transfer is what a successor has not acknowledged yet.
+	transfer *Transfer
+	_        [40]byte // keeps the locks of two shards off one cache line
 }
 
 // NewOwner returns an owner in epoch 1 that starts and drops epochs until Close.
@@ -131,7 +131,7 @@
 	if err != nil {
 		return invalid(s.Key)
 	}
-	e := &errand{key: key, id: id, send: s}
+	e := &sendState{key: key, id: id, send: s}
 	return o.carryOut(ctx, e, o.update(id, BeginMsg{Now: o.now(), ID: id, Fingerprint: s.Fingerprint}))
 }
 
@@ -169,7 +169,7 @@
 	if err != nil {
 		return Decision{Kind: KindNotRun, Key: key, Reason: ReasonKeyInvalid}
 	}
-	return o.carryOut(ctx, &errand{key: key, id: id}, o.update(id, DoubtMsg{Now: o.now(), ID: id}))
+	return o.carryOut(ctx, &sendState{key: key, id: id}, o.update(id, DoubtMsg{Now: o.now(), ID: id}))
 }
 
 // End releases the key after the send that got KindRun was answered with the outcome.
@@ -185,7 +185,7 @@
 	if err != nil {
 		return Decision{Kind: KindUnknown, Key: key, Reason: ReasonKeyInvalid}
 	}
-	return o.carryOut(ctx, &errand{key: key, id: id, query: true}, o.query(id))
+	return o.carryOut(ctx, &sendState{key: key, id: id, query: true}, o.query(id))
 }
 
 // Close stops the epochs.
@@ -265,7 +265,7 @@
 	return o.config.Claims.ClaimKey(ctx, row, o.Token())
 }
 
-func (o *Owner) carryOut(ctx context.Context, e *errand, cmd Cmd) Decision {
+func (o *Owner) carryOut(ctx context.Context, e *sendState, cmd Cmd) Decision {
 	for {
 		switch c := cmd.(type) {
 		case RunCmd:
@@ -289,11 +289,11 @@
 }
 
 // fingerprint returns the one of the record, since ResolveAttempt does not carry the request.
-func (o *Owner) fingerprint(e *errand) uint64 {
+func (o *Owner) fingerprint(e *sendState) uint64 {
 	s := &o.shards[e.id.Digest.shard()]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r, ok := s.module.shelf.get(e.id)
+	r, ok := s.module.records.get(e.id)
 	if !ok {
 		return e.send.Fingerprint
 	}
--- a/internal/once/owner_call.go
+++ b/internal/once/owner_call.go
@@ -8,12 +8,12 @@
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
-func (o *Owner) fence(ctx context.Context, e *errand, c FenceCmd) Cmd {
+func (o *Owner) fence(ctx context.Context, e *sendState, c FenceCmd) Cmd {
 	reply := o.fenceCall(ctx, e, *c.Agent)
 	return o.update(e.id, e.fenced(o.now(), c, reply))
 }
 
-func (o *Owner) fenceCall(ctx context.Context, e *errand, agent model.Node) FenceReply {
+func (o *Owner) fenceCall(ctx context.Context, e *sendState, agent model.Node) FenceReply {
 	fingerprint := o.fingerprint(e)
 	if o.local(agent) {
 		return FenceReply(o.config.Ledger.fence(FenceMsg{ID: e.id, Agent: agent.Ref, Fingerprint: fingerprint}))
@@ -26,12 +26,12 @@
 	return reply
 }
 
-func (o *Owner) fetch(ctx context.Context, e *errand, c FetchCmd) Decision {
+func (o *Owner) fetch(ctx context.Context, e *sendState, c FetchCmd) Decision {
 	reply, err := o.lookupCall(ctx, e, *c.Agent, o.fingerprint(e))
 	return e.fetched(c, reply, err == nil)
 }
 
-func (o *Owner) lookupCall(ctx context.Context, e *errand, agent model.Node, fingerprint uint64) (FenceReply, error) {
+func (o *Owner) lookupCall(ctx context.Context, e *sendState, agent model.Node, fingerprint uint64) (FenceReply, error) {
 	if o.local(agent) {
 		msg := LookupMsg{ID: e.id, Fingerprint: fingerprint, AnyRequest: e.query}
 		return FenceReply(o.config.Ledger.lookup(msg)), nil
@@ -54,7 +54,7 @@
 }
 
 // ask follows the key to its holder and returns the next command, or the decision when there is none.
-func (o *Owner) ask(ctx context.Context, e *errand, c AskCmd) (Cmd, Decision) {
+func (o *Owner) ask(ctx context.Context, e *sendState, c AskCmd) (Cmd, Decision) {
 	t := e.follow(o.config.Self.Ref, c)
 	if t.Call {
 		reply, ok := o.resolveCall(ctx, e, c)
@@ -73,7 +73,7 @@
 	}
 }
 
-func (o *Owner) resolveCall(ctx context.Context, e *errand, c AskCmd) (ResolveReply, bool) {
+func (o *Owner) resolveCall(ctx context.Context, e *sendState, c AskCmd) (ResolveReply, bool) {
 	node, ok := o.config.Directory.Node(c.Holder)
 	if !ok {
 		return ResolveReply{}, false
@@ -84,7 +84,7 @@
 }
 
 // lookups asks all agents of the service what they know about the key.
-func (o *Owner) lookups(ctx context.Context, e *errand) []FenceReply {
+func (o *Owner) lookups(ctx context.Context, e *sendState) []FenceReply {
 	agents := o.config.Directory.Agents(e.send.Service)
 	replies := make([]FenceReply, len(agents))
 	var wg conc.WaitGroup
@@ -101,7 +101,7 @@
 
 // serve answers a requester's Keys.Resolve.
 func (o *Owner) serve(ctx context.Context, id keyID, args ResolveArgs) ResolveReply {
-	e := &errand{key: args.Key, id: id, query: args.Query, send: Send{Fingerprint: args.Fingerprint}}
+	e := &sendState{key: args.Key, id: id, query: args.Query, send: Send{Fingerprint: args.Fingerprint}}
 	var cmd Cmd
 	if args.Query {
 		cmd = o.query(id)
--- a/internal/once/owner_handover.go
+++ b/internal/once/owner_handover.go
@@ -20,11 +20,11 @@
 }
 
 func (o *Owner) handOver(ctx context.Context, shard int, successor model.Node) error {
-	estate, err := o.seal(shard, successor)
-	if estate == nil || err != nil {
+	transfer, err := o.seal(shard, successor)
+	if transfer == nil || err != nil {
 		return err
 	}
-	args := HandoverArgs{Successor: successor.Ref, Shard: shard, Estate: *estate}
+	args := HandoverArgs{Successor: successor.Ref, Shard: shard, Transfer: *transfer}
 	reply := HandoverReply{}
 	if err := o.call(ctx, successor, methodHandover, args, &reply); err != nil {
 		return eris.Wrapf(err, "once: hand keys over to %s; repeat it, or resends of these keys get the outcome unknown", successor.Ref)
@@ -35,28 +35,28 @@
 	s := &o.shards[shard]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.estate = nil
+	s.transfer = nil
 	return nil
 }
 
 // seal returns what is still to be handed over, or nil when the successor has it.
-func (o *Owner) seal(shard int, successor model.Node) (*Estate, error) {
+func (o *Owner) seal(shard int, successor model.Node) (*Transfer, error) {
 	s := &o.shards[shard]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if sealed := s.module.sealed; sealed != nil && sealed.Ref != successor.Ref {
 		return nil, eris.Errorf("once: keys were handed over to %s already; name the same successor again", sealed.Ref)
 	}
-	if cmd, ok := only(s.module.Update(SealMsg{Successor: &successor})).(EstateCmd); ok {
-		s.estate = &cmd.Estate
+	if cmd, ok := only(s.module.Update(SealMsg{Successor: &successor})).(TransferCmd); ok {
+		s.transfer = &cmd.Transfer
 	}
-	return s.estate, nil
+	return s.transfer, nil
 }
 
-func (o *Owner) inherit(shard int, estate Estate) bool {
+func (o *Owner) takeOver(shard int, transfer Transfer) bool {
 	s := &o.shards[shard]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, ok := only(s.module.Update(InheritMsg{Now: o.now(), Estate: estate})).(InheritedCmd)
+	_, ok := only(s.module.Update(TakeOverMsg{Now: o.now(), Transfer: transfer})).(TakenOverCmd)
 	return ok
 }
--- a/internal/once/owner_module.go
+++ b/internal/once/owner_module.go
@@ -46,7 +46,7 @@
 	// Oldest is the lowest epoch whose unseen keys may run. Without it, one caller with an old token would keep the records
 	// of all later epochs from expiring. It only grows, so a refusal is a not-run for ever.
 	Oldest    uint64
-	Inherited time.Time
+	TakenOver time.Time
 }
 
 // ownerConfig holds the bounds of an owner module.
@@ -59,7 +59,7 @@
 // ownerModule decides where requests with keys run; it is deterministic and not safe for concurrent use.
 type ownerModule struct {
 	self    model.NodeRef
-	shelf   shelf[ownerRecord]
+	records epochStore[ownerRecord]
 	domains map[model.NodeRef]domain
 	sealed  *model.Node
 	out     []Cmd
@@ -68,7 +68,7 @@
 func newOwnerModule(c ownerConfig) *ownerModule {
 	return &ownerModule{
 		self:    c.Self,
-		shelf:   newShelf[ownerRecord](c.MaxRecords, c.MaxFloors),
+		records: newEpochStore[ownerRecord](c.MaxRecords, c.MaxFloors),
 		domains: map[model.NodeRef]domain{c.Self: {}},
 	}
 }
@@ -76,7 +76,7 @@
 // clone returns a copy that shares no state, for searches that try several messages.
 func (m *ownerModule) clone() *ownerModule {
 	c := *m
-	c.shelf, c.domains, c.out = m.shelf.clone(), maps.Clone(m.domains), nil
+	c.records, c.domains, c.out = m.records.clone(), maps.Clone(m.domains), nil
 	return &c
 }
 
@@ -108,8 +108,8 @@
 		m.expire(msg)
 	case SealMsg:
 		m.seal(msg)
-	case InheritMsg:
-		m.inherit(msg)
+	case TakeOverMsg:
+		m.takeOver(msg)
 	}
 	return m.out
 }
@@ -121,7 +121,7 @@
 		m.decide(KindUnknown, reason)
 		return m.out
 	}
-	r, ok := m.shelf.get(msg.ID)
+	r, ok := m.records.get(msg.ID)
 	switch {
 	case ok && r.Held && r.Phase != phaseDone:
 		m.decide(KindInProgress, ReasonRunning)
@@ -167,7 +167,7 @@
 		return ReasonLeaving
 	case owned && id.Epoch > d.Epoch:
 		return ReasonEpochUnissued
-	case !m.shelf.accepts(id.epoch()):
+	case !m.records.accepts(id.epoch()):
 		return ReasonEpochDropped
 	default:
 		return ""
@@ -179,7 +179,7 @@
 		m.decide(KindUnknown, reason)
 		return
 	}
-	r, ok := m.shelf.get(msg.ID)
+	r, ok := m.records.get(msg.ID)
 	switch {
 	case ok:
 		m.beginKnown(msg, r)
@@ -222,21 +222,21 @@
 
 // put stores the record; it decides `unknown` when making room dropped the epoch of the key.
 func (m *ownerModule) put(now time.Time, id keyID, r ownerRecord) bool {
-	if _, ok := m.shelf.get(id); !ok {
-		m.shelf.makeRoom()
-		if !m.shelf.accepts(id.epoch()) {
+	if _, ok := m.records.get(id); !ok {
+		m.records.makeRoom()
+		if !m.records.accepts(id.epoch()) {
 			m.decide(KindUnknown, ReasonEpochDropped)
 			return false
 		}
 	}
-	m.shelf.put(id, r, now)
+	m.records.put(id, r, now)
 	return true
 }
 
 func (m *ownerModule) fence(now time.Time, id keyID, r ownerRecord, cmd FenceCmd) {
 	r.Phase = phaseFencing
 	r.Held = true
-	m.shelf.put(id, r, now)
+	m.records.put(id, r, now)
 	cmd.Agent = r.Node
 	m.emit(cmd)
 }
@@ -249,13 +249,13 @@
 	}
 	r.Phase = phaseSent
 	r.Node = msg.Agent
-	m.shelf.put(msg.ID, r, msg.Now)
+	m.records.put(msg.ID, r, msg.Now)
 	m.emit(RunCmd{Fingerprint: r.Fingerprint})
 }
 
 // held returns the record of a key that a send of this node holds; the record may be gone by eviction or shutdown.
 func (m *ownerModule) held(id keyID) (ownerRecord, bool) {
-	r, ok := m.shelf.get(id)
+	r, ok := m.records.get(id)
 	if !ok {
 		return r, false
 	}
@@ -269,7 +269,7 @@
 		return
 	}
 	r.Phase = phaseIdle
-	m.shelf.put(msg.ID, r, msg.Now)
+	m.records.put(msg.ID, r, msg.Now)
 }
 
 func (m *ownerModule) finish(msg FinishMsg) {
@@ -278,7 +278,7 @@
 		return
 	}
 	r.Phase = phaseDone
-	m.shelf.put(msg.ID, r, msg.Now)
+	m.records.put(msg.ID, r, msg.Now)
 }
 
 func (m *ownerModule) doubt(msg DoubtMsg) {
@@ -305,7 +305,7 @@
 	invar.Check(msg.Outcome != model.OutcomeNotRun || r.Phase == phaseIdle, "once",
 		"a send ends as not-run in phase %d", r.Phase)
 	r.Held = false
-	m.shelf.put(msg.ID, r, msg.Now)
+	m.records.put(msg.ID, r, msg.Now)
 }
 
 func (m *ownerModule) fenced(msg FenceReplyMsg) {
@@ -318,7 +318,7 @@
 	r.Held = msg.Purpose == FenceToRun
 	switch {
 	case r.Phase != phaseIdle:
-		m.shelf.put(msg.ID, r, msg.Now)
+		m.records.put(msg.ID, r, msg.Now)
 		m.decideFence(msg.State)
 	case msg.Purpose == FenceToGrant:
 		m.move(msg.Now, msg.ID, r, msg.Requester)
@@ -346,13 +346,13 @@
 }
 
 func (m *ownerModule) expire(msg ExpireMsg) {
-	m.shelf.expire(msg.Before)
+	m.records.expire(msg.Before)
 	kept := make(map[model.NodeRef]struct{})
-	for e := range m.shelf.buckets {
+	for e := range m.records.buckets {
 		kept[e.Owner] = struct{}{}
 	}
 	for owner, d := range m.domains {
-		if owner == m.self || !d.Inherited.Before(msg.Before) {
+		if owner == m.self || !d.TakenOver.Before(msg.Before) {
 			continue
 		}
 		if _, ok := kept[owner]; ok {
@@ -361,7 +361,7 @@
 			continue
 		}
 		delete(m.domains, owner)
-		m.shelf.raise(owner.ID, position{Incarnation: owner.Incarnation + 1})
+		m.records.raise(owner.ID, position{Incarnation: owner.Incarnation + 1})
 	}
 }
 
--- a/internal/once/owner_resolve.go
+++ b/internal/once/owner_resolve.go
@@ -16,7 +16,7 @@
 		m.decide(KindUnknown, reason)
 		return
 	}
-	r, ok := m.shelf.get(msg.ID)
+	r, ok := m.records.get(msg.ID)
 	switch {
 	case ok && r.Fingerprint != msg.Fingerprint:
 		m.decide(KindUnknown, ReasonKeyReused)
@@ -75,7 +75,7 @@
 		m.decide(KindUnknown, reason)
 		return
 	}
-	r, ok := m.shelf.get(msg.ID)
+	r, ok := m.records.get(msg.ID)
 	if ok && r.Generation >= msg.Generation {
 		m.beginKnown(BeginMsg{Now: msg.Now, ID: msg.ID, Fingerprint: msg.Fingerprint}, r)
 		return
--- a/internal/once/owner_estate.go
+++ b/internal/once/owner_transfer.go
@@ -11,30 +11,30 @@
 		return
 	}
 	m.sealed = msg.Successor
-	e := Estate{}
+	e := Transfer{}
 	for owner, d := range m.domains {
 		floor := uint64(0)
-		if f := m.shelf.floors[owner.ID]; f.Incarnation == owner.Incarnation {
+		if f := m.records.floors[owner.ID]; f.Incarnation == owner.Incarnation {
 			floor = f.Epoch
 		}
-		e.Domains = append(e.Domains, EstateDomain{Owner: owner, Epoch: d.Epoch, Oldest: d.Oldest, Floor: floor})
+		e.Domains = append(e.Domains, TransferDomain{Owner: owner, Epoch: d.Epoch, Oldest: d.Oldest, Floor: floor})
 	}
-	for id, b := range m.shelf.buckets {
+	for id, b := range m.records.buckets {
 		for key, r := range b.Records {
-			e.Records = append(e.Records, estateRecord(id, key, r))
+			e.Records = append(e.Records, transferRecord(id, key, r))
 		}
 	}
-	slices.SortFunc(e.Domains, func(a, b EstateDomain) int {
+	slices.SortFunc(e.Domains, func(a, b TransferDomain) int {
 		return cmp.Or(cmp.Compare(a.Owner.ID, b.Owner.ID), cmp.Compare(a.Owner.Incarnation, b.Owner.Incarnation))
 	})
-	slices.SortFunc(e.Records, func(a, b EstateRecord) int { return slices.Compare(a.Digest[:], b.Digest[:]) })
-	clear(m.shelf.buckets)
-	m.shelf.count = 0
-	m.emit(EstateCmd{Estate: e})
+	slices.SortFunc(e.Records, func(a, b TransferRecord) int { return slices.Compare(a.Digest[:], b.Digest[:]) })
+	clear(m.records.buckets)
+	m.records.count = 0
+	m.emit(TransferCmd{Transfer: e})
 }
 
-func estateRecord(id epochID, key digest, r ownerRecord) EstateRecord {
-	out := EstateRecord{
+func transferRecord(id epochID, key digest, r ownerRecord) TransferRecord {
+	out := TransferRecord{
 		Owner: id.Owner, Epoch: id.Epoch, Digest: key,
 		Fingerprint: r.Fingerprint, Generation: r.Generation, Phase: uint8(r.Phase),
 	}
@@ -60,30 +60,30 @@
 	}
 }
 
-func (m *ownerModule) inherit(msg InheritMsg) {
+func (m *ownerModule) takeOver(msg TakeOverMsg) {
 	if m.sealed != nil {
 		return
 	}
-	m.emit(InheritedCmd{})
-	for _, d := range msg.Estate.Domains {
+	m.emit(TakenOverCmd{})
+	for _, d := range msg.Transfer.Domains {
 		id := epochID{Owner: d.Owner, Epoch: d.Epoch}
-		if m.owns(d.Owner) || !m.shelf.accepts(id) {
+		if m.owns(d.Owner) || !m.records.accepts(id) {
 			return // a repeated or late handover
 		}
 	}
-	for _, d := range msg.Estate.Domains {
-		m.domains[d.Owner] = domain{Epoch: d.Epoch, Oldest: d.Oldest, Inherited: msg.Now}
-		m.shelf.raise(d.Owner.ID, position{Incarnation: d.Owner.Incarnation, Epoch: d.Floor})
+	for _, d := range msg.Transfer.Domains {
+		m.domains[d.Owner] = domain{Epoch: d.Epoch, Oldest: d.Oldest, TakenOver: msg.Now}
+		m.records.raise(d.Owner.ID, position{Incarnation: d.Owner.Incarnation, Epoch: d.Floor})
 	}
-	for _, r := range msg.Estate.Records {
-		m.inheritRecord(msg.Now, r)
+	for _, r := range msg.Transfer.Records {
+		m.takeOverRecord(msg.Now, r)
 	}
 }
 
-func (m *ownerModule) inheritRecord(now time.Time, e EstateRecord) {
+func (m *ownerModule) takeOverRecord(now time.Time, e TransferRecord) {
 	id := keyID{Owner: e.Owner, Epoch: e.Epoch, Digest: e.Digest}
-	own, ok := m.shelf.get(id)
-	if ok && own.Generation >= e.Generation || !m.shelf.accepts(id.epoch()) {
+	own, ok := m.records.get(id)
+	if ok && own.Generation >= e.Generation || !m.records.accepts(id.epoch()) {
 		return
 	}
 	r := ownerRecord{Fingerprint: e.Fingerprint, Generation: e.Generation, Phase: phase(e.Phase)}
@@ -94,9 +94,9 @@
 		r.Phase = phaseIdle // the grant to this node was lost on its way
 	}
 	if !ok {
-		m.shelf.makeRoom()
+		m.records.makeRoom()
 	}
-	if m.shelf.accepts(id.epoch()) {
-		m.shelf.put(id, r, now)
+	if m.records.accepts(id.epoch()) {
+		m.records.put(id, r, now)
 	}
 }
--- a/internal/once/letter_test.go
+++ b/internal/once/packet_test.go
@@ -7,20 +7,20 @@
 	"github.com/auburnwinch/auburnwinch/internal/search"
 )
 
-type letterKind uint8
+type packetKind uint8
 
 const (
-	letterAttempt letterKind = iota + 1
-	letterFence
-	letterResolve
-	letterClaim
-	letterReply
+	packetAttempt packetKind = iota + 1
+	packetFence
+	packetResolve
+	packetClaim
+	packetReply
 )
 
-// letter is a message on its way.
-type letter struct {
+// packet is a message on its way.
+type packet struct {
 	search.Envelope
-	Kind                 letterKind
+	Kind                 packetKind
 	To, ToInc            uint8
 	Owner, OwnerInc      uint8
 	ReqAt, ReqInc, Gen   uint8
@@ -28,33 +28,33 @@
 	Granted, Moved, Gone bool
 }
 
-// replies to an attempt, in letter.State.
+// replies to an attempt, in packet.State.
 const (
 	replyRefused uint8 = iota + 1
 	replySeen
 	replyAnswered
 )
 
-func (l letter) String() string {
+func (l packet) String() string {
 	kinds := [...]string{"", "attempt", "fence", "resolve", "claim", "reply"}
 	return fmt.Sprintf("%s of process %d to %d.%d", kinds[l.Kind], l.From, l.To, l.ToInc)
 }
 
-// idle reports whether a letter whose sender no longer waits can't change anything any more.
-func (w *world) idle(l letter) bool {
+// idle reports whether a packet whose sender no longer waits can't change anything any more.
+func (w *world) idle(l packet) bool {
 	switch l.Kind {
-	case letterAttempt, letterFence:
+	case packetAttempt, packetFence:
 		id := modelKey(l.Owner, l.OwnerInc)
-		_, seen := w.ledgers[l.To].m.shelf.get(id)
-		return l.ToInc != w.AgentInc[l.To] || seen || !w.ledgers[l.To].m.shelf.accepts(id.epoch())
-	case letterResolve:
+		_, seen := w.ledgers[l.To].m.records.get(id)
+		return l.ToInc != w.AgentInc[l.To] || seen || !w.ledgers[l.To].m.records.accepts(id.epoch())
+	case packetResolve:
 		return l.ToInc != w.Inc[l.To]
 	default:
 		return w.Row != 0
 	}
 }
 
-// moveOn makes the process deaf to the letters that it waited for.
+// moveOn makes the process deaf to the packets that it waited for.
 func (w *world) moveOn(i uint8) {
 	for k := range w.Net.All() {
 		w.Net.All()[k].MoveOn(i)
@@ -69,32 +69,32 @@
 	}
 }
 
-// answer posts the reply to a letter if its sender still waits.
-func (w *world) answer(l, reply letter) {
+// answer posts the reply to a packet if its sender still waits.
+func (w *world) answer(l, reply packet) {
 	if l.Live {
-		reply.Kind, reply.Live, reply.From = letterReply, true, l.From
+		reply.Kind, reply.Live, reply.From = packetReply, true, l.From
 		w.post(reply)
 	}
 }
 
-func (w *world) post(l letter) {
+func (w *world) post(l packet) {
 	if !w.Net.Put(l) && !w.Lossy {
-		w.problem = "the model has too little room for letters"
+		w.problem = "the model has too little room for packets"
 	}
 }
 
-// deliver visits what follows when the letter arrives.
-func (p *protocol) deliver(w *world, l letter, label func() string, step stepper) {
+// deliver visits what follows when the packet arrives.
+func (p *protocol) deliver(w *world, l packet, label func() string, step stepper) {
 	switch l.Kind {
-	case letterAttempt:
+	case packetAttempt:
 		step(label, func(n *world) { p.admit(n, l) })
 		if w.Refused < p.Refuse && l.ToInc == w.AgentInc[l.To] {
 			step(search.Label("%s, refused for load", l), func(n *world) {
 				n.Refused++
-				n.answer(l, letter{State: replyRefused})
+				n.answer(l, packet{State: replyRefused})
 			})
 		}
-	case letterFence:
+	case packetFence:
 		step(label, func(n *world) {
 			inc := l.ToInc
 			if p.Without == withoutAgentIncarnation {
@@ -103,35 +103,35 @@
 			e := n.tellAgent(l.To, FenceMsg{
 				Now: moment, ID: modelKey(l.Owner, l.OwnerInc), Agent: agentRef(l.To, inc), Fingerprint: 1,
 			}).(EvidenceCmd)
-			r := letter{State: uint8(e.State)}
+			r := packet{State: uint8(e.State)}
 			if e.Answer != nil {
 				r.Ans = uint8(e.Answer.Status)
 			}
 			n.answer(l, r)
 		})
-	case letterClaim:
+	case packetClaim:
 		step(label, func(n *world) {
 			if n.Row == 0 {
 				n.Row, n.RowInc = l.ReqAt+1, l.ReqInc
 			}
-			n.answer(l, letter{Owner: n.Row - 1, OwnerInc: n.RowInc})
+			n.answer(l, packet{Owner: n.Row - 1, OwnerInc: n.RowInc})
 		})
-	case letterResolve:
+	case packetResolve:
 		p.resolve(w, l, label, step)
-	case letterReply:
+	case packetReply:
 		step(label, func(n *world) { p.receive(n, l) })
 	}
 }
 
 // admit lets the agent's ledger decide; the target gets the request at once.
-func (p *protocol) admit(n *world, l letter) {
+func (p *protocol) admit(n *world, l packet) {
 	inc := l.ToInc
 	if p.Without == withoutAgentIncarnation {
 		inc = n.AgentInc[l.To]
 	}
 	id := attemptID{Key: modelKey(l.Owner, l.OwnerInc), Fingerprint: 1, Agent: uint64(inc)}
 	if _, ok := n.tellAgent(l.To, AdmitMsg{Now: moment, ID: id}).(AdmitCmd); !ok {
-		n.answer(l, letter{State: replySeen})
+		n.answer(l, packet{State: replySeen})
 		return
 	}
 	n.Runs++
@@ -145,9 +145,9 @@
 	}
 }
 
-func (p *protocol) resolve(w *world, l letter, label func() string, step stepper) {
+func (p *protocol) resolve(w *world, l packet, label func() string, step stepper) {
 	if l.ToInc != w.Inc[l.To] && p.Without != withoutOwnerIncarnation {
-		step(label, func(n *world) { n.answer(l, letter{Gone: true}) })
+		step(label, func(n *world) { n.answer(l, packet{Gone: true}) })
 		return
 	}
 	server := slices.IndexFunc(w.Procs[maxSends:], func(pr process) bool { return pr.Stage == stageNone })
@@ -172,7 +172,7 @@
 			j, _ := indexOf(c.Agent.Ref, 'P')
 			p.fetched(n, l, n.lookup(j, id), true)
 		default:
-			p.served(n, *pr, cmd, n.errand(i))
+			p.served(n, *pr, cmd, n.sendState(i))
 		}
 		*pr = process{}
 	})
@@ -181,14 +181,14 @@
 	}
 }
 
-func (p *protocol) fetched(n *world, l letter, reply FenceReply, ok bool) {
-	if e := (&errand{}); l.Live {
+func (p *protocol) fetched(n *world, l packet, reply FenceReply, ok bool) {
+	if e := (&sendState{}); l.Live {
 		p.reply(n, l.From, e.reply(e.fetched(FetchCmd{Ran: true}, reply, ok)))
 	}
 }
 
 // receive hands a reply to the process that awaits it.
-func (p *protocol) receive(n *world, l letter) {
+func (p *protocol) receive(n *world, l packet) {
 	pr := &n.Procs[l.From]
 	id := modelKey(pr.Owner, pr.OwnerInc)
 	switch pr.Stage {
--- a/internal/once/process_test.go
+++ b/internal/once/process_test.go
@@ -75,7 +75,7 @@
 	pr.Stage = stageClaim
 	n.moveOn(i)
 	pr.Tries++
-	n.post(letter{Kind: letterClaim, Envelope: search.Envelope{Live: true, From: i}, ReqAt: pr.At, ReqInc: n.Inc[pr.At]})
+	n.post(packet{Kind: packetClaim, Envelope: search.Envelope{Live: true, From: i}, ReqAt: pr.At, ReqInc: n.Inc[pr.At]})
 }
 
 func (p *protocol) begin(n *world, i uint8) {
@@ -83,16 +83,16 @@
 	p.carry(n, i, n.tell(pr.At, BeginMsg{Now: moment, ID: modelKey(pr.Owner, pr.OwnerInc), Fingerprint: 1}))
 }
 
-func (w *world) errand(i uint8) *errand {
+func (w *world) sendState(i uint8) *sendState {
 	pr := w.Procs[i]
-	e := &errand{id: modelKey(pr.Owner, pr.OwnerInc), send: Send{Fingerprint: 1}, hops: int(pr.Hops)}
+	e := &sendState{id: modelKey(pr.Owner, pr.OwnerInc), send: Send{Fingerprint: 1}, hops: int(pr.Hops)}
 	if pr.Ans != 0 {
 		e.answer = &Answer{Status: int(pr.Ans)}
 	}
 	return e
 }
 
-func (w *world) store(i uint8, e *errand) {
+func (w *world) store(i uint8, e *sendState) {
 	w.Procs[i].Hops = uint8(e.hops)
 	w.Procs[i].Ans = 0
 	if e.answer != nil {
@@ -110,14 +110,14 @@
 			n.forget(pr.At, modelKey(pr.Owner, pr.OwnerInc))
 		}
 	case DecideCmd:
-		p.told(n, i, n.errand(i).decision(c.Kind, c.Reason))
+		p.told(n, i, n.sendState(i).decision(c.Kind, c.Reason))
 	case FenceCmd:
 		p.fence(n, i, c)
 	case FetchCmd:
 		pr.Stage = stageFetch
 		pr.To, pr.ToInc = indexOf(c.Agent.Ref, 'P')
 	case AskCmd:
-		e := n.errand(i)
+		e := n.sendState(i)
 		t := e.follow(edge(pr.At, n.Inc[pr.At]), c)
 		n.store(i, e)
 		if !t.Call {
@@ -128,8 +128,8 @@
 		pr.Stage = stageResolve
 		pr.To, pr.ToInc = indexOf(c.Holder, 'A')
 		pr.Gen = uint8(c.Generation)
-		n.post(letter{
-			Kind: letterResolve, Envelope: search.Envelope{Live: true, From: i}, To: pr.To, ToInc: pr.ToInc, Owner: pr.Owner, OwnerInc: pr.OwnerInc,
+		n.post(packet{
+			Kind: packetResolve, Envelope: search.Envelope{Live: true, From: i}, To: pr.To, ToInc: pr.ToInc, Owner: pr.Owner, OwnerInc: pr.OwnerInc,
 			ReqAt: pr.At, ReqInc: n.Inc[pr.At], Gen: pr.Gen,
 		})
 	}
@@ -160,21 +160,21 @@
 		pr.ReqAt, pr.ReqInc = indexOf(c.Requester, 'A')
 	}
 	if p.Without == withoutFence {
-		p.fenced(n, i, letter{State: uint8(FenceNeverSeen)})
+		p.fenced(n, i, packet{State: uint8(FenceNeverSeen)})
 		return
 	}
-	n.post(letter{
-		Kind: letterFence, Envelope: search.Envelope{Live: true, From: i}, To: pr.To, ToInc: pr.ToInc, Owner: pr.Owner, OwnerInc: pr.OwnerInc,
+	n.post(packet{
+		Kind: packetFence, Envelope: search.Envelope{Live: true, From: i}, To: pr.To, ToInc: pr.ToInc, Owner: pr.Owner, OwnerInc: pr.OwnerInc,
 	})
 }
 
-func (p *protocol) fenced(n *world, i uint8, l letter) {
+func (p *protocol) fenced(n *world, i uint8, l packet) {
 	pr := &n.Procs[i]
 	c := FenceCmd{Purpose: pr.Purpose}
 	if pr.Purpose == FenceToGrant {
 		c.Requester = edge(pr.ReqAt, pr.ReqInc)
 	}
-	e := n.errand(i)
+	e := n.sendState(i)
 	reply := FenceReply{State: FenceState(l.State)}
 	if l.Ans != 0 {
 		reply.Answer = &Answer{Status: int(l.Ans)}
@@ -190,12 +190,12 @@
 		return
 	}
 	n.moveOn(i)
-	p.served(n, *pr, cmd, n.errand(i))
+	p.served(n, *pr, cmd, n.sendState(i))
 	*pr = process{}
 }
 
 // served posts the reply to a Keys.Resolve that process pr handled.
-func (p *protocol) served(n *world, pr process, cmd Cmd, e *errand) {
+func (p *protocol) served(n *world, pr process, cmd Cmd, e *sendState) {
 	if _, ok := cmd.(GrantCmd); ok {
 		p.seen.Add("grant")
 		if p.Without == withoutPointer {
@@ -208,7 +208,7 @@
 }
 
 func (p *protocol) reply(n *world, to uint8, r ResolveReply) {
-	l := letter{Kind: letterReply, Envelope: search.Envelope{Live: true, From: to}, Granted: r.Granted, Moved: r.Moved, Gone: r.Gone, Gen: uint8(r.Generation)}
+	l := packet{Kind: packetReply, Envelope: search.Envelope{Live: true, From: to}, Granted: r.Granted, Moved: r.Moved, Gone: r.Gone, Gen: uint8(r.Generation)}
 	if r.Moved {
 		l.ReqAt, l.ReqInc = indexOf(r.Holder, 'A')
 	}
@@ -270,13 +270,13 @@
 	case stageClaim:
 		step(at("gets no answer from the platform"), func(n *world) { p.unclaimed(n, i) })
 	case stageFence:
-		step(at("gets no answer from the agent"), func(n *world) { p.fenced(n, i, letter{State: uint8(FenceFailed)}) })
+		step(at("gets no answer from the agent"), func(n *world) { p.fenced(n, i, packet{State: uint8(FenceFailed)}) })
 	case stageResolve:
 		step(at("gets no answer from the holder"), func(n *world) { p.followed(n, i, ResolveReply{}, false) })
 	case stageFetch:
-		step(at("can't read the answer"), func(n *world) { p.told(n, i, n.errand(i).fetched(FetchCmd{Ran: true}, FenceReply{}, false)) })
+		step(at("can't read the answer"), func(n *world) { p.told(n, i, n.sendState(i).fetched(FetchCmd{Ran: true}, FenceReply{}, false)) })
 		step(at("reads the answer"), func(n *world) {
-			p.told(n, i, n.errand(i).fetched(FetchCmd{Ran: true}, n.lookup(pr.To, modelKey(pr.Owner, pr.OwnerInc)), true))
+			p.told(n, i, n.sendState(i).fetched(FetchCmd{Ran: true}, n.lookup(pr.To, modelKey(pr.Owner, pr.OwnerInc)), true))
 		})
 	case stageLookup:
 		step(at("looks the key up"), func(n *world) {
@@ -284,7 +284,7 @@
 			for j := range uint8(agents) {
 				replies[j] = n.lookup(j, modelKey(pr.Owner, pr.OwnerInc))
 			}
-			d := n.errand(i).evidence(replies)
+			d := n.sendState(i).evidence(replies)
 			if d.Kind == KindAnswer {
 				p.seen.Add("evidence")
 			}
@@ -319,8 +319,8 @@
 	n.Touched[j] = true
 	pr.Stage = stageAttempt
 	pr.Attempts++
-	n.post(letter{
-		Kind: letterAttempt, Envelope: search.Envelope{Live: true, From: i, Signed: true}, To: j, ToInc: n.AgentInc[j], Owner: pr.Owner, OwnerInc: pr.OwnerInc,
+	n.post(packet{
+		Kind: packetAttempt, Envelope: search.Envelope{Live: true, From: i, Signed: true}, To: j, ToInc: n.AgentInc[j], Owner: pr.Owner, OwnerInc: pr.OwnerInc,
 	})
 }
 
@@ -349,10 +349,10 @@
 func (p *protocol) followed(n *world, i uint8, r ResolveReply, ok bool) {
 	pr := &n.Procs[i]
 	n.moveOn(i)
-	e := n.errand(i)
+	e := n.sendState(i)
 	successor := model.NodeRef{}
 	if p.Handover && n.Sealed && pr.To == 0 && pr.ToInc == n.Sealer {
-		successor = edge(1, n.Heir)
+		successor = edge(1, n.Successor)
 	}
 	t := e.followed(moment, AskCmd{Holder: edge(pr.To, pr.ToInc), Generation: uint32(pr.Gen)}, r, ok, successor)
 	n.store(i, e)
--- a/internal/once/rpc.go
+++ b/internal/once/rpc.go
@@ -68,7 +68,7 @@
 type HandoverArgs struct {
 	Successor model.NodeRef
 	Shard     int
-	Estate    Estate
+	Transfer  Transfer
 }
 
 // HandoverReply acknowledges a handover; a successor that is leaving itself does not accept.
@@ -135,6 +135,6 @@
 	if args.Shard < 0 || args.Shard >= shards {
 		return eris.Errorf("once: shard %d is not in 0..%d; run the same version on all nodes", args.Shard, shards-1)
 	}
-	reply.Accepted = k.owner.inherit(args.Shard, args.Estate)
+	reply.Accepted = k.owner.takeOver(args.Shard, args.Transfer)
 	return nil
 }
--- a/internal/once/search_test.go
+++ b/internal/once/search_test.go
@@ -19,7 +19,7 @@
 	{Name: "agent restart", Sends: 2, Attempts: 2, AgentRestarts: 1},
 	{Name: "owner restart", Sends: 2, Attempts: 1, Restarts: 1},
 	{Name: "refusal", Sends: 2, Attempts: 2, Refuse: 1},
-	{Name: "repeated letters", Sends: 2, Attempts: 1, Dups: 1},
+	{Name: "repeated packets", Sends: 2, Attempts: 1, Dups: 1},
 	{Name: "copies of attempts", Sends: 2, Attempts: 2, Dups: 1, Copies: true},
 	{Name: "dropped epoch", Sends: 2, Attempts: 1, Drops: 1, Join: true},
 	{Name: "plain key", Sends: 2, Attempts: 1, Plain: true},
@@ -86,7 +86,7 @@
 		{Name: "claim read again", Without: withoutClaimRead, Plain: true, Sends: 2, Attempts: 1, Expect: twice},
 		{Name: "unknown while platform is away", Without: withoutUnclaimed, Plain: true, Sends: 2, Attempts: 1, Expect: notRun},
 		{Name: "doubt after refusal of a seen key", Without: withoutSeenDoubt, Sends: 1, Attempts: 2, Copies: true, Dups: 1, Expect: twice},
-		{Name: "successor incarnation check", Without: withoutHeirIncarnation, Sends: 2, Attempts: 1, Handover: true, Restarts: 1, Expect: twice},
+		{Name: "successor incarnation check", Without: withoutSuccessorIncarnation, Sends: 2, Attempts: 1, Handover: true, Restarts: 1, Expect: twice},
 		{Name: "seal before handover", Without: withoutSealOnce, Sends: 2, Attempts: 1, Handover: true, Expect: twice},
 		{Name: "attempts arrive once", Sends: 1, Attempts: 2, Copies: true, Dups: 1, Refuse: 1, Expect: twice},
 	} {
--- a/internal/once/errand.go
+++ b/internal/once/send_state.go
@@ -20,9 +20,9 @@
 	retryPlatform = 5 * time.Second
 )
 
-// errand is one send, query or resolve call and what was learned for it so far. Its methods decide what the shell does
+// sendState is one send, query or resolve call and what was learned for it so far. Its methods decide what the shell does
 // next, without I/O, so that the exhaustive search runs them as well.
-type errand struct {
+type sendState struct {
 	key    string
 	id     keyID
 	send   Send
@@ -46,7 +46,7 @@
 	return Decision{Kind: KindUnknown, Reason: ReasonPlatformAway, RetryAfter: retryPlatform}
 }
 
-func (e *errand) decision(k Kind, reason string) Decision {
+func (e *sendState) decision(k Kind, reason string) Decision {
 	d := Decision{Kind: k, Key: e.key, Reason: reason}
 	switch {
 	case k == KindAnswer && e.query:
@@ -63,13 +63,13 @@
 }
 
 // fenced returns the message that reports the reply of an agent to the owner module.
-func (e *errand) fenced(now time.Time, c FenceCmd, reply FenceReply) Msg {
+func (e *sendState) fenced(now time.Time, c FenceCmd, reply FenceReply) Msg {
 	e.answer = reply.Answer
 	return FenceReplyMsg{Now: now, ID: e.id, Purpose: c.Purpose, State: reply.State, Requester: c.Requester}
 }
 
 // fetched decides by what the agent of an attempt knows.
-func (e *errand) fetched(c FetchCmd, reply FenceReply, ok bool) Decision {
+func (e *sendState) fetched(c FetchCmd, reply FenceReply, ok bool) Decision {
 	switch {
 	case !ok:
 		return e.decision(KindUnknown, ReasonAgentGone)
@@ -89,7 +89,7 @@
 
 // follow decides whether the holder has to be called. A holder names this node only when it is the successor of a node
 // that shuts down and whose keys did not arrive yet; a lost grant is repeated by the node that gave it.
-func (e *errand) follow(self model.NodeRef, c AskCmd) turn {
+func (e *sendState) follow(self model.NodeRef, c AskCmd) turn {
 	e.hops++
 	if e.hops > maxHops || c.Holder == self {
 		return turn{Decision: e.decision(KindUnknown, ReasonOwnerGone)}
@@ -97,11 +97,11 @@
 	return turn{Call: true}
 }
 
-func (e *errand) granted(now time.Time, generation uint32) Msg {
+func (e *sendState) granted(now time.Time, generation uint32) Msg {
 	return GrantMsg{Now: now, ID: e.id, Fingerprint: e.send.Fingerprint, Generation: generation}
 }
 
-func (e *errand) resolveArgs(self model.NodeRef, c AskCmd) ResolveArgs {
+func (e *sendState) resolveArgs(self model.NodeRef, c AskCmd) ResolveArgs {
 	return ResolveArgs{
 		Holder: c.Holder, Requester: self, Key: e.key,
 		Fingerprint: e.send.Fingerprint, Generation: c.Generation, Query: e.query,
@@ -109,7 +109,7 @@
 }
 
 // followed decides by the reply of the holder; ok tells whether it replied, successor is the zero value without one.
-func (e *errand) followed(now time.Time, c AskCmd, reply ResolveReply, ok bool, successor model.NodeRef) turn {
+func (e *sendState) followed(now time.Time, c AskCmd, reply ResolveReply, ok bool, successor model.NodeRef) turn {
 	switch {
 	case (!ok || reply.Gone) && !successor.IsZero() && successor != c.Holder:
 		return turn{Cmd: AskCmd{Holder: successor}}
@@ -129,7 +129,7 @@
 }
 
 // evidence decides by what the agents know; without a positive answer the key may have run at an agent that is gone.
-func (e *errand) evidence(replies []FenceReply) Decision {
+func (e *sendState) evidence(replies []FenceReply) Decision {
 	decision := e.decision(KindUnknown, ReasonOwnerGone)
 	for _, r := range replies {
 		switch r.State {
@@ -146,7 +146,7 @@
 }
 
 // served translates the command of the owner module into the reply to a requester.
-func (e *errand) served(cmd Cmd) ResolveReply {
+func (e *sendState) served(cmd Cmd) ResolveReply {
 	switch c := cmd.(type) {
 	case GrantCmd:
 		return ResolveReply{Granted: true, Generation: c.Generation}
@@ -161,6 +161,6 @@
 	}
 }
 
-func (e *errand) reply(d Decision) ResolveReply {
+func (e *sendState) reply(d Decision) ResolveReply {
 	return ResolveReply{Kind: d.Kind, Reason: d.Reason, Answer: d.Answer}
 }
--- a/internal/once/shell_test.go
+++ b/internal/once/shell_test.go
@@ -45,12 +45,12 @@
 	args := ResolveArgs{Holder: a.self.Ref, Requester: b.self.Ref, Key: d.Key, Fingerprint: 7}
 	require.NoError(t, client.Call(methodResolve, args, &resolve))
 	require.Equal(t, KindInProgress, resolve.Kind)
-	estate := Estate{
-		Domains: []EstateDomain{{Owner: b.self.Ref, Epoch: 1}},
-		Records: []EstateRecord{{Owner: b.self.Ref, Epoch: 1, Phase: uint8(phaseDone), Node: a.self}},
+	transfer := Transfer{
+		Domains: []TransferDomain{{Owner: b.self.Ref, Epoch: 1}},
+		Records: []TransferRecord{{Owner: b.self.Ref, Epoch: 1, Phase: uint8(phaseDone), Node: a.self}},
 	}
 	handover := HandoverReply{}
-	require.NoError(t, client.Call(methodHandover, HandoverArgs{Successor: a.self.Ref, Estate: estate}, &handover))
+	require.NoError(t, client.Call(methodHandover, HandoverArgs{Successor: a.self.Ref, Transfer: transfer}, &handover))
 	require.True(t, handover.Accepted)
 	require.Error(t, client.Call(methodHandover, HandoverArgs{Successor: b.self.Ref}, &handover))
 }
@@ -158,10 +158,10 @@
 		}
 		require.Nil(t, m.Update(AdmitMsg{Now: now, ID: id}), "admitted twice")
 	}
-	require.LessOrEqual(t, m.shelf.count, 100)
-	require.LessOrEqual(t, len(m.shelf.floors), 5)
+	require.LessOrEqual(t, m.records.count, 100)
+	require.LessOrEqual(t, len(m.records.floors), 5)
 	require.LessOrEqual(t, m.total, 500)
-	require.NotZero(t, m.shelf.horizon)
+	require.NotZero(t, m.records.horizon)
 }
 
 // Guards against two spellings of one key, which would have two records.
--- a/internal/once/state.go
+++ b/internal/once/state.go
@@ -9,8 +9,8 @@
 	Epochs int `json:"epochs"`
 	// Floors counts the node IDs of which old epochs are refused.
 	Floors int `json:"floors"`
-	// Inherited counts the owners that handed their keys over to this node.
-	Inherited  int  `json:"inherited"`
+	// TakenOver counts the owners that handed their keys over to this node.
+	TakenOver  int  `json:"taken-over"`
 	HandedOver bool `json:"handed-over"`
 }
 
@@ -35,12 +35,12 @@
 }
 
 func (m *ownerModule) count(s *State) {
-	s.Keys += m.shelf.count
-	s.Epochs = max(s.Epochs, len(m.shelf.buckets))
-	s.Floors = max(s.Floors, len(m.shelf.floors))
-	s.Inherited = max(s.Inherited, len(m.domains)-1)
+	s.Keys += m.records.count
+	s.Epochs = max(s.Epochs, len(m.records.buckets))
+	s.Floors = max(s.Floors, len(m.records.floors))
+	s.TakenOver = max(s.TakenOver, len(m.domains)-1)
 	s.HandedOver = s.HandedOver || m.sealed != nil
-	for _, b := range m.shelf.buckets {
+	for _, b := range m.records.buckets {
 		for _, r := range b.Records {
 			if r.Held {
 				s.Held++
@@ -62,10 +62,10 @@
 }
 
 func (m *ledgerModule) count(s *LedgerState) {
-	s.Keys += m.shelf.count
-	s.Floors = max(s.Floors, len(m.shelf.floors))
+	s.Keys += m.records.count
+	s.Floors = max(s.Floors, len(m.records.floors))
 	s.AnswerBytes += m.total
-	for _, b := range m.shelf.buckets {
+	for _, b := range m.records.buckets {
 		for _, r := range b.Records {
 			if r.State == ledgerRunning {
 				s.Running++
--- a/internal/once/symmetry_test.go
+++ b/internal/once/symmetry_test.go
@@ -6,10 +6,10 @@
 	"github.com/auburnwinch/auburnwinch/internal/search"
 )
 
-// tidy drops letters without an effect and gives worlds that differ only in the order of letters or sends one form.
+// tidy drops packets without an effect and gives worlds that differ only in the order of packets or sends one form.
 func (w *world) tidy(without safeguard) {
-	w.Net.Set(slices.DeleteFunc(slices.Clone(w.Net.All()), func(l letter) bool {
-		return !l.Live && (l.Kind == letterReply || without == allSafeguards && w.idle(l))
+	w.Net.Set(slices.DeleteFunc(slices.Clone(w.Net.All()), func(l packet) bool {
+		return !l.Live && (l.Kind == packetReply || without == allSafeguards && w.idle(l))
 	}))
 	w.sortSends()
 	w.Net.Order()
@@ -46,7 +46,7 @@
 
 // refersTo describes what refers to the send, without its number, and tells whether anything does.
 func (w *world) refersTo(i uint8) (mark search.Print, any bool) {
-	note := func(place int, l letter) {
+	note := func(place int, l packet) {
 		if l.Kind != 0 && l.IsFrom(i) {
 			l.From, any = 0, true
 			mark = mark.Add(search.PrintOf(l).At(place))
--- a/internal/once/world_test.go
+++ b/internal/once/world_test.go
@@ -12,18 +12,18 @@
 // core is the part of a world without modules; it is comparable.
 type core struct {
 	Procs                                      [maxSends + servers]process
-	Net                                        search.Bag[letter]
+	Net                                        search.Bag[packet]
 	Row, RowInc                                uint8
 	Inc                                        [edges]uint8
 	AgentInc                                   [agents]uint8
-	Busy                                       [agents]letter
+	Busy                                       [agents]packet
 	Runs, RunID                                uint8
 	Sent, Restarts, AgentRestarts, Drops, Dups uint8
 	Refused                                    uint8
 	Joined, Sealed, Aged                       bool
-	// Sealer and Heir are the incarnations of A and B between which the keys are handed over, Inherits counts the arrivals.
-	Sealer, Heir, Inherits uint8
-	// Lossy loses letters when there are too many, which an exhaustive search must not.
+	// Sealer and Successor are the incarnations of A and B between which the keys are handed over, Arrivals counts the arrivals.
+	Sealer, Successor, Arrivals uint8
+	// Lossy loses packets when there are too many, which an exhaustive search must not.
 	Lossy bool
 	// Touched marks the agents that something refers to; the others are alike.
 	Touched [agents]bool
@@ -38,9 +38,9 @@
 	core
 	owners  [edges]*boxed[*ownerModule]
 	ledgers [agents]*boxed[*ledgerModule]
-	// estate is what A hands over; it may arrive at any later time.
-	estate  *boxed[Estate]
-	problem string
+	// transfer is what A hands over; it may arrive at any later time.
+	transfer *boxed[Transfer]
+	problem  string
 }
 
 var moment = time.Unix(1_700_000_000, 0)
@@ -73,8 +73,8 @@
 	}))
 }
 
-// printShelf adds up the prints of all entries; flat returns the record without pointers.
-func printShelf[R any, F comparable](s *shelf[R], flat func(R) F) (p search.Print) {
+// printRecords adds up the prints of all entries; flat returns the record without pointers.
+func printRecords[R any, F comparable](s *epochStore[R], flat func(R) F) (p search.Print) {
 	for id, b := range s.buckets {
 		p = p.Add(search.PrintOf(id))
 		for key, r := range b.Records {
@@ -96,7 +96,7 @@
 		ownerRecord
 		ref model.NodeRef
 	}
-	p := printShelf(&m.shelf, func(r ownerRecord) flat {
+	p := printRecords(&m.records, func(r ownerRecord) flat {
 		f := flat{ownerRecord: r}
 		if r.Node != nil {
 			f.ref, f.Node = r.Node.Ref, nil
@@ -110,7 +110,7 @@
 }
 
 func boxLedger(m *ledgerModule) *boxed[*ledgerModule] {
-	p := printShelf(&m.shelf, func(r ledgerRecord) [2]int {
+	p := printRecords(&m.records, func(r ledgerRecord) [2]int {
 		if r.Stored != nil && r.Stored.Answer != nil {
 			return [2]int{int(r.State), r.Stored.Answer.Status}
 		}
@@ -156,13 +156,13 @@
 	for j, l := range w.ledgers {
 		out = out.Add(l.print.At(edges + j))
 	}
-	if w.estate != nil {
-		out = out.Add(w.estate.print.At(edges + agents))
+	if w.transfer != nil {
+		out = out.Add(w.transfer.print.At(edges + agents))
 	}
 	return out
 }
 
-func boxEstate(e Estate) *boxed[Estate] {
+func boxTransfer(e Transfer) *boxed[Transfer] {
 	p := search.Print{}
 	for _, d := range e.Domains {
 		p = p.Add(search.PrintOf(d))
@@ -172,16 +172,16 @@
 		node := r.Node.Ref
 		r.Node = model.Node{}
 		p = p.Add(search.PrintOf(struct {
-			r EstateRecord
+			r TransferRecord
 			n model.NodeRef
 		}{r, node}))
 	}
-	return &boxed[Estate]{m: e, print: p}
+	return &boxed[Transfer]{m: e, print: p}
 }
 
 // forget removes the record of the key without a trace.
 func (w *world) forget(i uint8, id keyID) {
 	m := w.owners[i].m.clone()
-	m.shelf.remove(id)
+	m.records.remove(id)
 	w.owners[i] = boxOwner(m)
 }
