edge: answer unknown for a keyed request that is refused before its owner is asked

Its owner node was restarted while the platform was away; for 4.5 s the new process had no configuration and refused the resend with not-run, reason 'this node has no configuration yet'. The first send had reached a paused agent, which ran it after waking. The design demands unknown here; the code did it for quarantined requests only.

The same holds for a route that this node does not know and another one does, for methods, timeouts and bodies: an earlier send may have been accepted.

Ruled out, from code and logs: the fence and release rules of the agent, the transfer of keys (handed to another node than the announced one), grants after waking.

Before: TestRefusalBeforeTheOwnerIsAskedIsUnknown fails in 5 of 8 cases ('expected: 502, actual: 503'; 'expected: unknown, actual: not-run'). After: it passes, with the tests of edge, client and agent.

Conclusion: without a word of the owner no keyed request is called not-run, except when its header can't be read.

--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -56,14 +56,14 @@
 
 func (q *request) serve() {
 	if refusal, ok := q.prepare(); !ok {
-		q.refuse(refusal)
+		q.refuseEarly(refusal)
 		return
 	}
 	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
 	defer cancel()
 	defer q.body.release()
 	if err := q.body.read(q.w, q.r, q.deadline); err != nil {
-		q.refuse(notRun(http.StatusBadRequest, "the request body is shorter than announced, malformed or too slow", remedyFix))
+		q.refuseEarly(notRun(http.StatusBadRequest, "the request body is shorter than announced, malformed or too slow", remedyFix))
 		return
 	}
 	q.prepareHeader()
@@ -224,6 +224,19 @@
 	q.refuse(r)
 }
 
+// refuseEarly answers before the owner of the key was asked. With a key the answer can't say not-run: an earlier send may
+// have run through a node that has another configuration or got the whole request.
+func (q *request) refuseEarly(r relay.Refusal) {
+	idempotent := q.match.Route != nil && q.match.Route.Idempotent
+	if q.r.Header.Get(model.HeaderIdempotencyKey) != "" && !idempotent {
+		r.Answer.Outcome = model.OutcomeUnknown
+		if r.Status == http.StatusServiceUnavailable {
+			r.Status, r.Answer.Remedy = http.StatusBadGateway, remedyUnknown
+		}
+	}
+	q.refuse(r)
+}
+
 func (q *request) remedyInDoubt() string {
 	if q.match.Route.Idempotent {
 		return remedyResend
