--- a/cmd/bench/soak_poison.go
+++ b/cmd/bench/soak_poison.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/auburnwinch/auburnwinch/internal/load"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
@@ -59,10 +58,9 @@
 	var workers sync.WaitGroup
 	for i, t := range s.fleet.Plan.Targets {
 		if t.Service == service {
-			workers.Go(func() { s.keepMarked(ctx, i, mark) })
+			workers.Go(func() { s.restartCrashed(ctx, i, mark) })
 		}
 	}
-	pause(ctx, 100*time.Millisecond)
 	for n := range poisonCallers {
 		workers.Go(func() {
 			for i := n; ctx.Err() == nil; i++ {
@@ -98,13 +96,10 @@
 	return total
 }
 
-// keepMarked keeps a target crashing on the mark and starts it again after each crash.
-func (s *soak) keepMarked(ctx context.Context, index int, mark string) {
+// restartCrashed counts the crashes of a target and starts it again after each one.
+func (s *soak) restartCrashed(ctx context.Context, index int, mark string) {
 	plan := s.fleet.Plan.Targets[index]
-	fault := load.Fault{CrashMark: mark, CrashAfter: model.Duration(poisonWork)}
 	defer s.subjects.hold(fmt.Sprint("target ", index))()
-	defer s.subjects.hold(fmt.Sprint("behaviour of target ", index))()
-	marked := load.SetFault(ctx, plan, fault) == nil
 	for {
 		if p := s.fleet.Targets[index]; !p.Running() {
 			if p.ExitCode() == crashStatus {
@@ -115,10 +110,6 @@
 			if err := s.fleet.StartTarget(index); err != nil {
 				s.findings.add("harness", "%s does not start: %v", plan.ID, err)
 			}
-			marked = false
-		}
-		if !marked {
-			marked = load.SetFault(ctx, plan, fault) == nil
 		}
 		if ctx.Err() != nil {
 			break
@@ -133,7 +124,6 @@
 		}
 		_ = s.fleet.StartTarget(index) // heal starts it otherwise.
 	}
-	_ = load.SetFault(context.WithoutCancel(ctx), plan, load.Fault{}) // heal takes the fault back otherwise.
 }
 
 func (s *soak) idempotentRoute(service string) (model.RouteSpec, bool) {
@@ -156,7 +146,7 @@
 		return
 	}
 	request.Host = route.Host
-	request.Header.Set("Standin-Mark", mark)
+	request.Header.Set("Standin-Crash", poisonWork.String())
 	if response, err := http.DefaultClient.Do(request); err == nil {
 		_ = response.Body.Close() // Only the crashes count.
 	}
--- a/cmd/standin/target_serve.go
+++ b/cmd/standin/target_serve.go
@@ -16,7 +16,9 @@
 const (
 	// headerRequest identifies the request in the records of the target; it is echoed.
 	headerRequest = "Standin-Request"
-	headerMark    = "Standin-Mark"
+	// headerCrash crashes every target that runs the request, after the time in its value. It needs no fault of the
+	// target: one that was started again would otherwise run the request unharmed until the fault is set.
+	headerCrash = "Standin-Crash"
 	// pathHealth answers probes.
 	pathHealth = "/health"
 	blockBytes = 32 << 10
@@ -50,9 +52,9 @@
 	t.records.begin(id, r.Header.Get("Idempotency-Key"))
 	whole := false
 	defer func() { t.records.end(id, whole) }()
-	if current.CrashMark != "" && r.Header.Get(headerMark) == current.CrashMark {
+	if after, err := time.ParseDuration(r.Header.Get(headerCrash)); err == nil {
 		// A caller that goes away does not save the target.
-		time.Sleep(time.Duration(current.CrashAfter))
+		time.Sleep(after)
 		t.config.Crash()
 		reset(w)
 		return
--- a/internal/load/control.go
+++ b/internal/load/control.go
@@ -29,10 +29,6 @@
 	TruncateAfter int64 `json:"truncate-after"`
 	// StallAfter holds bodies after this number of bytes; zero means never.
 	StallAfter int64 `json:"stall-after"`
-	// CrashMark crashes the target on requests whose header Standin-Mark has this value.
-	CrashMark string `json:"crash-mark"`
-	// CrashAfter is the time of work before such a crash.
-	CrashAfter model.Duration `json:"crash-after"`
 	// For takes the fault back after this time; zero keeps it.
 	For model.Duration `json:"for"`
 }
--- a/internal/load/poison_test.go
+++ b/internal/load/poison_test.go
@@ -15,11 +15,9 @@
 
 	"github.com/auburnwinch/auburnwinch/internal/load"
 	"github.com/auburnwinch/auburnwinch/internal/procs"
-	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
 const (
-	crashMark = "deadly"
 	// crashWork is longer than the spread of a suspicion, so that trials which overlap are seen.
 	crashWork = 600 * time.Millisecond
 	// spreadBound is the time within which all nodes must know of a crash.
@@ -36,10 +34,8 @@
 	final   atomic.Int64
 }
 
-// keepCrashing restarts the target after each crash and makes it crash on the mark again.
-func (d *deadly) keepCrashing(ctx context.Context, i int) {
-	fault := load.Fault{CrashMark: crashMark, CrashAfter: model.Duration(crashWork)}
-	marked := false
+// restartCrashed counts the crashes of the target and starts it again after each one.
+func (d *deadly) restartCrashed(ctx context.Context, i int) {
 	for ctx.Err() == nil {
 		if p := d.fleet.Targets[i]; !p.Running() {
 			if p.ExitCode() == crashStatus {
@@ -48,10 +44,6 @@
 			if d.fleet.StartTarget(i) != nil {
 				return
 			}
-			marked = false
-		}
-		if !marked {
-			marked = load.SetFault(ctx, d.fleet.Plan.Targets[i], fault) == nil
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -79,7 +71,7 @@
 		return
 	}
 	request.Host = "courts.instituto.example"
-	request.Header.Set("Standin-Mark", crashMark)
+	request.Header.Set("Standin-Crash", crashWork.String())
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return
@@ -102,7 +94,7 @@
 		var workers sync.WaitGroup
 		for i, target := range fleet.Plan.Targets {
 			if target.Service == "courtview" {
-				workers.Go(func() { d.keepCrashing(ctx, i) })
+				workers.Go(func() { d.restartCrashed(ctx, i) })
 			}
 		}
 		time.Sleep(200 * time.Millisecond)
