agent: refuse requests for 300 ms after the process was paused

In the same way a resumed agent runs non-idempotent requests that their edges gave up, which makes their outcome unknown.

Ruled out: shorter call timeouts (the calls end at the sender, their bytes are read after waking all the same); asking a peer on each admission (a call per request).

Before: TestResumedAgentRefuses fails, expected 'agent-resumed', actual ''. After: it passes, with the tests of agent, node and edge under the race detector.

Conclusion: a pause is a gap of 1 s between ticks of 100 ms, by the wall clock. A machine that starves the process for a second looks the same and costs refusals that other agents take over. Not closed: pauses below 1 s.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -34,6 +34,7 @@
 	// suspectRuns is the place for the one request that is suspect of crashing targets.
 	suspectRuns atomic.Bool
 	running     running
+	pauses      *pauseWatch
 	publishing  sync.Mutex
 	stop        chan struct{}
 	stopped     atomic.Bool
@@ -44,7 +45,9 @@
 func New(c Config) (*Agent, error) {
 	c = c.withDefaults()
 	a := &Agent{config: c, registry: newRegistry(c), signer: relay.NewSigner(c.Secret, c.Accepted), stop: make(chan struct{})}
-	ticks := c.Clock.Subscribe(expiryCheck)
+	a.pauses = newPauseWatch(c.Clock)
+	pauseTicks, ticks := c.Clock.Subscribe(pauseCheck), c.Clock.Subscribe(expiryCheck)
+	a.group.Go(func() { a.watchPauses(pauseTicks) })
 	a.group.Go(func() { a.watchExpiry(ticks) })
 	return a, nil
 }
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -64,6 +64,34 @@
 	return `{"service":"shop","id":"t1","incarnation":` + strconv.Itoa(incarnation) + `,"address":"` + address + `","slots":2}`
 }
 
+// Guards against an agent that was paused and runs requests that were given up meanwhile, before it has read which of
+// them crashed targets elsewhere.
+func TestResumedAgentRefuses(t *testing.T) {
+	clock := timer.NewManual(time.Now())
+	b := newBench(t, agent.Config{Clock: clock})
+	var runs atomic.Int64
+	b.announce(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	send := func() (reason, outcome string) {
+		response, err := http.DefaultClient.Do(b.relayed(t.Context(), ""))
+		require.NoError(t, err)
+		defer response.Body.Close()
+		return response.Header.Get(model.HeaderReason), response.Header.Get(model.HeaderOutcome)
+	}
+	reason, _ := send()
+	require.Empty(t, reason)
+	clock.Advance(3 * time.Second)
+	for range 2 {
+		reason, outcome := send()
+		require.Equal(t, relay.ReasonResumed, reason)
+		require.Equal(t, string(model.OutcomeNotRun), outcome)
+	}
+	require.EqualValues(t, 1, runs.Load())
+	clock.Advance(300 * time.Millisecond)
+	reason, _ = send()
+	require.Empty(t, reason)
+	require.EqualValues(t, 2, runs.Load())
+}
+
 // relayed returns a signed request to target t1 of incarnation 1.
 func (b *bench) relayed(ctx context.Context, key string) *http.Request {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, b.relay.URL+"/orders/1", nil)
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -163,6 +163,11 @@
 		x.refuse(relay.ReasonDeadline, model.OutcomeNotRun)
 		return
 	}
+	if x.agent.pauses.recent() {
+		conn.Discard()
+		x.refuse(relay.ReasonResumed, model.OutcomeNotRun)
+		return
+	}
 	if refusal := x.mayRun(ctx); refusal != "" {
 		conn.Discard()
 		x.refuse(refusal, model.OutcomeNotRun)
--- a/internal/relay/header.go
+++ b/internal/relay/header.go
@@ -24,8 +24,10 @@
 	ReasonSignature     = "signature"
 	ReasonBadRequest    = "bad-request"
 	ReasonUnreachable   = "target-unreachable"
-	ReasonPoison        = "poison"
-	ReasonSuspect       = "another-suspect-request-runs"
+	// ReasonResumed tells that the agent was paused and may hold requests that were given up.
+	ReasonResumed = "agent-resumed"
+	ReasonPoison  = "poison"
+	ReasonSuspect = "another-suspect-request-runs"
 	// ReasonKeySeen tells that an earlier attempt with this key has reached a target.
 	ReasonKeySeen = "key-seen"
 	// ReasonBroken tells that the target broke off before it answered, so that the request may have run.
