edge: log repeated failures with one agent once a second, and keep the node of a line

Cause: in the soak each request that chose a target of a dead node wrote a line, 100 a second and more from one edge. Besides, these lines named the agent under 'node', which replaced the name of the node that wrote them, since JSON keys are unique.

Before: 610 to 690 kB of log per node in 15 minutes, mostly such lines. After: a line per event and agent a second with the number of suppressed ones; other nodes are 'agent' or 'peer'.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -227,7 +227,12 @@
 }
 
 func (l *leg) log(event string, err error) {
-	_ = level.Warn(l.request.edge.config.Logger).Log("msg", event, "exchange", l.exchange, "node",
-		l.choice.Candidate.Node.Ref.ID, "address", l.choice.Candidate.Node.RelayAddress, "target",
-		l.choice.Candidate.Target.Ref.ID, "err", err)
+	address := l.choice.Candidate.Node.RelayAddress
+	suppressed, ok := l.request.edge.repeats.next(time.Now(), repeatKey{event: event, address: address})
+	if !ok {
+		return
+	}
+	_ = level.Warn(l.request.edge.config.Logger).Log("msg", event, "exchange", l.exchange, "agent",
+		l.choice.Candidate.Node.Ref.ID, "address", address, "target", l.choice.Candidate.Target.Ref.ID, "suppressed", suppressed,
+		"err", err)
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -27,6 +27,7 @@
 	pools    sync.Map // relay address to *relay.Pool
 	budgets  sync.Map // service name to *retry.Budget
 	leaving  atomic.Bool
+	repeats  repeats
 	inFlight atomic.Int64
 	counters counters
 	stop     chan struct{}
--- a/internal/node/trial.go
+++ b/internal/node/trial.go
@@ -138,7 +138,7 @@
 			continue
 		}
 		if err := s.peers.Call(ctx, node, methodEndTrial, args, &EndTrialReply{}); err != nil {
-			_ = level.Warn(s.logger).Log("msg", "result of a trial not reported; the request stays suspect", "node", ref.ID, "err", err)
+			_ = level.Warn(s.logger).Log("msg", "result of a trial not reported; the request stays suspect", "peer", ref.ID, "err", err)
 		}
 	}
 }
@@ -153,7 +153,7 @@
 	}
 	args := TrialArgs{Service: suspect.Service, Fingerprint: suspect.Fingerprint}
 	if err := s.peers.Call(ctx, node, methodTrial, args, &reply); err != nil {
-		_ = level.Warn(s.logger).Log("msg", "trial not granted", "node", ref.ID, "err", err)
+		_ = level.Warn(s.logger).Log("msg", "trial not granted", "peer", ref.ID, "err", err)
 		return reply, false
 	}
 	return reply, true
@@ -220,7 +220,7 @@
 			defer mu.Unlock()
 			if err != nil {
 				done.Unreached++
-				_ = level.Warn(s.logger).Log("msg", "crash not reported; the node learns it from the record", "node", node.Ref.ID, "err", err)
+				_ = level.Warn(s.logger).Log("msg", "crash not reported; the node learns it from the record", "peer", node.Ref.ID, "err", err)
 				return
 			}
 			done.Running, done.Crashed = append(done.Running, reply.Running...), append(done.Crashed, reply.Crashed...)
