node: report a crash to agents that join after it or were not reached

Now the node that saw a crash reports it to every agent of the service that has not heard of it, when its record appears and each second until it answers.

Conclusion: the time in which such an agent is unaware falls from that of rumours to that of its own record, which also brings it its first requests. A request that reaches it through an edge that heard of it first can still run.

--- a/internal/node/suspicion.go
+++ b/internal/node/suspicion.go
@@ -46,23 +46,31 @@
 	module *poison.Module
 	// spreading are the requests whose suspicion is on its way to the agents.
 	spreading map[trialID]bool
+	// reported are the agents that have heard of the crashes at this node.
+	reported map[trialID]map[model.NodeRef]bool
 	// learned are the entries of the latest record of each node. Only one goroutine uses them.
 	learned map[model.NodeRef][]model.PoisonEntry
 
-	stop  chan struct{}
-	group conc.WaitGroup
+	// closed keeps new reports from starting.
+	closed bool
+	stop   chan struct{}
+	group  conc.WaitGroup
 }
 
 func newSuspicion(s *suspicion) *suspicion {
 	s.module = poison.New(poison.Config{Self: s.self})
 	s.stop = make(chan struct{})
 	s.spreading = make(map[trialID]bool)
+	s.reported = make(map[trialID]map[model.NodeRef]bool)
 	s.learned = make(map[model.NodeRef][]model.PoisonEntry)
 	s.group.Go(s.run)
 	return s
 }
 
 func (s *suspicion) close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
 	close(s.stop)
 	s.group.Wait()
 }
@@ -76,6 +84,7 @@
 			return
 		case now := <-ticks.C:
 			s.update(poison.TickMsg{Now: now})
+			s.respread()
 		}
 	}
 }
@@ -128,6 +137,7 @@
 		}
 	}
 	s.learned = learned
+	s.respread()
 }
 
 // update changes the module, publishes its entries and returns the commands that need other nodes or an answer.
--- a/internal/node/trial.go
+++ b/internal/node/trial.go
@@ -223,6 +223,7 @@
 				_ = level.Warn(s.logger).Log("msg", "crash not reported; the node learns it from the record", "peer", node.Ref.ID, "err", err)
 				return
 			}
+			s.noteReport(cmd, node.Ref)
 			done.Running, done.Crashed = append(done.Running, reply.Running...), append(done.Crashed, reply.Crashed...)
 		})
 	}
--- a/internal/poison/module.go
+++ b/internal/poison/module.go
@@ -268,6 +268,11 @@
 }
 
 func (m *Module) own() PublishCmd {
+	return PublishCmd{Entries: m.Own()}
+}
+
+// Own returns what this node saw, sorted by service and fingerprint.
+func (m *Module) Own() []model.PoisonEntry {
 	var entries []model.PoisonEntry
 	for id, e := range m.entries {
 		if e.own > 0 {
@@ -279,5 +284,5 @@
 	slices.SortFunc(entries, func(a, b model.PoisonEntry) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Fingerprint, b.Fingerprint))
 	})
-	return PublishCmd{Entries: entries}
+	return entries
 }
