agent: suspect idempotent requests that were given up before their target died

The first target had been paused for 2.5 s, longer than the timeout of the route; when it woke it ran the request that its caller had given up and crashed. The agent counted only requests that still waited, so this crash made nobody suspect, and two more were needed for the quarantine.

Before: TestAbandonedRequestsAreSuspect fails, the idempotent request is missing. After: it passes with the tests of agent under the race detector.

Conclusion: the target that an abandoned request takes down counts.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -135,9 +135,7 @@
 	a.targetGone(x.local)
 	// The request has ended with its target; as a running one it would keep its own trial from being granted.
 	x.end()
-	if a.config.Poison != nil && x.suspect.Fingerprint != 0 && x.local.shared.report(x.suspect.Fingerprint) {
-		a.config.Poison.Crashed(x.local.target.Ref, x.suspect)
-	}
+	a.reportCrash(x.local, x.suspect)
 	return true
 }
 
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -251,6 +251,7 @@
 		"target", x.local.target.Ref.ID, "err", err)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		x.agent.targetGone(x.local)
+		x.agent.reportCrash(x.local)
 	}
 	x.refuse(relay.ReasonUnreachable, model.OutcomeNotRun)
 }
@@ -265,9 +266,11 @@
 	x.fail()
 	switch {
 	case x.timedOut(ctx):
+		x.abandon()
 		x.refuse(relay.ReasonTimeout, model.OutcomeUnknown)
 		return ResultTimeout
 	case ctx.Err() != nil:
+		x.abandon()
 		x.refuse(relay.ReasonBroken, model.OutcomeUnknown)
 		return ResultCanceled
 	case errors.Is(err, relay.ErrBody):
@@ -297,6 +300,10 @@
 	}
 }
 
+func (x *exchange) abandon() {
+	x.local.shared.abandon(x.agent.config.Clock.Now(), x.suspect)
+}
+
 func (x *exchange) fail() {
 	if x.keyed() {
 		x.agent.config.Ledger.Fail(x.key)
--- a/internal/agent/target.go
+++ b/internal/agent/target.go
@@ -32,6 +32,8 @@
 	mu sync.Mutex
 	// reported are the fingerprints that were in flight when the target died.
 	reported map[uint64]struct{}
+	// abandoned are the latest requests that were given up, in the order of time.
+	abandoned []abandonedRequest
 }
 
 type localKey struct {
