bench: begin the many sends of a poison request once its suspicion is known

Cause: the soak let eleven callers send the request 300 ms after the first target had exited.

Ruled out: lost reports (all agents but a dead node answered).

Now the callers wait until every node that no fault disturbs lists the fingerprint; nodes that are paused, killed or restarting are not waited for, so what they do when they come back is checked as before. One caller sends from the start without waiting, also as before.

The bound of two targets is unchanged.

--- a/cmd/bench/soak.go
+++ b/cmd/bench/soak.go
@@ -114,7 +114,7 @@
 	s.findings = &findings{began: s.began}
 	s.watch = newWatch(fleet, s.findings, s.subjects)
 	s.tickets = newTickets(fleet, s.watch, s.findings)
-	s.crashes = &crashWatch{findings: s.findings, lost: make(map[string]map[string]int), first: make(map[string]time.Time)}
+	s.crashes = &crashWatch{findings: s.findings, lost: make(map[string]map[string]int)}
 	return s
 }
 
--- a/cmd/bench/soak_poison.go
+++ b/cmd/bench/soak_poison.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/auburnwinch/auburnwinch/internal/poison"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
@@ -16,19 +18,21 @@
 	// maxPoisoned is the number of targets that one request may take down.
 	maxPoisoned   = 2
 	poisonCallers = 12
-	// poisonSpread is the time in which nodes tell each other of a crash. A request that begins within it can't be
-	// known as suspect, so that the bound does not hold for it.
-	poisonSpread = 300 * time.Millisecond
-	// poisonWork is longer, so that the trial still runs when the other callers begin.
-	poisonWork = 2 * poisonSpread
+	// poisonWork is longer than the report of a crash takes, so that the trial still runs when the other callers begin.
+	poisonWork = 600 * time.Millisecond
+	poisonPoll = 20 * time.Millisecond
 )
 
+// poisonDump is the part of the state dump that lists suspect requests.
+type poisonDump struct {
+	Poison poison.State `json:"poison"`
+}
+
 // crashWatch counts the targets that each marked request took down.
 type crashWatch struct {
 	findings *findings
 	mu       sync.Mutex
 	lost     map[string]map[string]int
-	first    map[string]time.Time
 }
 
 func (c *crashWatch) note(mark, target string) int {
@@ -36,7 +40,6 @@
 	defer c.mu.Unlock()
 	if c.lost[mark] == nil {
 		c.lost[mark] = make(map[string]int)
-		c.first[mark] = time.Now()
 	}
 	c.lost[mark][target]++
 	total := 0
@@ -46,7 +49,9 @@
 	return total
 }
 
-// poison sends a request that crashes the targets of a service, first once and after its first crash by many callers.
+// poison sends a request that crashes the targets of a service: first by one caller, who sends it again and again, and by
+// many others once the nodes know of the first crash. Nobody can refuse what began before, so the bound does not hold for
+// it.
 func (s *soak) poison(ctx context.Context, number int, f soakFault) error {
 	service := s.fleet.Plan.Targets[f.index].Service
 	route, ok := s.idempotentRoute(service)
@@ -61,12 +66,20 @@
 			workers.Go(func() { s.restartCrashed(ctx, i, mark) })
 		}
 	}
+	known := make(chan struct{})
+	workers.Go(func() {
+		s.waitSuspected(ctx, mark, poison.Fingerprint(service, http.MethodGet, markedPath(route, mark), "", nil), known)
+	})
 	for n := range poisonCallers {
 		workers.Go(func() {
-			for i := n; ctx.Err() == nil; i++ {
-				if n == 0 || s.crashes.spread(mark) {
-					s.sendMarked(ctx, i, route, mark)
+			if n > 0 {
+				select {
+				case <-known:
+				case <-ctx.Done():
 				}
+			}
+			for i := n; ctx.Err() == nil; i++ {
+				s.sendMarked(ctx, i, route, mark)
 				pause(ctx, 50*time.Millisecond)
 			}
 		})
@@ -78,12 +91,36 @@
 	return nil
 }
 
-// spread reports whether the nodes have had the time to tell each other of the first crash.
-func (c *crashWatch) spread(mark string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	first, ok := c.first[mark]
-	return ok && time.Since(first) > poisonSpread
+// waitSuspected closes the channel when all nodes that no fault disturbs know that the request is suspect.
+func (s *soak) waitSuspected(ctx context.Context, mark string, fingerprint uint64, known chan<- struct{}) {
+	for ctx.Err() == nil {
+		if s.crashes.count(mark) > 0 && s.suspected(ctx, fingerprint) {
+			s.findings.logf("%s is suspect at all nodes", mark)
+			close(known)
+			return
+		}
+		pause(ctx, poisonPoll)
+	}
+}
+
+func (s *soak) suspected(ctx context.Context, fingerprint uint64) bool {
+	for i := range s.fleet.Nodes {
+		if !s.subjects.undisturbedSince(i, time.Now()) {
+			continue
+		}
+		var dump poisonDump
+		if s.fleet.Admin(ctx, i, "/state?section=poison", &dump) != nil {
+			return false
+		}
+		if !slices.ContainsFunc(dump.Poison.Entries, func(e poison.EntryState) bool { return e.Fingerprint == fingerprint }) {
+			return false
+		}
+	}
+	return true
+}
+
+func markedPath(route model.RouteSpec, mark string) string {
+	return route.PathPrefix + "/" + mark
 }
 
 func (c *crashWatch) count(mark string) int {
@@ -140,7 +177,7 @@
 // sendMarked sends the same request as all other callers through one node; only the crashes count.
 func (s *soak) sendMarked(ctx context.Context, n int, route model.RouteSpec, mark string) {
 	node := s.fleet.Plan.Nodes[n%len(s.fleet.Plan.Nodes)].Settings.Listeners.Callers
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node+route.PathPrefix+"/"+mark, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node+markedPath(route, mark), nil)
 	if err != nil {
 		s.findings.add("harness", "the marked request can't be built: %v", err)
 		return
