view: rebuild only the services whose parts or spec changed

Cause: buildView joined all records and sorted all 7,500 candidates after each change, whatever it was.

Builder keeps what each node published and, per service, the announced targets in the order of the candidates. It compares each record with the previous one and replaces a service only if its candidates, claims, poison entries or spec differ; all others are the same pointers in the next view. New stays as the full rebuild, and its order is now total: candidates with equal references are sorted by node.

Ruled out: collecting the candidates of a changed service anew and sorting them.

Detection and choice of targets still rebuild all.

--- a/cmd/bench/change.go
+++ b/cmd/bench/change.go
@@ -78,14 +78,20 @@
 
 // rebuilder does after each change what a node does, without the request path.
 type rebuilder struct {
-	self   model.Node
-	edge   *eject.Tracker
-	agent  *eject.Tracker
-	picker *picker.Picker
+	self    model.Node
+	builder *view.Builder
+	edge    *eject.Tracker
+	agent   *eject.Tracker
+	picker  *picker.Picker
+	// full makes each view from the beginning, so that no part can tell what changed.
+	full bool
 }
 
-func newRebuilder() *rebuilder {
-	r := &rebuilder{self: scaledNode(0), edge: idleTracker(eject.ObserverEdge), agent: idleTracker(eject.ObserverAgent)}
+func newRebuilder(full bool) *rebuilder {
+	r := &rebuilder{
+		self: scaledNode(0), builder: view.NewBuilder(scaledNode(0)), full: full,
+		edge: idleTracker(eject.ObserverEdge), agent: idleTracker(eject.ObserverAgent),
+	}
 	r.picker = picker.New(picker.Config{Health: r.edge})
 	return r
 }
@@ -96,7 +102,10 @@
 }
 
 func (r *rebuilder) view(s fleetState) *view.View {
-	return viewOf(r.self, s.configuration, s.members)
+	if r.full {
+		return viewOf(r.self, s.configuration, s.members)
+	}
+	return r.builder.Build(s.configuration, partsOf(s.members))
 }
 
 func (r *rebuilder) apply(s fleetState) {
--- a/cmd/bench/scale.go
+++ b/cmd/bench/scale.go
@@ -109,7 +109,17 @@
 	return c
 }
 
-// viewOf joins configuration and records as a node does after each change.
+// partsOf returns what the nodes publish, as a node passes it to the builder of its view.
+func partsOf(members *member.Snapshot) []view.Part {
+	parts := make([]view.Part, len(members.Records))
+	for i := range members.Records {
+		r := &members.Records[i]
+		parts[i] = view.Part{Node: r.Node, Targets: r.Targets, Claims: r.Ejections, Poison: r.Poison}
+	}
+	return parts
+}
+
+// viewOf joins configuration and records from the beginning, as a starting node does.
 func viewOf(self model.Node, configuration *model.Configuration, members *member.Snapshot) *view.View {
 	c := view.Config{Self: self, Configuration: configuration}
 	for i := range members.Records {
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -57,19 +57,15 @@
 	return nodes
 }
 
-// buildView joins the configuration with what the nodes publish. Targets of leaving nodes are no candidates.
-func buildView(self model.Node, configuration *model.Configuration, members *member.Snapshot) *view.View {
-	c := view.Config{Self: self, Configuration: configuration}
+// partsOf returns what the nodes publish, sorted by node ID. Targets of leaving nodes are no candidates.
+func partsOf(members *member.Snapshot) []view.Part {
+	parts := make([]view.Part, len(members.Records))
 	for i := range members.Records {
 		record := &members.Records[i]
-		c.Claims = append(c.Claims, record.Ejections...)
-		c.Poison = append(c.Poison, record.Poison...)
-		if record.Leaving {
-			continue
-		}
-		for _, target := range record.Targets {
-			c.Candidates = append(c.Candidates, view.Candidate{Target: target, Node: record.Node})
+		parts[i] = view.Part{Node: record.Node, Claims: record.Ejections, Poison: record.Poison}
+		if !record.Leaving {
+			parts[i].Targets = record.Targets
 		}
 	}
-	return view.New(c)
+	return parts
 }
--- a/internal/node/viewer.go
+++ b/internal/node/viewer.go
@@ -32,6 +32,7 @@
 	publish func(*view.View)
 
 	mu      sync.Mutex
+	builder *view.Builder
 	members *member.Snapshot
 	number  uint64
 	changed bool
@@ -42,6 +43,7 @@
 
 func newViewer(v *viewer) *viewer {
 	v.stop = make(chan struct{})
+	v.builder = view.NewBuilder(v.self)
 	v.group.Go(v.run)
 	return v
 }
@@ -73,7 +75,7 @@
 	invar.Check(c.Number >= v.number, "node", "configuration went from %d to %d", v.number, c.Number)
 	v.number = c.Number
 	v.changed = false
-	v.publish(buildView(v.self, c, v.members))
+	v.publish(v.builder.Build(c, partsOf(v.members)))
 }
 
 func (v *viewer) close() {
--- a/internal/view/doc.go
+++ b/internal/view/doc.go
@@ -3,6 +3,7 @@
 // Usage:
 //
 //	var current view.Cell
-//	current.Store(view.New(self, configuration, candidates, claims, poison))
+//	builder := view.NewBuilder(self)
+//	current.Store(builder.Build(configuration, parts))
 //	service := current.Load().Service("courtview")
 package view
--- /dev/null
+++ b/internal/view/part.go
@@ -0,0 +1,28 @@
+package view
+
+import (
+	"slices"
+
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// Part is what one node contributes to the view; its lists must not be modified afterwards.
+type Part struct {
+	Node    model.Node
+	Targets []model.Target
+	Claims  []model.Claim
+	Poison  []model.PoisonEntry
+}
+
+func (p *Part) equal(other *Part) bool {
+	return p.Node == other.Node && sameList(p.Targets, other.Targets) && sameList(p.Claims, other.Claims) &&
+		sameList(p.Poison, other.Poison)
+}
+
+// sameList compares two lists; those that share their memory are equal, since nobody modifies them.
+func sameList[T comparable](a, b []T) bool {
+	if len(a) == len(b) && len(a) > 0 && &a[0] == &b[0] {
+		return true
+	}
+	return slices.Equal(a, b)
+}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -88,10 +88,18 @@
 		}
 	}
 	for _, s := range v.Services {
-		slices.SortFunc(s.Candidates, func(a, b Candidate) int { return a.Target.Ref.Compare(b.Target.Ref) })
+		slices.SortFunc(s.Candidates, func(a, b Candidate) int { return compareCandidates(&a, &b) })
 	}
 }
 
+// compareCandidates orders candidates by reference, and those that two nodes announce by node, so that the order is total.
+func compareCandidates(a, b *Candidate) int {
+	if c := a.Target.Ref.Compare(b.Target.Ref); c != 0 {
+		return c
+	}
+	return strings.Compare(a.Node.Ref.ID, b.Node.Ref.ID)
+}
+
 func (v *View) addClaims(claims []model.Claim) {
 	for _, claim := range claims {
 		if s := v.Service(claim.Target.Service); s != nil {
