picker: keep the services whose part of the view is unchanged

Cause: SetView made an entry with its own copy of the candidate and a map of counters for all 7,500 targets after each change.

SetView keeps a service whose *view.Service is the same pointer. Entries are one slice per service that points into the candidates of the view, and take over their counters by a walk through both sorted lists instead of a map.

Ruled out: the shared services alone, with entries and map as before.

--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -86,7 +86,7 @@
 	if r.Idempotent {
 		if e := p.pickProbation(ranked, r, now); e != nil {
 			e.counters.inFlight.Add(1)
-			return Choice{Candidate: e.candidate, Probation: true, entry: e}, nil
+			return Choice{Candidate: *e.candidate, Probation: true, entry: e}, nil
 		}
 	}
 	e := p.pickInService(ranked, r, now)
@@ -94,7 +94,7 @@
 		return Choice{}, &NoTargetError{Service: r.Service}
 	}
 	e.counters.inFlight.Add(1)
-	return Choice{Candidate: e.candidate, entry: e}, nil
+	return Choice{Candidate: *e.candidate, entry: e}, nil
 }
 
 // Done gives a choice back with the load that the agent reported.
--- a/internal/picker/tier.go
+++ b/internal/picker/tier.go
@@ -13,7 +13,7 @@
 
 // entry is one candidate with its counters.
 type entry struct {
-	candidate view.Candidate
+	candidate *view.Candidate
 	counters  *counters
 	tier      int
 }
@@ -31,16 +31,18 @@
 	probation []*entry
 }
 
-// service holds the candidates of one service in one view.
+// service holds the candidates of one service; views with the same part for it share it.
 type service struct {
-	entries []*entry
+	source *view.Service
+	// entries are sorted by target, as the candidates of a view are.
+	entries []entry
 	ranking atomic.Pointer[ranking]
 }
 
 // fleet holds all services of one view.
 type fleet struct {
+	self     model.Node
 	services map[string]*service
-	counters map[model.TargetRef]*counters
 }
 
 func tierOf(self, other model.Node) int {
@@ -56,30 +58,49 @@
 	}
 }
 
+// newFleet keeps the services of the old fleet whose part of the view is the same value.
 func newFleet(v *view.View, old *fleet) *fleet {
-	f := &fleet{services: make(map[string]*service), counters: make(map[model.TargetRef]*counters)}
+	f := &fleet{self: v.Self, services: make(map[string]*service, len(v.Services))}
 	for _, s := range v.Services {
-		built := &service{}
-		for _, c := range s.Candidates {
-			if c.Target.State == model.TargetServing {
-				built.entries = append(built.entries, f.newEntry(v.Self, c, old))
-			}
+		known := old.services[s.Spec.Name]
+		if known == nil || known.source != s || old.self != v.Self {
+			known = newService(v.Self, s, known)
 		}
-		f.services[s.Spec.Name] = built
+		f.services[s.Spec.Name] = known
 	}
 	return f
 }
 
-func (f *fleet) newEntry(self model.Node, c view.Candidate, old *fleet) *entry {
-	known := f.counters[c.Target.Ref]
-	if known == nil && old != nil {
-		known = old.counters[c.Target.Ref]
+// newService takes over the counters of the targets that the old service has, which is nil for a new one.
+func newService(self model.Node, source *view.Service, old *service) *service {
+	s := &service{source: source, entries: make([]entry, 0, len(source.Candidates))}
+	var known []entry
+	if old != nil {
+		known = old.entries
 	}
-	if known == nil {
-		known = &counters{}
+	for i := range source.Candidates {
+		c := &source.Candidates[i]
+		if c.Target.State != model.TargetServing {
+			continue
+		}
+		for len(known) > 0 && known[0].candidate.Target.Ref.Compare(c.Target.Ref) < 0 {
+			known = known[1:]
+		}
+		s.entries = append(s.entries, entry{candidate: c, counters: s.countersOf(c.Target.Ref, known), tier: tierOf(self, c.Node)})
+	}
+	return s
+}
+
+// countersOf returns the counters of the first known entry, or those of the entry before when two nodes announce the
+// target, or else new ones.
+func (s *service) countersOf(ref model.TargetRef, known []entry) *counters {
+	if len(known) > 0 && known[0].candidate.Target.Ref == ref {
+		return known[0].counters
+	}
+	if n := len(s.entries); n > 0 && s.entries[n-1].candidate.Target.Ref == ref {
+		return s.entries[n-1].counters
 	}
-	f.counters[c.Target.Ref] = known
-	return &entry{candidate: c, counters: known, tier: tierOf(self, c.Node)}
+	return &counters{}
 }
 
 // ranked returns the arrangement for the snapshot; two requests may build the same one at once, which is harmless.
@@ -88,7 +109,8 @@
 		return r
 	}
 	r := &ranking{snapshot: snapshot}
-	for _, e := range s.entries {
+	for i := range s.entries {
+		e := &s.entries[i]
 		v := snapshot.Verdict(e.candidate.Target.Ref)
 		switch {
 		case v.InService():
