eject: judge only the services that changed with the view

Cause: SetView replaced all services and all claims. Each of 7,500 targets was looked up in three maps, each history searched among the targets of its service, every service judged anew, and all pairs of target and route compared with a map of all targets.

ChangeMsg holds the services whose *view.Service changed, with the claims on them. A known service is altered in place by a walk through both sorted lists of targets. Histories without a target are listed, so that only those are looked at. Pairs are listed by target: a departed target names its pairs, and the collection lists new pairs, so the request path is as before. A service with equal spec, targets and claims is not judged, and keeps the medians of the last second instead of computing them after each change of the fleet; its evidence waits for the next tick, at most 50 ms.

Proof: two random tests with requests, ticks, claims, poison entries, leaves, restarts, drains and tickets. One compares a tracker that gets shared views with one whose views are all new: all services, targets, evidence, histories, verdicts, claims, pairs and the state of the random source. The other compares the altered service with the rebuild by ServicesMsg and ClaimMsg, which stay.

Conclusion: the work after a change follows what changed.

--- a/internal/eject/doc.go
+++ b/internal/eject/doc.go
@@ -4,7 +4,7 @@
 //
 //	tracker := eject.NewTracker(eject.TrackerConfig{Observer: eject.ObserverEdge, Clock: timer.NewReal()})
 //	defer tracker.Close()
-//	tracker.SetServices(services)
+//	tracker.SetView(view)
 //	handle := tracker.Start(eject.Request{Target: ref, Class: "read", Idempotent: true})
 //	handle.Finish(eject.Result{Kind: eject.KindOK})
 //	verdict := tracker.Snapshot().Verdict(ref)
--- a/internal/eject/module.go
+++ b/internal/eject/module.go
@@ -16,8 +16,10 @@
 	services  []*service
 	byName    map[string]*service
 	histories map[historyKey]*history
-	claims    []model.Claim
-	snapshot  *Snapshot
+	// unused holds the keys of the histories whose target is not announced.
+	unused   map[historyKey]struct{}
+	claims   []model.Claim
+	snapshot *Snapshot
 	// changed tells that a service was judged since the last publication.
 	changed bool
 }
@@ -56,7 +58,7 @@
 	}
 	return &Module{
 		config: c, rng: rand.New(rand.NewPCG(c.Seed, uint64(c.Observer))), byName: make(map[string]*service),
-		histories: make(map[historyKey]*history), snapshot: &Snapshot{},
+		histories: make(map[historyKey]*history), unused: make(map[historyKey]struct{}), snapshot: &Snapshot{},
 	}
 }
 
@@ -74,6 +76,8 @@
 	switch msg := msg.(type) {
 	case ServicesMsg:
 		m.replaceServices(msg.Services)
+	case ChangeMsg:
+		return m.change(msg)
 	case ClaimMsg:
 		m.replaceClaims(msg.Claims)
 	case ResultMsg:
@@ -98,19 +102,19 @@
 
 func (m *Module) replaceServices(list []Service) {
 	old := m.byName
-	first := len(old) == 0
 	m.byName = make(map[string]*service, len(list))
 	m.services = m.services[:0:0]
 	for _, item := range list {
-		s := m.newService(item, old[item.Spec.Name], first)
+		s := m.newService(item, old[item.Spec.Name])
 		m.byName[item.Spec.Name] = s
 		m.services = append(m.services, s)
 	}
-	m.forgetHistories()
+	m.findUnusedHistories()
+	m.expireHistories()
 	m.changed = true
 }
 
-func (m *Module) newService(item Service, old *service, first bool) *service {
+func (m *Module) newService(item Service, old *service) *service {
 	s := &service{
 		spec: item.Spec, thresholds: m.config.Thresholds(item.Spec), slack: edgeSlack, dirty: true, judged: true,
 		byRef: make(map[model.TargetRef]*target, len(item.Targets)), classCounts: make(map[string]int),
@@ -123,7 +127,7 @@
 		s.doubtUntil, s.slowDoubtUntil = old.doubtUntil, old.slowDoubtUntil
 	}
 	for _, announced := range item.Targets {
-		t := m.adopt(announced, old, first)
+		t := m.adopt(announced, old)
 		if s.byRef[announced.Ref] == nil {
 			s.targets = append(s.targets, t)
 		}
@@ -134,7 +138,7 @@
 }
 
 // adopt keeps the state of a known target; a target that joins a running service begins with slow start.
-func (m *Module) adopt(announced model.Target, old *service, first bool) *target {
+func (m *Module) adopt(announced model.Target, old *service) *target {
 	if old != nil {
 		if t := old.byRef[announced.Ref]; t != nil {
 			t.Target = announced
@@ -145,39 +149,27 @@
 	if m.histories[key] == nil {
 		m.histories[key] = &history{}
 	}
+	delete(m.unused, key)
 	t := &target{Target: announced, history: m.histories[key]}
-	if old != nil && !first {
+	if old != nil {
 		t.readmit(m.now, old.thresholds.SlowStart)
 	}
 	return t
 }
 
-func (m *Module) forgetHistories() {
+func (m *Module) findUnusedHistories() {
 	for key, h := range m.histories {
 		s := m.byName[key.service]
 		known := s != nil && slices.ContainsFunc(s.targets, func(t *target) bool { return t.history == h })
-		if !known && m.now.Sub(h.lastEjected) > flapMemory {
-			delete(m.histories, key)
+		if !known {
+			m.unused[key] = struct{}{}
 		}
 	}
 }
 
 func (m *Module) replaceClaims(claims []model.Claim) {
-	fresh := make(map[model.TargetRef]model.Severity, len(claims))
-	for _, c := range claims {
-		fresh[c.Target] = max(fresh[c.Target], c.Severity)
-	}
 	for _, s := range m.services {
-		for _, t := range s.targets {
-			severity := fresh[t.Ref]
-			if t.claim == 0 && severity != 0 {
-				t.claimSince = m.now
-			}
-			if t.claim != severity {
-				t.claim = severity
-				s.dirty = true
-			}
-		}
+		m.setClaims(s, claims)
 		m.advance(s)
 	}
 }
--- a/internal/eject/tracker.go
+++ b/internal/eject/tracker.go
@@ -50,6 +50,8 @@
 
 	mu     sync.Mutex
 	module *Module
+	view   *view.View
+	pairs  pairs
 
 	ticks     *timer.Subscription
 	done      chan struct{}
@@ -72,6 +74,8 @@
 	queued  atomic.Bool
 	next    *cell
 	dropped atomic.Bool
+	// registered tells that the cell is among the pairs of its target; the tracker's lock guards it.
+	registered bool
 }
 
 // Handle is one request in flight.
@@ -89,7 +93,7 @@
 	if c.Interval <= 0 {
 		c.Interval = defaultInterval
 	}
-	t := &Tracker{config: c, base: c.Clock.Now(), module: New(c.Config), done: make(chan struct{})}
+	t := &Tracker{config: c, base: c.Clock.Now(), module: New(c.Config), pairs: newPairs(), done: make(chan struct{})}
 	t.snapshot.Store(t.module.Snapshot())
 	t.ticks = c.Clock.Subscribe(c.Interval)
 	t.wg.Go(t.run)
@@ -167,47 +171,48 @@
 	return nil
 }
 
-// SetView takes services, targets and claims from the view; an agent's tracker keeps the targets of its own node.
+// SetView takes what changed since the view before: services, targets and claims; an agent's tracker keeps the targets
+// of its own node.
 func (t *Tracker) SetView(v *view.View) {
-	services := make([]Service, 0, len(v.Services))
-	var claims []model.Claim
-	for _, s := range v.Services {
-		item := Service{Spec: s.Spec}
-		for _, c := range s.Candidates {
-			if t.config.Observer != ObserverAgent || c.Target.Node == v.Self.Ref {
-				item.Targets = append(item.Targets, c.Target)
-			}
-		}
-		services = append(services, item)
-		claims = append(claims, s.Claims...)
-	}
-	t.SetServices(services)
-	if t.config.Observer == ObserverEdge {
-		t.SetClaims(claims)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	difference := v.Since(t.view)
+	t.view = v
+	msg := ChangeMsg{Now: t.config.Clock.Now(), Removed: difference.Removed}
+	for _, s := range difference.Changed {
+		msg.Changed = append(msg.Changed, t.changeOf(v.Self.Ref, s))
 	}
+	t.registerTouched()
+	t.apply(t.module.Update(msg))
+	t.dropUnknown()
 }
 
-// SetServices replaces the services and their announced targets.
-func (t *Tracker) SetServices(services []Service) {
-	t.update(ServicesMsg{Now: t.config.Clock.Now(), Services: services})
-	known := make(map[model.TargetRef]struct{})
-	for _, s := range services {
-		for _, target := range s.Targets {
-			known[target.Ref] = struct{}{}
-		}
+func (t *Tracker) changeOf(self model.NodeRef, s *view.Service) ServiceChange {
+	item := ServiceChange{Service: Service{Spec: s.Spec}, Claims: s.Claims}
+	if t.config.Observer == ObserverEdge {
+		item.Targets = make([]model.Target, 0, len(s.Candidates))
 	}
-	t.cells.Range(func(key, value any) bool {
-		if _, found := known[key.(cellKey).target]; !found {
-			value.(*cell).dropped.Store(true)
-			t.cells.Delete(key)
+	for i := range s.Candidates {
+		target := s.Candidates[i].Target
+		n := len(item.Targets)
+		switch {
+		case t.config.Observer == ObserverAgent && target.Node != self:
+		case n > 0 && item.Targets[n-1].Ref == target.Ref: // Two nodes announce the target.
+			item.Targets[n-1] = target
+		default:
+			item.Targets = append(item.Targets, target)
 		}
-		return true
-	})
+	}
+	return item
 }
 
-// SetClaims replaces the claims of all agents.
-func (t *Tracker) SetClaims(claims []model.Claim) {
-	t.update(ClaimMsg{Now: t.config.Clock.Now(), Claims: claims})
+// SetServices replaces the services and their announced targets, for a user without a view.
+func (t *Tracker) SetServices(services []Service) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.registerTouched()
+	t.apply(t.module.Update(ServicesMsg{Now: t.config.Clock.Now(), Services: services}))
+	t.dropGone()
 }
 
 // elapsed returns the time since the tracker's start in nanoseconds plus one, as 0 marks a free slot.
@@ -238,6 +243,7 @@
 		// Whatever comes after this line puts the cell on the list again.
 		c.queued.Store(false)
 		if !c.dropped.Load() {
+			t.register(c)
 			t.collectCell(now, c, snapshot.Verdict(c.key.target).EvidenceFrom)
 		}
 		c = next
@@ -278,16 +284,12 @@
 	t.module.Update(msg)
 }
 
-func (t *Tracker) update(msg Msg) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.apply(t.module.Update(msg))
-}
-
 func (t *Tracker) apply(cmds []Cmd) {
 	t.snapshot.Store(t.module.Snapshot())
 	for _, c := range cmds {
 		switch c := c.(type) {
+		case DepartedCmd:
+			t.drop(c.Target)
 		case ClaimsCmd:
 			t.claims.Store(&c.Claims)
 			if t.config.OnClaims != nil {
--- a/internal/view/builder_test.go
+++ b/internal/view/builder_test.go
@@ -135,7 +135,31 @@
 					require.NotEqual(t, old, s, "an equal service must be shared")
 				}
 			}
+			checkDifference(t, current, previous)
 			previous, before = current, now
 		}
 	})
 }
+
+// checkDifference applies the difference to the older view; a view of another node must not pass as unchanged.
+func checkDifference(t *rapid.T, current, previous *View) {
+	services := make(map[string]*Service)
+	for _, s := range previous.Services {
+		services[s.Spec.Name] = s
+	}
+	d := current.Since(previous)
+	for _, s := range d.Changed {
+		require.True(t, previous.Self != current.Self || services[s.Spec.Name] != s)
+		services[s.Spec.Name] = s
+	}
+	for _, name := range d.Removed {
+		delete(services, name)
+	}
+	require.Len(t, services, len(current.Services))
+	for _, s := range current.Services {
+		require.Same(t, s, services[s.Spec.Name])
+	}
+	other := *current
+	other.Self.Ref.Incarnation++
+	require.Len(t, other.Since(current).Changed, len(current.Services))
+}
