node: rebuild the view when something changed instead of looking for it

Cause: the viewer woke 50 times a second and asked the keeper under its lock, also on a node where nothing changes for seconds.

The viewer now waits for a signal: a membership with changed content, a configuration in force, or the readiness of the keeper, which reports it by the new OnReady. A change after a pause takes effect at once instead of after up to 20 ms; the changes of the next 20 ms are grouped into one rebuild, by a subscription to the clock that lasts for this interval only.

Ruled out: a subscription that is kept. It is a ticker that fires all the time whether or not anybody reads it.

Tests: with a manual clock, 300 changes are published not more often than every 20 ms, the last one is not lost, and the viewer does not look before the first. Without the report of readiness the new test of the keeper fails.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -161,11 +161,13 @@
 }
 
 func (n *Node) buildTickets() error {
+	wake := newSignal()
 	n.tickets = ticket.NewKeeper(ticket.KeeperConfig{
 		Self: n.self, Platform: n.store, Peers: n.peers, Clock: n.config.Clock, OnReject: n.logRejected,
+		OnApply: func(*model.Configuration) { wake.raise() }, OnReady: wake.raise,
 	})
 	n.viewer = newViewer(&viewer{
-		self: n.self, clock: n.config.Clock, source: n.tickets, route: n.applyConfiguration, publish: n.publishView,
+		self: n.self, clock: n.config.Clock, source: n.tickets, route: n.applyConfiguration, publish: n.publishView, wake: wake,
 	})
 	return nil
 }
--- a/internal/node/viewer.go
+++ b/internal/node/viewer.go
@@ -23,13 +23,15 @@
 	Ready() bool
 }
 
-// viewer rebuilds the view after changes of membership or configuration.
+// viewer rebuilds the view after changes of membership or configuration. It sleeps until wake is raised.
 type viewer struct {
 	self    model.Node
 	clock   timer.Service
 	source  configurations
 	route   func(*model.Configuration)
 	publish func(*view.View)
+	// wake is raised after each change of the source.
+	wake signal
 
 	mu      sync.Mutex
 	builder *view.Builder
@@ -49,11 +51,14 @@
 }
 
 // setMembers takes a new membership. One that differs only in ticket numbers leaves the view as it is: each ticket
-// brings a dozen such snapshots, and a rebuild for 7,500 targets takes 20 ms of processor time.
+// brings a dozen such snapshots.
 func (v *viewer) setMembers(s *member.Snapshot) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.changed = v.changed || v.members == nil || v.members.Generation != s.Generation
+	if v.members == nil || v.members.Generation != s.Generation {
+		v.changed = true
+		v.wake.raise()
+	}
 	v.members = s
 }
 
@@ -84,14 +89,23 @@
 }
 
 func (v *viewer) run() {
-	ticks := v.clock.Subscribe(viewInterval)
-	defer ticks.Stop()
 	for {
 		select {
 		case <-v.stop:
 			return
-		case <-ticks.C:
+		case <-v.wake:
 			v.refresh()
+			v.pause()
 		}
 	}
 }
+
+// pause groups the changes of the next interval.
+func (v *viewer) pause() {
+	ticks := v.clock.Subscribe(viewInterval)
+	defer ticks.Stop()
+	select {
+	case <-v.stop:
+	case <-ticks.C:
+	}
+}
--- a/internal/node/viewer_test.go
+++ b/internal/node/viewer_test.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,13 +14,19 @@
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
-type fixedConfiguration struct{ number uint64 }
+type fixedConfiguration struct {
+	number uint64
+	looks  atomic.Int64
+}
 
 func (c *fixedConfiguration) Configuration() *model.Configuration {
-	return &model.Configuration{Number: c.number}
+	return &model.Configuration{Number: c.number, Services: []model.ServiceSpec{{}}}
 }
 
-func (c *fixedConfiguration) Ready() bool { return true }
+func (c *fixedConfiguration) Ready() bool {
+	c.looks.Add(1)
+	return true
+}
 
 // Guards against a rebuild of the view for each spread ticket number, and against a change of records, or of the
 // configuration, that is lost beside it.
@@ -27,7 +35,7 @@
 	published := 0
 	v := newViewer(&viewer{
 		clock: timer.NewManual(time.Unix(0, 0)), source: source, route: func(*model.Configuration) {},
-		publish: func(*view.View) { published++ },
+		publish: func(*view.View) { published++ }, wake: newSignal(),
 	})
 	v.close() // The test refreshes by itself.
 	for _, step := range []struct {
@@ -45,3 +53,45 @@
 	v.refresh()
 	require.Equal(t, 4, published)
 }
+
+// Guards against a viewer that looks although nothing changed, that loses the last of many changes, or that rebuilds more
+// often than once per interval.
+func TestViewerWaitsForChanges(t *testing.T) {
+	source := &fixedConfiguration{number: 1}
+	clock := timer.NewManual(time.Unix(0, 0))
+	var mu sync.Mutex
+	var times []time.Time
+	var latest *view.View
+	v := newViewer(&viewer{
+		clock: clock, source: source, route: func(*model.Configuration) {}, wake: newSignal(),
+		publish: func(next *view.View) {
+			mu.Lock()
+			defer mu.Unlock()
+			times, latest = append(times, clock.Now()), next
+		},
+	})
+	defer v.close()
+	published := func(targets int) func() bool {
+		return func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			clock.Advance(time.Millisecond)
+			return latest != nil && len(latest.Services[0].Candidates) == targets
+		}
+	}
+	clock.Advance(time.Minute)
+	time.Sleep(2 * viewInterval)
+	require.Zero(t, source.looks.Load(), "nothing changed yet")
+	const changes = 300
+	for i := 1; i <= changes; i++ {
+		v.setMembers(&member.Snapshot{Generation: uint64(i), Records: []member.NodeRecord{{Targets: make([]model.Target, i)}}})
+		if i == 1 || i == changes {
+			require.Eventually(t, published(i), 5*time.Second, time.Millisecond)
+		}
+		clock.Advance(time.Millisecond)
+	}
+	for i := 1; i < len(times); i++ {
+		require.GreaterOrEqual(t, times[i].Sub(times[i-1]), viewInterval)
+	}
+	require.EqualValues(t, len(times), source.looks.Load())
+}
--- a/internal/ticket/keeper.go
+++ b/internal/ticket/keeper.go
@@ -39,6 +39,8 @@
 	Random *rand.Rand
 	// OnApply receives each configuration that is in force from now on; under load it may skip to the latest one.
 	OnApply func(*model.Configuration)
+	// OnReady is called once, when Ready becomes true.
+	OnReady func()
 	// OnReject receives input that was ignored.
 	OnReject func(RejectCmd)
 }
@@ -86,6 +88,9 @@
 	if c.OnApply == nil {
 		c.OnApply = func(*model.Configuration) {}
 	}
+	if c.OnReady == nil {
+		c.OnReady = func() {}
+	}
 	if c.OnReject == nil {
 		c.OnReject = func(RejectCmd) {}
 	}
@@ -172,12 +177,16 @@
 	}
 }
 
-// publish hands configurations out in order and outside of the lock, so that OnApply may call the keeper.
+// publish hands configurations out in order and outside of the lock, so that OnApply and OnReady may call the keeper.
 func (k *Keeper) publish() {
-	last := uint64(0)
+	last, ready := uint64(0), false
 	for {
 		select {
 		case <-k.changed:
+			if !ready && k.Ready() {
+				ready = true
+				k.config.OnReady()
+			}
 			if c := k.Configuration(); c.Number > last {
 				last = c.Number
 				k.config.OnApply(c)
@@ -194,9 +203,20 @@
 	if k.closed {
 		return
 	}
+	ready := k.module.Ready()
 	for _, cmd := range k.module.Update(msg) {
 		k.carryOut(cmd)
 	}
+	if k.module.Ready() != ready {
+		k.signalChange()
+	}
+}
+
+func (k *Keeper) signalChange() {
+	select {
+	case k.changed <- struct{}{}:
+	default:
+	}
 }
 
 // carryOut starts one effect; the caller holds the lock, so nothing starts after Close.
@@ -204,10 +224,7 @@
 	switch cmd := cmd.(type) {
 	case ApplyCmd:
 		k.current.Store(cmd.Configuration)
-		select {
-		case k.changed <- struct{}{}:
-		default:
-		}
+		k.signalChange()
 	case ReadHeadCmd:
 		if k.reading.CompareAndSwap(false, true) {
 			k.tasks.Go(k.readHead)
--- a/internal/ticket/keeper_test.go
+++ b/internal/ticket/keeper_test.go
@@ -29,6 +29,7 @@
 	mu       sync.Mutex
 	nodes    []model.Node
 	keepers  map[model.NodeRef]*ticket.Keeper
+	ready    chan model.NodeRef
 }
 
 func newFleet(t *testing.T, size int) *fleet {
@@ -36,7 +37,7 @@
 	platform, err := cloud.Start(cloud.Config{})
 	require.NoError(t, err)
 	t.Cleanup(func() { require.NoError(t, platform.Close()) })
-	f := &fleet{T: t, platform: platform, keepers: make(map[model.NodeRef]*ticket.Keeper)}
+	f := &fleet{T: t, platform: platform, keepers: make(map[model.NodeRef]*ticket.Keeper), ready: make(chan model.NodeRef, 1000)}
 	for range size {
 		f.join()
 	}
@@ -61,6 +62,7 @@
 			last = c.Number
 			f.rumour(self.Ref, c.Number)
 		},
+		OnReady: func() { f.ready <- self.Ref },
 	})
 	f.Cleanup(func() { require.NoError(f, k.Close()) })
 	f.mu.Lock()
@@ -163,3 +165,15 @@
 	require.NoError(t, err)
 	f.requireInForce(71, inForce)
 }
+
+// Guards against a node that is ready but never serves: it waits for this call when nothing else changes.
+func TestReadyIsReportedOnce(t *testing.T) {
+	f := newFleet(t, 1)
+	select {
+	case ref := <-f.ready:
+		require.True(t, f.keepers[ref].Ready())
+	case <-time.After(inForce):
+		require.FailNow(t, "readiness was not reported")
+	}
+	require.Never(t, func() bool { return len(f.ready) > 0 }, time.Second, 100*time.Millisecond)
+}
