--- a/cmd/bench/change.go
+++ b/cmd/bench/change.go
@@ -14,6 +14,14 @@
 // rackNodes is the number of nodes that are lost with one rack or switch.
 const rackNodes = 25
 
+// Names of the changes.
+const (
+	changeRecord = "record"
+	changeRack   = "rack"
+	changeTicket = "ticket"
+	changeClaim  = "claim"
+)
+
 // fleetState is what the view of a node is built from.
 type fleetState struct {
 	configuration *model.Configuration
@@ -36,10 +44,10 @@
 		return fleetChange{name: name, states: [2]fleetState{base, next}}
 	}
 	return []fleetChange{
-		change("record", func(s *fleetState) { s.restart(nodes / 2) }),
-		change("rack", func(s *fleetState) { s.lose(nodes/2, min(rackNodes, nodes/3)) }),
-		change("ticket", func(s *fleetState) { s.file(designServices / 2) }),
-		change("claim", func(s *fleetState) { s.claim(nodes / 2) }),
+		change(changeRecord, func(s *fleetState) { s.restart(nodes / 2) }),
+		change(changeRack, func(s *fleetState) { s.lose(nodes/2, min(rackNodes, nodes/3)) }),
+		change(changeTicket, func(s *fleetState) { s.file(designServices / 2) }),
+		change(changeClaim, func(s *fleetState) { s.claim(nodes / 2) }),
 	}
 }
 
