eject: drop pairs of target and route that are idle

Samples were freed only when the service was judged.

Pairs that no request used for longer than samples count (2 minutes) are dropped with their samples, by a search of 64 targets per collection that begins each minute. The module keeps the baseline, which takes minutes to learn. The request path is as before: a request that found its pair just before still reports by it, and the collection lists the pair again.

Ruled out: to drop all at once.

The new test fails without the search; it holds the pair with a request in flight, the baseline, and a request that found its pair before the drop.

--- a/internal/eject/module.go
+++ b/internal/eject/module.go
@@ -86,6 +86,9 @@
 	case InFlightMsg:
 		m.recordInFlight(msg)
 		return nil
+	case IdleMsg:
+		m.releaseIdle(msg)
+		return nil
 	case TickMsg:
 		m.tick()
 	}
--- a/internal/eject/pairs.go
+++ b/internal/eject/pairs.go
@@ -1,12 +1,19 @@
 package eject
 
-import "github.com/auburnwinch/auburnwinch/pkg/model"
+import (
+	"time"
+
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
 
 // pairs lists the cells by target, so that those of a target that left are found without a visit to all cells.
 type pairs struct {
 	byTarget map[model.TargetRef][]*cell
 	// unknown holds the targets that were not announced when a request used them.
 	unknown map[model.TargetRef]struct{}
+	// unswept holds the targets whose cells the current search for idle ones has not visited; it began at sweptAt.
+	unswept []model.TargetRef
+	sweptAt time.Time
 }
 
 func newPairs() pairs {
--- a/internal/eject/tracker.go
+++ b/internal/eject/tracker.go
@@ -76,6 +76,8 @@
 	dropped atomic.Bool
 	// registered tells that the cell is among the pairs of its target; the tracker's lock guards it.
 	registered bool
+	// usedAt is when the cell was last collected; the tracker's lock guards it.
+	usedAt time.Time
 }
 
 // Handle is one request in flight.
@@ -244,10 +246,12 @@
 		c.queued.Store(false)
 		if !c.dropped.Load() {
 			t.register(c)
+			c.usedAt = now
 			t.collectCell(now, c, snapshot.Verdict(c.key.target).EvidenceFrom)
 		}
 		c = next
 	}
+	t.dropIdle(now)
 	t.apply(t.module.Update(TickMsg{Now: now}))
 }
 
--- a/internal/eject/tracker_test.go
+++ b/internal/eject/tracker_test.go
@@ -145,3 +145,36 @@
 	tracker.collect(clock.Now())
 	require.Nil(t, tracker.touched.Load())
 }
+
+// Guards against pairs that are kept as long as their target although no request uses them, which held 70 MB on an edge
+// that had used every target, and against the loss of a request in flight or of the baseline of an idle pair.
+func TestIdlePairsAreDropped(t *testing.T) {
+	clock := timer.NewManual(testStart)
+	tracker := NewTracker(TrackerConfig{Config: Config{Observer: ObserverEdge}, Clock: clock})
+	tracker.Close() // The test collects by itself.
+	tracker.SetServices([]Service{{
+		Spec:    model.ServiceSpec{Name: testService},
+		Targets: []model.Target{{Ref: ref(0), Slots: 7, State: model.TargetServing}, {Ref: ref(1), Slots: 7, State: model.TargetServing}},
+	}})
+	tracker.Start(Request{Target: ref(0), Class: "read"}).Finish(Result{Kind: KindOK})
+	handle := tracker.Start(Request{Target: ref(1), Class: "read"})
+	late, _ := tracker.cells.Load(cellKey{ref(0), "read"})
+	for range 4 {
+		tracker.collect(clock.Now())
+		clock.Advance(idleSweep)
+	}
+	_, found := tracker.cells.Load(cellKey{ref(0), "read"})
+	require.False(t, found)
+	_, found = tracker.cells.Load(cellKey{ref(1), "read"})
+	require.True(t, found, "a request is in flight")
+	require.Len(t, tracker.pairs.byTarget, 1)
+	classes := tracker.module.byName[testService].byRef[ref(0)].evidence.classes
+	require.Empty(t, classes["read"].samples)
+	require.Equal(t, 1, classes["read"].baselineCount)
+	handle.Finish(Result{Kind: KindOK})
+	(&Handle{tracker: tracker, cell: late.(*cell), slot: late.(*cell).starts.claim(1), start: 1}).Finish(Result{Kind: KindOK})
+	tracker.collect(clock.Now())
+	require.Equal(t, 1, classes["read"].count, "a request that found its pair before must be counted")
+	tracker.SetServices(nil)
+	require.Empty(t, tracker.pairs.byTarget)
+}
