bench: run one whole node at the design size

All that it sends to random members goes to the real node, in the name of a random member, so the node hears each rumour as often as in a whole fleet.

The admin listener serves profiles to operators, and the state dump and the metrics count the views that were built.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -17,6 +17,7 @@
 	Overhead  overheadCmd  `cmd:"" help:"Compare requests through the fleet with requests to the target."`
 	Soak      soakCmd      `cmd:"" help:"Run a fleet of processes under random faults and check every invariant."`
 	Overload  overloadCmd  `cmd:"" help:"Measure goodput, retries and the cost of a refusal at twice the capacity."`
+	Node      nodeCmd      `cmd:"" help:"Measure one real node in a fleet of the design size."`
 }
 
 func main() {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -4,6 +4,7 @@
 	"crypto/subtle"
 	"encoding/json"
 	"net/http"
+	"net/http/pprof"
 
 	"github.com/julienschmidt/httprouter"
 
@@ -68,6 +69,10 @@
 	if config.Metrics != nil {
 		router.Handler(http.MethodGet, "/metrics", s.authorized(config.Metrics))
 	}
+	router.Handler(http.MethodGet, "/debug/pprof/profile", s.authorized(http.HandlerFunc(pprof.Profile)))
+	for _, name := range []string{"allocs", "heap", "goroutine"} {
+		router.Handler(http.MethodGet, "/debug/pprof/"+name, s.authorized(pprof.Handler(name)))
+	}
 	return router
 }
 
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -27,7 +27,7 @@
 		Health:   func() Health { return Health{Ready: true} },
 		Tickets:  func() TicketReport { return TicketReport{Head: 7} },
 	})
-	for _, path := range []string{"/state", "/tickets"} {
+	for _, path := range []string{"/state", "/tickets", "/debug/pprof/heap"} {
 		require.Equal(t, http.StatusUnauthorized, get(t, handler, path, "").Code)
 		require.Equal(t, http.StatusUnauthorized, get(t, handler, path, "wrong").Code)
 		require.Equal(t, http.StatusOK, get(t, handler, path, "secret").Code)
--- /dev/null
+++ b/internal/member/foreign.go
@@ -0,0 +1,25 @@
+package member
+
+import "github.com/auburnwinch/auburnwinch/pkg/model"
+
+// Key returns the number by which datagrams name one run of a node.
+func Key(ref model.NodeRef) uint64 { return refKey(ref) }
+
+// RumourOf returns the record as nodes pass it on; stand-ins of other nodes use it.
+func RumourOf(r *NodeRecord, status Status, urgent bool) Rumour {
+	return Rumour{
+		Key: refKey(r.Node.Ref), Version: r.Version, Content: r.Content, Status: status, Ticket: r.Ticket, Urgent: urgent,
+		Record: encodeRecord(r),
+	}
+}
+
+// NumberOf lists runs of nodes that have the ticket number in force.
+func NumberOf(ticket uint64, refs []model.NodeRef) Number {
+	list := []Number{{Ticket: ticket}}
+	unlimited := 1 << 30
+	for _, ref := range refs {
+		e := &entry{key: refKey(ref), record: NodeRecord{Ticket: ticket}}
+		addNumber(&list, e, &unlimited)
+	}
+	return list[0]
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -52,5 +52,6 @@
 	n.meter.Counter("auburnwinch.peer.bytes-sent", "bytes of control traffic sent", func() int64 { return int64(n.peer.Stats().BytesSent) })
 	n.meter.Counter("auburnwinch.peer.bytes-received", "bytes of control traffic received", func() int64 { return int64(n.peer.Stats().BytesReceived) })
 	n.meter.Counter("auburnwinch.peer.busy-nanoseconds", "processor time of control work", func() int64 { return int64(n.peer.Stats().BusyNanoseconds) })
+	n.meter.Counter("auburnwinch.view.rebuilds", "views built after changes of membership or configuration", func() int64 { return int64(n.rebuilds.Load()) })
 	n.meter.Counter("auburnwinch.invariant.violations", "failed invariant checks", func() int64 { return int64(invar.Violations()) })
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,6 +59,8 @@
 	closing   sync.Once
 	verdicts  *verdictCounts
 	detection *meter.DurationHistogram
+	// rebuilds counts the views that were published.
+	rebuilds atomic.Uint64
 	// joined tells that the membership is known; before, an empty list of peers says nothing.
 	joined atomic.Bool
 }
@@ -220,6 +222,7 @@
 	n.targets.SetView(v)
 	n.picker.SetView(v)
 	n.fleet.view.Store(v)
+	n.rebuilds.Add(1)
 }
 
 // nodesOf returns the nodes that stay; a leaving node must not be counted on to read the platform.
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -20,6 +20,8 @@
 	// not yet collected.
 	Allocations uint64 `json:"allocations"`
 	HeapBytes   uint64 `json:"heap-bytes"`
+	// Rebuilds counts the views built since the start.
+	Rebuilds uint64 `json:"rebuilds"`
 }
 
 type ticketState struct {
@@ -53,6 +55,7 @@
 				Self: n.self, Version: n.config.Version, Violations: invar.Violations(),
 				Uptime:      n.config.Clock.Now().Sub(n.began).Round(time.Second).String(),
 				Allocations: heap[0].Value.Uint64(), HeapBytes: heap[1].Value.Uint64(),
+				Rebuilds: n.rebuilds.Load(),
 			}
 		}},
 		{Name: "edge", Dump: func() any { return n.edge.State() }},
