bench: count refused requests of the whole node instead of ending the run

The case of 269 requests/s ended with 95 answers 503, reason no-slot, of the agent within 60 s at a load average of 40: the 11 targets have 4 slots and 4 places each, and a stall of the machine lets the requests of half a second arrive at once. Edges try another target then; the stand-in edges do not. A certain not-run is now counted in the row, every other answer of the fleet still ends the run.

--- a/cmd/bench/node_size.go
+++ b/cmd/bench/node_size.go
@@ -64,8 +64,8 @@
 func (c *nodeCmd) Run() error {
 	printMachine()
 	fmt.Printf("Seed %d, %s per case, load average %s at the start.\n\n", c.Seed, c.Window, loadAverage())
-	fmt.Println("| case | user, of a core | system, of a core | in all | above idle | resident MB, at most | live heap MB | control sent B/s | control received B/s | rebuilds | callers B/s | relay and targets B/s | edge: direct p50 / p99 | edge: added p50 / p99 | agent: added p50 / p99 | load |")
-	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	fmt.Println("| case | user, of a core | system, of a core | in all | above idle | resident MB, at most | live heap MB | control sent B/s | control received B/s | rebuilds | callers B/s | relay and targets B/s | edge: direct p50 / p99 | edge: added p50 / p99 | agent: added p50 / p99 | requests / refused at the edge, at the agent | load |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 	for _, oneDomain := range []bool{false, true} {
 		if err := c.runFleet(oneDomain); err != nil {
 			return err
@@ -138,7 +138,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Printf("| own start: serves after %s, %d targets of others after %s | %s user | %s system | | | %.1f | %.1f | %d B | %d B | %d | | | | | | %s |\n",
+	fmt.Printf("| own start: serves after %s, %d targets of others after %s | %s user | %s system | | | %.1f | %.1f | %d B | %d B | %d | | | | | | | %s |\n",
 		served.Round(time.Millisecond), designTargets-len(s.targets), complete.Round(time.Millisecond), u.user, u.system, u.resident, u.heap,
 		u.control.BytesSent, u.control.BytesReceived, u.rebuilds, loadAverage())
 	return nil
@@ -198,14 +198,15 @@
 // report returns the cells of the latencies.
 func (l *sizedLoad) report() string {
 	if l.rate == 0 {
-		return "| | "
+		return "| | | "
 	}
 	at := func(path int, percentile float64) time.Duration {
 		return time.Duration(l.latency[path].ValueAtPercentile(percentile)).Round(10 * time.Microsecond)
 	}
 	median, tail := at(loadDirect, 50), at(loadDirect, 99)
-	return fmt.Sprintf("%s / %s | %s / %s | %s / %s", median, tail, at(loadEdge, 50)-median, at(loadEdge, 99)-tail,
-		at(loadAgent, 50)-median, at(loadAgent, 99)-tail)
+	answered := func(path int) int64 { return l.latency[path].TotalCount() }
+	return fmt.Sprintf("%s / %s | %s / %s | %s / %s | %d / %d, %d / %d", median, tail, at(loadEdge, 50)-median, at(loadEdge, 99)-tail,
+		at(loadAgent, 50)-median, at(loadAgent, 99)-tail, answered(loadEdge), l.refused[loadEdge], answered(loadAgent), l.refused[loadAgent])
 }
 
 // day restarts members and files tickets at the rates of an ordinary day.
