bench: show the busiest second of control traffic and warm up apart from settling

The state of the edge grows with the pairs of target and route that were used, which takes minutes of requests; the time of the warm-up is a flag of its own now.

--- a/cmd/bench/node_size.go
+++ b/cmd/bench/node_size.go
@@ -25,6 +25,7 @@
 	Seed     uint64        `default:"1" help:"Seed of the members and callers."`
 	Window   time.Duration `default:"60s" help:"Time of each case."`
 	Settle   time.Duration `default:"20s" help:"Time between the start or a change and the next case."`
+	Warm     time.Duration `default:"15s" help:"Time of requests before a case with requests is observed."`
 	Factor   float64       `default:"20" help:"How much faster than on an ordinary day the fleet changes."`
 	Rate     float64       `default:"269" help:"Requests per second at the edge, and at the agent."`
 	Case     []string      `help:"Cases to run; all by default." enum:"idle,own,all,day,rack"`
@@ -64,7 +65,7 @@
 func (c *nodeCmd) Run() error {
 	printMachine()
 	fmt.Printf("Seed %d, %s per case, load average %s at the start.\n\n", c.Seed, c.Window, loadAverage())
-	fmt.Println("| case | user, of a core | system, of a core | in all | above idle | resident MB, at most | live heap MB | control sent B/s | control received B/s | rebuilds | callers B/s | relay and targets B/s | edge: direct p50 / p99 | edge: added p50 / p99 | agent: added p50 / p99 | requests / refused at the edge, at the agent | load |")
+	fmt.Println("| case | user, of a core | system, of a core | in all | above idle | resident MB, at most | live heap MB | control sent B/s, mean / busiest second | control received B/s, mean / busiest second | rebuilds | callers B/s | relay and targets B/s | edge: direct p50 / p99 | edge: added p50 / p99 | agent: added p50 / p99 | requests / refused at the edge, at the agent | load |")
 	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 	for _, oneDomain := range []bool{false, true} {
 		if err := c.runFleet(oneDomain); err != nil {
@@ -170,7 +171,7 @@
 	if c.Profile != "" {
 		tasks.Go(func() error { return c.profile(ctx, s, one.name) })
 	}
-	peak := s.watchMemory(within)
+	peak := s.watch(within)
 	if err := tasks.Wait(); err != nil {
 		return 0, eris.Wrapf(err, "case %s", one.name)
 	}
@@ -181,16 +182,17 @@
 	}
 	core := (after.cpu - before.cpu).Seconds() / seconds
 	rate := func(after, before uint64) float64 { return float64(after-before) / seconds }
-	fmt.Printf("| %s | %.2f%% | %.2f%% | %.2f%% | %.2f%% | %.1f | %.1f | %.0f | %.0f | %d | %.0f | %.0f | %s | %s |\n", one.title,
+	fmt.Printf("| %s | %.2f%% | %.2f%% | %.2f%% | %.2f%% | %.1f | %.1f | %.0f / %.0f | %.0f / %.0f | %d | %.0f | %.0f | %s | %s |\n", one.title,
 		100*(after.user-before.user).Seconds()/seconds, 100*(after.system-before.system).Seconds()/seconds, 100*core, 100*(core-idle),
-		peak, after.heap, rate(after.control.BytesSent, before.control.BytesSent), rate(after.control.BytesReceived, before.control.BytesReceived),
+		peak.resident, after.heap, rate(after.control.BytesSent, before.control.BytesSent), peak.sent,
+		rate(after.control.BytesReceived, before.control.BytesReceived), peak.received,
 		after.rebuilds-before.rebuilds, float64(load.callerBytes.Read.Load()+load.callerBytes.Written.Load())/seconds,
 		float64(s.relayedBytes()-relayed+load.edgeBytes.Read.Load()+load.edgeBytes.Written.Load())/seconds, load.report(), loadAverage())
 	return core, nil
 }
 
 func (c *nodeCmd) warm(ctx context.Context, load *sizedLoad) error {
-	ctx, cancel := context.WithTimeout(ctx, c.Settle)
+	ctx, cancel := context.WithTimeout(ctx, c.Warm)
 	defer cancel()
 	return load.run(ctx)
 }
@@ -328,17 +330,36 @@
 	return time.Duration(ticks[0]) * clockTick, time.Duration(ticks[1]) * clockTick, nil
 }
 
-// watchMemory returns the largest resident memory until the context ends, in megabytes.
-func (s *sizedNode) watchMemory(ctx context.Context) (peak float64) {
+// sizedPeaks are the largest values that were seen each second.
+type sizedPeaks struct {
+	// resident is in megabytes, sent and received are bytes of control traffic per second.
+	resident, sent, received float64
+}
+
+// watch observes the process each second until the context ends.
+func (s *sizedNode) watch(ctx context.Context) (p sizedPeaks) {
 	ticks := time.NewTicker(time.Second)
 	defer ticks.Stop()
+	var before peer.Stats
+	var at time.Time
 	for {
 		if u, err := processUsage(s.process.PID()); err == nil {
-			peak = max(peak, u.resident)
+			p.resident = max(p.resident, u.resident)
+		}
+		var dump struct {
+			Control peer.Stats `json:"control"`
+		}
+		if err := s.admin(ctx, "/state?section=control", &dump); err == nil {
+			now := time.Now()
+			if seconds := now.Sub(at).Seconds(); !at.IsZero() {
+				p.sent = max(p.sent, float64(dump.Control.BytesSent-before.BytesSent)/seconds)
+				p.received = max(p.received, float64(dump.Control.BytesReceived-before.BytesReceived)/seconds)
+			}
+			before, at = dump.Control, now
 		}
 		select {
 		case <-ctx.Done():
-			return peak
+			return p
 		case <-ticks.C:
 		}
 	}
