bench: tell stalls of the machine from the time that the whole node adds

The row now also shows the quarter of the blocks of 2 s in which the requests past the fleet were fastest, as bench overhead does, and the time for which threads of the node were ready and had no core.

--- a/cmd/bench/node_load.go
+++ b/cmd/bench/node_load.go
@@ -12,7 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 
@@ -26,6 +25,8 @@
 	directEvery = 5
 	// accountWait is what callers say they wait.
 	accountWait = "2s"
+	// loadBlock is the time after which latencies go to the next block, to find the quiet ones.
+	loadBlock = 2 * time.Second
 	// resultQueue holds the results that are not yet counted.
 	resultQueue = 4096
 )
@@ -53,7 +54,8 @@
 	callerBytes, edgeBytes peers.Traffic
 	token                  atomic.Pointer[string]
 	results                chan loadResult
-	latency                [loadPaths]*hdrhistogram.Histogram
+	paths                  [loadPaths]overheadPath
+	begin                  time.Time
 	// refused counts the answers that are not the target's own.
 	refused [loadPaths]int
 	fault   error
@@ -62,9 +64,10 @@
 }
 
 type loadResult struct {
-	path int
-	took time.Duration
-	err  error
+	path  int
+	begun time.Time
+	took  time.Duration
+	err   error
 }
 
 func newSizedLoad(s *sizedNode, rate float64, seed uint64) *sizedLoad {
@@ -85,8 +88,8 @@
 	}
 	l.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DialContext: dial(&l.callerBytes)}}
 	l.pool = relay.NewPool(relay.PoolConfig{Address: s.settings.Listeners.Relay, Dial: dial(&l.edgeBytes)})
-	for i := range l.latency {
-		l.latency[i] = newLatencies()
+	for i := range l.paths {
+		l.paths[i].latency = newLatencies()
 	}
 	return l
 }
@@ -104,11 +107,12 @@
 		return err
 	}
 	l.token.Store(&token)
+	l.begin = time.Now()
 	counted := make(chan struct{})
 	go l.count(counted)
 	// The agent gets the rest of its share from the edges of other nodes: what the own edge sends it is left out.
 	share := 1 - float64(len(l.node.targets))/designServices
-	next := time.Now()
+	next := l.begin
 	for ctx.Err() == nil {
 		next = next.Add(time.Duration(l.random.ExpFloat64() / l.rate * float64(time.Second)))
 		time.Sleep(time.Until(next))
@@ -136,11 +140,24 @@
 		case r.err != nil:
 			l.fault = r.err
 		default:
-			_ = l.latency[r.path].RecordValue(int64(r.took)) // Longer requests have failed by their timeout.
+			l.record(r)
 		}
 	}
 }
 
+// record adds a latency to the whole and to its block; all paths have the same blocks.
+func (l *sizedLoad) record(r loadResult) {
+	block := int(r.begun.Sub(l.begin) / loadBlock)
+	for i := range l.paths {
+		for len(l.paths[i].blocks) <= block {
+			l.paths[i].blocks = append(l.paths[i].blocks, newLatencies())
+		}
+	}
+	// Longer requests have failed by their timeout.
+	_ = l.paths[r.path].latency.RecordValue(int64(r.took))
+	_ = l.paths[r.path].blocks[block].RecordValue(int64(r.took))
+}
+
 func (l *sizedLoad) fire(path int, serial uint64) {
 	service := l.random.IntN(designServices)
 	if path == loadAgent {
@@ -158,7 +175,7 @@
 	l.group.Go(func() {
 		begin := time.Now()
 		err := l.send(path, service, route, account, serial)
-		l.results <- loadResult{path: path, took: time.Since(begin), err: err}
+		l.results <- loadResult{path: path, begun: begin, took: time.Since(begin), err: err}
 	})
 }
 
--- a/cmd/bench/node_size.go
+++ b/cmd/bench/node_size.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc/pool"
 
@@ -65,8 +66,8 @@
 func (c *nodeCmd) Run() error {
 	printMachine()
 	fmt.Printf("Seed %d, %s per case, load average %s at the start.\n\n", c.Seed, c.Window, loadAverage())
-	fmt.Println("| case | user, of a core | system, of a core | in all | above idle | resident MB, at most | live heap MB | control sent B/s, mean / busiest second | control received B/s, mean / busiest second | rebuilds | callers B/s | relay and targets B/s | edge: direct p50 / p99 | edge: added p50 / p99 | agent: added p50 / p99 | requests / refused at the edge, at the agent | load |")
-	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	fmt.Println("| case | user, of a core | system, of a core | in all | above idle | waits for a core | resident MB, at most | live heap MB | control sent B/s, mean / busiest second | control received B/s, mean / busiest second | rebuilds | callers B/s | relay and targets B/s | direct p50 / p99 | in the quiet quarter | edge: added p50 / p99 | in the quiet quarter | agent: added p50 / p99 | in the quiet quarter | requests / refused at the edge, at the agent | load |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 	for _, oneDomain := range []bool{false, true} {
 		if err := c.runFleet(oneDomain); err != nil {
 			return err
@@ -139,7 +140,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Printf("| own start: serves after %s, %d targets of others after %s | %s user | %s system | | | %.1f | %.1f | %d B | %d B | %d | | | | | | | %s |\n",
+	fmt.Printf("| own start: serves after %s, %d targets of others after %s | %s user | %s system | | | | %.1f | %.1f | %d B | %d B | %d | | | | | | | | | | %s |\n",
 		served.Round(time.Millisecond), designTargets-len(s.targets), complete.Round(time.Millisecond), u.user, u.system, u.resident, u.heap,
 		u.control.BytesSent, u.control.BytesReceived, u.rebuilds, loadAverage())
 	return nil
@@ -182,8 +183,9 @@
 	}
 	core := (after.cpu - before.cpu).Seconds() / seconds
 	rate := func(after, before uint64) float64 { return float64(after-before) / seconds }
-	fmt.Printf("| %s | %.2f%% | %.2f%% | %.2f%% | %.2f%% | %.1f | %.1f | %.0f / %.0f | %.0f / %.0f | %d | %.0f | %.0f | %s | %s |\n", one.title,
+	fmt.Printf("| %s | %.2f%% | %.2f%% | %.2f%% | %.2f%% | %.2f%% | %.1f | %.1f | %.0f / %.0f | %.0f / %.0f | %d | %.0f | %.0f | %s | %s |\n", one.title,
 		100*(after.user-before.user).Seconds()/seconds, 100*(after.system-before.system).Seconds()/seconds, 100*core, 100*(core-idle),
+		100*(after.waited-before.waited).Seconds()/seconds,
 		peak.resident, after.heap, rate(after.control.BytesSent, before.control.BytesSent), peak.sent,
 		rate(after.control.BytesReceived, before.control.BytesReceived), peak.received,
 		after.rebuilds-before.rebuilds, float64(load.callerBytes.Read.Load()+load.callerBytes.Written.Load())/seconds,
@@ -200,15 +202,34 @@
 // report returns the cells of the latencies.
 func (l *sizedLoad) report() string {
 	if l.rate == 0 {
-		return "| | | "
+		return "| | | | | | "
 	}
-	at := func(path int, percentile float64) time.Duration {
-		return time.Duration(l.latency[path].ValueAtPercentile(percentile)).Round(10 * time.Microsecond)
+	for i := range l.paths {
+		// The last block is shorter than the others.
+		l.paths[i].blocks = l.paths[i].blocks[:max(1, len(l.paths[i].blocks)-1)]
 	}
-	median, tail := at(loadDirect, 50), at(loadDirect, 99)
-	answered := func(path int) int64 { return l.latency[path].TotalCount() }
-	return fmt.Sprintf("%s / %s | %s / %s | %s / %s | %d / %d, %d / %d", median, tail, at(loadEdge, 50)-median, at(loadEdge, 99)-tail,
-		at(loadAgent, 50)-median, at(loadAgent, 99)-tail, answered(loadEdge), l.refused[loadEdge], answered(loadAgent), l.refused[loadAgent])
+	direct := &l.paths[loadDirect]
+	quiet, _ := quietQuarter(direct, &l.paths[loadEdge])
+	cells := latencyCell(direct.latency, nil) + " | " + latencyCell(quiet, nil)
+	for _, path := range []int{loadEdge, loadAgent} {
+		_, through := quietQuarter(direct, &l.paths[path])
+		cells += " | " + latencyCell(l.paths[path].latency, direct.latency) + " | " + latencyCell(through, quiet)
+	}
+	answered := func(path int) int64 { return l.paths[path].latency.TotalCount() }
+	return fmt.Sprintf("%s | %d / %d, %d / %d", cells, answered(loadEdge), l.refused[loadEdge], answered(loadAgent), l.refused[loadAgent])
+}
+
+// latencyCell writes median and 99th percentile, less those of the base if there is one.
+func latencyCell(h, base *hdrhistogram.Histogram) string {
+	var cells []string
+	for _, percentile := range []float64{50, 99} {
+		value := h.ValueAtPercentile(percentile)
+		if base != nil {
+			value -= base.ValueAtPercentile(percentile)
+		}
+		cells = append(cells, time.Duration(value).Round(10*time.Microsecond).String())
+	}
+	return strings.Join(cells, " / ")
 }
 
 // day restarts members and files tickets at the rates of an ordinary day.
@@ -281,7 +302,9 @@
 type sizedUsage struct {
 	usage
 	user, system time.Duration
-	rebuilds     uint64
+	// waited is the time in which threads were ready to run and had no core.
+	waited   time.Duration
+	rebuilds uint64
 }
 
 func (s *sizedNode) usage(ctx context.Context) (u sizedUsage, err error) {
@@ -311,7 +334,10 @@
 	u.control, u.rebuilds, u.table = dump.Control, dump.Process.Rebuilds, dump.Platform.Table
 	s.incarnation = dump.Process.Self.Ref.Incarnation
 	u.heap = float64(dump.Process.HeapBytes) / 1e6
-	u.user, u.system, err = processorParts(s.process.PID())
+	if u.user, u.system, err = processorParts(s.process.PID()); err != nil {
+		return u, err
+	}
+	u.waited, err = waitedForCore(s.process.PID())
 	return u, err
 }
 
@@ -330,6 +356,26 @@
 	return time.Duration(ticks[0]) * clockTick, time.Duration(ticks[1]) * clockTick, nil
 }
 
+// waitedForCore returns the time that all threads of a process waited for a core.
+func waitedForCore(pid int) (waited time.Duration, err error) {
+	files, err := filepath.Glob(filepath.Join("/proc", strconv.Itoa(pid), "task", "*", "schedstat"))
+	if err != nil {
+		return 0, eris.Wrap(err, "list the threads")
+	}
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			continue // The thread has ended.
+		}
+		var ran, ready int64
+		if _, err := fmt.Sscan(string(data), &ran, &ready); err != nil {
+			return 0, eris.Wrapf(err, "read %s", file)
+		}
+		waited += time.Duration(ready)
+	}
+	return waited, nil
+}
+
 // sizedPeaks are the largest values that were seen each second.
 type sizedPeaks struct {
 	// resident is in megabytes, sent and received are bytes of control traffic per second.
