--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -56,5 +56,6 @@
 	if n.tls != nil {
 		n.meter.Gauge("auburnwinch.tls.seconds-left", "time until the certificate of the node expires, in seconds", n.tls.secondsLeft)
 	}
+	n.meter.Counter("auburnwinch.view.rebuilds", "views built after changes of membership or configuration", func() int64 { return int64(n.rebuilds.Load()) })
 	n.meter.Counter("auburnwinch.invariant.violations", "failed invariant checks", func() int64 { return int64(invar.Violations()) })
 }
