--- a/internal/member/baddays_test.go
+++ b/internal/member/baddays_test.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"maps"
 	"os"
 	"strconv"
 	"testing"
@@ -107,6 +108,7 @@
 	var peakMean, peakNode, peakCrossed, peakDatagrams, total int
 	var settled time.Duration
 	changes := 0
+	var parts simParts
 	for second := time.Duration(0); settled == 0; second += time.Second {
 		require.Less(c.t, second, settleLimit, name)
 		c.sim.resetCounters()
@@ -118,7 +120,10 @@
 			changes = max(changes, n.changes.content)
 		}
 		total += sum
-		peakMean, peakCrossed = max(peakMean, sum/len(c.sim.running())), max(peakCrossed, c.sim.crossed)
+		if mean := sum / len(c.sim.running()); mean > peakMean {
+			peakMean, parts = mean, maps.Clone(c.sim.parts)
+		}
+		peakCrossed = max(peakCrossed, c.sim.crossed)
 		peakDatagrams = max(peakDatagrams, c.sim.datagrams)
 		if second >= 2*time.Second && c.sim.agree() {
 			settled = second + time.Second
@@ -127,4 +132,5 @@
 	c.print(name, "%d nodes, settled within %v, %d B sent per node in all; busiest second: %d B/s per node, worst node %d B, "+
 		"%d datagrams/s in all, %d B between regions, %d snapshots at one node",
 		nodes, settled, total/len(c.sim.running()), peakMean, peakNode, peakDatagrams, peakCrossed, changes)
+	c.print(name+" parts", "bytes of all nodes in the busiest second: %v", parts)
 }
--- a/internal/member/sim_test.go
+++ b/internal/member/sim_test.go
@@ -3,7 +3,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -48,6 +50,46 @@
 	// datagrams counts those sent, crossed the bytes sent to another region.
 	datagrams int
 	crossed   int
+	parts     simParts
+}
+
+// simParts counts the bytes sent by what they carry.
+type simParts map[string]int
+
+func (p simParts) String() string {
+	names := slices.Sorted(maps.Keys(p))
+	for i, name := range names {
+		names[i] = fmt.Sprintf("%s %d", name, p[name])
+	}
+	return strings.Join(names, ", ")
+}
+
+// datagram splits the bytes of a datagram into those of its rumours and the rest.
+func (p simParts) datagram(d *Datagram, size int) {
+	kind := "pings"
+	if d.Kind == KindPush {
+		kind = "pushes"
+	}
+	for i := range d.Rumours {
+		r := &d.Rumours[i]
+		what := r.Status.String()
+		if len(r.Record) > 0 {
+			what = "records"
+		}
+		p[kind+" "+what] += r.size()
+		size -= r.size()
+	}
+	p[kind+" headers"] += size
+}
+
+// call splits the bytes of a call by the type of its content.
+func (p simParts) call(value any, size int) {
+	name := strings.TrimPrefix(fmt.Sprintf("%T", value), "member.")
+	if reply, ok := value.(SyncReplyCmd); ok && len(reply.Reply.Rumours) > 0 {
+		name = "joins"
+	}
+	p[name] += size
+	p["call headers"] += simCallOverhead / 2
 }
 
 // Pauses of the shell between two snapshots after changes of content and of ticket numbers.
@@ -102,7 +144,7 @@
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	return &sim{
 		t: t, now: start, start: start, random: rand.New(rand.NewPCG(seed, 1)),
-		byAddr: make(map[string]*simNode), cut: func(_, _ *simNode) bool { return false },
+		byAddr: make(map[string]*simNode), parts: simParts{}, cut: func(_, _ *simNode) bool { return false },
 	}
 }
 
@@ -243,6 +285,7 @@
 	n.sent += len(data) + simDatagramOverhead
 	to := s.byAddr[cmd.Address]
 	s.datagrams++
+	s.parts.datagram(cmd.Datagram, len(data)+simDatagramOverhead)
 	s.cross(n, to, len(data)+simDatagramOverhead)
 	if to == nil || s.cut(n, to) || s.random.Float64() < s.loss {
 		return
@@ -291,6 +334,7 @@
 		size := s.encodedSize(request)
 		n.sent, to.got = n.sent+size+simCallOverhead/2, to.got+size+simCallOverhead/2
 		s.cross(n, to, size+simCallOverhead/2)
+		s.parts.call(request, size)
 		reply := s.update(to, ask(to))
 		if reply == nil {
 			return
@@ -299,6 +343,7 @@
 		s.after(s.delay(n, to), func() {
 			to.sent, n.got = to.sent+size+simCallOverhead/2, n.got+size+simCallOverhead/2
 			s.cross(to, n, size+simCallOverhead/2)
+			s.parts.call(reply, size)
 			if n.up && !n.paused {
 				s.update(n, answer(reply))
 			}
@@ -374,6 +419,7 @@
 
 func (s *sim) resetCounters() {
 	s.busy, s.datagrams, s.crossed = 0, 0, 0
+	clear(s.parts)
 	for _, n := range s.nodes {
 		n.sent, n.got, n.changes = 0, 0, simChanges{}
 	}
