member: count the patience for differing digests from the last own change

Cause: the patience restarted whenever a peer had the same digest. Two nodes of a small region that both missed a rumour have equal digests, so each kept the other from asking.

The patience now restarts when the own digest changes or a rumour is pending.

--- a/internal/member/module_test.go
+++ b/internal/member/module_test.go
@@ -102,7 +102,7 @@
 // with two nodes, most of their synchronisations are among themselves.
 func TestSmallRegionCatchesUp(t *testing.T) {
 	const limit = 10 * time.Second
-	for seed := range uint64(20) {
+	for seed := range uint64(300) {
 		s := newSim(t, seed)
 		s.fleet(6, 2)
 		s.runUntil(time.Minute, "settled", s.settled)
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -33,9 +33,10 @@
 // syncState is the state of anti-entropy.
 type syncState struct {
 	next time.Time
-	// equal is when the digest of a peer was last equal to the own one; prompted is the last synchronisation because of
-	// differing ones.
-	equal    time.Time
+	// root is the last own digest, changed when it or a pending rumour last changed it; prompted is the last
+	// synchronisation because of differing digests.
+	root     uint64
+	changed  time.Time
 	prompted time.Time
 	// moved counts the records that the current synchronisation brought or took.
 	moved        int
@@ -111,13 +112,14 @@
 
 // compareRoot synchronises with a peer whose digest differs for a while. Periodic anti-entropy alone takes tens of seconds
 // to reach a small region, because three of four synchronisations stay in the own region. While rumours are pending the
-// digests differ anyway, so a storm of changes causes no further traffic.
+// digests differ anyway, so a storm of changes causes no further traffic. The patience counts from the last change of the
+// own records: nodes that missed the same rumour have equal digests and must not hold each other back.
 func (m *Module) compareRoot(root uint64, address string) {
-	if root == m.table.root() || !m.joined || len(m.rumours.pending) > 0 {
-		m.syncs.equal = m.now
-		return
+	own := m.table.root()
+	if own != m.syncs.root || !m.joined || len(m.rumours.pending) > 0 {
+		m.syncs.root, m.syncs.changed = own, m.now
 	}
-	if m.now.Sub(m.syncs.equal) < rootPatience || m.now.Sub(m.syncs.prompted) < rootPause {
+	if root == own || m.now.Sub(m.syncs.changed) < rootPatience || m.now.Sub(m.syncs.prompted) < rootPause {
 		return
 	}
 	m.syncs.prompted = m.now
