member: let pushes of statuses share datagrams

Cause: each suspicion, death and refutation went out in four datagrams of its own, as soon as it was heard. When a group of nodes is lost, most bytes are the headers and the authentication of these datagrams.

A push that carries only statuses now waits until 200 ms after the previous push. The first one still goes out at once, so the death of a single node is not held up, and a push with a record, an exit or a ticket number never waits.

--- a/internal/member/rumour.go
+++ b/internal/member/rumour.go
@@ -25,6 +25,10 @@
 	urgentRefill = 1.0 / 120
 	// pushOverhead is the size of the headers and the authentication of a datagram, in bytes.
 	pushOverhead = 45
+	// statusWindow is the least time between two pushes that carry only statuses. The first one goes out at once; when a
+	// rack or a region is lost, the others share datagrams. Without it, most bytes of such a burst are headers. It must
+	// stay far below hearsayAfter divided by the 5 hops that reach 670 nodes.
+	statusWindow = 200 * time.Millisecond
 	// maxRumourAge is how long a rumour is passed on. Only after the start of a region does it take longer, and then
 	// anti-entropy has already spread the records.
 	maxRumourAge = 30 * time.Second
@@ -56,6 +60,8 @@
 	pushNumber bool
 	tokens     float64
 	refilled   time.Time
+	// pushed is the time of the last push.
+	pushed time.Time
 	// numbers are the entries whose ticket number is being passed on, in the order of their next sending.
 	numbers []*entry
 }
@@ -176,16 +182,16 @@
 	})
 }
 
-// push sends the urgent rumours to random nodes at once. When little of the budget is left they wait for the next tick,
-// so that a burst of updates shares its datagrams.
+// push sends the urgent rumours to random nodes at once, except those that share a later datagram.
 func (m *Module) push(tick bool) {
 	if len(m.rumours.urgent) == 0 && !m.rumours.pushNumber {
 		return
 	}
 	m.refill()
-	if m.rumours.tokens < pushBurst/2 && !tick {
+	if !m.pushIsDue(tick) {
 		return
 	}
+	m.rumours.pushed = m.now
 	d := &Datagram{Kind: KindPush}
 	m.fill(d)
 	space := MaxDatagram - d.headerSize() - maxKeySize
@@ -201,6 +207,20 @@
 	m.finishRumours()
 }
 
+// pushIsDue reports whether the urgent rumours go out now. Statuses wait for the end of the window after the last push,
+// and all wait for the next tick when little of the budget is left.
+func (m *Module) pushIsDue(tick bool) bool {
+	if !tick && m.rumours.tokens < pushBurst/2 {
+		return false
+	}
+	return m.rumours.pushNumber || m.now.Sub(m.rumours.pushed) >= statusWindow ||
+		slices.ContainsFunc(m.rumours.urgent, (*rumour).forbids)
+}
+
+// forbids reports whether the rumour tells of a change after which requests must not go to a target any more. The death
+// of a node is not among them: each node that knows of the suspicion finds it out by itself.
+func (r *rumour) forbids() bool { return r.withRecord || r.entry.status == StatusLeft }
+
 // packUrgent adds the urgent rumours that fit and returns them and the others.
 func (m *Module) packUrgent(d *Datagram, space int) (packed, rest []*rumour) {
 	for _, r := range m.rumours.urgent {
