member: pack rumours without record into lists

Cause: a rumour of a suspicion or a death takes 25 bytes, of which 9 are the key of the node and the rest CBOR keys and version numbers. In a burst they fill the datagrams of the failure detector and most of the content of the pushes.

Rumours of equal status and age now travel in one list with about 6 bytes each. Nodes are named by the upper four bytes of their keys, as in the lists of ticket numbers; where two known nodes share them, a rumour of its own is sent. Nodes of earlier versions ignore the lists, so all nodes of a fleet must run one version.

--- a/internal/member/datagram.go
+++ b/internal/member/datagram.go
@@ -38,6 +38,8 @@
 	Root    uint64   `cbor:"7,keyasint"`
 	Rumours []Rumour `cbor:"8,keyasint,omitempty"`
 	Numbers []Number `cbor:"9,keyasint,omitempty"`
+	// Statuses are the rumours without record.
+	Statuses []StatusList `cbor:"10,keyasint,omitempty"`
 }
 
 // PingTarget names the node to ping and its address.
@@ -75,6 +77,9 @@
 	case d.Kind == KindPingRequest && (d.Target == nil || d.Target.Address == ""):
 		return eris.Wrap(ErrMalformed, "ping-request without target")
 	}
+	if err := checkStatuses(d.Statuses); err != nil {
+		return err
+	}
 	return checkUpdates(d.Rumours, d.Numbers)
 }
 
@@ -111,15 +116,15 @@
 	return n
 }
 
-// headerSize returns an upper bound of the encoded datagram without rumours and numbers, in bytes.
+// headerSize returns an upper bound of the encoded datagram without rumours, statuses and numbers, in bytes.
 func (d *Datagram) headerSize() int {
 	n := 1 + 2 + 1 + 5 + uintSize(uint64(len(d.From.ID))) + len(d.From.ID) + uintSize(d.From.Incarnation)
 	n += 4 + uintSize(d.To) + uintSize(d.Sequence) + uintSize(d.Ticket) + uintSize(d.Root)
 	if d.Target != nil {
 		n += 6 + uintSize(d.Target.Key) + len(d.Target.Address)
 	}
-	// Keys and lengths of the two lists.
-	return n + 2*(1+uintSize(maxListed))
+	// Keys and lengths of the three lists.
+	return n + 3*(1+uintSize(maxListed))
 }
 
 // uintSize returns the number of bytes of an unsigned integer in CBOR.
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -195,6 +195,7 @@
 	for i := range d.Rumours {
 		m.apply(&d.Rumours[i], msg.Source, true)
 	}
+	m.applyStatuses(d.Statuses, msg.Source)
 	m.applyNumbers(d.Numbers)
 	sender = m.table.byKey[refKey(d.From)]
 	if sender == nil {
--- a/internal/member/rumour.go
+++ b/internal/member/rumour.go
@@ -152,18 +152,15 @@
 }
 
 // minRumour is the least size of a rumour, in bytes.
-const minRumour = 16
+const minRumour = shortKeySize + 2
 
 func (m *Module) packOne(d *Datagram, r *rumour, space int) int {
-	text := m.textOf(r)
-	size := text.size()
-	if size > space {
-		return space
+	space, added := m.addRumour(d, m.textOf(r), space)
+	if added {
+		r.sends++
+		r.rank++
 	}
-	d.Rumours = append(d.Rumours, text)
-	r.sends++
-	r.rank++
-	return space - size
+	return space
 }
 
 // textOf leaves out a record that is too large for a datagram; the receivers fetch it.
@@ -195,14 +192,14 @@
 	d := &Datagram{Kind: KindPush}
 	m.fill(d)
 	space := MaxDatagram - d.headerSize() - maxKeySize
-	packed, rest := m.packUrgent(d, space)
+	packed, rest, space := m.packUrgent(d, space)
 	m.rumours.urgent, m.rumours.pushNumber = rest, false
 	for _, receiver := range m.choose(pushFanout, anyNode) {
 		if m.rumours.tokens <= 0 {
 			m.counts.Deferred++
 			break
 		}
-		m.pushTo(receiver, d, packed)
+		m.pushTo(receiver, d, packed, MaxDatagram-space+pushOverhead)
 	}
 	m.finishRumours()
 }
@@ -221,32 +218,28 @@
 // of a node is not among them: each node that knows of the suspicion finds it out by itself.
 func (r *rumour) forbids() bool { return r.withRecord || r.entry.status == StatusLeft }
 
-// packUrgent adds the urgent rumours that fit and returns them and the others.
-func (m *Module) packUrgent(d *Datagram, space int) (packed, rest []*rumour) {
+// packUrgent adds the urgent rumours that fit and returns them, the others and the space that is left.
+func (m *Module) packUrgent(d *Datagram, space int) (packed, rest []*rumour, left int) {
 	for _, r := range m.rumours.urgent {
-		text := m.textOf(r)
-		if text.size() > space {
+		var added bool
+		if space, added = m.addRumour(d, m.textOf(r), space); added {
+			packed = append(packed, r)
+		} else {
 			rest = append(rest, r)
-			continue
 		}
-		space -= text.size()
-		d.Rumours = append(d.Rumours, text)
-		packed = append(packed, r)
 	}
-	return packed, rest
+	return packed, rest, space
 }
 
-func (m *Module) pushTo(receiver *entry, d *Datagram, packed []*rumour) {
+// pushTo sends a push; size is its number of bytes with headers.
+func (m *Module) pushTo(receiver *entry, d *Datagram, packed []*rumour, size int) {
 	sent := *d
 	sent.To = receiver.key
 	for _, r := range packed {
 		r.sends++
 		r.rank++
 	}
-	for i := range d.Rumours {
-		m.rumours.tokens -= float64(d.Rumours[i].size())
-	}
-	m.rumours.tokens -= float64(d.headerSize() + pushOverhead)
+	m.rumours.tokens -= float64(size)
 	m.counts.Pushes++
 	m.emit(SendCmd{Address: receiver.record.Node.PeerAddress, Datagram: &sent})
 }
--- a/internal/member/sim_test.go
+++ b/internal/member/sim_test.go
@@ -79,6 +79,11 @@
 		p[kind+" "+what] += r.size()
 		size -= r.size()
 	}
+	for i := range d.Statuses {
+		list := len(d.Statuses[i].Entries) + statusListOverhead
+		p[kind+" "+d.Statuses[i].Status.String()] += list
+		size -= list
+	}
 	p[kind+" headers"] += size
 }
 
