member: compress large lists of updates in calls

Cause: after the start of 34 of 100 nodes, 1.78 of 2.05 MB sent in the busiest second are the full states that joining nodes take. Records repeat the names of fields, services and places.

A list of updates in a call of 1 KiB or more is compressed with DEFLATE at the fastest level. The targets of the simulation now have different incarnations, because equal ones compress better than real ones.

--- a/internal/member/sim_test.go
+++ b/internal/member/sim_test.go
@@ -164,11 +164,17 @@
 	}
 }
 
+// simIncarnation spreads the starts of targets over a day, in microseconds, so that records do not compress better than
+// real ones.
+func simIncarnation(i, j int) uint64 {
+	return 1<<50 + digest(uint64(i), uint64(j))%uint64((24*time.Hour).Microseconds())
+}
+
 func simTargets(i, n int) []model.Target {
 	targets := make([]model.Target, n)
 	for j := range targets {
 		targets[j] = model.Target{
-			Ref:   model.TargetRef{Service: fmt.Sprintf("service-%03d", (i*n+j)%170), ID: fmt.Sprintf("t%04d-%02d", i, j), Incarnation: 1 << 50},
+			Ref:   model.TargetRef{Service: fmt.Sprintf("service-%03d", (i*n+j)%170), ID: fmt.Sprintf("t%04d-%02d", i, j), Incarnation: simIncarnation(i, j)},
 			Slots: 7, State: model.TargetServing,
 		}
 	}
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -62,8 +62,8 @@
 	Heads     []Head   `cbor:"3,keyasint,omitempty"`
 	Numbers   []Number `cbor:"4,keyasint,omitempty"`
 	// Rumours holds all records when the request was full.
-	Rumours []Rumour `cbor:"5,keyasint,omitempty"`
-	Ticket  uint64   `cbor:"6,keyasint,omitempty"`
+	Rumours Bundle `cbor:"5,keyasint"`
+	Ticket  uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Head is the version of a record without the record.
@@ -76,14 +76,14 @@
 
 // FetchRequest gives and asks for records by key.
 type FetchRequest struct {
-	Rumours []Rumour `cbor:"1,keyasint,omitempty"`
+	Rumours Bundle   `cbor:"1,keyasint"`
 	Want    []uint64 `cbor:"2,keyasint,omitempty"`
 	Numbers []Number `cbor:"3,keyasint,omitempty"`
 }
 
 // FetchReply holds the records that were asked for.
 type FetchReply struct {
-	Rumours []Rumour `cbor:"1,keyasint,omitempty"`
+	Rumours Bundle `cbor:"1,keyasint"`
 }
 
 func (m *Module) periodicSync() {
