member: shorten the messages of anti-entropy

Cause: a synchronisation of two nodes that know each other carried the own record (500 bytes), 64 digests of 9 bytes, and 23 bytes for each record in a bucket that differs. During a burst every node synchronises once a second.

--- a/internal/member/module.go
+++ b/internal/member/module.go
@@ -91,7 +91,7 @@
 	case DatagramMsg:
 		m.receive(msg)
 	case JoinMsg:
-		m.startSync(msg.Address)
+		m.startSync(msg.Address, true)
 	case AloneMsg:
 		m.joined = true
 	case SyncRequestMsg:
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"bytes"
 	"time"
 
 	"github.com/auburnwinch/auburnwinch/pkg/model"
@@ -43,14 +44,15 @@
 	unknownFetch time.Time
 }
 
-// SyncRequest opens anti-entropy; it carries the own record, so that a joining node becomes known.
+// SyncRequest opens anti-entropy; it states the own version, and the own record of a joining node.
 type SyncRequest struct {
 	Self Rumour `cbor:"1,keyasint"`
 	// Full asks for all records at once.
-	Full    bool     `cbor:"2,keyasint,omitempty"`
-	Buckets []uint64 `cbor:"3,keyasint,omitempty"`
-	Numbers uint64   `cbor:"4,keyasint,omitempty"`
-	Ticket  uint64   `cbor:"5,keyasint,omitempty"`
+	Full bool `cbor:"2,keyasint,omitempty"`
+	// Buckets holds the lower half of the digest of each bucket.
+	Buckets []byte `cbor:"3,keyasint,omitempty"`
+	Numbers uint64 `cbor:"4,keyasint,omitempty"`
+	Ticket  uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // SyncReply lists what the answering node holds in the buckets that differ.
@@ -59,21 +61,13 @@
 	From model.NodeRef `cbor:"1,keyasint"`
 	// Differing has a bit for each bucket that differs.
 	Differing uint64   `cbor:"2,keyasint,omitempty"`
-	Heads     []Head   `cbor:"3,keyasint,omitempty"`
+	Heads     Heads    `cbor:"3,keyasint"`
 	Numbers   []Number `cbor:"4,keyasint,omitempty"`
 	// Rumours holds all records when the request was full.
 	Rumours Bundle `cbor:"5,keyasint"`
 	Ticket  uint64 `cbor:"6,keyasint,omitempty"`
 }
 
-// Head is the version of a record without the record.
-type Head struct {
-	Key     uint64 `cbor:"1,keyasint"`
-	Version uint64 `cbor:"2,keyasint"`
-	Content uint64 `cbor:"3,keyasint"`
-	Status  Status `cbor:"4,keyasint"`
-}
-
 // FetchRequest gives and asks for records by key.
 type FetchRequest struct {
 	Rumours Bundle   `cbor:"1,keyasint"`
@@ -106,7 +100,7 @@
 		peers = m.choose(1, anyNode)
 	}
 	if len(peers) > 0 {
-		m.startSync(peers[0].record.Node.PeerAddress)
+		m.startSync(peers[0].record.Node.PeerAddress, false)
 	}
 }
 
@@ -123,19 +117,20 @@
 		return
 	}
 	m.syncs.prompted = m.now
-	m.startSync(address)
+	m.startSync(address, false)
 }
 
-func (m *Module) startSync(address string) {
+// startSync compares records with another node; the own record goes along when that node may not know it.
+func (m *Module) startSync(address string, introduce bool) {
 	m.counts.Syncs++
 	m.emit(SyncCmd{Address: address, Request: SyncRequest{
-		Self: m.rumourOf(m.self, true, false), Full: !m.joined,
-		Buckets: append([]uint64(nil), m.table.buckets[:]...), Numbers: m.table.numbers, Ticket: m.self.record.Ticket,
+		Self: m.rumourOf(m.self, introduce, false), Full: !m.joined,
+		Buckets: m.table.packBuckets(), Numbers: m.table.numbers, Ticket: m.self.record.Ticket,
 	}})
 }
 
 func (m *Module) answerSync(r SyncRequest) {
-	if checkUpdates([]Rumour{r.Self}, nil) != nil || (!r.Full && len(r.Buckets) != bucketCount) {
+	if checkUpdates([]Rumour{r.Self}, nil) != nil || (!r.Full && len(r.Buckets) != bucketCount*bucketDigestSize) {
 		m.refuse("", ErrMalformed, "synchronisation request")
 		return
 	}
@@ -154,8 +149,10 @@
 }
 
 func (m *Module) compare(r *SyncRequest, reply *SyncReply) {
-	for i := range r.Buckets {
-		if r.Buckets[i] != m.table.buckets[i] {
+	own := m.table.packBuckets()
+	for i := range bucketCount {
+		part := i * bucketDigestSize
+		if !bytes.Equal(r.Buckets[part:part+bucketDigestSize], own[part:part+bucketDigestSize]) {
 			reply.Differing |= 1 << i
 		}
 	}
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -13,6 +13,9 @@
 // bucketCount is the number of parts of the table that anti-entropy compares separately.
 const bucketCount = 64
 
+// bucketDigestSize is the part of the digest of a bucket that a synchronisation sends, in bytes.
+const bucketDigestSize = 4
+
 // entry is what the module holds about one run of one node.
 //
 // It is the join of two registers that only grow: (version, status) and the content with the version of its last
@@ -141,6 +144,15 @@
 	return sum
 }
 
+// packBuckets returns the lower half of the digest of each bucket.
+func (t *table) packBuckets() []byte {
+	packed := make([]byte, 0, bucketCount*bucketDigestSize)
+	for _, b := range t.buckets {
+		packed = binary.BigEndian.AppendUint32(packed, uint32(b))
+	}
+	return packed
+}
+
 // sum leaves suspicion out, because it ends by itself within seconds.
 func (e *entry) sum() uint64 {
 	return digest(e.key, e.record.Version, e.record.Content, uint64(foldSuspect(e.status)))
