member: take the state in parts from several nodes when joining

Cause: a node that joins takes all records from the one listed node that it dials, 0.38 MB at the design size. The load of the listed nodes in a start of a region was not bounded.

A node with more than 128 records answers a joining node with the records of 8 others, half of them of its failure domain. The joining node takes the rest in parts of some 128 records, 300 ms apart, each from a random node; a part that does not come is asked of another node after 2 s. It does not probe meanwhile, because its incarnation can still rise. Small fleets join by one answer as before. TestSeedIsSpared lets 20 nodes join a fleet of 256 by one seed, which now sends less than a quarter of 20 states.

--- a/internal/member/module.go
+++ b/internal/member/module.go
@@ -32,11 +32,12 @@
 	local  Local
 	joined bool
 
-	own     ownState
-	probes  probeState
-	rumours rumourState
-	syncs   syncState
-	behind  behindState
+	own      ownState
+	takeover takeover
+	probes   probeState
+	rumours  rumourState
+	syncs    syncState
+	behind   behindState
 	// departed remembers the successors of runs whose node ID now has a later run.
 	departed []formerRun
 
@@ -91,7 +92,7 @@
 	case DatagramMsg:
 		m.receive(msg)
 	case JoinMsg:
-		m.startSync(msg.Address, true)
+		m.join(msg.Address)
 	case AloneMsg:
 		m.joined = true
 	case SyncRequestMsg:
@@ -176,6 +177,10 @@
 	}
 	m.probes.lastTick = m.now
 	m.publishOwn()
+	if m.isTakingOver() {
+		m.askForPart()
+		return
+	}
 	m.expireSuspicions()
 	m.expireTombstones()
 	m.probe()
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -53,6 +53,7 @@
 	Buckets []byte `cbor:"3,keyasint,omitempty"`
 	Numbers uint64 `cbor:"4,keyasint,omitempty"`
 	Ticket  uint64 `cbor:"5,keyasint,omitempty"`
+	Wanted  uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // SyncReply lists what the answering node holds in the buckets that differ.
@@ -63,9 +64,13 @@
 	Differing uint64   `cbor:"2,keyasint,omitempty"`
 	Heads     Heads    `cbor:"3,keyasint"`
 	Numbers   []Number `cbor:"4,keyasint,omitempty"`
-	// Rumours holds all records when the request was full.
+	// Rumours holds the records of the given buckets, or those of nodes to ask, when the request was full.
 	Rumours Bundle `cbor:"5,keyasint"`
 	Ticket  uint64 `cbor:"6,keyasint,omitempty"`
+	// Given has a bit for each bucket of which a joining node gets all records.
+	Given uint64 `cbor:"7,keyasint,omitempty"`
+	// Records is the number of records that the answering node holds.
+	Records uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // FetchRequest gives and asks for records by key.
@@ -122,11 +127,18 @@
 
 // startSync compares records with another node; the own record goes along when that node may not know it.
 func (m *Module) startSync(address string, introduce bool) {
+	request := SyncRequest{
+		Self: m.rumourOf(m.self, introduce, false), Full: !m.joined, Numbers: m.table.numbers, Ticket: m.self.record.Ticket,
+	}
+	if !request.Full {
+		request.Buckets = m.table.packBuckets()
+	}
+	m.requestSync(address, request)
+}
+
+func (m *Module) requestSync(address string, request SyncRequest) {
 	m.counts.Syncs++
-	m.emit(SyncCmd{Address: address, Request: SyncRequest{
-		Self: m.rumourOf(m.self, introduce, false), Full: !m.joined,
-		Buckets: m.table.packBuckets(), Numbers: m.table.numbers, Ticket: m.self.record.Ticket,
-	}})
+	m.emit(SyncCmd{Address: address, Request: request})
 }
 
 func (m *Module) answerSync(r SyncRequest) {
@@ -138,7 +150,7 @@
 	m.apply(&r.Self, "", !known)
 	reply := SyncReply{From: m.self.record.Node.Ref, Ticket: m.self.record.Ticket}
 	if r.Full {
-		reply.Rumours = m.allRumours()
+		m.answerJoin(&r, &reply)
 	} else {
 		m.compare(&r, &reply)
 	}
@@ -168,16 +180,6 @@
 	}
 }
 
-func (m *Module) allRumours() []Rumour {
-	rumours := make([]Rumour, 0, len(m.table.sorted))
-	for _, e := range m.table.sorted {
-		if len(rumours) < maxSyncRecords {
-			rumours = append(rumours, m.rumourOf(e, true, false))
-		}
-	}
-	return rumours
-}
-
 // finishSync takes over what the other node holds and exchanges the records that differ.
 func (m *Module) finishSync(msg SyncReplyMsg) {
 	r := &msg.Reply
@@ -189,9 +191,7 @@
 		m.apply(&r.Rumours[i], msg.Address, false)
 	}
 	if !m.joined {
-		m.joined = true
-		m.spread(m.self, true, false)
-		m.syncs.next = m.now.Add(m.jitter(busySyncInterval))
+		m.takePart(r)
 	}
 	m.applyNumbers(r.Numbers)
 	if peer, ok := m.nodeOf(r.From); ok {
--- /dev/null
+++ b/internal/member/takeover_test.go
@@ -0,0 +1,62 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a seed that serves the whole state to each node that joins by it, and against a joining node that never
+// finishes, or suspects others, because some of the nodes that it asks are down.
+func TestSeedIsSpared(t *testing.T) {
+	s := newSim(t, 1)
+	s.fleet(2*partRecords, 4)
+	s.run(10 * time.Second)
+	s.resetCounters()
+	for i := range s.nodes {
+		s.nodes[i].up = i%8 != 1
+	}
+	seed, others := s.nodes[0], s.running()
+	var joining []*simNode
+	for i := range 20 {
+		n := s.add(2*partRecords + i)
+		s.join(n, seed)
+		joining = append(joining, n)
+	}
+	s.runUntil(limitUrgent, "all joined", func() bool {
+		for _, n := range joining {
+			if !n.module.joined {
+				return false
+			}
+		}
+		return true
+	})
+	all := s.encodedSize(FetchReply{Rumours: allRumours(seed)})
+	require.Less(t, seed.sent, len(joining)*all/4, "bytes sent by the seed")
+	s.run(30 * time.Second)
+	s.runUntil(time.Minute, "agreement", s.agree)
+	for _, n := range others {
+		require.True(t, n.up && n.module.self.status == StatusAlive && n.module.counts.Refuted == 0, "suspected by a joining node")
+	}
+}
+
+func allRumours(n *simNode) (rumours []Rumour) {
+	for _, e := range n.module.table.sorted {
+		rumours = append(rumours, n.module.rumourOf(e, true, false))
+	}
+	return rumours
+}
+
+// Guards against a node of a large fleet that serves under an incarnation below the one that its peers report.
+func TestIncarnationRisesInLargeFleet(t *testing.T) {
+	s := newSim(t, 1)
+	s.fleet(2*partRecords, 1)
+	old := s.nodes[1].module.Self().Ref
+	s.nodes[1].up = false
+	fresh := s.addRun(1, old.Incarnation-uint64(time.Hour.Microseconds()))
+	s.join(fresh, s.nodes[2])
+	s.runUntil(limitUrgent, "joined", func() bool { return fresh.module.joined })
+	require.Greater(t, fresh.module.Self().Ref.Incarnation, old.Incarnation)
+	s.runUntil(time.Minute, "agreement on the new run", s.agree)
+}
