member: compare a bounded number of records in one synchronisation

Cause: while a region starts, nearly every bucket differs for some ten seconds. Each synchronisation then listed all records and moved all that differ, at every node once a second: 1.1 MB of versions and 3.6 MB of records among 300 nodes in the busiest second.

A synchronisation now compares a random choice of the differing buckets that holds about 128 records.

--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math/bits"
 	"time"
 
 	"github.com/auburnwinch/auburnwinch/pkg/model"
@@ -21,6 +22,9 @@
 	remoteSyncs = 4
 	// maxSyncRecords bounds the records of one answer; the rest follows with the next synchronisation.
 	maxSyncRecords = 4000
+	// maxSyncHeads is about how many records two nodes compare in one synchronisation. When a region starts, most records
+	// differ for some ten seconds; without the bound each node then moves dozens of records a second.
+	maxSyncHeads = 128
 )
 
 const (
@@ -60,7 +64,7 @@
 type SyncReply struct {
 	// From is the answering node.
 	From model.NodeRef `cbor:"1,keyasint"`
-	// Differing has a bit for each bucket that differs.
+	// Differing has a bit for each bucket that differs and is compared now.
 	Differing uint64   `cbor:"2,keyasint,omitempty"`
 	Heads     Heads    `cbor:"3,keyasint"`
 	Numbers   []Number `cbor:"4,keyasint,omitempty"`
@@ -168,6 +172,7 @@
 			reply.Differing |= 1 << i
 		}
 	}
+	reply.Differing = m.someBuckets(reply.Differing)
 	for _, e := range m.table.sorted {
 		if reply.Differing&(1<<bucketOf(e.key)) != 0 {
 			reply.Heads = append(reply.Heads, Head{
@@ -180,6 +185,15 @@
 	}
 }
 
+// someBuckets returns a random choice of the buckets that holds about maxSyncHeads records.
+func (m *Module) someBuckets(differing uint64) uint64 {
+	limit := max(1, maxSyncHeads*bucketCount/len(m.table.sorted))
+	for bits.OnesCount64(differing) > limit {
+		differing &^= 1 << m.random.IntN(bucketCount)
+	}
+	return differing
+}
+
 // finishSync takes over what the other node holds and exchanges the records that differ.
 func (m *Module) finishSync(msg SyncReplyMsg) {
 	r := &msg.Reply
