node: remove the registry row at the end of a graceful exit

Cause: nothing called store.RemoveNode. The row of a node that left stayed until it expired after 24 h, so starting nodes dialled addresses at which nobody listens.

The node removes its row beside the closing of its listeners, after the renewals have ended, and waits 500 ms at most. A row that stays because the platform is away expires as before. The row of a later incarnation is kept, as the removal is conditional. The tests run a whole node: without the call the row is still there after the exit; with a platform that hangs or refuses connections the exit takes less than a second longer than usual.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,6 +56,8 @@
 	listeners listeners
 	cancel    context.CancelFunc
 	group     conc.WaitGroup
+	// unrenewed is closed when the registry row is not renewed any more.
+	unrenewed chan struct{}
 	closing   sync.Once
 	verdicts  *verdictCounts
 	detection *meter.DurationHistogram
@@ -73,7 +75,10 @@
 // New builds all parts and opens the listeners; Run serves.
 func New(c Config) (*Node, error) {
 	c = c.withDefaults()
-	n := &Node{config: c, began: c.Clock.Now(), fleet: &fleet{}, record: &ownRecord{}, peers: &lateCaller{}, verdicts: &verdictCounts{}}
+	n := &Node{
+		config: c, began: c.Clock.Now(), fleet: &fleet{}, record: &ownRecord{}, peers: &lateCaller{},
+		verdicts: &verdictCounts{}, unrenewed: make(chan struct{}),
+	}
 	n.self = c.Settings.Self(uint64(n.began.UnixMicro()))
 	n.logger = log.With(c.Logger, "node", n.self.Ref.ID)
 	invar.OnViolation(n.logViolation)
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -7,15 +7,11 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/auburnwinch/auburnwinch/internal/drain"
-	"github.com/auburnwinch/auburnwinch/internal/store"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
 const (
-	shutdownTick = 50 * time.Millisecond
-	// registryRetry is the pause after a failed registration.
-	registryRetry   = 30 * time.Second
-	registryTimeout = 5 * time.Second
+	shutdownTick    = 50 * time.Millisecond
 	handoverTimeout = 2 * time.Second
 	closeTimeout    = time.Second
 )
@@ -33,6 +29,7 @@
 		"callers", n.self.CallerAddress, "relay", n.self.RelayAddress, "peers", n.self.PeerAddress)
 	<-ctx.Done()
 	n.leave()
+	n.group.Go(n.unregister)
 	n.close()
 	n.group.Wait()
 	return nil
@@ -56,33 +53,6 @@
 	n.tickets.SetPeers(nodesOf(n.peer.Snapshot()))
 }
 
-// register keeps the registry row of this node, by which starting nodes find peers; the row expires unless it is renewed.
-func (n *Node) register(ctx context.Context) {
-	ticks := n.config.Clock.Subscribe(registryRetry)
-	defer ticks.Stop()
-	var next time.Time
-	for now := n.config.Clock.Now(); ; {
-		if !now.Before(next) && n.registerOnce(ctx) {
-			next = now.Add(store.RegisterInterval)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case now = <-ticks.C:
-		}
-	}
-}
-
-func (n *Node) registerOnce(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, registryTimeout)
-	defer cancel()
-	if err := n.store.RegisterNode(ctx, n.self); err != nil {
-		_ = level.Warn(n.logger).Log("msg", "node not registered at the platform; repeating", "err", err)
-		return false
-	}
-	return true
-}
-
 // leave carries out the graceful shutdown.
 func (n *Node) leave() {
 	shutdown := drain.New(drain.Config{Timeout: time.Duration(n.config.Settings.ShutdownTimeout)})
