member: compare ticket numbers in the buckets that are compared

Cause: the digest of ticket numbers covers all nodes. While nodes start, it differs at most pairs of nodes, and both sent the numbers of all: 2.7 kB each way at 670 nodes, more than half of the 4.3 kB of an answer.

Numbers now go along for the buckets of which records are compared, and for all buckets only when no record differs.

--- a/internal/member/number.go
+++ b/internal/member/number.go
@@ -107,12 +107,12 @@
 	return nil
 }
 
-// allNumbers lists the numbers of all nodes that are not dead.
-func (m *Module) allNumbers() []Number {
+// numbersIn lists the numbers of all nodes in some buckets that are not dead.
+func (m *Module) numbersIn(buckets uint64) []Number {
 	var numbers []Number
 	unlimited := 1 << 30
 	for _, e := range m.table.sorted {
-		if !e.status.gone() {
+		if !e.status.gone() && buckets&(1<<bucketOf(e.key)) != 0 {
 			addNumber(&numbers, e, &unlimited)
 		}
 	}
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -181,7 +181,7 @@
 		}
 	}
 	if r.Numbers != m.table.numbers {
-		reply.Numbers = m.allNumbers()
+		reply.Numbers = m.numbersIn(numberBuckets(reply.Differing))
 	}
 }
 
@@ -194,6 +194,15 @@
 	return differing
 }
 
+// numberBuckets returns the buckets of which ticket numbers are compared. While records differ, the numbers do mostly
+// because of these; those of 670 nodes take 2.7 kB.
+func numberBuckets(differing uint64) uint64 {
+	if differing == 0 {
+		return allBuckets
+	}
+	return differing
+}
+
 // finishSync takes over what the other node holds and exchanges the records that differ.
 func (m *Module) finishSync(msg SyncReplyMsg) {
 	r := &msg.Reply
@@ -213,7 +222,7 @@
 	}
 	request := m.difference(r)
 	if len(r.Numbers) > 0 {
-		request.Numbers = m.allNumbers()
+		request.Numbers = m.numbersIn(numberBuckets(r.Differing))
 	}
 	if len(request.Rumours)+len(request.Want)+len(request.Numbers) > 0 {
 		m.countMoved(&request)
