member: synchronise often until the last differences are gone

Cause: after a burst most nodes agree, and a synchronisation moves fewer than four records. The node then went back to one in ten seconds, while rumours of the burst still keep it from acting on a differing digest. The few nodes that lack a record decide how long it takes until all agree: 11 to 25 s after a start, by chance.

A node that synchronises every second goes on until one of them moves nothing.

--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -44,7 +44,9 @@
 	changed  time.Time
 	prompted time.Time
 	// moved counts the records that the current synchronisation brought or took.
-	moved        int
+	moved int
+	// busy tells that the present interval is the shorter one.
+	busy         bool
 	unknownFetch time.Time
 }
 
@@ -94,7 +96,7 @@
 		return
 	}
 	interval := syncInterval
-	if m.isBusy() {
+	if m.syncs.busy = m.isBusy(); m.syncs.busy {
 		interval = busySyncInterval
 	}
 	m.syncs.moved = 0
@@ -238,7 +240,10 @@
 	}
 }
 
-func (m *Module) isBusy() bool { return m.syncs.moved >= busyRecords }
+// isBusy reports whether much differs, or did before and something still does.
+func (m *Module) isBusy() bool {
+	return m.syncs.moved >= busyRecords || (m.syncs.busy && m.syncs.moved > 0)
+}
 
 // countMoved counts the records of a synchronisation that were not counted lately.
 func (m *Module) countMoved(request *FetchRequest) {
