--- a/internal/member/takeover.go
+++ b/internal/member/takeover.go
@@ -9,8 +9,8 @@
 	// partRecords is about how many records a joining node takes at once; a larger table comes in parts from several
 	// nodes, so that the listed nodes do not serve the whole state to each node of a region that starts.
 	partRecords = 128
-	// partPause is the time between two parts. It spreads the state of 670 nodes over some 3 s.
-	partPause = 300 * time.Millisecond
+	// partPause is the time between two parts. It spreads the state of 670 nodes over some 4 s.
+	partPause = 500 * time.Millisecond
 	// partPatience is how long a node waits for a part before it asks another node for it.
 	partPatience = 2 * time.Second
 	// introduced is the number of nodes that a listed node names to a joining one: half of its failure domain.
