member: end the takeover of records when a node goes on alone

Cause: a node that was told to go on without the missing parts kept the mark of the missing buckets, and left these out of its answers to joining nodes for ever. Anti-entropy brings it the missing records itself. TestAloneEndsTheTakeover fails without the change.

--- a/internal/member/module.go
+++ b/internal/member/module.go
@@ -94,7 +94,7 @@
 	case JoinMsg:
 		m.join(msg.Address)
 	case AloneMsg:
-		m.joined = true
+		m.joined, m.takeover = true, takeover{}
 	case SyncRequestMsg:
 		m.answerSync(msg.Request)
 	case SyncReplyMsg:
--- a/internal/member/takeover_test.go
+++ b/internal/member/takeover_test.go
@@ -47,3 +47,20 @@
 	}
 	return rumours
 }
+
+// Guards against a node that gave up taking records in parts and then withholds the missing buckets from others for ever.
+func TestAloneEndsTheTakeover(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := New(Config{Self: simModel(0, 1), Seed: 1, Now: now})
+	m.Update(SyncReplyMsg{Now: now, Reply: SyncReply{From: simModel(1, 1).Ref, Records: 3 * partRecords}})
+	require.False(t, m.Joined())
+	m.Update(AloneMsg{Now: now})
+	request := SyncRequest{Self: Rumour{Key: 1, Version: 1, Status: StatusAlive}, Full: true}
+	for _, cmd := range m.Update(SyncRequestMsg{Now: now, Request: request}) {
+		if reply, ok := cmd.(SyncReplyCmd); ok {
+			require.Equal(t, uint64(allBuckets), reply.Reply.Given)
+			return
+		}
+	}
+	require.Fail(t, "no answer")
+}
