--- a/internal/member/rumour.go
+++ b/internal/member/rumour.go
@@ -25,6 +25,10 @@
 	urgentRefill = 1.0 / 120
 	// pushOverhead is the size of the headers and the authentication of a datagram, in bytes.
 	pushOverhead = 45
+	// statusWindow is the least time between two pushes that carry only statuses. The first one goes out at once; when a
+	// rack or a region is lost, the others share datagrams. Without it, most bytes of such a burst are headers. It must
+	// stay far below hearsayAfter divided by the 5 hops that reach 670 nodes.
+	statusWindow = 200 * time.Millisecond
 	// maxRumourAge is how long a rumour is passed on. Only after the start of a region does it take longer, and then
 	// anti-entropy has already spread the records.
 	maxRumourAge = 30 * time.Second
@@ -56,6 +60,8 @@
 	pushNumber bool
 	tokens     float64
 	refilled   time.Time
+	// pushed is the time of the last push.
+	pushed time.Time
 	// numbers are the entries whose ticket number is being passed on, in the order of their next sending.
 	numbers []*entry
 }
@@ -146,18 +152,15 @@
 }
 
 // minRumour is the least size of a rumour, in bytes.
-const minRumour = 16
+const minRumour = shortKeySize + 2
 
 func (m *Module) packOne(d *Datagram, r *rumour, space int) int {
-	text := m.textOf(r)
-	size := text.size()
-	if size > space {
-		return space
+	space, added := m.addRumour(d, m.textOf(r), space)
+	if added {
+		r.sends++
+		r.rank++
 	}
-	d.Rumours = append(d.Rumours, text)
-	r.sends++
-	r.rank++
-	return space - size
+	return space
 }
 
 // textOf leaves out a record that is too large for a datagram; the receivers fetch it.
@@ -176,57 +179,67 @@
 	})
 }
 
-// push sends the urgent rumours to random nodes at once. When little of the budget is left they wait for the next tick,
-// so that a burst of updates shares its datagrams.
+// push sends the urgent rumours to random nodes at once, except those that share a later datagram.
 func (m *Module) push(tick bool) {
 	if len(m.rumours.urgent) == 0 && !m.rumours.pushNumber {
 		return
 	}
 	m.refill()
-	if m.rumours.tokens < pushBurst/2 && !tick {
+	if !m.pushIsDue(tick) {
 		return
 	}
+	m.rumours.pushed = m.now
 	d := &Datagram{Kind: KindPush}
 	m.fill(d)
 	space := MaxDatagram - d.headerSize() - maxKeySize
-	packed, rest := m.packUrgent(d, space)
+	packed, rest, space := m.packUrgent(d, space)
 	m.rumours.urgent, m.rumours.pushNumber = rest, false
 	for _, receiver := range m.choose(pushFanout, anyNode) {
 		if m.rumours.tokens <= 0 {
 			m.counts.Deferred++
 			break
 		}
-		m.pushTo(receiver, d, packed)
+		m.pushTo(receiver, d, packed, MaxDatagram-space+pushOverhead)
 	}
 	m.finishRumours()
 }
 
-// packUrgent adds the urgent rumours that fit and returns them and the others.
-func (m *Module) packUrgent(d *Datagram, space int) (packed, rest []*rumour) {
+// pushIsDue reports whether the urgent rumours go out now. Statuses wait for the end of the window after the last push,
+// and all wait for the next tick when little of the budget is left.
+func (m *Module) pushIsDue(tick bool) bool {
+	if !tick && m.rumours.tokens < pushBurst/2 {
+		return false
+	}
+	return m.rumours.pushNumber || m.now.Sub(m.rumours.pushed) >= statusWindow ||
+		slices.ContainsFunc(m.rumours.urgent, (*rumour).forbids)
+}
+
+// forbids reports whether the rumour tells of a change after which requests must not go to a target any more. The death
+// of a node is not among them: each node that knows of the suspicion finds it out by itself.
+func (r *rumour) forbids() bool { return r.withRecord || r.entry.status == StatusLeft }
+
+// packUrgent adds the urgent rumours that fit and returns them, the others and the space that is left.
+func (m *Module) packUrgent(d *Datagram, space int) (packed, rest []*rumour, left int) {
 	for _, r := range m.rumours.urgent {
-		text := m.textOf(r)
-		if text.size() > space {
+		var added bool
+		if space, added = m.addRumour(d, m.textOf(r), space); added {
+			packed = append(packed, r)
+		} else {
 			rest = append(rest, r)
-			continue
 		}
-		space -= text.size()
-		d.Rumours = append(d.Rumours, text)
-		packed = append(packed, r)
 	}
-	return packed, rest
+	return packed, rest, space
 }
 
-func (m *Module) pushTo(receiver *entry, d *Datagram, packed []*rumour) {
+// pushTo sends a push; size is its number of bytes with headers.
+func (m *Module) pushTo(receiver *entry, d *Datagram, packed []*rumour, size int) {
 	sent := *d
 	sent.To = receiver.key
 	for _, r := range packed {
 		r.sends++
 		r.rank++
 	}
-	for i := range d.Rumours {
-		m.rumours.tokens -= float64(d.Rumours[i].size())
-	}
-	m.rumours.tokens -= float64(d.headerSize() + pushOverhead)
+	m.rumours.tokens -= float64(size)
 	m.counts.Pushes++
 	m.emit(SendCmd{Address: receiver.record.Node.PeerAddress, Datagram: &sent})
 }
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -1,6 +1,8 @@
 package member
 
 import (
+	"bytes"
+	"math/bits"
 	"time"
 
 	"github.com/auburnwinch/auburnwinch/pkg/model"
@@ -20,6 +22,9 @@
 	remoteSyncs = 4
 	// maxSyncRecords bounds the records of one answer; the rest follows with the next synchronisation.
 	maxSyncRecords = 4000
+	// maxSyncHeads is about how many records two nodes compare in one synchronisation. When a region starts, most records
+	// differ for some ten seconds; without the bound each node then moves dozens of records a second.
+	maxSyncHeads = 256
 )
 
 const (
@@ -33,56 +38,57 @@
 // syncState is the state of anti-entropy.
 type syncState struct {
 	next time.Time
-	// equal is when the digest of a peer was last equal to the own one; prompted is the last synchronisation because of
-	// differing ones.
-	equal    time.Time
+	// root is the last own digest, changed when it or a pending rumour last changed it; prompted is the last
+	// synchronisation because of differing digests.
+	root     uint64
+	changed  time.Time
 	prompted time.Time
 	// moved counts the records that the current synchronisation brought or took.
-	moved        int
+	moved int
+	// busy tells that the present interval is the shorter one.
+	busy         bool
 	unknownFetch time.Time
 }
 
-// SyncRequest opens anti-entropy; it carries the own record, so that a joining node becomes known.
+// SyncRequest opens anti-entropy; it states the own version, and the own record of a joining node.
 type SyncRequest struct {
 	Self Rumour `cbor:"1,keyasint"`
 	// Full asks for all records at once.
-	Full    bool     `cbor:"2,keyasint,omitempty"`
-	Buckets []uint64 `cbor:"3,keyasint,omitempty"`
-	Numbers uint64   `cbor:"4,keyasint,omitempty"`
-	Ticket  uint64   `cbor:"5,keyasint,omitempty"`
+	Full bool `cbor:"2,keyasint,omitempty"`
+	// Buckets holds the lower half of the digest of each bucket.
+	Buckets []byte `cbor:"3,keyasint,omitempty"`
+	Numbers uint64 `cbor:"4,keyasint,omitempty"`
+	Ticket  uint64 `cbor:"5,keyasint,omitempty"`
+	Wanted  uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // SyncReply lists what the answering node holds in the buckets that differ.
 type SyncReply struct {
 	// From is the answering node.
 	From model.NodeRef `cbor:"1,keyasint"`
-	// Differing has a bit for each bucket that differs.
+	// Differing has a bit for each bucket that differs and is compared now.
 	Differing uint64   `cbor:"2,keyasint,omitempty"`
-	Heads     []Head   `cbor:"3,keyasint,omitempty"`
+	Heads     Heads    `cbor:"3,keyasint"`
 	Numbers   []Number `cbor:"4,keyasint,omitempty"`
-	// Rumours holds all records when the request was full.
-	Rumours []Rumour `cbor:"5,keyasint,omitempty"`
-	Ticket  uint64   `cbor:"6,keyasint,omitempty"`
-}
-
-// Head is the version of a record without the record.
-type Head struct {
-	Key     uint64 `cbor:"1,keyasint"`
-	Version uint64 `cbor:"2,keyasint"`
-	Content uint64 `cbor:"3,keyasint"`
-	Status  Status `cbor:"4,keyasint"`
+	// Rumours holds the records of the given buckets, or those of nodes to ask, when the request was full.
+	Rumours Bundle `cbor:"5,keyasint"`
+	Ticket  uint64 `cbor:"6,keyasint,omitempty"`
+	// Given has a bit for each bucket of which a joining node gets all records.
+	Given uint64 `cbor:"7,keyasint,omitempty"`
+	// Records is the number of records that the answering node holds.
+	Records uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // FetchRequest gives and asks for records by key.
 type FetchRequest struct {
-	Rumours []Rumour `cbor:"1,keyasint,omitempty"`
+	Rumours Bundle   `cbor:"1,keyasint"`
 	Want    []uint64 `cbor:"2,keyasint,omitempty"`
 	Numbers []Number `cbor:"3,keyasint,omitempty"`
 }
 
 // FetchReply holds the records that were asked for.
 type FetchReply struct {
-	Rumours []Rumour `cbor:"1,keyasint,omitempty"`
+	Rumours Bundle `cbor:"1,keyasint"`
 }
 
 func (m *Module) periodicSync() {
@@ -90,7 +96,7 @@
 		return
 	}
 	interval := syncInterval
-	if m.isBusy() {
+	if m.syncs.busy = m.isBusy(); m.syncs.busy {
 		interval = busySyncInterval
 	}
 	m.syncs.moved = 0
@@ -105,35 +111,44 @@
 		peers = m.choose(1, anyNode)
 	}
 	if len(peers) > 0 {
-		m.startSync(peers[0].record.Node.PeerAddress)
+		m.startSync(peers[0].record.Node.PeerAddress, false)
 	}
 }
 
 // compareRoot synchronises with a peer whose digest differs for a while. Periodic anti-entropy alone takes tens of seconds
 // to reach a small region, because three of four synchronisations stay in the own region. While rumours are pending the
-// digests differ anyway, so a storm of changes causes no further traffic.
+// digests differ anyway, so a storm of changes causes no further traffic. The patience counts from the last change of the
+// own records: nodes that missed the same rumour have equal digests and must not hold each other back.
 func (m *Module) compareRoot(root uint64, address string) {
-	if root == m.table.root() || !m.joined || len(m.rumours.pending) > 0 {
-		m.syncs.equal = m.now
-		return
+	own := m.table.root()
+	if own != m.syncs.root || !m.joined || len(m.rumours.pending) > 0 {
+		m.syncs.root, m.syncs.changed = own, m.now
 	}
-	if m.now.Sub(m.syncs.equal) < rootPatience || m.now.Sub(m.syncs.prompted) < rootPause {
+	if root == own || m.now.Sub(m.syncs.changed) < rootPatience || m.now.Sub(m.syncs.prompted) < rootPause {
 		return
 	}
 	m.syncs.prompted = m.now
-	m.startSync(address)
+	m.startSync(address, false)
+}
+
+// startSync compares records with another node; the own record goes along when that node may not know it.
+func (m *Module) startSync(address string, introduce bool) {
+	request := SyncRequest{
+		Self: m.rumourOf(m.self, introduce, false), Full: !m.joined, Numbers: m.table.numbers, Ticket: m.self.record.Ticket,
+	}
+	if !request.Full {
+		request.Buckets = m.table.packBuckets()
+	}
+	m.requestSync(address, request)
 }
 
-func (m *Module) startSync(address string) {
+func (m *Module) requestSync(address string, request SyncRequest) {
 	m.counts.Syncs++
-	m.emit(SyncCmd{Address: address, Request: SyncRequest{
-		Self: m.rumourOf(m.self, true, false), Full: !m.joined,
-		Buckets: append([]uint64(nil), m.table.buckets[:]...), Numbers: m.table.numbers, Ticket: m.self.record.Ticket,
-	}})
+	m.emit(SyncCmd{Address: address, Request: request})
 }
 
 func (m *Module) answerSync(r SyncRequest) {
-	if checkUpdates([]Rumour{r.Self}, nil) != nil || (!r.Full && len(r.Buckets) != bucketCount) {
+	if checkUpdates([]Rumour{r.Self}, nil) != nil || (!r.Full && len(r.Buckets) != bucketCount*bucketDigestSize) {
 		m.refuse("", ErrMalformed, "synchronisation request")
 		return
 	}
@@ -141,7 +156,7 @@
 	m.apply(&r.Self, "", !known)
 	reply := SyncReply{From: m.self.record.Node.Ref, Ticket: m.self.record.Ticket}
 	if r.Full {
-		reply.Rumours = m.allRumours()
+		m.answerJoin(&r, &reply)
 	} else {
 		m.compare(&r, &reply)
 	}
@@ -152,11 +167,14 @@
 }
 
 func (m *Module) compare(r *SyncRequest, reply *SyncReply) {
-	for i := range r.Buckets {
-		if r.Buckets[i] != m.table.buckets[i] {
+	own := m.table.packBuckets()
+	for i := range bucketCount {
+		part := i * bucketDigestSize
+		if !bytes.Equal(r.Buckets[part:part+bucketDigestSize], own[part:part+bucketDigestSize]) {
 			reply.Differing |= 1 << i
 		}
 	}
+	reply.Differing = m.someBuckets(reply.Differing)
 	for _, e := range m.table.sorted {
 		if reply.Differing&(1<<bucketOf(e.key)) != 0 {
 			reply.Heads = append(reply.Heads, Head{
@@ -165,18 +183,26 @@
 		}
 	}
 	if r.Numbers != m.table.numbers {
-		reply.Numbers = m.allNumbers()
+		reply.Numbers = m.numbersIn(numberBuckets(reply.Differing))
 	}
 }
 
-func (m *Module) allRumours() []Rumour {
-	rumours := make([]Rumour, 0, len(m.table.sorted))
-	for _, e := range m.table.sorted {
-		if len(rumours) < maxSyncRecords {
-			rumours = append(rumours, m.rumourOf(e, true, false))
-		}
+// someBuckets returns a random choice of the buckets that holds about maxSyncHeads records.
+func (m *Module) someBuckets(differing uint64) uint64 {
+	limit := max(1, maxSyncHeads*bucketCount/len(m.table.sorted))
+	for bits.OnesCount64(differing) > limit {
+		differing &^= 1 << m.random.IntN(bucketCount)
+	}
+	return differing
+}
+
+// numberBuckets returns the buckets of which ticket numbers are compared. While records differ, the numbers do mostly
+// because of these; those of 670 nodes take 2.7 kB.
+func numberBuckets(differing uint64) uint64 {
+	if differing == 0 {
+		return allBuckets
 	}
-	return rumours
+	return differing
 }
 
 // finishSync takes over what the other node holds and exchanges the records that differ.
@@ -190,9 +216,7 @@
 		m.apply(&r.Rumours[i], msg.Address, false)
 	}
 	if !m.joined {
-		m.joined = true
-		m.spread(m.self, true, false)
-		m.syncs.next = m.now.Add(m.jitter(busySyncInterval))
+		m.takePart(r)
 	}
 	m.applyNumbers(r.Numbers)
 	if peer, ok := m.nodeOf(r.From); ok {
@@ -200,7 +224,7 @@
 	}
 	request := m.difference(r)
 	if len(r.Numbers) > 0 {
-		request.Numbers = m.allNumbers()
+		request.Numbers = m.numbersIn(numberBuckets(r.Differing))
 	}
 	if len(request.Rumours)+len(request.Want)+len(request.Numbers) > 0 {
 		m.countMoved(&request)
@@ -216,7 +240,10 @@
 	}
 }
 
-func (m *Module) isBusy() bool { return m.syncs.moved >= busyRecords }
+// isBusy reports whether much differs, or did before and something still does.
+func (m *Module) isBusy() bool {
+	return m.syncs.moved >= busyRecords || (m.syncs.busy && m.syncs.moved > 0)
+}
 
 // countMoved counts the records of a synchronisation that were not counted lately.
 func (m *Module) countMoved(request *FetchRequest) {
