bench: measure overload with real processes

`bench overload-fleet` starts nodes, targets and the platform stand-in, sends reads at random times at 0.5 to 4 times the announced capacity, lets the load fall back to half of it after each step, and compares every answer with the records of the targets. Two further rows at twice the capacity: one target states more slots than it can serve (new fault slow-above of the stand-in), and one target stalls.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -17,6 +17,8 @@
 	Overhead  overheadCmd  `cmd:"" help:"Compare requests through the fleet with requests to the target."`
 	Soak      soakCmd      `cmd:"" help:"Run a fleet of processes under random faults and check every invariant."`
 	Overload  overloadCmd  `cmd:"" help:"Measure goodput, retries and the cost of a refusal at twice the capacity."`
+	// OverloadFleet is separate from Overload, which runs in simulated time.
+	OverloadFleet overloadFleetCmd `cmd:"" help:"Measure a fleet of processes under loads from half to four times the capacity."`
 }
 
 func main() {
--- a/cmd/standin/target_serve.go
+++ b/cmd/standin/target_serve.go
@@ -99,6 +99,9 @@
 	if f.SlowFactor > 0 {
 		d = time.Duration(float64(d) * f.SlowFactor)
 	}
+	if f.SlowAbove > 0 && t.records.inFlight.Load() > f.SlowAbove {
+		d *= 2
+	}
 	if d <= 0 {
 		return true
 	}
--- a/internal/load/control.go
+++ b/internal/load/control.go
@@ -21,6 +21,9 @@
 	StallProbes bool `json:"stall-probes"`
 	// SlowFactor multiplies the service time.
 	SlowFactor float64 `json:"slow-factor"`
+	// SlowAbove doubles the service time of a request that begins while more than this number are in flight, itself
+	// included; zero means never.
+	SlowAbove int64 `json:"slow-above"`
 	// ErrorRatio is the share of requests that are answered with 500.
 	ErrorRatio float64 `json:"error-ratio"`
 	// ResetRatio is the share of requests whose connection is reset after the work.
--- /dev/null
+++ b/internal/load/step.go
@@ -0,0 +1,183 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/auburnwinch/auburnwinch/internal/edge"
+	"github.com/auburnwinch/auburnwinch/internal/procs"
+	"github.com/auburnwinch/auburnwinch/internal/relay"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// calmFactor is the load, relative to the capacity, to which the load falls back after a step.
+const calmFactor = 0.5
+
+// Step is a load relative to the capacity of a service, after which the load falls back to half of the capacity.
+type Step struct {
+	// Open is the load; its rate is set by Factor.
+	Open   OpenConfig
+	Factor float64
+	// Capacity in requests per second; zero takes that of the announced slots.
+	Capacity float64
+	Duration time.Duration
+	// Warm is the start of the step that is not counted.
+	Warm time.Duration
+	// Calm is the time of the lower load.
+	Calm time.Duration
+	// Disturb is called when Warm is over, Heal when the load falls back; each may be nil.
+	Disturb, Heal func(context.Context) error
+}
+
+// StepReport is what one step showed.
+type StepReport struct {
+	OpenReport
+	Step Step
+	// Offered is the number of requests per second that were sent.
+	Offered float64
+	// Firsts and Retries count the attempts of all edges during the step.
+	Firsts, Retries uint64
+	// Limit is the sum of the limits of the targets at the end of the step, Slots that of the announced slots.
+	Limit, Slots int
+	// Recovery is the time after the fall of the load until every request is done in time.
+	Recovery time.Duration
+	// Calmed sums up the lower load.
+	Calmed OpenReport
+	// Untrue are requests whose answer does not agree with the records of the targets.
+	Untrue []string
+}
+
+// edgeDump and agentDump are the parts of the state dump that a step needs.
+type edgeDump struct {
+	Edge edge.State `json:"edge"`
+}
+
+type agentDump struct {
+	Agent struct {
+		Targets []struct {
+			Target struct {
+				Ref   model.TargetRef
+				Slots int
+			} `json:"target"`
+			Load relay.Load `json:"load"`
+		} `json:"targets"`
+	} `json:"agent"`
+}
+
+// stepRun is a step that runs.
+type stepRun struct {
+	Step
+	fleet *procs.Fleet
+	begun time.Time
+	fell  time.Time
+	busy  []Arrival
+	calm  []Arrival
+}
+
+// RunStep runs the step and compares its answers with the records of the targets.
+func RunStep(ctx context.Context, s Step) (*StepReport, error) {
+	if s.Capacity == 0 {
+		s.Capacity = s.Open.Fleet.Plan.Capacity(s.Open.Service)
+	}
+	r := &stepRun{Step: s, fleet: s.Open.Fleet}
+	before, err := r.counters(ctx)
+	if err != nil {
+		return nil, err
+	}
+	report := &StepReport{Step: s}
+	if err := r.run(ctx, report); err != nil {
+		return nil, err
+	}
+	report.Firsts -= before.Requests
+	report.Retries -= before.Retries
+	runs, err := CollectRuns(ctx, r.fleet)
+	if err != nil {
+		return nil, err
+	}
+	r.conclude(report, runs)
+	return report, nil
+}
+
+// run sends both loads; the lower one begins while the last requests of the higher one are in flight.
+func (r *stepRun) run(ctx context.Context, report *StepReport) error {
+	busy, err := NewOpen(r.open("busy", r.Factor))
+	if err != nil {
+		return err
+	}
+	calm, err := NewOpen(r.open("calm", calmFactor))
+	if err != nil {
+		return err
+	}
+	var group conc.WaitGroup
+	defer group.Wait()
+	r.begun = time.Now()
+	group.Go(func() { r.busy = busy.Run(ctx, r.Duration) })
+	time.Sleep(r.Warm)
+	if r.Disturb != nil {
+		if err := r.Disturb(ctx); err != nil {
+			return err
+		}
+	}
+	time.Sleep(time.Until(r.begun.Add(r.Duration)))
+	r.fell = time.Now()
+	group.Go(func() { r.calm = calm.Run(ctx, r.Calm) })
+	if r.Heal != nil {
+		if err := r.Heal(ctx); err != nil {
+			return err
+		}
+	}
+	return r.readNodes(ctx, report)
+}
+
+func (r *stepRun) open(name string, factor float64) OpenConfig {
+	c := r.Open
+	c.Prefix = fmt.Sprintf("%s-%s", c.Prefix, name)
+	c.Rate = factor * r.Capacity
+	return c
+}
+
+func (r *stepRun) readNodes(ctx context.Context, report *StepReport) error {
+	counters, err := r.counters(ctx)
+	report.Firsts, report.Retries = counters.Requests, counters.Retries
+	if err != nil {
+		return err
+	}
+	for i := range r.fleet.Nodes {
+		var dump agentDump
+		if err := r.fleet.Admin(ctx, i, "/state?section=agent", &dump); err != nil {
+			return err
+		}
+		for _, t := range dump.Agent.Targets {
+			if t.Target.Ref.Service == r.Open.Service {
+				report.Limit += t.Load.Limit
+				report.Slots += t.Target.Slots
+			}
+		}
+	}
+	return nil
+}
+
+// counters returns the sums over all edges.
+func (r *stepRun) counters(ctx context.Context) (edge.Counters, error) {
+	var sum edge.Counters
+	for i := range r.fleet.Nodes {
+		var dump edgeDump
+		if err := r.fleet.Admin(ctx, i, "/state?section=edge", &dump); err != nil {
+			return sum, err
+		}
+		sum.Requests += dump.Edge.Counters.Requests
+		sum.Retries += dump.Edge.Counters.Retries
+	}
+	return sum, nil
+}
+
+func (r *stepRun) conclude(report *StepReport, runs []Run) {
+	report.OpenReport = ReportOpen(r.Open, r.busy, r.begun.Add(r.Warm), r.fell)
+	report.Offered = float64(report.Sent) / (r.Duration - r.Warm).Seconds()
+	report.Calmed = ReportOpen(r.Open, r.calm, r.fell, r.fell.Add(r.Calm))
+	report.Recovery = max(0, LastFailure(r.calm, r.Open.Deadline).Sub(r.fell))
+	report.Untrue = append(Untrue(r.busy, runs), Untrue(r.calm, runs)...)
+}
--- a/internal/procs/fleet.go
+++ b/internal/procs/fleet.go
@@ -196,7 +196,7 @@
 		p, err := startProcess(t.ID, f.Plan.Directory, f.program("standin"), "target",
 			"--node", f.Plan.Nodes[t.Node].Settings.Listeners.Local, "--service", t.Service, "--id", t.ID,
 			"--listen", t.Address, "--control", t.Control, "--records", t.Records, "--slots", strconv.Itoa(t.Slots),
-			"--service-time", f.Plan.ServiceTime.String())
+			"--service-time", f.Plan.ServiceTime.String(), "--spread", strconv.FormatFloat(serviceSpread, 'g', -1, 64))
 		if err != nil {
 			return err
 		}
--- a/internal/procs/plan.go
+++ b/internal/procs/plan.go
@@ -51,6 +51,8 @@
 	TargetsPerService int
 	// ServiceTime is the median time of work of a target; default 5 ms.
 	ServiceTime time.Duration
+	// Services restricts the targets to these services; none means all.
+	Services []string
 	// TLS makes keys and certificates for mutual TLS between the nodes.
 	TLS bool
 	// LogLevel of the nodes; default info.
@@ -178,6 +180,9 @@
 func (p *Plan) planTargets() {
 	perNode := make([]int, len(p.Nodes))
 	for s, spec := range p.Ticket.Services {
+		if len(p.Services) > 0 && !slices.Contains(p.Services, spec.Name) {
+			continue
+		}
 		for i := range p.TargetsPerService {
 			node := (i + s) % len(p.Nodes)
 			id := fmt.Sprintf("%s-%02d", spec.Name, i+1)
