limit: use every slot while requests wait

Cause: a request that only passed through the queue counted as contention for one second. A modest account was therefore always noted, since its requests found the greedy account's in the queue. The greedy account was then held to account-share, half of the slots, while the modest ones needed a tenth: a third of the slots stayed free with a full queue beside them, even at half of the capacity.

Now an account binds the others to their share only when it is refused below its own share. To make that rare, a full queue gives a place of an account above its share to one below it, the expected wait knows the turns of the accounts, and accounts below their share start first. A deadline that no slot could meet is no contention.

Ruled out: late answers of the machine (served median was below two service times), the learned limit (84 of 84 slots), the choice of targets (retries below 1%), refusals near the deadline (median 1 ms).

The four new tests failed before.

--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -165,6 +165,54 @@
 	require.Len(t, s.running, 6)
 }
 
+// Guards against slots that stay free while only requests of an account above its share wait for them.
+func TestNoSlotIsIdleWhileRequestsWait(t *testing.T) {
+	s := newShell(Settings{Slots: 4, Places: 4, Wait: time.Second, AccountShare: 0.5})
+	for range 6 {
+		s.acquire("greedy", 0)
+	}
+	modest := s.acquire("modest", 0)
+	for range 3 {
+		s.release(first(s.running))
+		require.Len(t, s.running, 4, "%d requests wait", len(s.waiting))
+	}
+	require.Contains(t, s.running, modest)
+}
+
+// Guards against an account that keeps others out by filling all places of the queue.
+func TestFullQueueAdmitsAccountBelowItsShare(t *testing.T) {
+	s := newShell(Settings{Slots: 4, Places: 4, Wait: time.Second, AccountShare: 0.5})
+	for range 8 {
+		s.acquire("greedy", 0)
+	}
+	modest := s.acquire("modest", 0)
+	require.Contains(t, s.waiting, modest)
+	require.Equal(t, ReasonShare, s.refused[8].Reason, "the latest request of the greedy account gives way")
+	s.release(first(s.running))
+	require.Contains(t, s.running, modest)
+}
+
+// Guards against a refusal for want of time where the requests ahead are of an account whose turn comes later.
+func TestExpectedWaitKnowsTheTurns(t *testing.T) {
+	s := newShell(Settings{Slots: 2, Places: 2, Wait: 120 * time.Millisecond, AccountShare: 0.5})
+	for range 4 {
+		s.acquire("greedy", 0)
+	}
+	require.Contains(t, s.waiting, s.acquire("modest", 250*time.Millisecond))
+}
+
+// Guards against a share that binds because another account asks for less time than any request takes.
+func TestImpossibleDeadlineIsNoContention(t *testing.T) {
+	s := newShell(Settings{Slots: 4, Places: 4, Wait: time.Second, AccountShare: 0.5})
+	for range 5 {
+		s.acquire("greedy", 0)
+	}
+	id := s.acquire("hasty", time.Millisecond)
+	require.Equal(t, ReasonDeadline, s.refused[id].Reason)
+	s.release(first(s.running))
+	require.Len(t, s.running, 4)
+}
+
 // Guards against an account that takes each slot it frees while another account is refused for want of slots.
 func TestShareWithoutQueue(t *testing.T) {
 	s := newShell(Settings{Slots: 4, AccountShare: 0.5})
--- a/internal/limit/module.go
+++ b/internal/limit/module.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// contentionMemory is how long a refused or queued request of one account limits the others to their share.
+	// contentionMemory is how long the refusal of an account below its share limits the others to theirs.
 	contentionMemory = time.Second
 	// usualDuration stands for the duration of requests until the first one has ended.
 	usualDuration = 100 * time.Millisecond
@@ -25,7 +25,7 @@
 	running  map[uint64]running
 	queue    queue
 	accounts map[string]*account
-	// denied holds the two latest accounts that had to wait or were refused, the latest first.
+	// denied holds the two latest accounts that were refused below their share, the latest first.
 	denied [2]denial
 	mean   time.Duration
 }
@@ -66,7 +66,7 @@
 	case SettingsMsg:
 		m.configure(msg.Settings)
 	case AcquireMsg:
-		cmds = append(cmds, m.acquire(msg))
+		cmds = append(cmds, m.acquire(msg)...)
 	case ReleaseMsg:
 		m.release(msg)
 	case CancelMsg:
@@ -82,7 +82,7 @@
 	m.learner.resize(m.settings.Slots)
 }
 
-func (m *Module) acquire(msg AcquireMsg) Cmd {
+func (m *Module) acquire(msg AcquireMsg) []Cmd {
 	a := m.accounts[msg.Account]
 	if a == nil {
 		a = &account{name: msg.Account}
@@ -90,50 +90,99 @@
 	}
 	defer m.forget(a)
 	if !msg.Deadline.IsZero() && !msg.Deadline.After(m.now) {
-		return m.refuse(msg.ID, ReasonDeadline)
+		return []Cmd{m.refuse(msg.ID, ReasonDeadline)}
 	}
 	if m.free() > 0 && m.queue.len() == 0 && m.mayRun(a) {
-		return m.grant(msg.ID, a)
+		return []Cmd{m.grant(msg.ID, a)}
 	}
 	return m.enqueue(msg, a)
 }
 
 // enqueue queues the request or refuses it at once if it has no place or would not be done in time.
-func (m *Module) enqueue(msg AcquireMsg, a *account) Cmd {
+func (m *Module) enqueue(msg AcquireMsg, a *account) []Cmd {
+	reason, expires := m.admitToQueue(msg, a)
+	if reason != 0 {
+		if reason != ReasonDeadline || !m.now.Add(m.mean).After(msg.Deadline) {
+			m.deny(a)
+		}
+		return []Cmd{m.refuse(msg.ID, reason)}
+	}
+	cmds := m.makePlace(a)
+	m.queue.push(&waiter{id: msg.ID, account: a, expires: expires})
+	invar.Check(m.queue.len() <= m.settings.Places, "limit", "%d requests wait in %d places", m.queue.len(),
+		m.settings.Places)
+	return append(cmds, WaitCmd{ID: msg.ID, Until: expires})
+}
+
+// admitToQueue returns the reason against a place in the queue, or until when the request may wait.
+func (m *Module) admitToQueue(msg AcquireMsg, a *account) (reason Reason, expires time.Time) {
 	places := m.settings.Places
-	overShare := m.contended(a) && len(a.waiters) >= m.settings.shareOf(places)
-	m.deny(a)
-	if places == 0 && !m.mayRun(a) || places > 0 && overShare {
-		return m.refuse(msg.ID, ReasonShare)
+	wait := m.expectedWait(m.ahead(a))
+	expires = m.now.Add(m.settings.Wait)
+	latest := expires
+	if !msg.Deadline.IsZero() {
+		latest = msg.Deadline.Add(-m.mean)
 	}
-	if m.queue.len() >= places {
-		return m.refuse(msg.ID, ReasonFull)
+	switch {
+	case places == 0 && !m.mayRun(a), places > 0 && m.contended(a) && len(a.waiters) >= m.settings.shareOf(places):
+		return ReasonShare, expires
+	case m.queue.len() > places, m.queue.len() == places && m.displaced(a) == nil:
+		return ReasonFull, expires
+	case m.now.Add(wait).After(latest) && latest.Before(expires):
+		return ReasonDeadline, expires
+	case wait > m.settings.Wait:
+		return ReasonFull, expires
+	case latest.Before(expires):
+		return 0, latest
+	default:
+		return 0, expires
 	}
-	expires := m.now.Add(m.settings.Wait)
-	if !msg.Deadline.IsZero() {
-		latest := msg.Deadline.Add(-m.mean)
-		if m.now.Add(m.expectedWait()).After(latest) {
-			return m.refuse(msg.ID, ReasonDeadline)
-		}
-		if latest.Before(expires) {
-			expires = latest
+}
+
+// displaced returns the account that gives a place of the full queue to an account below its share, or nil.
+func (m *Module) displaced(a *account) *account {
+	share := m.settings.shareOf(m.settings.Places)
+	if len(a.waiters) >= share {
+		return nil
+	}
+	for _, other := range m.queue.ring {
+		if len(other.waiters) > share && len(other.waiters) > len(a.waiters)+1 {
+			return other
 		}
 	}
-	if m.expectedWait() > m.settings.Wait {
-		return m.refuse(msg.ID, ReasonFull)
+	return nil
+}
+
+// makePlace refuses the latest request of the displaced account when the queue is full.
+func (m *Module) makePlace(a *account) []Cmd {
+	if m.queue.len() < m.settings.Places {
+		return nil
+	}
+	other := m.displaced(a)
+	last := other.waiters[len(other.waiters)-1]
+	m.queue.remove(last.id)
+	return []Cmd{m.refuse(last.id, ReasonShare)}
+}
+
+// ahead is the number of waiters that start before the next one of the account, by the turns of the accounts.
+func (m *Module) ahead(a *account) int {
+	turn := len(a.waiters) + 1
+	count := len(a.waiters)
+	for _, other := range m.queue.ring {
+		if other != a {
+			count += min(turn, len(other.waiters))
+		}
 	}
-	m.queue.push(&waiter{id: msg.ID, account: a, expires: expires})
-	invar.Check(m.queue.len() <= places, "limit", "%d requests wait in %d places", m.queue.len(), places)
-	return WaitCmd{ID: msg.ID, Until: expires}
+	return count
 }
 
-// expectedWait estimates when one more waiter would start.
-func (m *Module) expectedWait() time.Duration {
-	return m.mean * time.Duration(m.queue.len()+1) / time.Duration(m.learner.value())
+// expectedWait estimates when a request with so many waiters ahead would start.
+func (m *Module) expectedWait(ahead int) time.Duration {
+	return m.mean * time.Duration(ahead+1) / time.Duration(m.learner.value())
 }
 
 func (m *Module) refuse(id uint64, reason Reason) Cmd {
-	after := min(retryMax, max(retryMin, m.expectedWait()))
+	after := min(retryMax, max(retryMin, m.expectedWait(m.queue.len())))
 	if reason == ReasonShare {
 		after = max(after, contentionMemory)
 	}
@@ -162,11 +211,14 @@
 	}
 }
 
-// dispatch starts waiting requests in the free slots.
+// dispatch starts waiting requests in the free slots, those of accounts below their share first.
 func (m *Module) dispatch() []Cmd {
 	var cmds []Cmd
 	for m.free() > 0 && m.queue.len() > 0 {
-		w := m.queue.next(m.mayRun)
+		w := m.queue.next(m.belowShare)
+		if w == nil {
+			w = m.queue.next(m.mayRun)
+		}
 		if w == nil {
 			break
 		}
@@ -190,9 +242,13 @@
 	return m.learner.value() - len(m.running)
 }
 
-// mayRun reports whether the account is below its share, or no other account wants the slots.
+// mayRun reports whether the account is below its share, or no other account was refused for want of slots.
 func (m *Module) mayRun(a *account) bool {
-	return !m.contended(a) || a.inFlight < m.settings.shareOf(m.learner.value())
+	return !m.contended(a) || m.belowShare(a)
+}
+
+func (m *Module) belowShare(a *account) bool {
+	return a.inFlight < m.settings.shareOf(m.learner.value())
 }
 
 func (m *Module) contended(a *account) bool {
@@ -204,7 +260,11 @@
 	return false
 }
 
+// deny notes a refusal of an account below its share, for which the other accounts give way.
 func (m *Module) deny(a *account) {
+	if !m.belowShare(a) {
+		return
+	}
 	if m.denied[0].account != a.name {
 		m.denied[1] = m.denied[0]
 	}
