limit: keep modest accounts served in small queues

Cause: with 3 slots and a share of one half, an account may hold one slot. A modest account with one request in flight was no longer below its share, so the greedy account's requests kept its second one out of the full queue. Its refusal then held the greedy account to one of three slots for a second, where its waiting requests ran into the bound of their wait, and the expected wait of the modest one counted requests that start after it.

Now the full queue gives a place of an account at its share to any account that holds at least two less, the expected wait counts the requests that come first, and contention keeps one slot free instead of all above the share. Without a queue the share binds as before.

Ruled out: the learned limit (36 of 36 slots), answers after the deadline (none).

At four times the capacity the modest accounts ask for 40% of it, and one slot as a share is too coarse to serve them all.

--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -192,6 +192,44 @@
 	require.Contains(t, s.running, modest)
 }
 
+// Guards against an account that is refused because others have the last places, while one of them holds the slots.
+func TestMixedQueueAdmitsAccountBelowItsShare(t *testing.T) {
+	s := newShell(Settings{Slots: 3, Places: 3, Wait: time.Second, AccountShare: 0.5})
+	for range 4 {
+		s.acquire("greedy", 0)
+	}
+	s.acquire("modest-1", 0)
+	s.acquire("modest-2", 0)
+	require.Contains(t, s.waiting, s.acquire("modest-3", 0))
+	require.Contains(t, s.refused, uint64(4), "the greedy account gives way")
+	s = newShell(Settings{Slots: 3, Places: 3, Wait: time.Second, AccountShare: 0.5})
+	s.acquire("modest", 0)
+	for range 5 {
+		s.acquire("greedy", 0)
+	}
+	require.Contains(t, s.waiting, s.acquire("modest", 0), "a share of one slot does not keep the second request out")
+}
+
+// Guards against half of the slots that stay free after one refusal, while requests wait until they are refused.
+func TestContentionKeepsOneSlot(t *testing.T) {
+	s := newShell(Settings{Slots: 6, Places: 2, Wait: time.Second, AccountShare: 0.5})
+	for range 7 {
+		s.acquire("greedy", 0)
+	}
+	s.acquire("modest", 0)
+	s.acquire("modest", 0)
+	id := s.acquire("modest", 0)
+	require.Equal(t, ReasonFull, s.refused[id].Reason)
+	for range 6 {
+		s.release(first(s.running))
+	}
+	for range 6 {
+		s.acquire("greedy", 0)
+	}
+	require.Len(t, s.running, 5)
+	require.Contains(t, s.running, s.acquire("modest", 0))
+}
+
 // Guards against a refusal for want of time where the requests ahead are of an account whose turn comes later.
 func TestExpectedWaitKnowsTheTurns(t *testing.T) {
 	s := newShell(Settings{Slots: 2, Places: 2, Wait: 120 * time.Millisecond, AccountShare: 0.5})
@@ -199,6 +237,13 @@
 		s.acquire("greedy", 0)
 	}
 	require.Contains(t, s.waiting, s.acquire("modest", 250*time.Millisecond))
+	s = newShell(Settings{Slots: 3, Places: 3, Wait: 110 * time.Millisecond, AccountShare: 0.5})
+	for range 4 {
+		s.acquire("greedy", 0)
+	}
+	s.acquire("modest-1", 0)
+	s.acquire("modest-2", 0)
+	require.Contains(t, s.waiting, s.acquire("modest-3", 0))
 }
 
 // Guards against a share that binds because another account asks for less time than any request takes.
--- a/internal/limit/module.go
+++ b/internal/limit/module.go
@@ -13,8 +13,10 @@
 	usualDuration = 100 * time.Millisecond
 	// durationGain is the share of a new sample in the mean duration.
 	durationGain = 1.0 / 32
-	retryMin     = 10 * time.Millisecond
-	retryMax     = 30 * time.Second
+	// reservedSlots stay free under contention.
+	reservedSlots = 1
+	retryMin      = 10 * time.Millisecond
+	retryMax      = 30 * time.Second
 )
 
 // Module is the deterministic part of the admission to one target. It is not safe for concurrent use.
@@ -124,9 +126,10 @@
 		latest = msg.Deadline.Add(-m.mean)
 	}
 	switch {
-	case places == 0 && !m.mayRun(a), places > 0 && m.contended(a) && len(a.waiters) >= m.settings.shareOf(places):
-		return ReasonShare, expires
 	case m.queue.len() > places, m.queue.len() == places && m.displaced(a) == nil:
+		if !m.mayRun(a) {
+			return ReasonShare, expires
+		}
 		return ReasonFull, expires
 	case m.now.Add(wait).After(latest) && latest.Before(expires):
 		return ReasonDeadline, expires
@@ -139,18 +142,18 @@
 	}
 }
 
-// displaced returns the account that gives a place of the full queue to an account below its share, or nil.
+// displaced returns the account that gives a place of the full queue to an account that holds less, or nil.
 func (m *Module) displaced(a *account) *account {
-	share := m.settings.shareOf(m.settings.Places)
-	if len(a.waiters) >= share {
+	if m.settings.AccountShare >= 1 {
 		return nil
 	}
+	var most *account
 	for _, other := range m.queue.ring {
-		if len(other.waiters) > share && len(other.waiters) > len(a.waiters)+1 {
-			return other
+		if !m.belowShare(other) && other.held() > a.held()+1 && (most == nil || other.held() > most.held()) {
+			most = other
 		}
 	}
-	return nil
+	return most
 }
 
 // makePlace refuses the latest request of the displaced account when the queue is full.
@@ -164,13 +167,18 @@
 	return []Cmd{m.refuse(last.id, ReasonShare)}
 }
 
-// ahead is the number of waiters that start before the next one of the account, by the turns of the accounts.
+// ahead is the number of waiters that start before the next one of the account. Those of accounts below their share
+// come first; otherwise the accounts have turns.
 func (m *Module) ahead(a *account) int {
-	turn := len(a.waiters) + 1
+	first := m.belowShare(a)
 	count := len(a.waiters)
 	for _, other := range m.queue.ring {
-		if other != a {
-			count += min(turn, len(other.waiters))
+		switch {
+		case other == a, first && !m.belowShare(other):
+		case !first && m.belowShare(other):
+			count += len(other.waiters)
+		default:
+			count += min(len(a.waiters)+1, len(other.waiters))
 		}
 	}
 	return count
@@ -242,9 +250,13 @@
 	return m.learner.value() - len(m.running)
 }
 
-// mayRun reports whether the account is below its share, or no other account was refused for want of slots.
+// mayRun reports whether the account is below its share, or no other account needs the slots. With a queue, one free
+// slot is enough for an account that was refused below its share: its next requests wait and come first.
 func (m *Module) mayRun(a *account) bool {
-	return !m.contended(a) || m.belowShare(a)
+	if !m.contended(a) || m.belowShare(a) {
+		return true
+	}
+	return m.settings.Places > 0 && m.free() > reservedSlots
 }
 
 func (m *Module) belowShare(a *account) bool {
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -16,6 +16,9 @@
 	waiters  []*waiter
 }
 
+// held is the number of slots and places that the account uses.
+func (a *account) held() int { return a.inFlight + len(a.waiters) }
+
 // queue serves the waiting accounts round robin, and the requests of one account in order of arrival.
 type queue struct {
 	ring []*account
--- a/internal/load/open.go
+++ b/internal/load/open.go
@@ -57,6 +57,8 @@
 	Status   int
 	// RetryAfter is negative when the answer has no such header.
 	RetryAfter time.Duration
+	// Reason is that of an answer of the fleet itself.
+	Reason string
 	// Fault tells why the answer was not whole or belonged to another request.
 	Fault string
 }
@@ -157,7 +159,13 @@
 	if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil {
 		a.RetryAfter = time.Duration(seconds) * time.Second
 	}
-	if a.Outcome != model.OutcomeDone || a.Status >= http.StatusInternalServerError {
+	if a.Outcome != model.OutcomeDone {
+		var own model.Answer
+		err := json.Unmarshal(body, &own)
+		a.Reason = own.Reason
+		return eris.Wrap(err, "read the refusal")
+	}
+	if a.Status >= http.StatusInternalServerError {
 		return nil
 	}
 	var own answer
