edge: spread the returns of refused callers

Cause: every refusal carried `Retry-After: 1`, so callers that were refused in one moment were told to return in one moment. Refusals now draw 1, 2 or 3 s.

--- a/internal/edge/refuse.go
+++ b/internal/edge/refuse.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -8,8 +9,13 @@
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
-// retrySoon is the smallest value that Retry-After can express.
-const retrySoon = time.Second
+const (
+	// retrySoon is the smallest value that Retry-After can express.
+	retrySoon = time.Second
+	// retrySpread is the number of whole seconds among which refusals draw their Retry-After. With one value for all,
+	// callers that were refused in one moment return in one moment.
+	retrySpread = 3
+)
 
 const (
 	remedyLater   = "send the request again after the time in Retry-After"
@@ -21,11 +27,15 @@
 func notRun(status int, reason, remedy string) relay.Refusal {
 	r := relay.Refusal{Status: status, Answer: model.Answer{Outcome: model.OutcomeNotRun, Reason: reason, Remedy: remedy}}
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
-		r.RetryAfter = retrySoon
+		r.RetryAfter = spreadRetry()
 	}
 	return r
 }
 
+func spreadRetry() time.Duration {
+	return retrySoon + time.Duration(rand.IntN(retrySpread))*time.Second
+}
+
 func unknown(status int, reason, remedy string) relay.Refusal {
 	return relay.Refusal{
 		Status: status, Answer: model.Answer{Outcome: model.OutcomeUnknown, Reason: reason, Remedy: remedy},
