client: spread resends and bound them by a budget

Cause: the library waited exactly as long as Retry-After said, so clients that were refused together returned together, and it resent every request up to MaxSends times, which multiplies an overload by five. A wait now grows by up to half of it at random and is never shorter than Retry-After. Resends take from a budget of one in ten requests (internal/retry, with 10 advanced to a new client, Config.Reserve). Sends that wait for the answer of a request that still runs (409) are free, since they give the targets no work.

Before: waits of 2 s had no spread, and 200 requests that were all refused, or all broken off, were sent again 200 times with MaxSends 2; now at most 20 times. Both tests failed before.

--- a/pkg/client/attempt.go
+++ b/pkg/client/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -24,6 +25,8 @@
 	response *Response
 	failure  *Error
 	wait     time.Duration
+	// free tells that a resend only waits for the answer of a request that runs.
+	free bool
 }
 
 func (a *attempt) run(ctx context.Context) (*Response, error) {
@@ -39,6 +42,9 @@
 		case a.sends >= a.client.config.MaxSends:
 			v.failure.Err = errors.Join(v.failure.Err, errGivenUp)
 			return nil, v.failure
+		case !v.free && !a.client.budget.Spend():
+			v.failure.Err = errors.Join(v.failure.Err, errBudget)
+			return nil, v.failure
 		}
 		if err := wait(ctx, v.wait); err != nil {
 			v.failure.Err = errors.Join(v.failure.Err, err)
@@ -55,23 +61,34 @@
 	case err != nil:
 		a.unanswered = true
 		a.client.nextEdge()
-		return verdict{failure: a.failure(model.OutcomeUnknown, r, err), wait: backoff << min(a.sends-1, maxShift)}
+		return verdict{failure: a.failure(model.OutcomeUnknown, r, err), wait: spread(backoff << min(a.sends-1, maxShift))}
 	}
 	switch outcome := model.Outcome(r.Header.Get(model.HeaderOutcome)); outcome {
 	case model.OutcomeDone:
 		r.Sends = a.sends
 		return verdict{response: r}
 	case model.OutcomeNotRun, model.OutcomeUnknown:
-		return verdict{failure: a.failure(outcome, r, nil), wait: a.retryAfter(r.Header)}
+		return verdict{
+			failure: a.failure(outcome, r, nil), wait: a.retryAfter(r.Header), free: r.Status == http.StatusConflict,
+		}
 	default:
 		// An answer without an outcome is not from the fleet, for instance from a gateway before it.
 		a.unanswered = true
-		return verdict{failure: a.failure(model.OutcomeUnknown, r, nil), wait: backoff << min(a.sends-1, maxShift)}
+		return verdict{failure: a.failure(model.OutcomeUnknown, r, nil), wait: spread(backoff << min(a.sends-1, maxShift))}
 	}
 }
 
-// maxShift bounds the doubling of the backoff, to 12.8 s.
-const maxShift = 6
+const (
+	// maxShift bounds the doubling of the backoff, to 12.8 s before it is spread.
+	maxShift = 6
+	// spreadShare is the part of a wait by which it may grow at random, so that clients which failed together do not
+	// return together. A wait never shrinks: Retry-After is the earliest time.
+	spreadShare = 2
+)
+
+func spread(d time.Duration) time.Duration {
+	return d + rand.N(d/spreadShare+1)
+}
 
 func (a *attempt) failure(o model.Outcome, r *Response, err error) *Error {
 	e := &Error{Outcome: o, Key: a.request.Key, Sends: a.sends, Err: err}
@@ -101,7 +118,7 @@
 	if d > a.client.config.MaxWait {
 		return 0
 	}
-	return max(d, backoff)
+	return spread(max(d, backoff))
 }
 
 // wait fails at once when the deadline would pass meanwhile.
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/auburnwinch/auburnwinch/internal/retry"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
@@ -21,6 +22,7 @@
 	defaultMaxSends = 5
 	defaultMaxWait  = 30 * time.Second
 	defaultMaxBody  = 16 << 20
+	defaultReserve  = 10
 	// backoff is the wait after a send without an answer; it doubles with every send.
 	backoff = 200 * time.Millisecond
 	// tokenAge is the age from which a token is replaced: it is good for new keys for five minutes, and resends must fit in.
@@ -38,6 +40,9 @@
 // errGivenUp is the cause when the client made Config.MaxSends sends.
 var errGivenUp = eris.New("client: Config.MaxSends sends did not bring an answer")
 
+// errBudget is the cause when the client may not resend more; see Config.Reserve.
+var errBudget = eris.New("client: too many requests were sent again; wait before you send more")
+
 // Config configures a client; only Edges is required.
 type Config struct {
 	// Edges are base URLs of nodes; a resend after a send without an answer goes to the next one.
@@ -50,6 +55,10 @@
 	MaxWait time.Duration
 	// MaxBody bounds the body of an answer in bytes.
 	MaxBody int64
+	// Reserve is the number of resends that a new client may make before its requests have earned any; default 10, none
+	// when negative. In the long run the client resends at most one in ten requests, so that callers do not multiply an
+	// overload. Waiting for a request that still runs is not counted, since it gives the targets no work.
+	Reserve int
 }
 
 // Request is a request that the client may send several times.
@@ -80,6 +89,7 @@
 	config Config
 	http   http.Client
 	mu     sync.Mutex
+	budget *retry.Budget
 	token  string
 	taken  time.Time
 	edge   int
@@ -102,7 +112,10 @@
 	if c.MaxBody == 0 {
 		c.MaxBody = defaultMaxBody
 	}
-	client := &Client{config: c, http: *c.HTTP}
+	if c.Reserve == 0 {
+		c.Reserve = defaultReserve
+	}
+	client := &Client{config: c, http: *c.HTTP, budget: retry.NewBudget(retry.Config{Reserve: c.Reserve})}
 	// A redirect is the answer of the target to this request; following it would be another request.
 	client.http.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return client, nil
@@ -118,6 +131,7 @@
 		}
 		r.Key = key
 	}
+	c.budget.Begin()
 	a := attempt{client: c, request: r, unanswered: resumed}
 	return a.run(ctx)
 }
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -134,6 +134,59 @@
 	require.Less(t, time.Since(start), 5*time.Second)
 }
 
+// Guards against clients that return together after one refusal, or earlier than Retry-After says.
+func TestWaitIsSpread(t *testing.T) {
+	c, err := New(Config{Edges: []string{"http://127.0.0.1"}})
+	require.NoError(t, err)
+	a := attempt{client: c}
+	lowest, highest := time.Hour, time.Duration(0)
+	for range 1000 {
+		d := a.retryAfter(http.Header{"Retry-After": {"2"}})
+		lowest, highest = min(lowest, d), max(highest, d)
+	}
+	require.GreaterOrEqual(t, lowest, 2*time.Second)
+	require.Less(t, lowest, 2100*time.Millisecond)
+	require.Greater(t, highest, 2900*time.Millisecond)
+	require.LessOrEqual(t, highest, 3*time.Second)
+}
+
+// Guards against resends that multiply the load of a fleet which refuses everything.
+func TestResendsStayWithinBudget(t *testing.T) {
+	for name, refusal := range map[string]http.HandlerFunc{
+		"refused": answer(model.OutcomeNotRun, 503, "0"), "no answer": breakOff(false),
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := &edge{script: []http.HandlerFunc{refusal}}
+			server := httptest.NewServer(e)
+			defer server.Close()
+			c, err := New(Config{Edges: []string{server.URL}, HTTP: server.Client(), MaxSends: 2})
+			require.NoError(t, err)
+			const requests = 200
+			var group sync.WaitGroup
+			for range requests {
+				group.Go(func() { _, _ = c.Do(t.Context(), Request{Method: http.MethodPost, Path: "/orders"}) })
+			}
+			group.Wait()
+			resends := len(e.sent()) - requests
+			require.LessOrEqual(t, resends, requests/10)
+			require.GreaterOrEqual(t, resends, requests/20, "the budget must permit resends")
+		})
+	}
+}
+
+// Guards against a budget that keeps callers from the answer of a request that still runs.
+func TestWaitingForAnswerIsFree(t *testing.T) {
+	running := answer(model.OutcomeUnknown, http.StatusConflict, "0")
+	e := &edge{script: []http.HandlerFunc{running, running, answer(model.OutcomeDone, 200, "")}}
+	server := httptest.NewServer(e)
+	defer server.Close()
+	c, err := New(Config{Edges: []string{server.URL}, Reserve: -1})
+	require.NoError(t, err)
+	r, err := c.Do(t.Context(), Request{Method: http.MethodPost, Path: "/"})
+	require.NoError(t, err)
+	require.Equal(t, 3, r.Sends)
+}
+
 // Guards against a request that is sent nowhere else when one edge is gone.
 func TestNextEdge(t *testing.T) {
 	gone := httptest.NewServer(http.NotFoundHandler())
