load: test overload of real processes at twice the capacity

A fixed run of 5 s with sleeping targets, in the tests of `make test`: slots in use, retries, Retry-After, time to refuse, fairness and the records of the targets. The bound on goodput is put as use of the slots, which does not fall when the machine wakes the targets late.

--- /dev/null
+++ b/internal/load/overload_test.go
@@ -0,0 +1,37 @@
+package load_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwinch/auburnwinch/internal/load"
+	"github.com/auburnwinch/auburnwinch/internal/procs"
+)
+
+// Guards against slots that stay free, retries beyond the budget, refusals without Retry-After or held until the
+// deadline, untrue answers and a starved account at twice the capacity. The use of the slots stands for the goodput,
+// because a busy machine lowers the latter.
+func TestOverloadOfProcesses(t *testing.T) {
+	const seed = 1
+	fleet := start(t, "instituto", procs.PlanConfig{ServiceTime: 200 * time.Millisecond, Services: []string{"courtview"}})
+	report, err := load.RunStep(t.Context(), load.Step{
+		Open: load.OpenConfig{
+			Fleet: fleet, Service: "courtview", Deadline: 2 * time.Second, Prefix: "overload", Seed: seed,
+			Accounts: []load.AccountLoad{{Name: "greedy", Weight: 18}, {Name: "modest-1", Weight: 1}, {Name: "modest-2", Weight: 1}},
+		},
+		Factor: 2, Duration: 4 * time.Second, Warm: time.Second, Calm: time.Second,
+	})
+	require.NoError(t, err)
+	t.Logf("seed %d: slots in use %.1f%%, goodput %.1f%% of capacity, %d of %d retried, refusals %s, fairness %.1f%%, limit %d of %d",
+		seed, 100*report.Busy, 100*report.Goodput/report.Step.Capacity, report.Retries, report.Firsts, report.Refusals,
+		100*report.Fairness(report.Goodput*3), report.Limit, report.Slots)
+	require.Greater(t, report.Busy, 0.9)
+	require.LessOrEqual(t, 10*report.Retries, max(report.Firsts, 10*3*uint64(len(fleet.Nodes))), "the budget or its reserve")
+	require.Positive(t, report.Refused)
+	require.Zero(t, report.Silent)
+	require.Less(t, report.Refusals.Median, time.Second)
+	require.Empty(t, report.Untrue)
+	require.Greater(t, report.Fairness(report.Goodput*3), 0.8)
+}
--- a/internal/load/step.go
+++ b/internal/load/step.go
@@ -16,6 +16,9 @@
 // calmFactor is the load, relative to the capacity, to which the load falls back after a step.
 const calmFactor = 0.5
 
+// busyInterval is the time between two readings of the slots in use.
+const busyInterval = 200 * time.Millisecond
+
 // Step is a load relative to the capacity of a service, after which the load falls back to half of the capacity.
 type Step struct {
 	// Open is the load; its rate is set by Factor.
@@ -42,6 +45,9 @@
 	Firsts, Retries uint64
 	// Limit is the sum of the limits of the targets at the end of the step, Slots that of the announced slots.
 	Limit, Slots int
+	// Busy is the average share of the announced slots in which a request ran. Unlike Goodput it does not fall when the
+	// machine is too busy to wake the targets in time.
+	Busy float64
 	// Recovery is the time after the fall of the load until every request is done in time.
 	Recovery time.Duration
 	// Calmed sums up the lower load.
@@ -62,11 +68,17 @@
 				Ref   model.TargetRef
 				Slots int
 			} `json:"target"`
-			Load relay.Load `json:"load"`
+			InFlight int        `json:"in-flight"`
+			Load     relay.Load `json:"load"`
 		} `json:"targets"`
 	} `json:"agent"`
 }
 
+// slotUse sums up targets: requests that run, learned limits and announced slots.
+type slotUse struct {
+	running, limit, slots int
+}
+
 // stepRun is a step that runs.
 type stepRun struct {
 	Step
@@ -121,7 +133,9 @@
 			return err
 		}
 	}
-	time.Sleep(time.Until(r.begun.Add(r.Duration)))
+	if report.Busy, err = r.sampleBusy(ctx); err != nil {
+		return err
+	}
 	r.fell = time.Now()
 	group.Go(func() { r.calm = calm.Run(ctx, r.Calm) })
 	if r.Heal != nil {
@@ -145,19 +159,42 @@
 	if err != nil {
 		return err
 	}
+	use, err := r.slots(ctx)
+	report.Limit, report.Slots = use.limit, use.slots
+	return err
+}
+
+// sampleBusy reads the use of the slots until the load falls.
+func (r *stepRun) sampleBusy(ctx context.Context) (float64, error) {
+	sum, samples := 0.0, 0
+	for end := r.begun.Add(r.Duration); time.Now().Before(end); time.Sleep(min(busyInterval, time.Until(end))) {
+		use, err := r.slots(ctx)
+		if err != nil {
+			return 0, err
+		}
+		sum += float64(use.running) / float64(max(1, use.slots))
+		samples++
+	}
+	return sum / float64(max(1, samples)), nil
+}
+
+// slots returns the sums over all targets of the service.
+func (r *stepRun) slots(ctx context.Context) (slotUse, error) {
+	var use slotUse
 	for i := range r.fleet.Nodes {
 		var dump agentDump
 		if err := r.fleet.Admin(ctx, i, "/state?section=agent", &dump); err != nil {
-			return err
+			return use, err
 		}
 		for _, t := range dump.Agent.Targets {
 			if t.Target.Ref.Service == r.Open.Service {
-				report.Limit += t.Load.Limit
-				report.Slots += t.Target.Slots
+				use.running += t.InFlight
+				use.limit += t.Load.Limit
+				use.slots += t.Target.Slots
 			}
 		}
 	}
-	return nil
+	return use, nil
 }
 
 // counters returns the sums over all edges.
