--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -18,6 +18,8 @@
 	Soak      soakCmd      `cmd:"" help:"Run a fleet of processes under random faults and check every invariant."`
 	Overload  overloadCmd  `cmd:"" help:"Measure goodput, retries and the cost of a refusal at twice the capacity."`
 	Node      nodeCmd      `cmd:"" help:"Measure one real node in a fleet of the design size."`
+	// OverloadFleet is separate from Overload, which runs in simulated time.
+	OverloadFleet overloadFleetCmd `cmd:"" help:"Measure a fleet of processes under loads from half to four times the capacity."`
 }
 
 func main() {
