eject: judge a claim of slowness by the pace of the others around it

The false ejections of a common slowness near the threshold come within 3 s after its end, at edges that know the usual pace of one or two near targets only.

The wait now holds only when the others ran slowly, or were not observed, in the 3 s before the claim; the end of a common slowness is recognized by it. Targets without a usable baseline are compared with the mean baseline of the class, so that an edge has enough samples. An edge's own sight of slowness is checked in the same way.

Ruled out: dropping the wait unless the others look slow since the claim.

--- a/internal/eject/cycle.go
+++ b/internal/eject/cycle.go
@@ -27,7 +27,9 @@
 	// stood is the time from the first symptom or claim to the latest ejection.
 	stood time.Duration
 	// claimCommon tells that the claim of slowness stood while slowness was widespread.
-	claimCommon  bool
+	claimCommon bool
+	// claimDoubted tells that the others looked slowed down too while the claim of slowness stood.
+	claimDoubted bool
 	phaseSince   time.Time
 	phaseEnds    time.Time
 	evidenceFrom time.Time
--- a/internal/eject/decide.go
+++ b/internal/eject/decide.go
@@ -80,6 +80,12 @@
 	if m.config.Observer == ObserverAgent {
 		return m.after(t.pending, t.pendingSince, s.thresholds.Settle)
 	}
+	if t.pending == model.SeveritySlow {
+		if before, after := s.paceAround(t, t.pendingSince, m.now); before == opinionIll || after == opinionIll {
+			t.pendingSince = m.now
+			return 0
+		}
+	}
 	severity, ill := m.confirmed(s, t, t.pending, t.pendingClass, t.pendingSince)
 	if ill {
 		t.pendingSince = m.now
@@ -95,20 +101,7 @@
 	if t.claimCommon {
 		return 0
 	}
-	if t.claim == model.SeveritySlow {
-		since := t.claimSince
-		if oldest := m.now.Add(-evidenceMaxAge); since.Before(oldest) {
-			since = oldest
-		}
-		switch s.askPace(t, s.mainClass(), since) {
-		case opinionIll:
-			t.claimSince = m.now
-			return 0
-		case opinionNone:
-			return 0
-		}
-	}
-	if t.claim == model.SeveritySlow && m.now.Sub(t.claimSince) < max(claimSpread, 2*s.thresholds.Alone) {
+	if t.claim == model.SeveritySlow && !m.paceStood(s, t) {
 		return 0
 	}
 	severity, ill := m.confirmed(s, t, t.claim, "", t.claimSince)
@@ -118,6 +111,22 @@
 	return severity
 }
 
+// paceStood reports whether the other targets ran at their usual pace around the claim of slowness. If that is not known
+// of the time before it, or was not the case, the claim must stand as long as agents need to withdraw theirs after the end
+// of a common slowness.
+func (m *Module) paceStood(s *service, t *target) bool {
+	before, after := s.paceAround(t, t.claimSince, m.now)
+	if before == opinionIll || after == opinionIll {
+		t.claimSince, t.claimDoubted = m.now, true
+		return false
+	}
+	doubted := t.claimDoubted || before == opinionNone
+	if doubted && m.now.Sub(t.claimSince) < max(claimSpread, 2*s.thresholds.Alone) {
+		return false
+	}
+	return after == opinionWell
+}
+
 // confirmed waits shortly when the other targets work, longer when they are not observed, and for ever when they are
 // affected too; ill reports that case. Crashes need no confirmation.
 func (m *Module) confirmed(
--- a/internal/eject/evidence.go
+++ b/internal/eject/evidence.go
@@ -214,6 +214,12 @@
 	return list
 }
 
+// between returns the durations of the samples that ended from one moment up to another.
+func (c *classEvidence) between(from, to time.Time) []time.Duration {
+	list := c.since(from, nil)
+	return list[min(len(list), len(c.since(to, nil))):]
+}
+
 func middle(list []time.Duration) time.Duration {
 	slices.Sort(list)
 	return list[len(list)/2]
--- a/internal/eject/judge.go
+++ b/internal/eject/judge.go
@@ -242,18 +242,37 @@
 	}
 }
 
-// askPace tells whether the other targets run as fast as in their own past. A claim of slowness needs it: when a common
-// slowness lies near the threshold, only some agents claim it, and their claims look like single faults. One other
-// target is enough: an edge without many requests uses only the nearest ones.
-func (s *service) askPace(t *target, class string, since time.Time) opinion {
+// paceAround tells whether the other targets run at their usual pace, before and since a sign of slowness. A claim of
+// slowness needs it: when a common slowness lies near the threshold, only some agents claim it, their claims look like
+// single faults, and some stand on for seconds after the slowness has ended.
+func (s *service) paceAround(t *target, since, now time.Time) (before, after opinion) {
+	class := s.mainClass()
+	before = s.pace(t, class, since.Add(-claimSpread), since)
+	if oldest := now.Add(-evidenceMaxAge); since.Before(oldest) {
+		since = oldest
+	}
+	return before, s.pace(t, class, since, now)
+}
+
+// pace compares the durations of the other targets between two moments with the usual ones. One other target is enough:
+// an edge without many requests uses only the nearest ones.
+func (s *service) pace(t *target, class string, from, to time.Time) opinion {
 	var rises []float64
+	pooled := s.pooledBaseline(class)
 	for _, o := range s.targets {
-		own, known := o.ownBaseline(class)
-		if o == t || !known || own <= 0 {
+		c := o.evidence.classes[class]
+		if o == t || c == nil {
+			continue
+		}
+		usual := pooled
+		if c.baselineCount >= 2*baselineSamples {
+			usual = c.baseline
+		}
+		if usual <= 0 {
 			continue
 		}
-		for _, took := range o.evidence.classes[class].since(since, nil) {
-			rises = append(rises, float64(took)/float64(own))
+		for _, took := range c.between(from, to) {
+			rises = append(rises, took.Seconds()/usual)
 		}
 	}
 	if len(rises) < paceSamples {
@@ -266,6 +285,19 @@
 	return opinionWell
 }
 
+// pooledBaseline returns the mean of the usable baselines of a class in seconds, by their samples, or 0. It stands in for
+// those that are not usable yet: an edge sends most of its requests to a few near targets.
+func (s *service) pooledBaseline(class string) float64 {
+	sum, count := 0.0, 0
+	for _, t := range s.targets {
+		if c := t.evidence.classes[class]; c != nil && c.baselineCount >= baselineSamples {
+			sum += c.baseline * float64(c.baselineCount)
+			count += c.baselineCount
+		}
+	}
+	return sum / float64(max(1, count))
+}
+
 // widespread reports whether more than half of the announced targets are claimed, or most of those that were observed
 // lately look affected; with slowness it includes those that are slow.
 func (s *service) widespread(slowness bool, now time.Time) bool {
--- a/internal/eject/module.go
+++ b/internal/eject/module.go
@@ -171,7 +171,7 @@
 		for _, t := range s.targets {
 			severity := fresh[t.Ref]
 			if t.claim == 0 && severity != 0 {
-				t.claimSince = m.now
+				t.claimSince, t.claimDoubted = m.now, false
 			}
 			if t.claim != severity {
 				t.claim = severity
--- a/internal/eject/regression_test.go
+++ b/internal/eject/regression_test.go
@@ -300,3 +300,32 @@
 		require.Less(t, r.now.Sub(begin), 4*time.Second, "seed %d", seed)
 	}
 }
+
+// Guards against holding every claim of slowness for the time that the end of a common slowness needs.
+func TestClaimOfSlownessCountsWhenTheOthersKeptTheirPace(t *testing.T) {
+	r := newRig(ObserverEdge, 12, 7, 50, model.ProfileDetection)
+	r.serve(6*time.Second, healthy)
+	r.claim(model.SeveritySlow, 3)
+	r.serve(time.Second, healthy)
+	require.Equal(t, StateEjected, r.state(3))
+}
+
+// Guards against honouring a claim that stems from a common slowness and arrives at its end, when the others are fast
+// again, at an edge that knows the usual pace of its nearest target only.
+func TestClaimFromTheEndOfACommonSlowness(t *testing.T) {
+	r := newRig(ObserverEdge, 12, 7, 50, model.ProfileDetection)
+	serve := func(d, took time.Duration) {
+		begin := r.now
+		for end := r.now.Add(d); r.now.Before(end); r.tick(50 * time.Millisecond) {
+			r.result(0, KindOK, took)
+			for i := 1; i < 12 && r.now.Sub(begin)%time.Second == 0; i++ {
+				r.result(i, KindOK, took)
+			}
+			require.True(t, r.module.Snapshot().Verdict(ref(3)).InService())
+		}
+	}
+	serve(9*time.Second, 200*time.Millisecond)
+	serve(8*time.Second, 500*time.Millisecond)
+	r.claim(model.SeveritySlow, 3)
+	serve(3500*time.Millisecond, 200*time.Millisecond)
+}
