eject: honour a claim of slowness at edges that use few targets

Cause: traces show edges that know the pace of the others from their own requests (paceStood) and still wait up to 10 s, because the later question asks for two other targets that answered since the claim, one by one. An edge on the VM of a target sends almost everything there.

--- a/internal/eject/decide.go
+++ b/internal/eject/decide.go
@@ -105,8 +105,12 @@
 		return 0
 	}
 	severity, ill := m.confirmed(s, t, t.claim, "", t.claimSince)
-	if ill {
+	switch {
+	case ill:
 		t.claimSince = m.now
+	case t.claim == model.SeveritySlow && severity == 0:
+		// The pace of the others is known, even if too few of them answered since the claim to be asked one by one.
+		return m.after(t.claim, t.claimSince, s.thresholds.Alone)
 	}
 	return severity
 }
