eject: claim at once, and keep the claim of a target that fails half of its requests

Cause: an agent waited the settling time (0.7 s with profile capacity) before it claimed, though it has no other targets to wait for; each edge waits that time again. It claims after 100 ms at most now. If successes came between the failures, it now takes as many as after slowness (8 with profile capacity).

Ruled out: eight successes after every kind of failure.

--- a/internal/eject/cycle.go
+++ b/internal/eject/cycle.go
@@ -17,6 +17,8 @@
 	own model.Severity
 	// cause is the request class for which the target was ejected, if one is known.
 	cause string
+	// mixed tells that successes came between the failures for which the target was ejected.
+	mixed bool
 	// claim is the severity that the target's agent publishes.
 	claim model.Severity
 	// pending is the symptom that has not stood for the settling time yet.
--- a/internal/eject/decide.go
+++ b/internal/eject/decide.go
@@ -47,6 +47,7 @@
 		if own != 0 {
 			t.cause = t.pendingClass
 		}
+		t.mixed = t.evidence.class(t.cause).mixed(s.thresholds.MinSamples)
 		t.stood = m.now.Sub(t.firstSign(own, claim))
 		t.eject(m.now, max(own, claim), m.rng)
 		t.evidence.proving = t.cause
@@ -78,7 +79,7 @@
 		t.pending, t.pendingClass = t.found.severity, t.found.class
 	}
 	if m.config.Observer == ObserverAgent {
-		return m.after(t.pending, t.pendingSince, s.thresholds.Settle)
+		return m.after(t.pending, t.pendingSince, min(s.thresholds.Settle, claimSettle))
 	}
 	if t.pending == model.SeveritySlow {
 		if before, after := s.paceAround(t, t.pendingSince, m.now); before == opinionIll || after == opinionIll {
@@ -206,7 +207,7 @@
 	if m.config.Observer == ObserverAgent {
 		// Only probation requests may reach the target, too few to clear the window of the error ratio and the median.
 		needed := s.thresholds.ProbationSuccesses
-		if t.own == model.SeveritySlow {
+		if t.own == model.SeveritySlow || t.own == model.SeverityFailing && t.mixed {
 			needed = max(needed, s.thresholds.MinSamples/2)
 		}
 		recovered = found < model.SeverityStalled && t.evidence.good >= needed
--- a/internal/eject/evidence.go
+++ b/internal/eject/evidence.go
@@ -173,6 +173,13 @@
 	return float64(bits.OnesCount64(c.outcomes&mask)) / float64(window), true
 }
 
+// mixed reports whether a success came between the failures among the last window results. A few successes in a row then
+// do not show that the target has recovered.
+func (c *classEvidence) mixed(window int) bool {
+	last := c.outcomes & (^uint64(0) >> (maxWindow - window))
+	return last>>min(c.errors, maxWindow) != 0
+}
+
 // fresh reports whether requests still reach the target.
 func (e *evidence) fresh(now time.Time) bool {
 	if !e.lastAt.IsZero() && now.Sub(e.lastAt) <= evidenceMaxAge {
--- a/internal/eject/regression_test.go
+++ b/internal/eject/regression_test.go
@@ -329,3 +329,21 @@
 	r.claim(model.SeveritySlow, 3)
 	serve(3500*time.Millisecond, 200*time.Millisecond)
 }
+
+// Guards against an agent that withdraws its claim for the few successes in a row that a half-failing target has often.
+func TestClaimStandsWhileHalfTheRequestsFail(t *testing.T) {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		r := newRig(ObserverAgent, 1, 7, 1, model.ProfileCapacity)
+		r.warm()
+		missing, claimed := 0, false
+		for range 200 {
+			r.result(0, []Kind{KindOK, KindError}[rng.IntN(2)], 20*time.Millisecond)
+			r.tick(50 * time.Millisecond)
+			if claimed = claimed || len(r.module.Claims()) > 0; claimed && len(r.module.Claims()) == 0 {
+				missing++
+			}
+		}
+		require.Less(t, missing, 60, "seed %d", seed)
+	}
+}
--- a/internal/eject/settings.go
+++ b/internal/eject/settings.go
@@ -90,6 +90,9 @@
 	singleFactor = 5
 	// claimSpread is the time in which the claims of all agents arrive by gossip.
 	claimSpread = 3 * time.Second
+	// claimSettle bounds how long an agent's symptom must stand before it is claimed. The agent has no others to wait for:
+	// the edges do that, and claims that come earlier show them a common cause earlier.
+	claimSettle = 100 * time.Millisecond
 	// widespreadMin is the number of affected targets from which a common cause is suspected for a while.
 	widespreadMin = 3
 	// baselineSamples is the number of samples after which the target's own baseline is usable.
