eject: let no failure of a common outage eject when the doubt about it ends

A failure ejects now only if it, or a later one, came after the doubt. TestFailuresOfAnOutageDoNotOutliveTheDoubt failed before.

--- a/internal/eject/judge.go
+++ b/internal/eject/judge.go
@@ -101,13 +101,16 @@
 // hintErrors returns the errors in a row from which a target looks affected; a single one is noise.
 func (s *service) hintErrors() int { return max(2, s.thresholds.ConsecutiveErrors/2) }
 
+// examineErrors derives failing and its hints. Failures that came while the cause was taken as common eject only together
+// with a later one; else those of an outage eject when the doubt ends.
 func (s *service) examineErrors(name string, c *classEvidence, now time.Time, found *symptom) {
 	age := now.Sub(c.lastFail)
 	if c.lastFail.IsZero() || age > evidenceMaxAge {
 		return
 	}
 	ratio, ok := c.errorRatio(s.thresholds.MinSamples)
-	if age <= failureMaxAge && (c.errors >= s.thresholds.ConsecutiveErrors || ok && ratio >= s.thresholds.ErrorRatio) {
+	current := age <= failureMaxAge && c.lastFail.After(s.doubtUntil)
+	if current && (c.errors >= s.thresholds.ConsecutiveErrors || ok && ratio >= s.thresholds.ErrorRatio) {
 		found.raise(model.SeverityFailing, name)
 	}
 	if c.errors >= s.hintErrors() || ok && ratio >= s.thresholds.ErrorRatio/2 {
--- a/internal/eject/regression_test.go
+++ b/internal/eject/regression_test.go
@@ -347,3 +347,26 @@
 		require.Less(t, missing, 60, "seed %d", seed)
 	}
 }
+
+// Guards against ejecting for the failures of a common outage when the doubt about it ends before they expire.
+func TestFailuresOfAnOutageDoNotOutliveTheDoubt(t *testing.T) {
+	r := newRig(ObserverEdge, 12, 7, 50, model.ProfileCapacity)
+	r.warm()
+	r.serve(3*time.Second, failing(0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11))
+	for range 4 {
+		r.serve(time.Second, func(i int) (Kind, time.Duration) {
+			if i == 3 {
+				return KindNone, 0
+			}
+			return healthy(i)
+		})
+		require.Equal(t, StateHealthy, r.state(3))
+	}
+	r.serve(time.Second, func(i int) (Kind, time.Duration) {
+		require.Equal(t, StateHealthy, r.state(3))
+		if i == 3 {
+			return KindNone, 0
+		}
+		return healthy(i)
+	})
+}
