eject: shorten the stall and settling times of profile capacity

Claims are urgent updates that arrive within about 0.5 s, so a settling time of 0.4 s after the agents' own 0.1 s still lets a common cause show. StallAfter 2 -> 1.5 s, Settle 0.7 -> 0.4 s, Alone 2 -> 1.5 s.

--- a/internal/eject/settings.go
+++ b/internal/eject/settings.go
@@ -114,8 +114,8 @@
 		}
 	}
 	return Thresholds{
-		StallAfter: 2 * time.Second, ConsecutiveErrors: 6, ErrorRatio: 0.5, SlowFactor: 3.5, MinSamples: 16,
-		Settle: 700 * time.Millisecond, Alone: 2 * time.Second, ProbationSuccesses: 3, SlowStart: 10 * time.Second,
+		StallAfter: 1500 * time.Millisecond, ConsecutiveErrors: 6, ErrorRatio: 0.5, SlowFactor: 3.5, MinSamples: 16,
+		Settle: 400 * time.Millisecond, Alone: 1500 * time.Millisecond, ProbationSuccesses: 3, SlowStart: 10 * time.Second,
 	}
 }
 
