--- a/internal/eject/settings.go
+++ b/internal/eject/settings.go
@@ -111,7 +111,7 @@
 func profileThresholds(p model.Profile) Thresholds {
 	if p == model.ProfileDetection {
 		return Thresholds{
-			StallAfter: 800 * time.Millisecond, ConsecutiveErrors: 3, ErrorRatio: 0.4, SlowFactor: 2.5, MinSamples: 10,
+			StallAfter: time.Second, ConsecutiveErrors: 3, ErrorRatio: 0.4, SlowFactor: 2.5, MinSamples: 10,
 			Settle: 100 * time.Millisecond, Alone: time.Second, ProbationSuccesses: 2, SlowStart: 5 * time.Second,
 		}
 	}
