ticket: let starting nodes not vouch for each other's configuration

Two nodes of a fleet of six were killed and started within a fraction of a second while the platform refused calls. One asked the other, whose empty configuration counted as an answer, and was ready with number 0 for 0.5 s, until gossip brought the number.

Ruled out: a lost ticket (13 was in force on the others); the decision modules, which never go back within one process.

A node now says in its answer that it is starting. Such an answer counts only when the platform or a node that has started answers as well.

Before: TestStartIsBounded fails, 'the only source is starting itself'. After: it passes with the tests of ticket, store and node under the race detector.

Conclusion: with the platform away, nodes that start together wait for one that has a configuration, however long.

--- a/internal/ticket/message.go
+++ b/internal/ticket/message.go
@@ -33,6 +33,8 @@
 
 // BatchMsg carries tickets, or a snapshot with tickets after it, in any order.
 type BatchMsg struct {
+	// Starting tells that the source is a node that has not compared its own sources yet.
+	Starting bool
 	Source   Source
 	Snapshot *model.Configuration
 	Tickets  []model.Ticket
--- a/internal/ticket/module.go
+++ b/internal/ticket/module.go
@@ -92,6 +92,12 @@
 // After returns what a peer that has applied the given number lacks: tickets, or a snapshot when they are not kept or
 // are larger.
 func (m *Module) After(number uint64) BatchMsg {
+	batch := m.lacking(number)
+	batch.Starting = !m.start.done
+	return batch
+}
+
+func (m *Module) lacking(number uint64) BatchMsg {
 	if number >= m.current.Number {
 		return BatchMsg{}
 	}
@@ -151,7 +157,7 @@
 func (m *Module) hear(msg HeadMsg) []Cmd {
 	m.head = max(m.head, msg.Number)
 	if msg.Number <= m.current.Number {
-		m.start.answer(msg.Source)
+		m.start.answer(msg.Source, msg.Source != Platform)
 		return nil
 	}
 	m.catchUp.hear(msg.Source, msg.Number)
@@ -184,7 +190,7 @@
 		// A source that is behind its own announcement would otherwise be asked again without a pause.
 		m.catchUp.fail(msg.Source)
 	}
-	m.start.answer(msg.Source)
+	m.start.answer(msg.Source, msg.Starting)
 	return append(cmds, m.catchUp.next(m.now, m.current.Number)...)
 }
 
--- a/internal/ticket/module_test.go
+++ b/internal/ticket/module_test.go
@@ -227,6 +227,19 @@
 	outage.Update(FailedMsg{Source: Platform})
 	require.True(t, outage.Ready())
 
+	// Two nodes that start together while the platform is away know nothing that either could vouch for.
+	together := New(Config{})
+	together.Update(TickMsg{Now: start})
+	together.Update(PeersMsg{Peers: []model.NodeRef{peer(1).Peer}})
+	together.Update(FailedMsg{Source: Platform})
+	together.Update(BatchMsg{Source: peer(1), Starting: true})
+	together.Update(TickMsg{Now: start.Add(time.Hour)})
+	require.False(t, together.Ready(), "the only source is starting itself")
+	together.Update(HeadMsg{Source: Platform})
+	together.Update(TickMsg{Now: start.Add(time.Hour + time.Second)})
+	require.True(t, together.Ready())
+	require.True(t, New(Config{}).After(0).Starting, "a starting node says so")
+
 	silent := New(Config{})
 	silent.Update(TickMsg{Now: start})
 	silent.Update(TickMsg{Now: start.Add(time.Hour)})
@@ -286,7 +299,7 @@
 	h := newHistory(200, rand.New(rand.NewPCG(1, 1)))
 	m := New(Config{})
 	m.Update(BatchMsg{Tickets: h.tickets})
-	require.Equal(t, BatchMsg{}, m.After(200))
+	require.Equal(t, BatchMsg{Starting: true}, m.After(200))
 	require.Equal(t, h.tickets[198:], m.After(198).Tickets)
 	require.Equal(t, h.configurations[200], m.After(0).Snapshot)
 	require.Equal(t, h.configurations[200], m.After(140).Snapshot, "60 tickets hold more routes than the configuration")
--- a/internal/ticket/pack.go
+++ b/internal/ticket/pack.go
@@ -25,6 +25,7 @@
 type wireBatch struct {
 	Snapshot *model.Configuration `cbor:"1,keyasint,omitempty"`
 	Tickets  []model.Ticket       `cbor:"2,keyasint,omitempty"`
+	Starting bool                 `cbor:"3,keyasint,omitempty"`
 }
 
 // Pack compresses encoded data; equal data gives equal bytes within one version of the program.
@@ -57,7 +58,7 @@
 
 // EncodeBatch returns tickets and snapshot in the compressed form in which nodes exchange them.
 func EncodeBatch(b BatchMsg) ([]byte, error) {
-	data, err := canonical.Marshal(wireBatch{Snapshot: b.Snapshot, Tickets: b.Tickets})
+	data, err := canonical.Marshal(wireBatch{Snapshot: b.Snapshot, Tickets: b.Tickets, Starting: b.Starting})
 	if err != nil {
 		return nil, eris.Wrap(err, "encode tickets")
 	}
@@ -74,5 +75,5 @@
 	if err := cbor.Unmarshal(data, &w); err != nil {
 		return BatchMsg{}, eris.Wrap(err, "decode tickets")
 	}
-	return BatchMsg{Source: source, Snapshot: w.Snapshot, Tickets: w.Tickets}, nil
+	return BatchMsg{Source: source, Snapshot: w.Snapshot, Tickets: w.Tickets, Starting: w.Starting}, nil
 }
--- a/internal/ticket/starter.go
+++ b/internal/ticket/starter.go
@@ -14,7 +14,10 @@
 	peers      []model.NodeRef
 	asked      map[model.NodeRef]bool
 	answered   map[Source]bool
-	failed     map[Source]bool
+	// vouched tells that the platform answered, or a node that is not starting itself. Nodes that start together would
+	// otherwise take each other's empty configurations for the fleet's.
+	vouched bool
+	failed  map[Source]bool
 }
 
 func newStarter() starter {
@@ -62,12 +65,13 @@
 	return startPeers - useful
 }
 
-func (s *starter) answer(source Source) {
+func (s *starter) answer(source Source, starting bool) {
 	// The operator's tool knows one ticket, not the configuration.
 	if s.done || source == Operator {
 		return
 	}
 	s.answered[source] = true
+	s.vouched = s.vouched || !starting
 	delete(s.failed, source)
 	s.done = s.complete()
 }
@@ -81,12 +85,12 @@
 	return s.askMore(number)
 }
 
-// tick ends the start after a bounded wait when at least one source answered.
+// tick ends the start after a bounded wait when at least one source could vouch for its answer.
 func (s *starter) tick(now time.Time) {
 	if s.began.IsZero() {
 		s.began = now
 	}
-	if !s.done && len(s.answered) > 0 && now.Sub(s.began) >= startWait {
+	if !s.done && s.vouched && now.Sub(s.began) >= startWait {
 		s.done = true
 	}
 }
@@ -100,5 +104,5 @@
 		}
 	}
 	platformSettled := s.answered[Platform] || s.failed[Platform]
-	return platformSettled && s.peersKnown && len(s.answered) > 0 && peers >= min(startPeers, len(s.peers))
+	return platformSettled && s.peersKnown && s.vouched && peers >= min(startPeers, len(s.peers))
 }
