Share signals, the match of accepted secrets and the start of measured fleets

Cause: the read-through found the same piece written again or left dead. - Three non-blocking signals, in node, peer and ticket, are wake.Signal. - The loops that try accepted secrets for datagrams, connections and relayed requests, and count the use, are secret.Set.Match. - bench overload-fleet started a fleet in a temporary directory as the other measurements do; both use startFleet now.

Ruled out: sharing the adapters of edge and agent in internal/node, whose types belong to their users; moving the directory of the soak, which it keeps after a failed run.

--- a/cmd/bench/fleet_processes.go
+++ b/cmd/bench/fleet_processes.go
@@ -37,16 +37,21 @@
 	table       store.Stats
 }
 
-// startProcesses starts a deployment; the returned function ends it and removes its files.
 func (c processesConfig) startProcesses(ctx context.Context, targetsPerService int) (*procs.Fleet, func(), error) {
+	return startFleet(ctx, c.Examples, procs.PlanConfig{
+		Programs: c.Programs, Network: c.Network, TargetsPerService: targetsPerService,
+	})
+}
+
+// startFleet starts a deployment in a temporary directory; the returned function ends it and removes its files.
+func startFleet(ctx context.Context, examples string, c procs.PlanConfig) (*procs.Fleet, func(), error) {
 	directory, err := os.MkdirTemp("", "auburnwinch-bench-")
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "make a directory for settings and logs")
 	}
 	remove := func() { _ = os.RemoveAll(directory) } // A leftover in the temporary directory does no harm.
-	plan, err := procs.LoadPlan(c.Examples, procs.PlanConfig{
-		Programs: c.Programs, Directory: directory, Network: c.Network, TargetsPerService: targetsPerService,
-	})
+	c.Directory = directory
+	plan, err := procs.LoadPlan(examples, c)
 	if err != nil {
 		remove()
 		return nil, nil, err
--- a/cmd/bench/overload_fleet.go
+++ b/cmd/bench/overload_fleet.go
@@ -4,15 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"os"
 	"os/signal"
 	"path/filepath"
 	"slices"
 	"syscall"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/auburnwinch/auburnwinch/internal/load"
 	"github.com/auburnwinch/auburnwinch/internal/procs"
 )
@@ -61,29 +58,20 @@
 func (c *overloadFleetCmd) Run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	directory, err := os.MkdirTemp("", "auburnwinch-overload-")
-	if err != nil {
-		return eris.Wrap(err, "make a directory for settings and logs")
-	}
-	defer func() { _ = os.RemoveAll(directory) }() // A leftover in the temporary directory does no harm.
 	network, claim, err := procs.ClaimNetwork(c.Network, c.Network+overloadNetworks)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = claim.Close() }() // The process ends.
 	service := overloadServices[c.Deployment]
-	plan, err := procs.LoadPlan(filepath.Join("examples", c.Deployment), procs.PlanConfig{
-		Programs: c.Programs, Directory: directory, Network: network, TargetsPerService: c.Targets, ServiceTime: c.ServiceTime,
+	fleet, end, err := startFleet(ctx, filepath.Join("examples", c.Deployment), procs.PlanConfig{
+		Programs: c.Programs, Network: network, TargetsPerService: c.Targets, ServiceTime: c.ServiceTime,
 		Services: []string{service},
 	})
 	if err != nil {
 		return err
 	}
-	fleet, err := procs.Start(ctx, plan)
-	if err != nil {
-		return err
-	}
-	defer fleet.Close()
+	defer end()
 	return c.measure(ctx, fleet, service)
 }
 
--- a/internal/eject/pairs.go
+++ b/internal/eject/pairs.go
@@ -65,13 +65,3 @@
 	}
 	clear(t.pairs.unknown)
 }
-
-// dropGone drops all targets that are not announced.
-func (t *Tracker) dropGone() {
-	for ref := range t.pairs.byTarget {
-		if !t.announced(ref) {
-			t.drop(ref)
-		}
-	}
-	clear(t.pairs.unknown)
-}
--- a/internal/eject/tracker.go
+++ b/internal/eject/tracker.go
@@ -208,15 +208,6 @@
 	return item
 }
 
-// SetServices replaces the services and their announced targets, for a user without a view.
-func (t *Tracker) SetServices(services []Service) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.registerTouched()
-	t.apply(t.module.Update(ServicesMsg{Now: t.config.Clock.Now(), Services: services}))
-	t.dropGone()
-}
-
 // elapsed returns the time since the tracker's start in nanoseconds plus one, as 0 marks a free slot.
 func (t *Tracker) elapsed() int64 {
 	return int64(t.config.Clock.Now().Sub(t.base)) + 1
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/auburnwinch/auburnwinch/internal/store"
 	"github.com/auburnwinch/auburnwinch/internal/ticket"
 	"github.com/auburnwinch/auburnwinch/internal/view"
+	"github.com/auburnwinch/auburnwinch/internal/wake"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
@@ -170,13 +171,13 @@
 }
 
 func (n *Node) buildTickets() error {
-	wake := newSignal()
+	changed := wake.New()
 	n.tickets = ticket.NewKeeper(ticket.KeeperConfig{
 		Self: n.self, Platform: n.store, Peers: n.peers, Clock: n.config.Clock, OnReject: n.logRejected,
-		OnApply: func(*model.Configuration) { wake.raise() }, OnReady: wake.raise,
+		OnApply: func(*model.Configuration) { changed.Raise() }, OnReady: changed.Raise,
 	})
 	n.viewer = newViewer(&viewer{
-		self: n.self, clock: n.config.Clock, source: n.tickets, route: n.applyConfiguration, publish: n.publishView, wake: wake,
+		self: n.self, clock: n.config.Clock, source: n.tickets, route: n.applyConfiguration, publish: n.publishView, wake: changed,
 	})
 	return nil
 }
--- a/internal/node/viewer.go
+++ b/internal/node/viewer.go
@@ -10,6 +10,7 @@
 	"github.com/auburnwinch/auburnwinch/internal/member"
 	"github.com/auburnwinch/auburnwinch/internal/timer"
 	"github.com/auburnwinch/auburnwinch/internal/view"
+	"github.com/auburnwinch/auburnwinch/internal/wake"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
@@ -31,7 +32,7 @@
 	route   func(*model.Configuration)
 	publish func(*view.View)
 	// wake is raised after each change of the source.
-	wake signal
+	wake wake.Signal
 
 	mu      sync.Mutex
 	builder *view.Builder
@@ -57,7 +58,7 @@
 	defer v.mu.Unlock()
 	if v.members == nil || v.members.Generation != s.Generation {
 		v.changed = true
-		v.wake.raise()
+		v.wake.Raise()
 	}
 	v.members = s
 }
--- a/internal/node/viewer_test.go
+++ b/internal/node/viewer_test.go
@@ -11,6 +11,7 @@
 	"github.com/auburnwinch/auburnwinch/internal/member"
 	"github.com/auburnwinch/auburnwinch/internal/timer"
 	"github.com/auburnwinch/auburnwinch/internal/view"
+	"github.com/auburnwinch/auburnwinch/internal/wake"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
@@ -35,7 +36,7 @@
 	published := 0
 	v := newViewer(&viewer{
 		clock: timer.NewManual(time.Unix(0, 0)), source: source, route: func(*model.Configuration) {},
-		publish: func(*view.View) { published++ }, wake: newSignal(),
+		publish: func(*view.View) { published++ }, wake: wake.New(),
 	})
 	v.close() // The test refreshes by itself.
 	for _, step := range []struct {
@@ -63,7 +64,7 @@
 	var times []time.Time
 	var latest *view.View
 	v := newViewer(&viewer{
-		clock: clock, source: source, route: func(*model.Configuration) {}, wake: newSignal(),
+		clock: clock, source: source, route: func(*model.Configuration) {}, wake: wake.New(),
 		publish: func(next *view.View) {
 			mu.Lock()
 			defer mu.Unlock()
--- a/internal/once/epoch_store.go
+++ b/internal/once/epoch_store.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -50,17 +49,6 @@
 	}
 }
 
-// clone returns a copy that shares no state.
-func (s *epochStore[R]) clone() epochStore[R] {
-	c := *s
-	c.floors = maps.Clone(s.floors)
-	c.buckets = make(map[epochID]*bucket[R], len(s.buckets))
-	for id, b := range s.buckets {
-		c.buckets[id] = &bucket[R]{ID: b.ID, Touched: b.Touched, Records: maps.Clone(b.Records)}
-	}
-	return c
-}
-
 func (p position) compare(other position) int {
 	return cmp.Or(cmp.Compare(p.Incarnation, other.Incarnation), cmp.Compare(p.Epoch, other.Epoch))
 }
--- a/internal/once/ledger_module.go
+++ b/internal/once/ledger_module.go
@@ -1,7 +1,6 @@
 package once
 
 import (
-	"slices"
 	"time"
 
 	"github.com/auburnwinch/auburnwinch/internal/invar"
@@ -100,13 +99,6 @@
 	return &ledgerModule{config: c, records: newEpochStore[ledgerRecord](c.MaxRecords, c.MaxFloors)}
 }
 
-// clone returns a copy that shares only answers, for searches that try several messages; the copy must not evict any.
-func (m *ledgerModule) clone() *ledgerModule {
-	c := *m
-	c.records, c.answers = m.records.clone(), slices.Clone(m.answers)
-	return &c
-}
-
 // Update applies the message.
 func (m *ledgerModule) Update(msg Msg) Cmd {
 	switch msg := msg.(type) {
--- a/internal/once/owner_module.go
+++ b/internal/once/owner_module.go
@@ -1,7 +1,6 @@
 package once
 
 import (
-	"maps"
 	"time"
 
 	"github.com/auburnwinch/auburnwinch/internal/invar"
@@ -73,13 +72,6 @@
 	}
 }
 
-// clone returns a copy that shares no state, for searches that try several messages.
-func (m *ownerModule) clone() *ownerModule {
-	c := *m
-	c.records, c.domains, c.out = m.records.clone(), maps.Clone(m.domains), nil
-	return &c
-}
-
 // Update applies the message; the returned commands are valid until the next call.
 func (m *ownerModule) Update(msg Msg) []Cmd {
 	m.out = m.out[:0]
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -93,13 +93,12 @@
 	if hmac.Equal(proof, prove(own, "client", transcript)) {
 		return own, nil
 	}
-	for i, other := range accepted.Secrets() {
-		if hmac.Equal(proof, prove(other, "client", transcript)) {
-			accepted.Used(i)
-			return other, nil
-		}
+	others := accepted.Secrets()
+	i, ok := accepted.Match(func(i int) bool { return hmac.Equal(proof, prove(others[i], "client", transcript)) })
+	if !ok {
+		return nil, eris.Wrap(ErrForged, "handshake")
 	}
-	return nil, eris.Wrap(ErrForged, "handshake")
+	return others[i], nil
 }
 
 func newSession(secret, transcript []byte) *session {
--- a/internal/peer/notify.go
+++ b/internal/peer/notify.go
@@ -22,16 +22,6 @@
 	number uint64
 }
 
-// signal is a flag that a goroutine waits for.
-type signal chan struct{}
-
-func (s signal) raise() {
-	select {
-	case s <- struct{}{}:
-	default:
-	}
-}
-
 // notify publishes snapshots after changes.
 func (p *Peer) notify() {
 	for {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/auburnwinch/auburnwinch/internal/member"
+	"github.com/auburnwinch/auburnwinch/internal/wake"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -49,8 +50,8 @@
 	snapshot atomic.Pointer[member.Snapshot]
 
 	joined         chan struct{}
-	contentChanged signal
-	numberChanged  signal
+	contentChanged wake.Signal
+	numberChanged  wake.Signal
 	behind         chan behindReport
 	exchanges      chan struct{}
 }
@@ -95,7 +96,7 @@
 		config: c, log: c.Logger, packets: packets, sealer: newSealer(c.Secret, c.Accepted),
 		logLimit: rate.NewLimiter(refusalLogRate, refusalLogBurst),
 		module:   member.New(member.Config{Self: c.Self, Seed: seed, Now: c.Clock.Now()}),
-		joined:   make(chan struct{}), contentChanged: make(signal, 1), numberChanged: make(signal, 1),
+		joined:   make(chan struct{}), contentChanged: wake.New(), numberChanged: wake.New(),
 		behind: make(chan behindReport, behindQueue), exchanges: make(chan struct{}, maxExchanges),
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
@@ -268,9 +269,9 @@
 
 func (p *Peer) signalChange(cmd member.ChangedCmd) {
 	if cmd.Content {
-		p.contentChanged.raise()
+		p.contentChanged.Raise()
 	} else {
-		p.numberChanged.raise()
+		p.numberChanged.Raise()
 	}
 }
 
--- a/internal/peer/seal.go
+++ b/internal/peer/seal.go
@@ -73,13 +73,8 @@
 	if hmac.Equal(mac, packetMAC(s.key, payload)) {
 		return true
 	}
-	for i, key := range s.accepted {
-		if hmac.Equal(mac, packetMAC(key, payload)) {
-			s.acceptedUse.Used(i)
-			return true
-		}
-	}
-	return false
+	_, ok := s.acceptedUse.Match(func(i int) bool { return hmac.Equal(mac, packetMAC(s.accepted[i], payload)) })
+	return ok
 }
 
 func packetMAC(key, payload []byte) []byte {
--- a/internal/relay/sign.go
+++ b/internal/relay/sign.go
@@ -81,11 +81,11 @@
 	if len(s.secret) == 0 || hmac.Equal([]byte(s.Sign(parts)), []byte(signature)) {
 		return nil
 	}
-	for i, other := range s.accepted {
-		if hmac.Equal([]byte(other.Sign(parts)), []byte(signature)) {
-			s.acceptedUse.Used(i)
-			return nil
-		}
+	_, ok := s.acceptedUse.Match(func(i int) bool {
+		return hmac.Equal([]byte(s.accepted[i].Sign(parts)), []byte(signature))
+	})
+	if !ok {
+		return ErrSignature
 	}
-	return ErrSignature
+	return nil
 }
--- a/internal/secret/doc.go
+++ b/internal/secret/doc.go
@@ -3,9 +3,5 @@
 // Usage:
 //
 //	accepted := secret.NewSet(secret.Config{Secrets: [][]byte{previous}})
-//	for i, s := range accepted.Secrets() {
-//		if matches(s) {
-//			accepted.Used(i)
-//		}
-//	}
+//	_, ok := accepted.Match(func(i int) bool { return authentic(accepted.Secrets()[i]) })
 package secret
--- a/internal/secret/set.go
+++ b/internal/secret/set.go
@@ -67,10 +67,16 @@
 	return s.secrets
 }
 
-// Used records that the secret at the index authenticated a message.
-func (s *Set) Used(index int) {
-	s.uses[index].count.Add(1)
-	s.uses[index].last.Store(s.clock.Now().UnixNano())
+// Match returns the index of the first secret that the check accepts, and records that it authenticated a message.
+func (s *Set) Match(check func(index int) bool) (index int, ok bool) {
+	for i := range s.Secrets() {
+		if check(i) {
+			s.uses[i].count.Add(1)
+			s.uses[i].last.Store(s.clock.Now().UnixNano())
+			return i, true
+		}
+	}
+	return 0, false
 }
 
 // Uses returns the number of messages that the set authenticated.
--- a/internal/secret/set_test.go
+++ b/internal/secret/set_test.go
@@ -13,8 +13,13 @@
 func TestStateTellsUsesByFingerprint(t *testing.T) {
 	start := time.Unix(1000, 0).UTC()
 	s := NewSet(Config{Secrets: [][]byte{[]byte("first"), []byte("second")}, Clock: timer.NewManual(start)})
-	s.Used(1)
-	s.Used(1)
+	for range 2 {
+		i, ok := s.Match(func(i int) bool { return i == 1 })
+		require.True(t, ok)
+		require.Equal(t, 1, i)
+	}
+	_, ok := s.Match(func(int) bool { return false })
+	require.False(t, ok)
 	require.EqualValues(t, 2, s.Uses())
 	require.Equal(t, []Use{
 		{Fingerprint: Fingerprint([]byte("first"))},
@@ -29,5 +34,7 @@
 	var s *Set
 	require.Empty(t, s.Secrets())
 	require.Zero(t, s.Uses())
+	_, ok := s.Match(func(int) bool { return true })
+	require.False(t, ok)
 	require.Empty(t, s.State())
 }
--- a/internal/ticket/keeper.go
+++ b/internal/ticket/keeper.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/auburnwinch/auburnwinch/internal/timer"
+	"github.com/auburnwinch/auburnwinch/internal/wake"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
@@ -52,7 +53,7 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	tasks   conc.WaitGroup
-	changed chan struct{}
+	changed wake.Signal
 	current atomic.Pointer[model.Configuration]
 	reading atomic.Bool
 
@@ -68,7 +69,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	k := &Keeper{
 		config: c, ctx: ctx, cancel: cancel,
-		changed: make(chan struct{}, 1),
+		changed: wake.New(),
 		module:  New(Config{Random: c.Random}),
 	}
 	k.current.Store(k.module.Configuration())
@@ -208,14 +209,7 @@
 		k.carryOut(cmd)
 	}
 	if k.module.Ready() != ready {
-		k.signalChange()
-	}
-}
-
-func (k *Keeper) signalChange() {
-	select {
-	case k.changed <- struct{}{}:
-	default:
+		k.changed.Raise()
 	}
 }
 
@@ -224,7 +218,7 @@
 	switch cmd := cmd.(type) {
 	case ApplyCmd:
 		k.current.Store(cmd.Configuration)
-		k.signalChange()
+		k.changed.Raise()
 	case ReadHeadCmd:
 		if k.reading.CompareAndSwap(false, true) {
 			k.tasks.Go(k.readHead)
