--- /dev/null
+++ b/cmd/auburnwinch/hosted.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/auburnwinch/auburnwinch/internal/hosted"
+	"github.com/auburnwinch/auburnwinch/internal/spool"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+	"github.com/auburnwinch/auburnwinch/platform"
+)
+
+// hostedCmd runs the node beside a target of a hosted platform.
+type hostedCmd struct {
+	Settings string `env:"AUBURNWINCH_SETTINGS" required:"" placeholder:"FILE" help:"Settings file of the platform."`
+	Check    bool   `help:"Check the settings and exit without starting."`
+}
+
+// nodesTable is the table in which nodes publish their records.
+const nodesTable = "nodes"
+
+// Run serves until SIGTERM or SIGINT, then leaves gracefully; a second signal ends the process at once.
+func (c *hostedCmd) Run(out io.Writer) error {
+	settings, err := platform.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	if c.Check {
+		_, err = fmt.Fprintf(out, "%s: settings of node %s are valid\n", c.Settings, settings.Node)
+		return err
+	}
+	setCollector()
+	lines := spool.New(spool.Config{Out: out})
+	defer lines.Close()
+	n, err := hosted.New(hostedConfig(settings, lines))
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	context.AfterFunc(ctx, stop)
+	return n.Run(ctx)
+}
+
+func hostedConfig(s *platform.Settings, lines *spool.Spool) hosted.Config {
+	self := model.Node{
+		Ref:    model.NodeRef{ID: s.Node, Incarnation: uint64(time.Now().UnixMicro())},
+		Domain: s.Domain, Region: s.Region, RelayAddress: s.RelayAddress, CallerAddress: s.CallerAddress,
+	}
+	store := platform.NewStore(platform.StoreConfig{Address: s.StoreAddress, Dial: hosted.Dialer().DialContext})
+	c := hosted.Config{
+		Self: self, Nodes: store.Table(nodesTable), Configurations: store.Table(platform.OperatorTable),
+		Decode: platform.DecodeConfiguration, Callers: platform.Callers{Service: s.Service}, Targets: platform.Targets{},
+		Listeners: hosted.Listeners{
+			Callers: s.CallerAddress, Relay: s.RelayAddress, Local: s.LocalAddress, Ready: s.ReadyAddress,
+		},
+		Local: func(h hosted.Heartbeats) http.Handler { return platform.Heartbeats(h) }, Ready: platform.Readiness,
+		Grace: s.Grace, Retries: hosted.Retries{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow},
+		Logger:   log.With(log.NewJSONLogger(lines.Ordinary()), "node", s.Node, "ts", log.DefaultTimestampUTC),
+		Failures: log.With(log.NewJSONLogger(lines.Important()), "node", s.Node, "ts", log.DefaultTimestampUTC),
+		Version:  version(),
+	}
+	if s.FirstPort > 0 {
+		c.Listeners.Metrics = net.JoinHostPort(s.Address, strconv.Itoa(s.FirstPort))
+	}
+	return c
+}
--- a/cmd/auburnwinch/main.go
+++ b/cmd/auburnwinch/main.go
@@ -3,6 +3,7 @@
 // Usage:
 //
 //	auburnwinch node --settings node.yaml
+//	auburnwinch hosted --settings settings.conf
 //	auburnwinch state --settings node.yaml --section members
 //	auburnwinch ticket check change.yaml
 //	auburnwinch ticket file change.yaml --settings node.yaml
@@ -24,6 +25,7 @@
 // cli lists the subcommands; each has a file of its own.
 type cli struct {
 	Node    nodeCmd    `cmd:"" help:"Run the node of this VM."`
+	Hosted  hostedCmd  `cmd:"" help:"Run the node beside a target of a hosted platform."`
 	Ticket  ticketCmd  `cmd:"" help:"Check, file and show tickets, the numbered configuration changes."`
 	State   stateCmd   `cmd:"" help:"Print the state dump of a node as JSON."`
 	Version versionCmd `cmd:"" help:"Print the version."`
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -24,6 +24,9 @@
 // crashCheck bounds the connection by which a dead target is told from one that only broke a connection.
 const crashCheck = 500 * time.Millisecond
 
+// refusesConnections is the reason to remove a target that has died.
+const refusesConnections = "target refuses connections"
+
 // Agent admits relayed requests to the targets on this VM.
 type Agent struct {
 	config   Config
@@ -34,6 +37,7 @@
 	// suspectRuns is the place for the one request that is suspect of crashing targets.
 	suspectRuns atomic.Bool
 	running     running
+	goodbyes    goodbyes
 	pauses      *pauseWatch
 	publishing  sync.Mutex
 	stop        chan struct{}
@@ -132,7 +136,7 @@
 	if !x.local.shared.sentinel.died() && !a.refuses(x) {
 		return false
 	}
-	a.targetGone(x.local)
+	a.targetGone(x.local, refusesConnections)
 	// The request has ended with its target; as a running one it would keep its own trial from being granted.
 	x.end()
 	a.reportCrash(x.local, x.suspect)
@@ -151,12 +155,12 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// targetGone removes a target that refuses connections; it comes back with its next announcement.
-func (a *Agent) targetGone(l *local) {
+// targetGone removes a target for the reason; it comes back with its next announcement.
+func (a *Agent) targetGone(l *local, reason string) {
 	if !a.registry.removeRun(l) {
 		return
 	}
-	_ = level.Warn(a.config.Logger).Log("msg", "target refuses connections and is removed", "service",
+	_ = level.Warn(a.config.Logger).Log("msg", "target removed", "reason", reason, "service",
 		l.target.Ref.Service, "target", l.target.Ref.ID, "incarnation", l.target.Ref.Incarnation)
 	a.publish()
 }
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -30,6 +30,18 @@
 	Slots       int    `json:"slots"`
 }
 
+// Announcement is what a target says of itself at each heartbeat.
+type Announcement struct {
+	Service     string
+	ID          string
+	Incarnation uint64
+	Address     string
+	Slots       int
+	Draining    bool
+	// Sequence grows with each heartbeat of one incarnation, so that a late one can be told.
+	Sequence uint64
+}
+
 type departure struct {
 	Service string `json:"service"`
 	ID      string `json:"id"`
--- a/internal/agent/answer.go
+++ b/internal/agent/answer.go
@@ -70,6 +70,7 @@
 
 func (x *exchange) writeHeader(response *http.Response) {
 	h := x.w.Header()
+	x.record.Status = response.StatusCode
 	relay.CopyHeader(h, response.Header)
 	h[model.HeaderOutcome] = []string{string(model.OutcomeDone)}
 	h[model.HeaderLoad] = []string{x.local.limiter.Load().String()}
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -40,6 +40,59 @@
 	InterimInterval time.Duration
 	// Expiry is the time after which a target that no longer announces itself is dropped; default 6 s.
 	Expiry time.Duration
+	// Protocol is what targets speak beyond plain HTTP; without one it is the product's own.
+	Protocol Protocol
+	// Journal is told of the end of each relayed request.
+	Journal Journal
+	// OneTarget tells that a single target runs on this VM: a new one replaces the one before it.
+	OneTarget bool
+	// NoSentinels saves the connections by which a crash is told from a broken connection when a target restarts at once.
+	NoSentinels bool
+}
+
+// Protocol is what targets speak beyond plain HTTP.
+type Protocol interface {
+	// ID returns the id of the request for the log, or nothing.
+	ID(r *http.Request) string
+	// Header returns headers to add to a request for the target, and headers of the caller to leave out.
+	Header(r *http.Request, target model.TargetRef, left time.Duration) (add []relay.Field, omit []string)
+	// Belongs reports whether the answer is that of the request.
+	Belongs(r *http.Request, response *http.Response) bool
+	// Verdict tells what an answer says about the request beyond its status.
+	Verdict(response *http.Response) Verdict
+}
+
+// Verdict is what a target says about a request that it answers.
+type Verdict uint8
+
+// The verdicts of a target.
+const (
+	// VerdictAnswered means that the answer is that of the request.
+	VerdictAnswered Verdict = iota
+	// VerdictShed means that the target has not run the request and won't.
+	VerdictShed
+	// VerdictOther means that another target has the address; the request did not run.
+	VerdictOther
+	// VerdictBroken means that the answer can't be that of a target; the request may have run.
+	VerdictBroken
+)
+
+// Record tells how a relayed request ended.
+type Record struct {
+	ID      string
+	Target  model.TargetRef
+	Class   relay.Class
+	Outcome model.Outcome
+	Reason  string
+	Status  int
+	Waited  time.Duration
+	Ran     time.Duration
+	Load    relay.Load
+}
+
+// Journal takes note of relayed requests.
+type Journal interface {
+	Relayed(r Record)
 }
 
 // Limiter admits requests to one target.
@@ -57,6 +110,14 @@
 type AdmitRequest struct {
 	Account  string
 	Deadline time.Time
+	// Route names the kind of request.
+	Route string
+	Class relay.Class
+	// Patience is how long the request may wait for a slot; Negotiated tells that the edge has stated it.
+	Patience   time.Duration
+	Negotiated bool
+	// Objective is when the answer has lost most of its value; the zero value means never.
+	Objective time.Time
 }
 
 // Permit holds a slot until it is released.
@@ -82,6 +143,8 @@
 	ResultNotSent
 	// ResultCrashed means that the target broke the connection and refuses new ones.
 	ResultCrashed
+	// ResultShed means that the target refused the request without running it.
+	ResultShed
 )
 
 // Result is the end of a request at a target.
@@ -189,6 +252,9 @@
 	if c.Logger == nil {
 		c.Logger = log.NewNopLogger()
 	}
+	if c.Protocol == nil {
+		c.Protocol = ownProtocol{}
+	}
 	if c.InterimInterval <= 0 {
 		c.InterimInterval = defaultInterim
 	}
--- /dev/null
+++ b/internal/agent/heartbeat.go
@@ -0,0 +1,112 @@
+package agent
+
+import (
+	"errors"
+	"slices"
+	"sync"
+
+	"github.com/go-kit/log/level"
+	"github.com/rotisserie/eris"
+
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// maxGoodbyes bounds the targets whose goodbye is remembered; a VM has one target at a time.
+const maxGoodbyes = 16
+
+// goodbyes are the latest targets that have said goodbye, so that a late heartbeat does not bring them back.
+type goodbyes struct {
+	mu   sync.Mutex
+	refs []model.TargetRef
+}
+
+// ErrOutdated refuses what a target said before something that arrived earlier; there is nothing to correct.
+var ErrOutdated = eris.New("a later word of this target, or of the one that replaced it, has arrived")
+
+// Announce takes a heartbeat of a target. It fails when the heartbeat is invalid or older than one that arrived before; the
+// targets stay as they are then.
+func (a *Agent) Announce(h Announcement) error {
+	body := announcement{Service: h.Service, ID: h.ID, Incarnation: h.Incarnation, Address: h.Address, Slots: h.Slots}
+	if err := body.validate(); err != nil {
+		return err
+	}
+	if a.config.OneTarget && !a.replacePrevious(body) {
+		return ErrOutdated
+	}
+	if a.goodbyes.has(model.TargetRef{Service: h.Service, ID: h.ID, Incarnation: h.Incarnation}) {
+		return ErrOutdated
+	}
+	known := a.registry.find(h.Service, h.ID)
+	if known != nil && known.target.Ref.Incarnation == h.Incarnation && h.Sequence < known.shared.sequence.Load() {
+		return ErrOutdated
+	}
+	spec, _ := a.service(h.Service)
+	changed, err := a.registry.announce(a.newLocal(body, spec), a.config.Clock.Now())
+	if errors.Is(err, errStale) {
+		return ErrOutdated
+	}
+	if err != nil {
+		return err
+	}
+	l := a.registry.find(h.Service, h.ID)
+	if l == nil {
+		return errUnknown // It was withdrawn meanwhile.
+	}
+	l.shared.sequence.Store(h.Sequence)
+	if !a.config.NoSentinels {
+		l.shared.sentinel.start()
+	}
+	if h.Draining && !l.shared.draining.Swap(true) {
+		changed = true
+	}
+	if changed {
+		_ = level.Info(a.config.Logger).Log("msg", "target announced", "service", h.Service, "target", h.ID, "incarnation", h.Incarnation,
+			"address", h.Address, "slots", h.Slots, "draining", h.Draining, "sequence", h.Sequence)
+		a.publish()
+	}
+	return nil
+}
+
+// Withdraw removes a target that has said goodbye; one that is not known is no error.
+func (a *Agent) Withdraw(service, id string) {
+	for _, l := range a.registry.all() {
+		if l.target.Ref.ID != id || service != "" && l.target.Ref.Service != service {
+			continue
+		}
+		a.goodbyes.add(l.target.Ref)
+		if a.registry.withdraw(l.key()) == nil {
+			_ = level.Info(a.config.Logger).Log("msg", "target withdrawn", "service", l.target.Ref.Service, "target", id)
+			a.publish()
+		}
+	}
+}
+
+// replacePrevious drops the targets that were here before the announced one; it returns false when a later one is here.
+func (a *Agent) replacePrevious(body announcement) bool {
+	for _, l := range a.registry.all() {
+		ref := l.target.Ref
+		if ref.Service == body.Service && ref.ID == body.ID {
+			continue
+		}
+		if ref.Incarnation > body.Incarnation {
+			return false
+		}
+		a.targetGone(l, "a later target runs on this VM")
+	}
+	return true
+}
+
+func (g *goodbyes) add(ref model.TargetRef) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.refs) == maxGoodbyes {
+		g.refs = slices.Delete(g.refs, 0, 1)
+	}
+	g.refs = append(g.refs, ref)
+}
+
+func (g *goodbyes) has(ref model.TargetRef) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Contains(g.refs, ref)
+}
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -40,8 +40,14 @@
 	deadline time.Time
 	interim  interim
 	suspect  Suspect
-	// source is the body of the request, if it has one.
+	class    relay.Class
+	// negotiated tells that the edge has stated class and patience.
+	negotiated bool
+	// source is the body of the request, if it has one; held is its start when it was read before the request ran.
 	source *relay.Source
+	held   *heldBody
+	// record is for the journal.
+	record Record
 	// alone tells that this request holds the only place for suspect requests.
 	alone bool
 	// tried tells that this request runs as a granted trial, counted that it is among the running ones.
@@ -57,6 +63,7 @@
 	defer a.inFlight.Add(-1)
 	x := &exchange{agent: a, w: w, r: r, key: r.Header.Get(model.HeaderKey), route: r.Header.Get(model.HeaderRoute)}
 	x.started = a.config.Clock.Now()
+	defer x.note()
 	x.interim = interim{w: w, interval: a.config.InterimInterval}
 	w.Header()[model.HeaderExchange] = r.Header[model.HeaderExchange]
 	defer x.leave()
@@ -99,6 +106,11 @@
 			"target", text, "timeout", h.Get(model.HeaderTimeout))
 		return relay.ReasonBadRequest
 	}
+	x.negotiated = h.Get(model.HeaderClass) != ""
+	if x.class, ok = relay.ParseClass(h.Get(model.HeaderClass)); !ok {
+		return relay.ReasonBadRequest
+	}
+	x.record.Target = ref
 	x.local = x.agent.registry.find(ref.Service, ref.ID)
 	if x.local == nil || x.local.target.Ref != ref {
 		return relay.ReasonUnknownTarget
@@ -110,7 +122,7 @@
 	if x.local.shared.draining.Load() {
 		return relay.ReasonDraining
 	}
-	x.suspect = Suspect{Service: ref.Service, Idempotent: x.agent.idempotent(ref.Service, x.route)}
+	x.suspect = Suspect{Service: ref.Service, Idempotent: x.class.Idempotent || x.agent.idempotent(ref.Service, x.route)}
 	if text := x.r.Header.Get(model.HeaderFingerprint); text != "" {
 		fingerprint, err := strconv.ParseUint(text, 16, 64)
 		if err != nil {
@@ -144,15 +156,24 @@
 func (x *exchange) serve(ctx context.Context) {
 	x.interim.start(firstInterim)
 	defer x.interim.end()
-	permit, err := x.local.limiter.Acquire(ctx, AdmitRequest{
-		Account: x.r.Header.Get(model.HeaderAccount), Deadline: x.deadline,
-	})
+	permit, err := x.local.limiter.Acquire(ctx, x.admission())
+	x.record.Waited = x.agent.config.Clock.Now().Sub(x.started)
 	if err != nil {
+		x.stateWait(err)
 		x.refuse(refusalOf(err), model.OutcomeNotRun)
 		return
 	}
 	result := Result{Kind: ResultNotSent}
 	defer func() { permit.Release(result) }()
+	if reason := x.left(); reason != "" {
+		x.refuse(reason, model.OutcomeNotRun)
+		return
+	}
+	if !x.confirm(ctx) {
+		x.refuse(relay.ReasonUnconfirmed, model.OutcomeNotRun)
+		return
+	}
+	defer x.held.release()
 	conn, err := x.local.pool.Get(ctx, relay.ConnAny)
 	if err != nil {
 		x.notSent(ctx, err)
@@ -199,6 +220,7 @@
 	begin := x.agent.config.Clock.Now()
 	kind := x.forward(ctx, conn)
 	result := Result{Kind: kind, Duration: x.agent.config.Clock.Now().Sub(begin)}
+	x.record.Ran = result.Duration
 	if x.handle != nil {
 		x.handle.Finish(result)
 	}
@@ -207,7 +229,7 @@
 
 // admit tells an edge that waits with the body that the request is admitted.
 func (x *exchange) admit() {
-	if x.r.Header.Get("Expect") != "" {
+	if x.r.Header.Get("Expect") != "" && x.held == nil {
 		x.interim.sendStatus(http.StatusContinue)
 	}
 }
@@ -221,18 +243,29 @@
 	if err != nil {
 		return x.broken(ctx, err)
 	}
-	return x.answer(ctx, conn, response)
+	switch x.agent.config.Protocol.Verdict(response) {
+	case VerdictShed:
+		return x.shed(conn, response)
+	case VerdictOther:
+		return x.replaced(conn)
+	case VerdictBroken:
+		conn.Close()
+		return x.broken(ctx, relay.ErrBroken)
+	default:
+		return x.answer(ctx, conn, response)
+	}
 }
 
 func (x *exchange) request() *relay.Request {
 	r := &relay.Request{
 		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: x.r.Header, ContentLength: x.r.ContentLength,
 	}
-	r.Fields = append(make([]relay.Field, 0, 3), relay.Field{
-		Name: model.HeaderTimeout, Value: time.Until(x.deadline).Round(time.Millisecond).String(),
-	})
-	if account := x.r.Header.Get(model.HeaderAccount); account != "" {
-		r.Fields = append(r.Fields, relay.Field{Name: model.HeaderAccount, Value: account})
+	protocol := x.agent.config.Protocol
+	r.Fields, r.Omit = protocol.Header(x.r, x.local.target.Ref, time.Until(x.deadline))
+	r.Accept = func(response *http.Response) bool { return protocol.Belongs(x.r, response) }
+	if x.held != nil {
+		x.held.attach(r)
+		return r
 	}
 	if x.r.ContentLength != 0 {
 		x.source = relay.NewSource(x.w, x.r.Body)
@@ -250,7 +283,7 @@
 	_ = level.Warn(x.agent.config.Logger).Log("msg", "target unreachable", "service", x.local.target.Ref.Service,
 		"target", x.local.target.Ref.ID, "err", err)
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		x.agent.targetGone(x.local)
+		x.agent.targetGone(x.local, refusesConnections)
 		x.agent.reportCrash(x.local)
 	}
 	x.refuse(relay.ReasonUnreachable, model.OutcomeNotRun)
@@ -313,6 +346,7 @@
 // refuse answers that the target gave no answer, with the reason for the edge.
 func (x *exchange) refuse(reason string, outcome model.Outcome) {
 	x.interim.end()
+	x.record.Outcome, x.record.Reason, x.record.Status = outcome, reason, http.StatusServiceUnavailable
 	x.w.Header()[model.HeaderReason] = []string{reason}
 	if x.local != nil {
 		x.w.Header()[model.HeaderLoad] = []string{x.local.limiter.Load().String()}
--- a/internal/agent/target.go
+++ b/internal/agent/target.go
@@ -26,6 +26,8 @@
 	draining  atomic.Bool
 	inFlight  atomic.Int64
 	announced atomic.Int64
+	// sequence is that of the latest heartbeat.
+	sequence atomic.Uint64
 	// sentinel tells whether the process of this incarnation has died.
 	sentinel *sentinel
 
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -21,6 +21,12 @@
 	reason string
 	// repeat is false when another target would refuse the request for the same reason.
 	repeat bool
+	// wait is the wait that the agent expected when it refused the request.
+	wait time.Duration
+	// arrived tells that the request reached a target, which refused it.
+	arrived bool
+	// paid tells that the budget was already asked for the next attempt.
+	paid bool
 }
 
 // leg is one exchange with an agent.
@@ -44,10 +50,14 @@
 	if f == nil {
 		f = l.send(ctx, nil)
 	}
+	if f == nil {
+		f = q.setAside(l)
+	}
 	if f == nil {
 		d, f = q.deliver(ctx, l)
 	}
 	l.finish(f)
+	l.noteTry(f)
 	if f != nil && d != nil {
 		f = q.resume(ctx, d, f)
 	}
@@ -114,6 +124,9 @@
 
 // exclude keeps the target from further attempts, unless only a reused connection to it failed before an answer.
 func (l *leg) exclude(f *failure) {
+	if f != nil && l.request.edge.config.Negotiate && f.result == retry.NotRun && !f.arrived {
+		return // noteRefusal decides.
+	}
 	if f != nil && f.kind == ResultPathFailure && l.response == nil && l.conn != nil && l.conn.Reused() {
 		return
 	}
@@ -164,14 +177,20 @@
 		fields = append(fields, relay.Field{Name: model.HeaderSignature, Value: signature})
 	}
 	r := &relay.Request{
-		Method: q.r.Method, URI: q.uri, Host: q.r.Host, Header: q.r.Header,
+		Method: q.r.Method, URI: q.uri, Host: q.r.Host, Header: q.r.Header, Omit: q.omit,
 		SilentReused: q.edge.config.SilentReused, SilentAny: q.edge.config.SilentAny,
 	}
+	if q.edge.config.Negotiate {
+		fields = q.negotiated(fields, l.choice)
+	}
 	if part != nil {
 		fields = part.apply(r, fields)
 	}
 	r.Fields = fields
 	q.body.attach(r)
+	if q.edge.config.Negotiate && !q.match.Route.Idempotent {
+		q.body.attachAfterAdmission(r)
+	}
 	return r
 }
 
@@ -179,6 +198,13 @@
 func (l *leg) refused() *failure {
 	h := l.response.Header
 	f := &failure{result: retry.InDoubt, kind: ResultReset, reason: h.Get(model.HeaderReason), repeat: true}
+	f.arrived = f.reason == relay.ReasonShed
+	if wait, err := time.ParseDuration(h.Get(model.HeaderWait)); err == nil {
+		f.wait = wait
+	}
+	if f.reason == relay.ReasonSick {
+		l.load.Rest = f.wait
+	}
 	if model.Outcome(h.Get(model.HeaderOutcome)) == model.OutcomeNotRun {
 		f.result, f.kind = retry.NotRun, ResultRefused
 	}
@@ -211,8 +237,12 @@
 // broken reports that the connection ended before the answer started.
 func (l *leg) broken(ctx context.Context, err error) *failure {
 	switch {
-	case errors.Is(err, relay.ErrNotSent):
+	case errors.Is(err, relay.ErrNotSent), errors.Is(err, relay.ErrUnconfirmed) && ctx.Err() != nil:
 		return &failure{result: retry.NotRun, kind: ResultCanceled, reason: relay.ReasonDeadline}
+	case errors.Is(err, relay.ErrUnconfirmed):
+		l.pool.CloseIdle()
+		l.log("agent did not admit the request", err)
+		return &failure{result: retry.NotRun, kind: ResultPathFailure, reason: "the node of the target did not answer", repeat: true}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return &failure{result: retry.InDoubt, kind: ResultTimeout, reason: relay.ReasonTimeout}
 	case ctx.Err() != nil:
@@ -226,6 +256,21 @@
 	return &failure{result: retry.InDoubt, kind: ResultPathFailure, reason: "the connection to the target broke", repeat: true}
 }
 
+// noteTry keeps the attempt for the journal.
+func (l *leg) noteTry(f *failure) {
+	if l.request.edge.config.Journal == nil {
+		return
+	}
+	try := Try{
+		Target: l.choice.Candidate.Target.Ref.ID, Node: l.choice.Candidate.Node.Ref.ID, Result: "answered",
+		Patient: l.choice.Patience, Forced: l.choice.Forced, Took: time.Since(l.started),
+	}
+	if f != nil {
+		try.Result = f.reason
+	}
+	l.request.tries = append(l.request.tries, try)
+}
+
 func (l *leg) log(event string, err error) {
 	address := l.choice.Candidate.Node.RelayAddress
 	suppressed, ok := l.request.edge.repeats.next(time.Now(), repeatKey{event: event, address: address})
--- a/internal/edge/body.go
+++ b/internal/edge/body.go
@@ -82,6 +82,15 @@
 	r.Source = b.source
 }
 
+// attachAfterAdmission makes the body follow only after the agent has admitted the request. A request without a body sends
+// an empty one for that.
+func (b *body) attachAfterAdmission(r *relay.Request) {
+	r.WaitContinue, r.Unhurried = true, true
+	if b.length == 0 {
+		r.Body, r.ContentLength = bytes.NewReader(nil), -1
+	}
+}
+
 // release returns the memory; no attempt may read the body any more.
 func (b *body) release() {
 	if b.block != nil {
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -43,6 +43,65 @@
 	BodyIdleRange time.Duration
 	// DefaultTimeout holds for routes without a timeout; default 30 s.
 	DefaultTimeout time.Duration
+	// DialTimeout bounds the connection to an agent; zero takes the default of the pool.
+	DialTimeout time.Duration
+
+	// Protocol is what callers speak beyond plain HTTP; without one it is the product's own.
+	Protocol Protocol
+	// Negotiate makes the edge state class and patience of each request to the agent, send requests that must not run
+	// twice in two steps, and ask further agents after a refusal without counting it as an attempt.
+	Negotiate bool
+	// HoldBytes is the largest body that is held back until it is whole; zero takes one block.
+	HoldBytes int
+	// Journal is told of each answer.
+	Journal Journal
+}
+
+// Protocol is what callers speak beyond plain HTTP.
+type Protocol interface {
+	// ID returns the id of the request for the log, or nothing.
+	ID(r *http.Request) string
+	// Timeout returns how long the caller waits, or zero when it does not say; it fails when the value is malformed.
+	Timeout(r *http.Request) (time.Duration, error)
+	// Call reports whether the target on this VM sends the request while it runs another one.
+	Call(r *http.Request) bool
+	// Header returns headers for the target, and headers of the caller that are left out.
+	Header(r *http.Request) (add []relay.Field, omit []string)
+	// Refuse gives an answer of the fleet itself.
+	Refuse(w http.ResponseWriter, r relay.Refusal)
+}
+
+// Try is one attempt of a request, or one refusal of an agent.
+type Try struct {
+	Target  string        `json:"target"`
+	Node    string        `json:"node"`
+	Result  string        `json:"result"`
+	Patient time.Duration `json:"patience"`
+	Forced  bool          `json:"forced"`
+	Took    time.Duration `json:"took"`
+}
+
+// Summary tells how a request was answered.
+type Summary struct {
+	ID      string
+	Route   string
+	Service string
+	Outcome model.Outcome
+	Reason  string
+	Status  int
+	Call    bool
+	Took    time.Duration
+	// Left is the time that the caller would still have waited.
+	Left  time.Duration
+	Tries []Try
+	// Configuration is the number of the configuration by which the request was routed.
+	Configuration uint64
+	Begun         time.Time
+}
+
+// Journal takes note of answers.
+type Journal interface {
+	Answered(s Summary)
 }
 
 // PickRequest is what the choice of a target needs to know of a request.
@@ -52,18 +111,37 @@
 	Idempotent bool
 	// Tried are the targets of earlier attempts of the same request.
 	Tried []model.TargetRef
+	// Refused are the refusals of agents that may take the request later.
+	Refused []Refused
+	// Left is the time that the request has.
+	Left time.Duration
+}
+
+// Refused is the refusal of an agent that had no room for a request.
+type Refused struct {
+	Target model.TargetRef
+	// Wait is the wait that the agent expected.
+	Wait time.Duration
+	// Sick tells that the target is probably sick.
+	Sick bool
 }
 
 // Choice is a chosen target. Token belongs to the picker.
 type Choice struct {
 	Candidate view.Candidate
 	Token     any
+	// Patience is how long the request may wait for a slot there.
+	Patience time.Duration
+	// Forced asks the agent to admit the request although its target is probably sick.
+	Forced bool
 }
 
 // Load is the load that the agent reported with an answer; Known is false when there was no report.
 type Load struct {
 	relay.Load
 	Known bool
+	// Rest is the time for which the agent calls its target sick; zero means that it does not.
+	Rest time.Duration
 }
 
 // Picker chooses among candidates.
@@ -214,6 +292,12 @@
 	if c.Logger == nil {
 		c.Logger = log.NewNopLogger()
 	}
+	if c.Protocol == nil {
+		c.Protocol = ownProtocol{}
+	}
+	if c.HoldBytes < relay.BlockBytes {
+		c.HoldBytes = relay.BlockBytes
+	}
 	orDefault(&c.SilentReused, defaultSilentReused)
 	orDefault(&c.SilentAny, defaultSilentAny)
 	orDefault(&c.BodyIdle, defaultBodyIdle)
--- a/internal/edge/deliver.go
+++ b/internal/edge/deliver.go
@@ -85,29 +85,34 @@
 func (d *delivery) copy() error {
 	block := relay.GetBlock()
 	defer relay.PutBlock(block)
+	buffer := block[:]
 	held := 0
 	for {
 		d.leg.conn.SetReadTimeout(d.idle)
-		n, err := relay.ReadBlock(d.leg.response.Body, block[held:])
+		n, err := relay.ReadBlock(d.leg.response.Body, buffer[held:])
 		if n > 0 && d.leg.handle != nil {
 			d.leg.handle.Progress()
 		}
-		d.sum.Add(block[held : held+n])
+		d.sum.Add(buffer[held : held+n])
 		held += n
 		if errors.Is(err, io.EOF) {
-			return d.end(block[:held])
+			return d.end(buffer[:held])
 		}
 		if err != nil {
 			return err
 		}
-		if held == len(block) || !d.holdsBack() {
+		if held == len(buffer) && d.sum.Length != d.length && d.holdsBack() {
+			buffer = append(buffer, make([]byte, len(buffer))...)
+			continue
+		}
+		if held == len(buffer) || !d.holdsBack() {
 			if d.sum.Length == d.length {
 				if err := d.checkEnd(); err != nil {
 					return err
 				}
-				return d.write(block[:held])
+				return d.write(buffer[:held])
 			}
-			if err := d.write(block[:held]); err != nil {
+			if err := d.write(buffer[:held]); err != nil {
 				return err
 			}
 			held = 0
@@ -115,9 +120,14 @@
 	}
 }
 
-// holdsBack reports whether the bytes read so far must wait for the rest of the body.
+// holdsBack reports whether the bytes read so far must wait for the rest of the body: a caller takes nothing of an answer
+// that breaks off, so that another target can give the whole one.
 func (d *delivery) holdsBack() bool {
-	return d.length >= 0 && (d.length <= relay.BlockBytes || d.sum.Length >= d.length)
+	limit := int64(d.request.edge.config.HoldBytes)
+	if d.length < 0 {
+		return limit > relay.BlockBytes && d.sum.Length < limit
+	}
+	return d.length <= limit || d.sum.Length >= d.length
 }
 
 // checkEnd reads the end of a body whose bytes all have been read, and checks the trailer.
@@ -183,6 +193,7 @@
 		h["Connection"] = []string{"close"}
 	}
 	q.sentHeader = true
+	q.status = d.leg.response.StatusCode
 	if d.length < 0 || d.length > relay.BlockBytes {
 		// A caller that stops reading must not hold a slot of the target for ever.
 		d.limitWrites()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -82,12 +82,13 @@
 	if e.config.Keys != nil {
 		w.Header()[model.HeaderOwner] = []string{e.config.Keys.Token()}
 	}
-	if strings.HasPrefix(r.URL.Path, ownPaths) {
+	if !e.config.Negotiate && strings.HasPrefix(r.URL.Path, ownPaths) {
 		e.serveOwn(w, r)
 		return
 	}
-	q := &request{edge: e, w: w, r: r}
+	q := &request{edge: e, w: w, r: r, began: e.config.Clock.Now()}
 	q.serve()
+	q.note()
 	if q.abort {
 		q.breakOff()
 	}
@@ -121,7 +122,9 @@
 	if pool, ok := e.pools.Load(address); ok {
 		return pool.(*relay.Pool)
 	}
-	pool, _ := e.pools.LoadOrStore(address, relay.NewPool(relay.PoolConfig{Address: address, Dial: e.config.Dial}))
+	pool, _ := e.pools.LoadOrStore(address, relay.NewPool(relay.PoolConfig{
+		Address: address, Dial: e.config.Dial, DialTimeout: e.config.DialTimeout,
+	}))
 	return pool.(*relay.Pool)
 }
 
--- /dev/null
+++ b/internal/edge/negotiate.go
@@ -0,0 +1,130 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/auburnwinch/auburnwinch/internal/relay"
+	"github.com/auburnwinch/auburnwinch/internal/retry"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+const (
+	// maxAsks bounds the agents that are asked for one request; each refusal costs a round trip.
+	maxAsks = 16
+	// retryLeast and retryMost bound Retry-After; refused callers return spread over that span or the expected wait.
+	retryLeast = 200 * time.Millisecond
+	retryMost  = 3 * time.Second
+)
+
+// noteRefusal keeps what an agent said when it refused the request, which is not an attempt.
+func (q *request) noteRefusal(f *failure, c Choice) {
+	if !q.edge.config.Negotiate || f.result != retry.NotRun || f.arrived {
+		return
+	}
+	q.attempts--
+	q.asks++
+	for i := range q.refused {
+		if q.refused[i].Target == c.Candidate.Target.Ref {
+			q.refused = append(q.refused[:i], q.refused[i+1:]...)
+			break
+		}
+	}
+	switch {
+	case c.Patience > 0 || c.Forced:
+		// The agent was asked to its limit; it will not take the request any more.
+		q.tried = append(q.tried, c.Candidate.Target.Ref)
+	case f.reason == relay.ReasonNoSlot || f.reason == relay.ReasonSick:
+		q.refused = append(q.refused, Refused{Target: c.Candidate.Target.Ref, Wait: f.wait, Sick: f.reason == relay.ReasonSick})
+	default:
+		q.tried = append(q.tried, c.Candidate.Target.Ref)
+	}
+}
+
+// mayAskAgain reports whether another agent may be asked after a refusal, or another target reached after a failure.
+func (q *request) mayAskAgain(ctx context.Context, f *failure) bool {
+	if !f.repeat || ctx.Err() != nil || q.sentHeader || !q.body.repeatable() {
+		return false
+	}
+	if f.result == retry.NotRun && !f.arrived {
+		return q.asks < maxAsks
+	}
+	if f.result == retry.InDoubt && !q.match.Route.Idempotent {
+		return false
+	}
+	return f.paid || q.mayReachAnother()
+}
+
+// mayReachAnother spends a token of the budget when the route permits one more target.
+func (q *request) mayReachAnother() bool {
+	limit := q.match.Route.MaxAttempts
+	if limit == 0 {
+		limit = retry.MaxAttempts
+	}
+	if q.attempts >= limit || !q.edge.budget(q.match.Service).Spend() {
+		return false
+	}
+	q.edge.counters.retries.Add(1)
+	return true
+}
+
+// class returns what the agent needs to know before it admits the request.
+func (q *request) class(c Choice) string {
+	route := q.match.Route
+	return relay.Class{Idempotent: route.Idempotent, Call: q.call, Forced: c.Forced, Rank: route.Rank}.String()
+}
+
+// negotiated adds the fields by which the agent decides on admission.
+func (q *request) negotiated(fields []relay.Field, c Choice) []relay.Field {
+	fields = append(fields, relay.Field{Name: model.HeaderClass, Value: q.class(c)})
+	if c.Patience > 0 {
+		fields = append(fields, relay.Field{Name: model.HeaderPatience, Value: c.Patience.Round(time.Millisecond).String()})
+	}
+	if objective := time.Duration(q.match.Route.Objective); objective > 0 {
+		left := q.began.Add(objective).Sub(q.edge.config.Clock.Now())
+		fields = append(fields, relay.Field{Name: model.HeaderObjective, Value: left.Round(time.Millisecond).String()})
+	}
+	return fields
+}
+
+// noTarget refuses a request for which no candidate is left; the wait that agents expect tells when to return.
+func (q *request) noTarget() relay.Refusal {
+	r := notRun(http.StatusServiceUnavailable, "no target of the service takes requests", remedyLater)
+	if q.edge.config.Negotiate {
+		r.RetryAfter = q.returnAfter()
+	}
+	return r
+}
+
+// returnAfter spreads the return of refused callers over the shortest wait that an agent expects.
+func (q *request) returnAfter() time.Duration {
+	shortest := retryMost
+	for _, r := range q.refused {
+		shortest = min(shortest, r.Wait)
+	}
+	return spreadOver(min(max(shortest, retryLeast), retryMost))
+}
+
+// note tells the journal how the request was answered.
+func (q *request) note() {
+	journal := q.edge.config.Journal
+	if journal == nil {
+		return
+	}
+	s := Summary{
+		ID: q.edge.config.Protocol.ID(q.r), Service: q.match.Service, Outcome: q.answered.Answer.Outcome,
+		Reason: q.answered.Answer.Reason, Status: q.status, Call: q.call, Took: q.edge.config.Clock.Now().Sub(q.began),
+		Left: time.Until(q.deadline), Tries: q.tries, Configuration: q.number, Begun: q.began,
+	}
+	if q.match.Route != nil {
+		s.Route = q.match.Route.Name
+	}
+	if s.Outcome == "" {
+		s.Outcome = model.OutcomeDone
+		if q.abort {
+			s.Outcome, s.Reason = model.OutcomeUnknown, "the answer broke off at the caller"
+		}
+	}
+	journal.Answered(s)
+}
--- a/internal/edge/refuse.go
+++ b/internal/edge/refuse.go
@@ -36,6 +36,11 @@
 	return retrySoon + time.Duration(rand.IntN(retrySpread))*time.Second
 }
 
+// spreadOver returns a time between the span and twice the span.
+func spreadOver(span time.Duration) time.Duration {
+	return span + rand.N(span)
+}
+
 func unknown(status int, reason, remedy string) relay.Refusal {
 	return relay.Refusal{
 		Status: status, Answer: model.Answer{Outcome: model.OutcomeUnknown, Reason: reason, Remedy: remedy},
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -50,6 +52,21 @@
 	crashes     int
 	// sentHeader tells that the caller has received the header of an answer.
 	sentHeader bool
+	// omit are headers of the caller that targets do not get.
+	omit []string
+	// call tells that a running request of another target waits for the answer.
+	call bool
+	// refused are the refusals of agents that may take the request later; asks counts all refusals.
+	refused []Refused
+	asks    int
+	// kept is the failure that a target answered to an earlier attempt.
+	kept *keptAnswer
+	// began, tries, number and answered are for the journal.
+	began    time.Time
+	tries    []Try
+	number   uint64
+	answered relay.Refusal
+	status   int
 	// abort makes the server close the connection without ending the answer.
 	abort bool
 }
@@ -90,11 +107,14 @@
 	if table == nil || current == nil {
 		return notRun(http.StatusServiceUnavailable, "this node has no configuration yet", remedyLater), false
 	}
-	match, err := table.Match(q.r.Host, q.r.URL.Path, q.r.Method)
+	match, err := table.Match(q.r.Host, q.path(), q.r.Method)
 	if err != nil {
 		return q.noRoute(err), false
 	}
-	q.match = match
+	if len(match.Route.Split) > 0 {
+		match.Service = router.Draw(match.Route.Split, rand.Float64())
+	}
+	q.match, q.number = match, table.Number()
 	if q.uri = q.r.RequestURI; q.uri == "" || q.uri[0] != '/' {
 		// A caller may send the absolute form; targets get the usual one.
 		q.uri = q.r.URL.RequestURI()
@@ -104,18 +124,31 @@
 	}
 	timeout := time.Duration(match.Route.Timeout)
 	orDefault(&timeout, q.edge.config.DefaultTimeout)
-	if text := q.r.Header.Get(model.HeaderTimeout); text != "" {
-		own, err := time.ParseDuration(text)
-		if err != nil || own <= 0 {
-			return notRun(http.StatusBadRequest, "the header "+model.HeaderTimeout+" is no positive duration such as 2s",
-				remedyFix), false
-		}
+	own, err := q.edge.config.Protocol.Timeout(q.r)
+	if err != nil {
+		return notRun(http.StatusBadRequest, err.Error(), remedyFix), false
+	}
+	if own > 0 {
 		timeout = min(timeout, own)
 	}
-	q.deadline = time.Now().Add(timeout)
+	q.deadline = q.began.Add(timeout)
+	q.call = q.edge.config.Protocol.Call(q.r)
 	return relay.Refusal{}, true
 }
 
+// path returns the path by which the request is routed. Literal prefixes are compared with the bytes that the caller
+// sent.
+func (q *request) path() string {
+	if !q.edge.config.Negotiate {
+		return q.r.URL.Path
+	}
+	path, _, _ := strings.Cut(q.r.RequestURI, "?")
+	if path == "" || path[0] != '/' {
+		return q.r.URL.EscapedPath()
+	}
+	return path
+}
+
 func (q *request) noRoute(err error) relay.Refusal {
 	_ = level.Info(q.edge.config.Logger).Log("msg", "no route", "host", q.r.Host, "path", q.r.URL.Path, "method",
 		q.r.Method, "err", err)
@@ -133,6 +166,8 @@
 func (q *request) prepareHeader() {
 	q.fields = make([]relay.Field, 0, maxFields)
 	q.addField(model.HeaderRoute, q.match.Route.Name)
+	add, omit := q.edge.config.Protocol.Header(q.r)
+	q.fields, q.omit = append(q.fields, add...), omit
 	if account := q.r.Header[model.HeaderAccount]; len(account) > 0 {
 		q.addField(model.HeaderAccount, account[0])
 	}
@@ -154,9 +189,10 @@
 	for {
 		choice, err := q.edge.config.Picker.Pick(PickRequest{
 			Service: q.service, Route: q.match.Route, Idempotent: q.match.Route.Idempotent, Tried: q.tried,
+			Refused: q.refused, Left: time.Until(q.deadline),
 		})
 		if err != nil {
-			q.refuseAttempts(notRun(http.StatusServiceUnavailable, "no target of the service takes requests", remedyLater))
+			q.refuseAttempts(q.noTarget())
 			return
 		}
 		q.attempts++
@@ -164,6 +200,7 @@
 		if f == nil || q.resolve(ctx, f) {
 			return
 		}
+		q.noteRefusal(f, choice)
 		q.doubted = q.doubted || f.result == retry.InDoubt
 		if q.poisoned(f) && !q.sentHeader {
 			q.refuseAttempts(poisoned())
@@ -186,6 +223,9 @@
 }
 
 func (q *request) mayRepeat(ctx context.Context, f *failure) bool {
+	if q.edge.config.Negotiate {
+		return q.mayAskAgain(ctx, f)
+	}
 	allowed := f.repeat && retry.Allowed(retry.Attempt{
 		Number: q.attempts, Result: f.result, Idempotent: q.match.Route.Idempotent, BodyHeld: q.body.repeatable(),
 		Answered: q.sentHeader,
@@ -206,6 +246,8 @@
 		q.abort = true
 	case f.result == retry.NotRun:
 		q.refuseAttempts(ofAgent(f.reason))
+	case q.kept != nil:
+		q.kept.deliver(q)
 	default:
 		q.endKey(model.OutcomeUnknown)
 		q.refuse(q.inDoubt(ctx, f))
@@ -221,6 +263,10 @@
 		}
 	}
 	q.endKey(r.Answer.Outcome)
+	if q.kept != nil && !q.sentHeader {
+		q.kept.deliver(q)
+		return
+	}
 	q.refuse(r)
 }
 
@@ -263,7 +309,8 @@
 	if q.body.begun && !q.body.complete() {
 		q.w.Header()["Connection"] = []string{"close"}
 	}
-	relay.WriteRefusal(q.w, r)
+	q.answered, q.status = r, r.Status
+	q.edge.config.Protocol.Refuse(q.w, r)
 }
 
 // breakOff closes the connection so that the caller can't take the answer as complete. In HTTP/1.0 the end of the
--- /dev/null
+++ b/internal/hosted/admission.go
@@ -0,0 +1,206 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/auburnwinch/auburnwinch/internal/agent"
+	"github.com/auburnwinch/auburnwinch/internal/limit"
+	"github.com/auburnwinch/auburnwinch/internal/relay"
+	"github.com/auburnwinch/auburnwinch/internal/timer"
+	"github.com/auburnwinch/auburnwinch/internal/triage"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+const (
+	// placesPerSlot bounds the requests that wait for one target. More could not be served within the usual objectives,
+	// which are three to five times the work of a request.
+	placesPerSlot = 6
+	// waitMost bounds the wait of a request whose edge states no patience.
+	waitMost = 30 * time.Second
+	// stallCheck is the time between two looks at requests that stay unanswered.
+	stallCheck = 250 * time.Millisecond
+)
+
+// admission decides for one target which requests run, wait or are refused: triage by the target's health, the limiter by
+// its slots.
+type admission struct {
+	clock    timer.Service
+	limiter  *limit.Limiter
+	onChange func(closed bool, odds float64)
+
+	mu      sync.Mutex
+	triage  *triage.Module
+	lastID  uint64
+	running int
+}
+
+type admissionPermit struct {
+	admission *admission
+	permit    limit.Permit
+	id        uint64
+}
+
+// refusedError carries the reason and the expected wait of a refusal to the edge.
+type refusedError struct {
+	reason string
+	wait   time.Duration
+}
+
+func newAdmission(slots int, clock timer.Service, onChange func(closed bool, odds float64)) *admission {
+	return &admission{
+		clock: clock, limiter: limit.New(limit.Config{Settings: admissionSettings(slots), Now: clock.Now}),
+		onChange: onChange, triage: triage.New(triage.Settings{}),
+	}
+}
+
+func admissionSettings(slots int) limit.Settings {
+	return limit.Settings{Slots: slots, Places: slots * placesPerSlot, Wait: waitMost, Deep: true, Fixed: true}
+}
+
+// Acquire admits the request or fails with the reason of the refusal.
+func (a *admission) Acquire(ctx context.Context, r agent.AdmitRequest) (agent.Permit, error) {
+	request := limit.Request{
+		Deadline: r.Deadline, Patience: r.Patience, Bounded: r.Negotiated, Rank: rankOf(r.Class), Objective: r.Objective,
+	}
+	kind, err := a.examine(r.Class)
+	if err != nil {
+		return nil, err
+	}
+	if kind == triage.Trial {
+		// A trial that waits would keep others from trying.
+		request.Patience, request.Bounded = 0, true
+	}
+	permit, err := a.limiter.Acquire(ctx, request)
+	if err != nil {
+		return nil, refusalOf(err)
+	}
+	return a.begin(permit, r)
+}
+
+// rankOf lets calls start first, because the request that waits for them holds a slot meanwhile.
+func rankOf(c relay.Class) int {
+	if c.Call {
+		return -1
+	}
+	return c.Rank
+}
+
+// examine refuses a request by the health of the target.
+func (a *admission) examine(c relay.Class) (triage.VerdictKind, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.decide(c)
+}
+
+func (a *admission) decide(c relay.Class) (triage.VerdictKind, error) {
+	v := a.triage.Decide(a.clock.Now(), c.Idempotent)
+	if v.Kind == triage.Rest && !c.Forced {
+		return v.Kind, &refusedError{reason: relay.ReasonSick, wait: v.Wait}
+	}
+	return v.Kind, nil
+}
+
+// begin looks at the health again, since the request may have waited, and starts its run.
+func (a *admission) begin(permit limit.Permit, r agent.AdmitRequest) (agent.Permit, error) {
+	a.mu.Lock()
+	kind, err := a.decide(r.Class)
+	if err != nil {
+		a.mu.Unlock()
+		permit.Release(limit.Result{})
+		return nil, err
+	}
+	a.lastID++
+	a.running++
+	p := admissionPermit{admission: a, permit: permit, id: a.lastID}
+	cmds := a.triage.Update(triage.StartMsg{Now: a.clock.Now(), ID: p.id, Class: r.Route, Trial: kind == triage.Trial})
+	a.mu.Unlock()
+	a.apply(cmds)
+	return p, nil
+}
+
+// Release gives the slot back and takes the result as evidence.
+func (p admissionPermit) Release(r agent.Result) {
+	a := p.admission
+	a.mu.Lock()
+	a.running--
+	cmds := a.triage.Update(triage.EndMsg{Now: a.clock.Now(), ID: p.id, Kind: evidenceOf(r.Kind)})
+	a.mu.Unlock()
+	a.apply(cmds)
+	p.permit.Release(limit.Result{OK: r.Kind == agent.ResultOK})
+}
+
+func evidenceOf(kind agent.ResultKind) triage.Kind {
+	switch kind {
+	case agent.ResultOK:
+		return triage.Succeeded
+	case agent.ResultError, agent.ResultReset, agent.ResultCrashed, agent.ResultNotSent:
+		return triage.Failed
+	case agent.ResultShed:
+		return triage.Shed
+	default:
+		return triage.Unknown
+	}
+}
+
+// check notices requests that stay unanswered.
+func (a *admission) check() {
+	a.mu.Lock()
+	var cmds []triage.Cmd
+	if a.running > 0 {
+		cmds = a.triage.Update(triage.TickMsg{Now: a.clock.Now()})
+	}
+	a.mu.Unlock()
+	a.apply(cmds)
+}
+
+func (a *admission) apply(cmds []triage.Cmd) {
+	for _, cmd := range cmds {
+		switch cmd := cmd.(type) {
+		case triage.ClosedCmd:
+			a.limiter.Flush()
+			a.onChange(true, cmd.Odds)
+		case triage.OpenedCmd:
+			a.onChange(false, cmd.Odds)
+		}
+	}
+}
+
+// Configure follows changed slots; requests in flight keep theirs.
+func (a *admission) Configure(slots int, _ model.ServiceSpec) {
+	a.limiter.SetSettings(admissionSettings(slots))
+}
+
+// Load returns the present use.
+func (a *admission) Load() relay.Load {
+	load := a.limiter.Load()
+	return relay.Load{InFlight: load.InFlight + load.Waiting, Limit: load.Limit}
+}
+
+func refusalOf(err error) error {
+	var refused *limit.RefusedError
+	if !errors.As(err, &refused) {
+		return err
+	}
+	reason := relay.ReasonNoSlot
+	switch refused.Reason {
+	case limit.ReasonDeadline:
+		reason = relay.ReasonDeadline
+	case limit.ReasonSick:
+		reason = relay.ReasonSick
+	}
+	return &refusedError{reason: reason, wait: refused.RetryAfter}
+}
+
+// Error names the reason and the remedy.
+func (e *refusedError) Error() string {
+	return "not admitted: " + e.reason + "; try another target, or this one after " + e.wait.String()
+}
+
+// Reason names the refusal for the edge.
+func (e *refusedError) Reason() string { return e.reason }
+
+// Wait returns the time after which a repeat makes sense.
+func (e *refusedError) Wait() time.Duration { return e.wait }
--- /dev/null
+++ b/internal/hosted/config.go
@@ -0,0 +1,90 @@
+package hosted
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/auburnwinch/auburnwinch/internal/agent"
+	"github.com/auburnwinch/auburnwinch/internal/edge"
+	"github.com/auburnwinch/auburnwinch/internal/relay"
+	"github.com/auburnwinch/auburnwinch/internal/roster"
+	"github.com/auburnwinch/auburnwinch/internal/timer"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// Config holds what a node runs with; Clock, Dial, Logger and Failures may be left out.
+type Config struct {
+	Self      model.Node
+	Listeners Listeners
+	// Nodes is the table in which each node publishes its record.
+	Nodes roster.Table
+	// Configurations is the table of the operator; Decode returns nil for rows that are no configuration.
+	Configurations roster.Table
+	Decode         func(roster.Row) (*Desired, error)
+	// Callers and Targets are what both sides speak.
+	Callers edge.Protocol
+	Targets agent.Protocol
+	// Local and Ready make the handlers of the platform's calls.
+	Local func(Heartbeats) http.Handler
+	Ready func(ready func() bool) http.Handler
+	// Grace is the time between the request to stop and the end of the process by force.
+	Grace   time.Duration
+	Retries Retries
+	Clock   timer.Service
+	Dial    relay.DialFunc
+	// Logger takes ordinary lines, Failures those that explain failures and changes.
+	Logger   log.Logger
+	Failures log.Logger
+	Version  string
+}
+
+// Listeners holds the addresses, `host:port`, on which the node listens. Metrics may be empty.
+type Listeners struct {
+	Callers, Relay, Local, Ready, Metrics string
+}
+
+// Retries is what the whole fleet may repeat at one service: Ratio of its requests, and Extra more in each Window.
+type Retries struct {
+	Ratio  float64
+	Extra  int
+	Window time.Duration
+}
+
+// Desired is a whole configuration with the bounds on what callers may send.
+type Desired struct {
+	Configuration model.Configuration
+	Limits        Limits
+}
+
+// Limits bound what a caller may send and how long it may take; zero means no bound.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Heartbeats takes what the target on this VM says of itself.
+type Heartbeats interface {
+	Announce(h agent.Announcement) error
+	Withdraw(service, id string)
+	Refused(id string, err error)
+}
+
+func (c Config) withDefaults() Config {
+	if c.Clock == nil {
+		c.Clock = timer.NewReal()
+	}
+	if c.Logger == nil {
+		c.Logger = log.NewNopLogger()
+	}
+	if c.Failures == nil {
+		c.Failures = c.Logger
+	}
+	if c.Dial == nil {
+		c.Dial = Dialer().DialContext
+	}
+	return c
+}
--- /dev/null
+++ b/internal/hosted/journal.go
@@ -0,0 +1,71 @@
+package hosted
+
+import (
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/auburnwinch/auburnwinch/internal/agent"
+	"github.com/auburnwinch/auburnwinch/internal/edge"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// journal writes one line for each answer of the edge and for each end of a relayed request. Lines about failures and
+// refusals are kept longest when the log can't be written fast enough.
+type journal struct {
+	ordinary log.Logger
+	failures log.Logger
+	beliefs  *beliefs
+	meters   *meters
+}
+
+// tryLine is one attempt as it stands in the log.
+type tryLine struct {
+	Target   string `json:"target"`
+	Node     string `json:"node"`
+	Result   string `json:"result"`
+	Patience string `json:"patience,omitempty"`
+	Forced   bool   `json:"forced,omitempty"`
+	Took     string `json:"took"`
+}
+
+// Answered notes the answer to a caller.
+func (j *journal) Answered(s edge.Summary) {
+	j.meters.answered(s)
+	logger := j.ordinary
+	if s.Outcome != model.OutcomeDone || s.Status >= 500 {
+		logger = j.failures
+	}
+	_, members := j.beliefs.ages()
+	_ = logger.Log("msg", "request answered", "id", s.ID, "route", s.Route, "service", s.Service, "outcome", s.Outcome,
+		"status", s.Status, "reason", s.Reason, "call", s.Call, "took", text(s.Took), "left", text(s.Left),
+		"configuration", s.Configuration, "members-age", text(members), "tries", triesOf(s.Tries))
+}
+
+// Relayed notes the end of a relayed request.
+func (j *journal) Relayed(r agent.Record) {
+	j.meters.relayed(r)
+	logger := j.ordinary
+	if r.Outcome != model.OutcomeDone || r.Status >= 500 {
+		logger = j.failures
+	}
+	_ = logger.Log("msg", "request relayed", "id", r.ID, "service", r.Target.Service, "target", r.Target.ID, "class", r.Class.String(),
+		"outcome", r.Outcome, "status", r.Status, "reason", r.Reason, "waited", text(r.Waited), "ran", text(r.Ran), "load", r.Load.String())
+}
+
+func triesOf(tries []edge.Try) []tryLine {
+	lines := make([]tryLine, 0, len(tries))
+	for _, t := range tries {
+		line := tryLine{Target: t.Target, Node: t.Node, Result: t.Result, Forced: t.Forced, Took: text(t.Took)}
+		if t.Patient > 0 {
+			line.Patience = text(t.Patient)
+		}
+		lines = append(lines, line)
+	}
+	return lines
+}
+
+// text writes a duration in whole milliseconds.
+func text(d time.Duration) string {
+	return d.Round(time.Millisecond).String()
+}
--- /dev/null
+++ b/internal/hosted/node.go
@@ -0,0 +1,222 @@
+package hosted
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/sourcegraph/conc"
+
+	"github.com/auburnwinch/auburnwinch/internal/agent"
+	"github.com/auburnwinch/auburnwinch/internal/edge"
+	"github.com/auburnwinch/auburnwinch/internal/invar"
+	"github.com/auburnwinch/auburnwinch/internal/picker"
+	"github.com/auburnwinch/auburnwinch/internal/relay"
+	"github.com/auburnwinch/auburnwinch/internal/retry"
+	"github.com/auburnwinch/auburnwinch/internal/roster"
+	"github.com/auburnwinch/auburnwinch/internal/view"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+const (
+	// silentReused bounds the silence on a reused connection between nodes: a round trip between regions takes 24 ms, and
+	// agents answer or send a sign of life after 100 ms.
+	silentReused = 600 * time.Millisecond
+	// silentAny bounds the silence of an agent, which sends a sign of life every interimInterval.
+	silentAny       = 1500 * time.Millisecond
+	interimInterval = 400 * time.Millisecond
+	// relayDialTimeout covers a round trip between regions ten times.
+	relayDialTimeout = 400 * time.Millisecond
+	// bodyIdle bounds the silence within the body of an answer, which targets send in one piece.
+	bodyIdle = 2 * time.Second
+	// holdBytes is the largest body that is held until it is whole; the largest downloads have half a megabyte.
+	holdBytes = 1 << 20
+	// targetExpiry is the time after which a target without heartbeats is dropped: four of them.
+	targetExpiry = 6 * time.Second
+	// configurationSettle is short because a configuration must be in force everywhere within two seconds.
+	configurationSettle = 50 * time.Millisecond
+	// retryBurst and retryReserve are the repeats that one node may save up and has at its start.
+	retryBurst   = 1
+	retryReserve = 1
+	// retryMargin keeps the sum over all nodes below the allowance of the fleet.
+	retryMargin = 0.8
+)
+
+// Node is the process that runs beside each target.
+type Node struct {
+	config    Config
+	beliefs   *beliefs
+	meters    *meters
+	journal   *journal
+	edge      *edge.Edge
+	agent     *agent.Agent
+	picker    *picker.Picker
+	publisher *roster.Publisher
+	watchers  []*roster.Watcher
+	servers   []*server
+	cancel    context.CancelFunc
+	group     conc.WaitGroup
+	stopping  atomic.Bool
+
+	mu         sync.Mutex
+	record     roster.Record
+	admissions []*admission
+}
+
+// New builds all parts and opens the listeners; Run serves.
+func New(c Config) (*Node, error) {
+	n := &Node{config: c.withDefaults()}
+	n.record = roster.Record{Node: n.config.Self}
+	invar.OnViolation(func(v invar.Violation) {
+		_ = level.Error(n.config.Failures).Log("msg", "invariant violated", "module", v.Module, "detail", v.Detail)
+	})
+	for _, build := range []func() error{n.buildBeliefs, n.buildAgent, n.buildEdge, n.registerMetrics, n.openListeners} {
+		if err := build(); err != nil {
+			n.closeListeners()
+			return nil, err
+		}
+	}
+	return n, nil
+}
+
+func (n *Node) buildBeliefs() (err error) {
+	if n.meters, err = newMeters(); err != nil {
+		return err
+	}
+	n.picker = picker.New(picker.Config{
+		Health: noVerdicts{}, Now: n.config.Clock.Now, Seed: n.config.Self.Ref.Incarnation, Negotiate: true,
+	})
+	n.beliefs = &beliefs{
+		self: n.config.Self, clock: n.config.Clock, logger: n.config.Failures, decode: n.config.Decode, picker: n.picker,
+		builder: view.NewBuilder(n.config.Self), members: roster.NewMembers(),
+	}
+	n.journal = &journal{ordinary: n.config.Logger, failures: n.config.Failures, beliefs: n.beliefs, meters: n.meters}
+	return nil
+}
+
+func (n *Node) buildAgent() (err error) {
+	n.agent, err = agent.New(agent.Config{
+		Self: n.config.Self.Ref, NewLimiter: n.newLimiter, OnTargets: n.targetsChanged, Clock: n.config.Clock,
+		Logger: n.config.Failures, Dial: n.config.Dial, InterimInterval: interimInterval, Expiry: targetExpiry,
+		Protocol: n.config.Targets, Journal: n.journal, OneTarget: true, NoSentinels: true,
+	})
+	return err
+}
+
+func (n *Node) newLimiter(target model.Target, _ model.ServiceSpec) agent.Limiter {
+	a := newAdmission(target.Slots, n.config.Clock, func(closed bool, odds float64) {
+		if closed {
+			n.meters.closed.Add(1)
+		}
+		_ = level.Info(n.config.Failures).Log("msg", "target health", "service", target.Ref.Service, "target", target.Ref.ID,
+			"sick", closed, "log-odds", odds)
+	})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	// Only the limiter of the target that runs now is checked for requests that stay unanswered.
+	n.admissions = []*admission{a}
+	return a
+}
+
+func (n *Node) buildEdge() (err error) {
+	n.edge, err = edge.New(edge.Config{
+		View: &n.beliefs.view, Picker: picks{n.picker}, Tracker: paths{n.picker}, Clock: n.config.Clock,
+		Logger: n.config.Failures, Dial: n.config.Dial, DialTimeout: relayDialTimeout, SilentReused: silentReused,
+		SilentAny: silentAny, BodyIdle: bodyIdle, Protocol: n.config.Callers, Negotiate: true, HoldBytes: holdBytes,
+		Journal: n.journal,
+		Retry: retry.Config{
+			Burst: retryBurst, Reserve: retryReserve, Percent: int(100 * retryMargin * n.config.Retries.Ratio),
+		},
+	})
+	n.beliefs.edge = n.edge
+	return err
+}
+
+func (n *Node) targetsChanged(targets []model.Target) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.record.Targets = targets
+	n.publish()
+}
+
+// publish hands the record to the publisher; it is called under the lock.
+func (n *Node) publish() {
+	if n.publisher != nil {
+		n.publisher.Publish(n.record.Encode())
+	}
+}
+
+// Announce takes a heartbeat of the target on this VM.
+func (n *Node) Announce(h agent.Announcement) error {
+	if n.stopping.Load() && !h.Draining {
+		return agent.ErrOutdated
+	}
+	return n.agent.Announce(h)
+}
+
+// Withdraw removes a target that has said goodbye.
+func (n *Node) Withdraw(service, id string) {
+	n.agent.Withdraw(service, id)
+}
+
+// Refused takes note of a heartbeat that names no target to use.
+func (n *Node) Refused(id string, err error) {
+	_ = level.Warn(n.config.Failures).Log("msg", "heartbeat ignored", "target", id, "err", err)
+}
+
+func (n *Node) ready() bool {
+	return n.beliefs.ready.Load() && !n.stopping.Load()
+}
+
+// serveCallers hands requests to the edge.
+func (n *Node) serveCallers(w http.ResponseWriter, r *http.Request) {
+	if limits := n.beliefs.limits.Load(); limits != nil && limits.BodyBytes > 0 && r.ContentLength > limits.BodyBytes {
+		n.config.Callers.Refuse(w, relay.Refusal{
+			Status: http.StatusRequestEntityTooLarge,
+			Answer: model.Answer{Outcome: model.OutcomeNotRun, Reason: "the body is larger than the configuration permits"},
+		})
+		return
+	}
+	n.edge.ServeHTTP(w, r)
+}
+
+// watch starts to follow the store.
+func (n *Node) watch() {
+	n.watchers = append(n.watchers,
+		roster.NewWatcher(roster.WatcherConfig{
+			Table: n.config.Configurations, Name: "configuration", OnRows: n.beliefs.takeConfiguration,
+			Settle: configurationSettle, Logger: n.config.Failures,
+		}),
+		roster.NewWatcher(roster.WatcherConfig{
+			Table: n.config.Nodes, Name: "nodes", OnRows: n.membersChanged, Logger: n.config.Failures,
+		}))
+}
+
+func (n *Node) membersChanged(p roster.Page) {
+	n.beliefs.takeMembers(p)
+	for _, row := range p.Rows {
+		n.publisher.See(row)
+	}
+}
+
+// checkStalls looks for requests that stay unanswered.
+func (n *Node) checkStalls(ctx context.Context) {
+	ticks := n.config.Clock.Subscribe(stallCheck)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C:
+			n.mu.Lock()
+			admissions := n.admissions
+			n.mu.Unlock()
+			for _, a := range admissions {
+				a.check()
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/hosted/run.go
@@ -0,0 +1,116 @@
+package hosted
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/auburnwinch/auburnwinch/internal/drain"
+	"github.com/auburnwinch/auburnwinch/internal/roster"
+)
+
+const (
+	shutdownTick = 50 * time.Millisecond
+	// shutdownLinger is how long requests are still accepted after the request to stop: the platform asks for readiness
+	// once a second, and sends no more work after two refusals.
+	shutdownLinger = 2300 * time.Millisecond
+	// graceShare is the part of the grace within which requests in flight may end.
+	graceShare = 0.88
+	// flushTimeout bounds the last write of the record.
+	flushTimeout = 300 * time.Millisecond
+)
+
+// Run serves until the context ends, then leaves gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, n.cancel = context.WithCancel(ctx)
+	defer n.cancel()
+	for _, s := range n.servers {
+		n.serve(s)
+	}
+	n.startPublisher()
+	n.watch()
+	n.group.Go(func() { n.checkStalls(ctx) })
+	_ = level.Info(n.config.Failures).Log("msg", "node started", "incarnation", n.config.Self.Ref.Incarnation, "version", n.config.Version,
+		"domain", n.config.Self.Domain, "region", n.config.Self.Region, "callers", n.config.Listeners.Callers, "relay", n.config.Listeners.Relay)
+	<-ctx.Done()
+	n.leave()
+	n.close()
+	return nil
+}
+
+func (n *Node) startPublisher() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.publisher = roster.NewPublisher(roster.PublisherConfig{
+		Table: n.config.Nodes, Part: n.config.Self.Domain, Key: n.config.Self.Ref.ID, Logger: n.config.Failures,
+	})
+	n.publish()
+}
+
+// leave carries out the graceful shutdown.
+func (n *Node) leave() {
+	shutdown := drain.New(drain.Config{
+		Timeout: time.Duration(graceShare * float64(n.config.Grace)), Linger: shutdownLinger,
+	})
+	ticks := n.config.Clock.Subscribe(shutdownTick)
+	defer ticks.Stop()
+	cmds := shutdown.Update(drain.StopMsg{Now: n.config.Clock.Now()})
+	for {
+		for len(cmds) > 0 {
+			next := n.leaveStep(cmds[0])
+			cmds = cmds[1:]
+			if next != nil {
+				cmds = append(cmds, shutdown.Update(next)...)
+			}
+		}
+		if shutdown.State() == drain.StateExited {
+			return
+		}
+		cmds = shutdown.Update(drain.TickMsg{Now: <-ticks.C, InFlight: n.inFlight()})
+	}
+}
+
+func (n *Node) leaveStep(cmd drain.Cmd) drain.Msg {
+	switch cmd := cmd.(type) {
+	case drain.AnnounceLeavingCmd:
+		n.announceLeaving()
+	case drain.CloseListenersCmd:
+		// The target on this VM may still send calls, so the listeners stay open to the end.
+	case drain.HandOverKeysCmd:
+		return drain.HandedOverMsg{Now: n.config.Clock.Now(), InFlight: n.inFlight()}
+	case drain.ExitCmd:
+		_ = level.Info(n.config.Failures).Log("msg", "node stopped", "broken", cmd.Broken)
+	}
+	return nil
+}
+
+// announceLeaving refuses relayed requests at once, because other targets can take them, and serves callers on.
+func (n *Node) announceLeaving() {
+	n.stopping.Store(true)
+	n.agent.SetLeaving(true)
+	n.edge.SetLeaving(true)
+	n.mu.Lock()
+	n.record.Leaving = true
+	n.publish()
+	n.mu.Unlock()
+	_ = level.Info(n.config.Failures).Log("msg", "node leaves", "in-flight", n.inFlight())
+}
+
+func (n *Node) inFlight() int {
+	return n.edge.InFlight() + n.agent.InFlight()
+}
+
+func (n *Node) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	n.publisher.Flush(ctx)
+	cancel()
+	n.closeListeners()
+	for _, w := range n.watchers {
+		w.Close()
+	}
+	n.publisher.Close()
+	_ = n.edge.Close()  // It only closes idle connections.
+	_ = n.agent.Close() // It only closes idle connections.
+	n.group.Wait()
+}
--- a/internal/limit/limiter.go
+++ b/internal/limit/limiter.go
@@ -139,6 +139,13 @@
 	return ctx.Err()
 }
 
+// Flush refuses all waiting requests, because the target turned out to be sick.
+func (l *Limiter) Flush() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.apply(l.module.Update(FlushMsg{Now: l.now()}))
+}
+
 func (l *Limiter) tick() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/limit/message.go
+++ b/internal/limit/message.go
@@ -31,6 +31,9 @@
 	ID  uint64
 }
 
+// FlushMsg refuses all waiting requests, because the target turned out to be sick.
+type FlushMsg struct{ Now time.Time }
+
 // TickMsg moves the time; waiting requests whose time is over are refused.
 type TickMsg struct{ Now time.Time }
 
@@ -38,6 +41,7 @@
 func (m AcquireMsg) at() time.Time  { return m.Now }
 func (m ReleaseMsg) at() time.Time  { return m.Now }
 func (m CancelMsg) at() time.Time   { return m.Now }
+func (m FlushMsg) at() time.Time    { return m.Now }
 func (m TickMsg) at() time.Time     { return m.Now }
 
 // Cmd is an effect that the shell carries out.
--- a/internal/limit/module.go
+++ b/internal/limit/module.go
@@ -30,6 +30,8 @@
 	// denied holds the two latest accounts that were refused below their share, the latest first.
 	denied [2]denial
 	mean   time.Duration
+	// samples are the durations in the mean.
+	samples int
 }
 
 type running struct {
@@ -71,6 +73,8 @@
 		cmds = append(cmds, m.acquire(msg)...)
 	case ReleaseMsg:
 		m.release(msg)
+	case FlushMsg:
+		cmds = append(cmds, m.flush()...)
 	case CancelMsg:
 		if w := m.queue.remove(msg.ID); w != nil {
 			m.forget(w.account)
@@ -110,7 +114,7 @@
 		return []Cmd{m.refuse(msg.ID, reason)}
 	}
 	cmds := m.makePlace(a)
-	m.queue.push(&waiter{id: msg.ID, account: a, expires: expires})
+	m.queue.push(&waiter{id: msg.ID, account: a, expires: expires, rank: msg.Rank, objective: msg.Objective})
 	invar.Check(m.queue.len() <= m.settings.Places, "limit", "%d requests wait in %d places", m.queue.len(),
 		m.settings.Places)
 	return append(cmds, WaitCmd{ID: msg.ID, Until: expires})
@@ -118,9 +122,12 @@
 
 // admitToQueue returns the reason against a place in the queue, or until when the request may wait.
 func (m *Module) admitToQueue(msg AcquireMsg, a *account) (reason Reason, expires time.Time) {
-	places := m.settings.Places
-	wait := m.expectedWait(m.ahead(a))
-	expires = m.now.Add(m.settings.Wait)
+	places, patience := m.settings.Places, m.settings.Wait
+	if msg.Bounded {
+		patience = msg.Patience
+	}
+	wait := m.expectedWait(m.ahead(a, msg.Rank))
+	expires = m.now.Add(patience)
 	latest := expires
 	if !msg.Deadline.IsZero() {
 		latest = msg.Deadline.Add(-m.mean)
@@ -133,7 +140,7 @@
 		return ReasonFull, expires
 	case m.now.Add(wait).After(latest) && latest.Before(expires):
 		return ReasonDeadline, expires
-	case wait > m.settings.Wait:
+	case wait > patience:
 		return ReasonFull, expires
 	case latest.Before(expires):
 		return 0, latest
@@ -169,9 +176,14 @@
 
 // ahead is the number of waiters that start before the next one of the account. Those of accounts below their share
 // come first; otherwise the accounts have turns.
-func (m *Module) ahead(a *account) int {
+func (m *Module) ahead(a *account, rank int) int {
 	first := m.belowShare(a)
-	count := len(a.waiters)
+	count := 0
+	for _, w := range a.waiters {
+		if w.rank <= rank {
+			count++
+		}
+	}
 	for _, other := range m.queue.ring {
 		switch {
 		case other == a, first && !m.belowShare(other):
@@ -214,8 +226,11 @@
 	m.forget(r.account)
 	if msg.Result.OK {
 		took := m.now.Sub(r.since)
-		m.mean += time.Duration(durationGain * float64(took-m.mean))
-		m.learner.observe(took, r.inFlight)
+		m.samples++
+		m.mean += time.Duration(max(durationGain, 1/float64(m.samples)) * float64(took-m.mean))
+		if !m.settings.Fixed {
+			m.learner.observe(took, r.inFlight)
+		}
 	}
 }
 
@@ -223,9 +238,9 @@
 func (m *Module) dispatch() []Cmd {
 	var cmds []Cmd
 	for m.free() > 0 && m.queue.len() > 0 {
-		w := m.queue.next(m.belowShare)
+		w := m.queue.next(m.belowShare, m.before)
 		if w == nil {
-			w = m.queue.next(m.mayRun)
+			w = m.queue.next(m.mayRun, m.before)
 		}
 		if w == nil {
 			break
@@ -235,6 +250,29 @@
 	return cmds
 }
 
+// before reports whether one waiter starts before another one of its account: those that can still meet their objective
+// first, then by rank.
+func (m *Module) before(a, b *waiter) bool {
+	if lateA, lateB := m.late(a), m.late(b); lateA != lateB {
+		return lateB
+	}
+	return a.rank < b.rank
+}
+
+func (m *Module) late(w *waiter) bool {
+	return !w.objective.IsZero() && m.now.Add(m.mean).After(w.objective)
+}
+
+func (m *Module) flush() []Cmd {
+	var cmds []Cmd
+	for _, w := range m.queue.all() {
+		m.queue.remove(w.id)
+		m.forget(w.account)
+		cmds = append(cmds, m.refuse(w.id, ReasonSick))
+	}
+	return cmds
+}
+
 func (m *Module) expire() []Cmd {
 	var cmds []Cmd
 	for _, w := range m.queue.expired(m.now) {
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -7,6 +7,9 @@
 	id      uint64
 	account *account
 	expires time.Time
+	rank    int
+	// objective is when the answer has lost most of its value.
+	objective time.Time
 }
 
 // account holds what the requests of one caller account use.
@@ -36,12 +39,18 @@
 }
 
 // next removes and returns the next waiter whose account may start a request; it is nil when there is none.
-func (q *queue) next(allowed func(*account) bool) *waiter {
+func (q *queue) next(allowed func(*account) bool, before func(a, b *waiter) bool) *waiter {
 	for i, a := range q.ring {
 		if allowed(a) {
-			w := a.waiters[0]
+			first := 0
+			for j := range a.waiters {
+				if before(a.waiters[j], a.waiters[first]) {
+					first = j
+				}
+			}
+			w := a.waiters[first]
 			q.ring = append(q.ring[:i:i], q.ring[i+1:]...)
-			a.waiters = a.waiters[1:]
+			a.waiters = append(a.waiters[:first:first], a.waiters[first+1:]...)
 			if len(a.waiters) > 0 {
 				q.ring = append(q.ring, a)
 			}
@@ -80,6 +89,15 @@
 	}
 }
 
+// all returns the waiters in order of the accounts' turns.
+func (q *queue) all() []*waiter {
+	var list []*waiter
+	for _, a := range q.ring {
+		list = append(list, a.waiters...)
+	}
+	return list
+}
+
 // expired returns the waiters whose time is over, in order of the accounts' turns.
 func (q *queue) expired(now time.Time) []*waiter {
 	var list []*waiter
--- a/internal/limit/settings.go
+++ b/internal/limit/settings.go
@@ -19,6 +19,8 @@
 	ReasonShare
 	// ReasonWait means that no slot came free within the bounded wait.
 	ReasonWait
+	// ReasonSick means that the target turned out to be sick while the request waited.
+	ReasonSick
 )
 
 // Settings bound the admission to one target.
@@ -28,6 +30,10 @@
 	Places int
 	// Wait bounds the time in the queue; zero means no queue.
 	Wait time.Duration
+	// Deep lifts the cut of Places to Slots.
+	Deep bool
+	// Fixed keeps the limit at Slots, whatever the durations say.
+	Fixed bool
 	// AccountShare is the share of slots and places that one account may hold under contention; zero means all.
 	AccountShare float64
 }
@@ -37,6 +43,14 @@
 	Account string
 	// Deadline is when the caller stops waiting; the zero value means never.
 	Deadline time.Time
+	// Patience replaces Settings.Wait for a request that is Bounded.
+	Patience time.Duration
+	Bounded  bool
+	// Rank orders waiting requests; lower ranks start first.
+	Rank int
+	// Objective is when the answer has lost most of its value; a request that can't meet it starts after those that
+	// can. The zero value means never.
+	Objective time.Time
 }
 
 // Result tells how the admitted request ended.
@@ -82,6 +96,8 @@
 		return "the account holds its share"
 	case ReasonWait:
 		return "no slot came free in time"
+	case ReasonSick:
+		return "the target is probably sick"
 	default:
 		return "invalid"
 	}
@@ -89,7 +105,10 @@
 
 func (s Settings) normal() Settings {
 	s.Slots = max(1, s.Slots)
-	s.Places = max(0, min(s.Places, s.Slots))
+	if !s.Deep {
+		s.Places = min(s.Places, s.Slots)
+	}
+	s.Places = max(0, s.Places)
 	if s.Wait <= 0 {
 		s.Places = 0
 	}
--- a/internal/picker/load.go
+++ b/internal/picker/load.go
@@ -27,6 +27,7 @@
 	// probedAt is when the last probation request was chosen, in nanoseconds since the picker's start.
 	probedAt atomic.Int64
 	report   atomic.Pointer[report]
+	trust    trust
 }
 
 type report struct {
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -26,6 +26,8 @@
 	Now func() time.Time
 	// Seed starts the sequence of random choices.
 	Seed uint64
+	// Negotiate makes choices state how long the request may wait there, see negotiate.go.
+	Negotiate bool
 }
 
 // Request describes the request for which a target is chosen.
@@ -34,6 +36,19 @@
 	Idempotent bool
 	// Exclude lists targets that earlier attempts of the request already used.
 	Exclude []model.TargetRef
+	// Refused are the agents that had no room when they were asked.
+	Refused []Refused
+	// Left is the time that the request has.
+	Left time.Duration
+}
+
+// Refused is the refusal of an agent that may take the request later.
+type Refused struct {
+	Target model.TargetRef
+	// Wait is the wait that the agent expected.
+	Wait time.Duration
+	// Sick tells that the target is probably sick.
+	Sick bool
 }
 
 // Choice is a chosen target; each choice must be given back by Done.
@@ -41,7 +56,10 @@
 	Candidate view.Candidate
 	// Probation tells that the request tests a target that was ejected.
 	Probation bool
-	entry     *entry
+	// Patience is how long the request may wait for a slot; Forced asks for one at a target that is probably sick.
+	Patience time.Duration
+	Forced   bool
+	entry    *entry
 }
 
 // NoTargetError reports that no candidate is in service; the request did not run.
@@ -82,6 +100,9 @@
 		return Choice{}, &NoTargetError{Service: r.Service}
 	}
 	now := p.config.Now()
+	if p.config.Negotiate {
+		return p.negotiate(s, r, now)
+	}
 	ranked := s.ranked(p.config.Health.Snapshot())
 	if r.Idempotent {
 		if e := p.pickProbation(ranked, r, now); e != nil {
--- /dev/null
+++ b/internal/picker/trust.go
@@ -0,0 +1,67 @@
+package picker
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// pathPause is the time for which a target is avoided after its path failed once; it doubles with each failure in a
+	// row up to pathPauseMost.
+	pathPause     = 500 * time.Millisecond
+	pathPauseMost = 16 * time.Second
+	// trialPause is the time between two idempotent requests to a target that its agent calls sick.
+	trialPause = 200 * time.Millisecond
+	// restMost bounds the time for which the word of an agent about its target holds.
+	restMost = 2 * time.Second
+)
+
+// trust is what the edge knows of the path to a target, and what the agent said about its health.
+type trust struct {
+	mu       sync.Mutex
+	failures int
+	pathFrom time.Time
+	sickFrom time.Time
+	restedAt time.Time
+}
+
+// pathFailed avoids the target for a while.
+func (t *trust) pathFailed(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Before(t.pathFrom) {
+		return // Requests that were under way at the first failure say nothing new.
+	}
+	t.pathFrom = now.Add(min(pathPauseMost, pathPause<<min(t.failures, 10)))
+	t.failures++
+}
+
+// pathWorks ends the avoidance.
+func (t *trust) pathWorks() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.failures, t.pathFrom = 0, time.Time{}
+}
+
+// rest notes that the agent called the target sick for the time.
+func (t *trust) rest(now time.Time, wait time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sickFrom, t.restedAt = now.Add(min(wait, restMost)), now
+}
+
+func (t *trust) pathOpen(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !now.Before(t.pathFrom)
+}
+
+// mayAsk reports whether the agent would probably admit the request by the target's health.
+func (t *trust) mayAsk(now time.Time, idempotent bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if idempotent {
+		return now.Sub(t.restedAt) >= trialPause
+	}
+	return !now.Before(t.sickFrom)
+}
--- /dev/null
+++ b/internal/relay/class.go
@@ -0,0 +1,64 @@
+package relay
+
+import (
+	"strconv"
+	"strings"
+)
+
+const (
+	classIdempotent = "idempotent"
+	classCall       = "call"
+	classForced     = "forced"
+	classRank       = "rank="
+)
+
+// Class is what an agent needs to know of a request before it admits it.
+type Class struct {
+	// Idempotent tells that the request may run more than once.
+	Idempotent bool
+	// Call tells that a running request of another target waits for the answer.
+	Call bool
+	// Forced asks for admission although the target is probably sick, because no other target has room.
+	Forced bool
+	// Rank orders waiting requests; 0 comes first.
+	Rank int
+}
+
+// String writes the class as it stands in the header.
+func (c Class) String() string {
+	parts := make([]string, 0, 4)
+	for _, flag := range []struct {
+		set  bool
+		name string
+	}{{c.Idempotent, classIdempotent}, {c.Call, classCall}, {c.Forced, classForced}} {
+		if flag.set {
+			parts = append(parts, flag.name)
+		}
+	}
+	return strings.Join(append(parts, classRank+strconv.Itoa(c.Rank)), ",")
+}
+
+// ParseClass reads a class; ok is false when it is malformed. Words of later versions are passed over.
+func ParseClass(text string) (class Class, ok bool) {
+	if text == "" {
+		return Class{}, true
+	}
+	for part := range strings.SplitSeq(text, ",") {
+		rank, isRank := strings.CutPrefix(part, classRank)
+		switch {
+		case part == classIdempotent:
+			class.Idempotent = true
+		case part == classCall:
+			class.Call = true
+		case part == classForced:
+			class.Forced = true
+		case isRank:
+			n, err := strconv.Atoi(rank)
+			if err != nil {
+				return Class{}, false
+			}
+			class.Rank = n
+		}
+	}
+	return class, true
+}
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -44,8 +44,13 @@
 	// no bound. SilentReused holds on a reused connection until its first byte.
 	SilentReused time.Duration
 	SilentAny    time.Duration
+	// Unhurried lifts these bounds once a 100 answer has come: the request may run then, and an early end of the
+	// exchange would only put its outcome in doubt.
+	Unhurried bool
 	// WaitContinue sends the body only after a 100 answer, so that a refusal leaves the body untouched.
 	WaitContinue bool
+	// Accept tells whether an answer belongs to the request; others are read to their end and dropped. Nil accepts all.
+	Accept func(*http.Response) bool
 	// Source is set when Body reads from a server's request; its read is aborted when the connection ends before it.
 	Source *Source
 }
@@ -136,7 +141,11 @@
 		c.response = response
 		return response, nil
 	}
+	unconfirmed := r.WaitContinue && c.written == nil
 	c.Close()
+	if unconfirmed && !errors.Is(err, ErrNotSent) {
+		return nil, eris.Wrapf(ErrUnconfirmed, "%v", err)
+	}
 	if cause := ctx.Err(); cause != nil && !errors.Is(err, ErrNotSent) {
 		return nil, eris.Wrapf(ErrBroken, "%v", cause)
 	}
@@ -224,7 +233,7 @@
 func (c *Conn) exchange(r *Request) (*http.Response, error) {
 	c.limit.left = maxHeaderBytes
 	c.writeHeader(r)
-	if r.Body == nil || r.ContentLength == 0 {
+	if r.WaitContinue || r.Body == nil || r.ContentLength == 0 {
 		return c.readAfterWrite(r, c.writer.Flush())
 	}
 	if r.ContentLength > 0 && r.ContentLength <= int64(c.writer.Available()) {
@@ -233,9 +242,6 @@
 		}
 		return c.readAfterWrite(r, c.writer.Flush())
 	}
-	if r.WaitContinue {
-		return c.readAfterWrite(r, c.writer.Flush())
-	}
 	c.startBody(r)
 	return c.readResponse(r)
 }
@@ -355,15 +361,36 @@
 		}
 		if response.StatusCode >= http.StatusOK {
 			c.limit.left = 1 << 62
-			return response, nil
+			if r.Accept == nil || r.Accept(response) {
+				return response, nil
+			}
+			if err := c.dropAnswer(response); err != nil {
+				return nil, err
+			}
+			continue
 		}
 		silent = r.SilentAny
 		if response.StatusCode == http.StatusContinue && r.WaitContinue && c.written == nil {
 			c.startBody(r)
 		}
+		if r.Unhurried && c.written != nil {
+			silent = 0
+		}
 	}
 }
 
+// dropAnswer reads an answer of another request to its end, so that the next one on the connection can be read.
+func (c *Conn) dropAnswer(response *http.Response) error {
+	if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		return eris.Wrapf(ErrBroken, "%s: the connection ends with the answer of another request", c.pool.config.Address)
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return c.readError(err)
+	}
+	c.limit.left = maxHeaderBytes
+	return nil
+}
+
 func (c *Conn) readHeader(r *Request, silent time.Duration) (*http.Response, error) {
 	c.SetReadTimeout(silent)
 	if _, err := c.reader.Peek(1); err != nil {
--- a/internal/relay/header.go
+++ b/internal/relay/header.go
@@ -10,8 +10,14 @@
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
-// ownPrefix starts the names of all headers that the fleet sets itself.
-const ownPrefix = "Auburnwinch-"
+// ownHeaders are the headers that the fleet sets itself; they never pass from one side to the other.
+var ownHeaders = map[string]struct{}{
+	model.HeaderOutcome: {}, model.HeaderOwner: {}, model.HeaderAccount: {}, model.HeaderTimeout: {},
+	model.HeaderExchange: {}, model.HeaderTarget: {}, model.HeaderKey: {}, model.HeaderLoad: {},
+	model.HeaderLength: {}, model.HeaderChecksum: {}, model.HeaderReason: {}, model.HeaderSignature: {},
+	model.HeaderRoute: {}, model.HeaderFingerprint: {}, model.HeaderClass: {}, model.HeaderPatience: {},
+	model.HeaderWait: {}, model.HeaderObjective: {},
+}
 
 // Reasons of an agent that refuses a request; each is a certain not-run unless it says otherwise.
 const (
@@ -34,6 +40,12 @@
 	ReasonBroken = "target-broken"
 	// ReasonCrashed tells that the target broke off and refuses connections, so that the request is suspect.
 	ReasonCrashed = "target-crashed"
+	// ReasonSick tells that the target is probably sick and rests.
+	ReasonSick = "target-sick"
+	// ReasonShed tells that the target itself refused the request, which reached it.
+	ReasonShed = "target-shed"
+	// ReasonUnconfirmed tells that the edge did not send the body after it was admitted.
+	ReasonUnconfirmed = "unconfirmed"
 	// ReasonTimeout tells that the time ran out while the target worked.
 	ReasonTimeout = "timeout"
 )
@@ -42,7 +54,7 @@
 func CopyHeader(dst, src http.Header) {
 	connection := src["Connection"]
 	for name, values := range src {
-		if hopByHop(name) || strings.HasPrefix(name, ownPrefix) || listed(connection, name) {
+		if hopByHop(name) || isOwn(name) || listed(connection, name) {
 			continue
 		}
 		dst[name] = values
@@ -60,7 +72,7 @@
 func writeHeader(w *bufio.Writer, src http.Header, omit []string, fields []Field) {
 	connection := src["Connection"]
 	for name, values := range src {
-		if hopByHop(name) || strings.HasPrefix(name, ownPrefix) || listed(connection, name) || slices.Contains(omit, name) {
+		if hopByHop(name) || isOwn(name) || listed(connection, name) || slices.Contains(omit, name) {
 			continue
 		}
 		for _, value := range values {
@@ -124,6 +136,11 @@
 	return load, err1 == nil && err2 == nil
 }
 
+func isOwn(name string) bool {
+	_, own := ownHeaders[name]
+	return own
+}
+
 func hopByHop(name string) bool {
 	switch name {
 	case "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Te", "Trailer", "Upgrade",
--- /dev/null
+++ b/internal/roster/watcher.go
@@ -0,0 +1,114 @@
+package roster
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	// readTimeout bounds the read of a whole table.
+	readTimeout = 5 * time.Second
+	// defaultSettle groups changes that come close together into one answer.
+	defaultSettle = 250 * time.Millisecond
+)
+
+// WatcherConfig describes what is watched; Table and OnRows are required.
+type WatcherConfig struct {
+	Table Table
+	// Name names the table in the log.
+	Name string
+	// OnRows is called with all rows first, and with the changed ones later; calls do not overlap.
+	OnRows func(Page)
+	// Settle is the time between an answer and the next call; default 250 ms.
+	Settle time.Duration
+	Logger log.Logger
+}
+
+// Watcher follows the rows of a table until it is closed.
+type Watcher struct {
+	config WatcherConfig
+	pauses pauses
+	cancel context.CancelFunc
+	group  conc.WaitGroup
+}
+
+// NewWatcher starts to follow the table.
+func NewWatcher(c WatcherConfig) *Watcher {
+	if c.Settle <= 0 {
+		c.Settle = defaultSettle
+	}
+	if c.Logger == nil {
+		c.Logger = log.NewNopLogger()
+	}
+	w := &Watcher{config: c}
+	ctx, cancel := context.WithCancel(context.Background())
+	w.cancel = cancel
+	w.group.Go(func() { w.run(ctx) })
+	return w
+}
+
+// Close ends the watch.
+func (w *Watcher) Close() {
+	w.cancel()
+	w.group.Wait()
+}
+
+func (w *Watcher) run(ctx context.Context) {
+	version, known := uint64(0), false
+	for ctx.Err() == nil {
+		page, err := w.next(ctx, version, known)
+		switch {
+		case err == nil:
+			w.regained()
+			version, known = page.Version, true
+			if page.Whole || len(page.Rows) > 0 {
+				w.config.OnRows(page)
+				sleep(ctx, w.config.Settle)
+			}
+		case errors.Is(err, ErrHistory):
+			_ = level.Info(w.config.Logger).Log("msg", "history lost, reading the table anew", "table", w.config.Name, "version", version)
+			known = false
+		default:
+			w.lost(ctx, err)
+		}
+	}
+}
+
+func (w *Watcher) next(ctx context.Context, version uint64, known bool) (Page, error) {
+	if known {
+		return w.config.Table.Watch(ctx, version)
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return w.config.Table.Read(ctx)
+}
+
+func (w *Watcher) lost(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if w.pauses.failures == 0 {
+		_ = level.Warn(w.config.Logger).Log("msg", "store lost", "table", w.config.Name, "err", err)
+	}
+	sleep(ctx, w.pauses.next())
+}
+
+func (w *Watcher) regained() {
+	if failures := w.pauses.reset(); failures > 0 {
+		_ = level.Info(w.config.Logger).Log("msg", "store regained", "table", w.config.Name, "failures", failures)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/router/split.go
@@ -0,0 +1,23 @@
+package router
+
+import "github.com/auburnwinch/auburnwinch/pkg/model"
+
+// Draw chooses the service of a split by a random number from 0 to 1; an empty result means that no part has a weight.
+func Draw(parts []model.SplitPart, random float64) string {
+	total := 0
+	for _, part := range parts {
+		total += part.Weight
+	}
+	left := random * float64(total)
+	chosen := ""
+	for _, part := range parts {
+		if part.Weight == 0 {
+			continue
+		}
+		chosen = part.Service
+		if left -= float64(part.Weight); left < 0 {
+			break
+		}
+	}
+	return chosen
+}
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -32,6 +32,8 @@
 type prefixes struct {
 	byPath   map[string][]entry
 	maxDepth int
+	// literal holds the routes whose prefix is matched as it stands.
+	literal map[string][]entry
 }
 
 type entry struct {
@@ -78,24 +80,28 @@
 
 // Match finds the route of a request; it fails with ErrNoRoute, ErrMethod or ErrPath.
 func (t *Table) Match(host, path, method string) (Match, error) {
-	if !validPath(path) {
-		return Match{}, ErrPath
-	}
-	if len(t.hosts) > 0 {
-		if p := t.hosts[hostName(host)]; p != nil {
-			if entries := p.find(path); entries != nil {
-				return choose(entries, method)
+	for _, p := range [...]*prefixes{t.hosts[hostName(host)], t.anyone} {
+		if p == nil {
+			continue
+		}
+		if entries := p.findLiteral(path); entries != nil {
+			return choose(entries, method)
+		}
+		if !validPath(path) {
+			if len(p.byPath) > 0 {
+				return Match{}, ErrPath
 			}
+			continue
+		}
+		if entries := p.find(path); entries != nil {
+			return choose(entries, method)
 		}
-	}
-	if entries := t.anyone.find(path); entries != nil {
-		return choose(entries, method)
 	}
 	return Match{}, ErrNoRoute
 }
 
 func (t *Table) add(service string, route *model.RouteSpec) error {
-	if !validPath(route.PathPrefix) || strings.ContainsAny(route.PathPrefix, "?#") {
+	if !route.Literal && !validPath(route.PathPrefix) || strings.ContainsAny(route.PathPrefix, "?#") {
 		return eris.Wrapf(ErrInvalid, "route %q of service %q: path-prefix %q must start with / and hold no dot segments",
 			route.Name, service, route.PathPrefix)
 	}
@@ -112,20 +118,38 @@
 }
 
 func newPrefixes() *prefixes {
-	return &prefixes{byPath: make(map[string][]entry)}
+	return &prefixes{byPath: make(map[string][]entry), literal: make(map[string][]entry)}
 }
 
 func (p *prefixes) add(e entry) error {
-	path := trimSlash(e.match.Route.PathPrefix)
-	for _, other := range p.byPath[path] {
+	path, known := trimSlash(e.match.Route.PathPrefix), p.byPath
+	if e.match.Route.Literal {
+		path, known = e.match.Route.PathPrefix, p.literal
+	}
+	for _, other := range known[path] {
 		if overlap(e.methods, other.methods) {
 			return eris.Wrapf(ErrInvalid, "route %q of service %q and route %q of service %q accept the same requests; "+
 				"change the host, path-prefix or methods of one of them",
 				e.match.Route.Name, e.match.Service, other.match.Route.Name, other.match.Service)
 		}
 	}
-	p.byPath[path] = append(p.byPath[path], e)
-	p.maxDepth = max(p.maxDepth, strings.Count(path, "/"))
+	known[path] = append(known[path], e)
+	if !e.match.Route.Literal {
+		p.maxDepth = max(p.maxDepth, strings.Count(path, "/"))
+	}
+	return nil
+}
+
+// findLiteral tries the beginnings of the path that end with a slash, the longest first.
+func (p *prefixes) findLiteral(path string) []entry {
+	if len(p.literal) == 0 {
+		return nil
+	}
+	for i := strings.LastIndexByte(path, '/'); i >= 0; i = strings.LastIndexByte(path[:i], '/') {
+		if entries := p.literal[path[:i+1]]; entries != nil {
+			return entries
+		}
+	}
 	return nil
 }
 
--- a/internal/ticket/validate.go
+++ b/internal/ticket/validate.go
@@ -19,6 +19,8 @@
 	maxText     = 512
 	maxTimeout  = time.Hour
 	maxWait     = time.Minute
+	maxAttempts = 10
+	maxRank     = 1000
 )
 
 var knownMethods = []string{
@@ -165,11 +167,30 @@
 	if r.Resumable && !r.Idempotent {
 		p.Add(field+".resumable", "set idempotent as well, or remove resumable", "only idempotent routes can be resumed")
 	}
+	checkLimits(p, field, r)
 	if r.RequireKey && r.Idempotent {
 		p.Add(field+".require-key", "remove one of the two", "idempotent routes need no key")
 	}
 }
 
+func checkLimits(p *strict.Problems, field string, r model.RouteSpec) {
+	if r.MaxAttempts < 0 || r.MaxAttempts > maxAttempts {
+		p.Add(field+".max-attempts", "use 1 to 10, or leave it out for the default", "impossible value %d", r.MaxAttempts)
+	}
+	if r.Objective < 0 || r.Objective > model.Duration(maxTimeout) {
+		p.Add(field+".objective", "use a duration above 0s and at most 1h, or leave it out", "impossible value %s", r.Objective)
+	}
+	if r.Rank < 0 || r.Rank > maxRank {
+		p.Add(field+".rank", "use 0 to 1000, 0 for the requests that come first", "impossible value %d", r.Rank)
+	}
+	for i, part := range r.Split {
+		if !model.ValidName(part.Service) || part.Weight < 0 {
+			p.Add(fmt.Sprintf("%s.split[%d]", field, i), "name a service and a weight of at least 0", "impossible part %q with weight %d",
+				part.Service, part.Weight)
+		}
+	}
+}
+
 func checkHost(p *strict.Problems, field, host string) {
 	if host != strings.ToLower(host) || strings.ContainsAny(host, "/ \t\r\n:?#*") || len(host) > 253 {
 		p.Add(field, "write the host name in lower case without scheme and port", "impossible host %q", host)
--- /dev/null
+++ b/internal/triage/message.go
@@ -0,0 +1,75 @@
+package triage
+
+import "time"
+
+// Kind classifies the end of a request.
+type Kind uint8
+
+// The kinds of ends.
+const (
+	// Unknown ends say nothing about the target, such as a caller that went away.
+	Unknown Kind = iota
+	Succeeded
+	Failed
+	// Shed means that the target refused the request.
+	Shed
+)
+
+// Msg is an input of the module.
+type Msg interface{ at() time.Time }
+
+// StartMsg tells that a request is handed to the target.
+type StartMsg struct {
+	Now   time.Time
+	ID    uint64
+	Class string
+	Trial bool
+}
+
+// EndMsg tells how a request ended.
+type EndMsg struct {
+	Now  time.Time
+	ID   uint64
+	Kind Kind
+}
+
+// TickMsg moves the time, so that unanswered requests are noticed.
+type TickMsg struct{ Now time.Time }
+
+func (m StartMsg) at() time.Time { return m.Now }
+func (m EndMsg) at() time.Time   { return m.Now }
+func (m TickMsg) at() time.Time  { return m.Now }
+
+// Cmd is an effect that the shell carries out.
+type Cmd interface{ cmd() }
+
+// ClosedCmd tells that the target became probably sick; waiting requests should go elsewhere.
+type ClosedCmd struct{ Odds float64 }
+
+// OpenedCmd tells that the target is probably sound again.
+type OpenedCmd struct{ Odds float64 }
+
+func (ClosedCmd) cmd() {}
+func (OpenedCmd) cmd() {}
+
+// VerdictKind tells whether a request may go to the target.
+type VerdictKind uint8
+
+// The verdicts.
+const (
+	// Open admits the request.
+	Open VerdictKind = iota + 1
+	// Trial admits the request as the only one that tests the target.
+	Trial
+	// Rest refuses the request.
+	Rest
+)
+
+// Verdict is the decision on one request.
+type Verdict struct {
+	Kind VerdictKind
+	// Wait is the time after which a repeat makes sense, when the request is refused.
+	Wait time.Duration
+	// Odds are the log-odds that the target is sick.
+	Odds float64
+}
--- /dev/null
+++ b/internal/triage/module.go
@@ -0,0 +1,175 @@
+package triage
+
+import (
+	"math"
+	"time"
+)
+
+// Module is the belief about one target. It is not safe for concurrent use.
+type Module struct {
+	settings Settings
+	now      time.Time
+	// odds are the log-odds from the ends of requests, as of now.
+	odds    float64
+	running map[uint64]run
+	means   map[string]*mean
+	trial   uint64
+	trying  bool
+	// nextTrial is the earliest time of the next trial.
+	nextTrial time.Time
+	closed    bool
+}
+
+type run struct {
+	class string
+	since time.Time
+}
+
+type mean struct {
+	value   float64
+	samples int
+}
+
+// New returns a module that knows nothing of its target.
+func New(s Settings) *Module {
+	s = s.withDefaults()
+	return &Module{settings: s, odds: s.Usual, running: make(map[uint64]run), means: make(map[string]*mean)}
+}
+
+// Update applies one message and returns its effects; a time before the latest one is taken as the latest one.
+func (m *Module) Update(msg Msg) []Cmd {
+	m.advance(msg.at())
+	switch msg := msg.(type) {
+	case StartMsg:
+		m.running[msg.ID] = run{class: msg.Class, since: m.now}
+		if msg.Trial {
+			m.trial, m.trying = msg.ID, true
+		}
+	case EndMsg:
+		m.end(msg)
+	}
+	return m.cross()
+}
+
+// Odds returns the log-odds that the target is sick.
+func (m *Module) Odds(now time.Time) float64 {
+	m.advance(now)
+	return m.total()
+}
+
+// Decide tells whether a request may go to the target.
+func (m *Module) Decide(now time.Time, idempotent bool) Verdict {
+	m.advance(now)
+	v := Verdict{Kind: Open, Odds: m.total()}
+	if v.Odds < 0 {
+		return v
+	}
+	if idempotent && !m.trying && !m.now.Before(m.nextTrial) {
+		v.Kind = Trial
+		return v
+	}
+	v.Kind, v.Wait = Rest, m.restLeft()
+	if idempotent {
+		v.Wait = max(m.settings.TrialPause, m.nextTrial.Sub(m.now))
+	}
+	return v
+}
+
+func (m *Module) advance(now time.Time) {
+	if !now.After(m.now) {
+		return
+	}
+	if !m.now.IsZero() {
+		fade := math.Exp(-float64(now.Sub(m.now)) / float64(m.settings.Recovery))
+		m.odds = m.settings.Usual + (m.odds-m.settings.Usual)*fade
+	}
+	m.now = now
+}
+
+func (m *Module) end(msg EndMsg) {
+	r, known := m.running[msg.ID]
+	if !known {
+		return
+	}
+	delete(m.running, msg.ID)
+	if m.trying && m.trial == msg.ID {
+		m.trying = false
+	}
+	took := m.now.Sub(r.since)
+	switch msg.Kind {
+	case Succeeded:
+		// A success that came very late is no sign of health.
+		if m.stall(r) == 0 {
+			m.shift(m.settings.Success)
+		}
+		m.learn(r.class, took)
+	case Failed:
+		m.shift(m.settings.Failure)
+		m.nextTrial = m.now.Add(m.settings.TrialPause)
+	case Shed:
+		m.shift(m.settings.Shed)
+		m.nextTrial = m.now.Add(m.settings.TrialPause)
+	case Unknown:
+		// A request that was given up after a long silence keeps its weight.
+		m.shift(m.stall(r))
+	}
+}
+
+func (m *Module) shift(by float64) {
+	m.odds = max(-m.settings.Bound, min(m.settings.Bound, m.odds+by))
+}
+
+func (m *Module) learn(class string, took time.Duration) {
+	c := m.means[class]
+	if c == nil {
+		c = &mean{}
+		m.means[class] = c
+	}
+	c.samples++
+	c.value += max(meanGain, 1/float64(c.samples)) * (took.Seconds() - c.value)
+}
+
+// total adds the evidence of unanswered requests, which goes when they end.
+func (m *Module) total() float64 {
+	odds := m.odds
+	for _, r := range m.running {
+		odds += m.stall(r)
+	}
+	return odds
+}
+
+// stall returns the evidence of one request that is still unanswered: the logarithm of how much more often a sick target
+// leaves a request unanswered for so long than a sound one does.
+func (m *Module) stall(r run) float64 {
+	c := m.means[r.class]
+	if c == nil || c.samples < meanSamples || c.value <= 0 {
+		return 0
+	}
+	sound := math.Exp(-m.now.Sub(r.since).Seconds() / c.value)
+	evidence := math.Log(stallShare/sound+1-stallShare) - stallFrom
+	return max(0, min(m.settings.Stall, evidence))
+}
+
+// restLeft returns the time until the odds of ended requests favour health.
+func (m *Module) restLeft() time.Duration {
+	wait := m.settings.TrialPause
+	if m.odds > 0 && m.settings.Usual < 0 {
+		fade := math.Log((m.odds - m.settings.Usual) / -m.settings.Usual)
+		wait = max(wait, time.Duration(fade*float64(m.settings.Recovery)))
+	}
+	return wait
+}
+
+func (m *Module) cross() []Cmd {
+	odds := m.total()
+	switch closed := odds >= 0; {
+	case closed && !m.closed:
+		m.closed = true
+		return []Cmd{ClosedCmd{Odds: odds}}
+	case !closed && m.closed:
+		m.closed = false
+		return []Cmd{OpenedCmd{Odds: odds}}
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/triage/module_test.go
@@ -0,0 +1,120 @@
+package triage
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+// target drives a module with requests one after the other.
+type target struct {
+	*Module
+	now time.Time
+	id  uint64
+}
+
+func newTarget() *target { return &target{Module: New(Settings{}), now: start} }
+
+func (g *target) request(took time.Duration, kind Kind) []Cmd {
+	g.id++
+	cmds := g.Update(StartMsg{Now: g.now, ID: g.id, Class: "class"})
+	g.now = g.now.Add(took)
+	return append(cmds, g.Update(EndMsg{Now: g.now, ID: g.id, Kind: kind})...)
+}
+
+// Guards against a target with failing work and good probes that goes on taking work that must not run twice: after one
+// failure it takes idempotent trials only, and one success and a short rest bring it back.
+func TestOneFailureClosesToNonIdempotent(t *testing.T) {
+	g := newTarget()
+	for range 5 {
+		require.Empty(t, g.request(300*time.Millisecond, Succeeded))
+		require.Equal(t, Open, g.Decide(g.now, false).Kind)
+		g.now = g.now.Add(3 * time.Second)
+	}
+	require.IsType(t, ClosedCmd{}, g.request(100*time.Millisecond, Failed)[0])
+	v := g.Decide(g.now, false)
+	require.Equal(t, Rest, v.Kind)
+	require.Positive(t, v.Wait)
+	require.Equal(t, Rest, g.Decide(g.now, true).Kind, "the trial waits for its pause")
+
+	g.now = g.now.Add(defaultTrialPause)
+	require.Equal(t, Trial, g.Decide(g.now, true).Kind)
+	g.Update(StartMsg{Now: g.now, ID: 1000, Class: "class", Trial: true})
+	require.Equal(t, Rest, g.Decide(g.now, true).Kind, "one trial at a time")
+	g.now = g.now.Add(200 * time.Millisecond)
+	require.IsType(t, OpenedCmd{}, g.Update(EndMsg{Now: g.now, ID: 1000, Kind: Succeeded})[0])
+	require.Equal(t, Open, g.Decide(g.now, false).Kind)
+}
+
+// Guards against a target that rests for ever in a service without idempotent requests.
+func TestRestEndsByItself(t *testing.T) {
+	g := newTarget()
+	for range 10 {
+		g.request(50*time.Millisecond, Failed)
+	}
+	v := g.Decide(g.now, false)
+	require.Equal(t, Rest, v.Kind)
+	require.Less(t, v.Wait, 4*defaultRecovery)
+	require.Equal(t, Open, g.Decide(g.now.Add(v.Wait+time.Millisecond), false).Kind)
+}
+
+// Guards against a target that hangs without failing: requests that stay unanswered for much longer than usual close it,
+// and their answers open it again.
+func TestStallsClose(t *testing.T) {
+	g := newTarget()
+	for range 10 {
+		g.request(600*time.Millisecond, Succeeded)
+	}
+	for i := range 3 {
+		g.Update(StartMsg{Now: g.now, ID: uint64(2000 + i), Class: "class"})
+	}
+	require.Empty(t, g.Update(TickMsg{Now: g.now.Add(700 * time.Millisecond)}), "the usual duration is no stall")
+	cmds := g.Update(TickMsg{Now: g.now.Add(3 * time.Second)})
+	require.Len(t, cmds, 1)
+	require.IsType(t, ClosedCmd{}, cmds[0])
+}
+
+// Guards against a full house of sound requests that looks like a stall.
+func TestBusyIsNotStalled(t *testing.T) {
+	g := newTarget()
+	for range 10 {
+		g.request(600*time.Millisecond, Succeeded)
+	}
+	for i := range 7 {
+		g.Update(StartMsg{Now: g.now.Add(time.Duration(i) * 100 * time.Millisecond), ID: uint64(i + 5000), Class: "class"})
+	}
+	require.Negative(t, g.Odds(g.now.Add(900*time.Millisecond)))
+}
+
+// Guards against beliefs that leave their bounds, so that nothing could change them any more, and against two trials.
+func TestBeliefStaysBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m, now := New(Settings{}), start
+		var running []uint64
+		trial, trying := uint64(0), false
+		for id := range uint64(rapid.IntRange(1, 200).Draw(t, "steps")) {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			if len(running) > 0 && rapid.Bool().Draw(t, "end") {
+				ended := running[0]
+				running = running[1:]
+				m.Update(EndMsg{Now: now, ID: ended, Kind: Kind(rapid.IntRange(0, 3).Draw(t, "kind"))})
+				trying = trying && ended != trial
+			} else if v := m.Decide(now, rapid.Bool().Draw(t, "idempotent")); v.Kind != Rest {
+				if v.Kind == Trial {
+					require.False(t, trying, "two trials at once")
+					trial, trying = id, true
+				}
+				m.Update(StartMsg{Now: now, ID: id, Class: "class", Trial: v.Kind == Trial})
+				running = append(running, id)
+			} else {
+				require.Positive(t, v.Wait)
+			}
+			require.LessOrEqual(t, m.odds, defaultBound)
+			require.GreaterOrEqual(t, m.odds, -defaultBound)
+		}
+	})
+}
--- a/pkg/model/header.go
+++ b/pkg/model/header.go
@@ -23,6 +23,14 @@
 	HeaderRoute = "Auburnwinch-Route"
 	// HeaderFingerprint holds the fingerprint of the request in hexadecimal, for the detection of poison requests.
 	HeaderFingerprint = "Auburnwinch-Fingerprint"
+	// HeaderClass holds what the agent needs to know of the request before it admits it, see relay.Class.
+	HeaderClass = "Auburnwinch-Class"
+	// HeaderPatience is the Go duration that the request may wait for a slot.
+	HeaderPatience = "Auburnwinch-Patience"
+	// HeaderObjective is the Go duration after which the answer has lost most of its value.
+	HeaderObjective = "Auburnwinch-Objective"
+	// HeaderWait is the Go duration that a refused request would have to wait.
+	HeaderWait = "Auburnwinch-Wait"
 )
 
 // Paths of the callers' listener that the fleet serves itself.
--- a/pkg/model/spec.go
+++ b/pkg/model/spec.go
@@ -43,6 +43,22 @@
 	Timeout    Duration `cbor:"6,keyasint,omitempty" json:"timeout,omitempty" yaml:"timeout,omitempty"`
 	Resumable  bool     `cbor:"7,keyasint,omitempty" json:"resumable,omitempty" yaml:"resumable,omitempty"`
 	RequireKey bool     `cbor:"8,keyasint,omitempty" json:"require-key,omitempty" yaml:"require-key,omitempty"`
+	// MaxAttempts bounds the targets that one request may reach; zero keeps the default.
+	MaxAttempts int `cbor:"9,keyasint,omitempty" json:"max-attempts,omitempty" yaml:"max-attempts,omitempty"`
+	// Objective is the time within which an answer has its full value; zero means none is stated.
+	Objective Duration `cbor:"10,keyasint,omitempty" json:"objective,omitempty" yaml:"objective,omitempty"`
+	// Rank orders requests that wait for the same target; 0 comes first.
+	Rank int `cbor:"11,keyasint,omitempty" json:"rank,omitempty" yaml:"rank,omitempty"`
+	// Split shares the requests among services by weight; without it all go to the service that holds the route.
+	Split []SplitPart `cbor:"12,keyasint,omitempty" json:"split,omitempty" yaml:"split,omitempty"`
+	// Literal matches PathPrefix against the path byte by byte, with its final slash and any dot segments.
+	Literal bool `cbor:"13,keyasint,omitempty" json:"literal,omitempty" yaml:"literal,omitempty"`
+}
+
+// SplitPart is the share of one service in the requests of a route.
+type SplitPart struct {
+	Service string `cbor:"1,keyasint" json:"service" yaml:"service"`
+	Weight  int    `cbor:"2,keyasint" json:"weight" yaml:"weight"`
 }
 
 // ServiceSpec is the whole configuration of one service.
