Bound repeats at the agents, weigh failures by their speed, confirm before doubt

Cause: calls that met a sick target failed without a repeat, because each node had a budget of its own and most of it lay with nodes that repeat nothing; the parents failed with them. Trials of sick targets came five times a second. A request that ran was answered 503 when its time ran out (rule REFUSED), because the sent body looked like one never asked for.

Change: the agent of a target keeps the budget, as it sees all arrivals; a failure after work counts little; trials become rare; the connection remembers the confirmation.

Ruled out: more repeats per node, which would break the fleet's bound when all nodes repeat at once.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -25,8 +25,6 @@
 	wait time.Duration
 	// arrived tells that the request reached a target, which refused it.
 	arrived bool
-	// paid tells that the budget was already asked for the next attempt.
-	paid bool
 }
 
 // leg is one exchange with an agent.
--- a/internal/edge/kept.go
+++ b/internal/edge/kept.go
@@ -31,7 +31,7 @@
 	var sum relay.Checksum
 	body, err := io.ReadAll(io.LimitReader(l.response.Body, keptBytes+1))
 	sum.Add(body)
-	f := &failure{result: retry.InDoubt, kind: ResultError, reason: "target-error", repeat: true, paid: true}
+	f := &failure{result: retry.InDoubt, kind: ResultError, reason: "target-error", repeat: true}
 	if err != nil || len(body) > keptBytes || sum.Verify(l.response.Trailer) != nil {
 		// The answer is not whole, so there is nothing to keep.
 		l.conn.Close()
--- a/internal/edge/negotiate.go
+++ b/internal/edge/negotiate.go
@@ -53,26 +53,24 @@
 	if f.result == retry.InDoubt && !q.match.Route.Idempotent {
 		return false
 	}
-	return f.paid || q.mayReachAnother()
+	return q.mayReachAnother()
 }
 
-// mayReachAnother spends a token of the budget when the route permits one more target.
+// mayReachAnother reports whether the route permits one more target. Whether the service can bear it, the agents decide.
 func (q *request) mayReachAnother() bool {
 	limit := q.match.Route.MaxAttempts
 	if limit == 0 {
 		limit = retry.MaxAttempts
 	}
-	if q.attempts >= limit || !q.edge.budget(q.match.Service).Spend() {
-		return false
-	}
-	q.edge.counters.retries.Add(1)
-	return true
+	return q.attempts < limit
 }
 
 // class returns what the agent needs to know before it admits the request.
 func (q *request) class(c Choice) string {
 	route := q.match.Route
-	return relay.Class{Idempotent: route.Idempotent, Call: q.call, Forced: c.Forced, Rank: route.Rank}.String()
+	return relay.Class{
+		Idempotent: route.Idempotent, Call: q.call, Forced: c.Forced, Repeat: q.attempts > 1, Rank: route.Rank,
+	}.String()
 }
 
 // negotiated adds the fields by which the agent decides on admission.
--- a/internal/hosted/admission.go
+++ b/internal/hosted/admission.go
@@ -9,6 +9,7 @@
 	"github.com/auburnwinch/auburnwinch/internal/agent"
 	"github.com/auburnwinch/auburnwinch/internal/limit"
 	"github.com/auburnwinch/auburnwinch/internal/relay"
+	"github.com/auburnwinch/auburnwinch/internal/retry"
 	"github.com/auburnwinch/auburnwinch/internal/timer"
 	"github.com/auburnwinch/auburnwinch/internal/triage"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
@@ -30,9 +31,12 @@
 	clock    timer.Service
 	limiter  *limit.Limiter
 	onChange func(closed bool, odds float64)
+	// extra returns the repeats that the target may take in each window beside the share of its requests.
+	extra func() float64
 
 	mu      sync.Mutex
 	triage  *triage.Module
+	repeats *retry.Window
 	lastID  uint64
 	running int
 }
@@ -49,10 +53,20 @@
 	wait   time.Duration
 }
 
-func newAdmission(slots int, clock timer.Service, onChange func(closed bool, odds float64)) *admission {
+// admissionConfig constructs an admission.
+type admissionConfig struct {
+	slots    int
+	clock    timer.Service
+	retries  Retries
+	extra    func() float64
+	onChange func(closed bool, odds float64)
+}
+
+func newAdmission(c admissionConfig) *admission {
 	return &admission{
-		clock: clock, limiter: limit.New(limit.Config{Settings: admissionSettings(slots), Now: clock.Now}),
-		onChange: onChange, triage: triage.New(triage.Settings{}),
+		clock: c.clock, limiter: limit.New(limit.Config{Settings: admissionSettings(c.slots), Now: c.clock.Now}),
+		onChange: c.onChange, extra: c.extra, triage: triage.New(triage.Settings{}),
+		repeats: retry.NewWindow(c.retries.Window, retryMargin*c.retries.Ratio),
 	}
 }
 
@@ -107,6 +121,9 @@
 func (a *admission) begin(permit limit.Permit, r agent.AdmitRequest) (agent.Permit, error) {
 	a.mu.Lock()
 	kind, err := a.decide(r.Class)
+	if err == nil {
+		err = a.countArrival(r.Class)
+	}
 	if err != nil {
 		a.mu.Unlock()
 		permit.Release(limit.Result{})
@@ -121,6 +138,19 @@
 	return p, nil
 }
 
+// countArrival refuses a repeat beyond the budget of the target.
+func (a *admission) countArrival(c relay.Class) error {
+	now := a.clock.Now()
+	if !c.Repeat {
+		a.repeats.First(now)
+		return nil
+	}
+	if !a.repeats.Repeat(now, a.extra()) {
+		return &refusedError{reason: relay.ReasonBudget}
+	}
+	return nil
+}
+
 // Release gives the slot back and takes the result as evidence.
 func (p admissionPermit) Release(r agent.Result) {
 	a := p.admission
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -15,7 +15,6 @@
 	"github.com/auburnwinch/auburnwinch/internal/invar"
 	"github.com/auburnwinch/auburnwinch/internal/picker"
 	"github.com/auburnwinch/auburnwinch/internal/relay"
-	"github.com/auburnwinch/auburnwinch/internal/retry"
 	"github.com/auburnwinch/auburnwinch/internal/roster"
 	"github.com/auburnwinch/auburnwinch/internal/view"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
@@ -36,12 +35,12 @@
 	holdBytes = 1 << 20
 	// targetExpiry is the time after which a target without heartbeats is dropped: four of them.
 	targetExpiry = 6 * time.Second
+	// membersSettle groups the rows of nodes that start or change together into one answer of the store.
+	membersSettle = time.Second
 	// configurationSettle is short because a configuration must be in force everywhere within two seconds.
 	configurationSettle = 50 * time.Millisecond
-	// retryBurst and retryReserve are the repeats that one node may save up and has at its start.
-	retryBurst   = 1
-	retryReserve = 1
-	// retryMargin keeps the sum over all nodes below the allowance of the fleet.
+	// retryMargin keeps the repeats at one target below its part of the fleet's allowance, because calls of a request that
+	// runs again count as repeats too, and the agents can't tell them.
 	retryMargin = 0.8
 )
 
@@ -107,12 +106,16 @@
 }
 
 func (n *Node) newLimiter(target model.Target, _ model.ServiceSpec) agent.Limiter {
-	a := newAdmission(target.Slots, n.config.Clock, func(closed bool, odds float64) {
-		if closed {
-			n.meters.closed.Add(1)
-		}
-		_ = level.Info(n.config.Failures).Log("msg", "target health", "service", target.Ref.Service, "target", target.Ref.ID,
-			"sick", closed, "log-odds", odds)
+	a := newAdmission(admissionConfig{
+		slots: target.Slots, clock: n.config.Clock, retries: n.config.Retries,
+		extra: func() float64 { return n.extraRepeats(target.Ref.Service) },
+		onChange: func(closed bool, odds float64) {
+			if closed {
+				n.meters.closed.Add(1)
+			}
+			_ = level.Info(n.config.Failures).Log("msg", "target health", "service", target.Ref.Service, "target", target.Ref.ID,
+				"sick", closed, "log-odds", odds)
+		},
 	})
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -121,15 +124,23 @@
 	return a
 }
 
+// extraRepeats returns the target's part of the repeats that its service may take beside the share of its requests.
+func (n *Node) extraRepeats(service string) float64 {
+	targets := 1
+	if v := n.beliefs.view.Load(); v != nil {
+		if s := v.Service(service); s != nil {
+			targets = max(1, len(s.Candidates))
+		}
+	}
+	return retryMargin * float64(n.config.Retries.Extra) / float64(targets)
+}
+
 func (n *Node) buildEdge() (err error) {
 	n.edge, err = edge.New(edge.Config{
 		View: &n.beliefs.view, Picker: picks{n.picker}, Tracker: paths{n.picker}, Clock: n.config.Clock,
 		Logger: n.config.Failures, Dial: n.config.Dial, DialTimeout: relayDialTimeout, SilentReused: silentReused,
 		SilentAny: silentAny, BodyIdle: bodyIdle, Protocol: n.config.Callers, Negotiate: true, HoldBytes: holdBytes,
 		Journal: n.journal,
-		Retry: retry.Config{
-			Burst: retryBurst, Reserve: retryReserve, Percent: int(100 * retryMargin * n.config.Retries.Ratio),
-		},
 	})
 	n.beliefs.edge = n.edge
 	return err
@@ -191,7 +202,7 @@
 			Settle: configurationSettle, Logger: n.config.Failures,
 		}),
 		roster.NewWatcher(roster.WatcherConfig{
-			Table: n.config.Nodes, Name: "nodes", OnRows: n.membersChanged, Logger: n.config.Failures,
+			Table: n.config.Nodes, Name: "nodes", OnRows: n.membersChanged, Settle: membersSettle, Logger: n.config.Failures,
 		}))
 }
 
--- a/internal/hosted/run.go
+++ b/internal/hosted/run.go
@@ -45,7 +45,10 @@
 	n.publisher = roster.NewPublisher(roster.PublisherConfig{
 		Table: n.config.Nodes, Part: n.config.Self.Domain, Key: n.config.Self.Ref.ID, Logger: n.config.Failures,
 	})
-	n.publish()
+	// A node without a target has nothing to say; its first record follows the first heartbeat.
+	if len(n.record.Targets) > 0 {
+		n.publish()
+	}
 }
 
 // leave carries out the graceful shutdown.
--- a/internal/relay/class.go
+++ b/internal/relay/class.go
@@ -9,6 +9,7 @@
 	classIdempotent = "idempotent"
 	classCall       = "call"
 	classForced     = "forced"
+	classRepeat     = "repeat"
 	classRank       = "rank="
 )
 
@@ -20,17 +21,19 @@
 	Call bool
 	// Forced asks for admission although the target is probably sick, because no other target has room.
 	Forced bool
+	// Repeat tells that an earlier attempt has reached a target.
+	Repeat bool
 	// Rank orders waiting requests; 0 comes first.
 	Rank int
 }
 
 // String writes the class as it stands in the header.
 func (c Class) String() string {
-	parts := make([]string, 0, 4)
+	parts := make([]string, 0, 5)
 	for _, flag := range []struct {
 		set  bool
 		name string
-	}{{c.Idempotent, classIdempotent}, {c.Call, classCall}, {c.Forced, classForced}} {
+	}{{c.Idempotent, classIdempotent}, {c.Call, classCall}, {c.Forced, classForced}, {c.Repeat, classRepeat}} {
 		if flag.set {
 			parts = append(parts, flag.name)
 		}
@@ -52,6 +55,8 @@
 			class.Call = true
 		case part == classForced:
 			class.Forced = true
+		case part == classRepeat:
+			class.Repeat = true
 		case isRank:
 			n, err := strconv.Atoi(rank)
 			if err != nil {
--- /dev/null
+++ b/internal/relay/confirm_test.go
@@ -0,0 +1,90 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// serveOnce accepts one connection and runs the function on it.
+func serveOnce(t *testing.T, serve func(net.Conn, *bufio.Reader)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		serve(conn, bufio.NewReader(conn))
+	}()
+	return l.Addr().String()
+}
+
+func twoStep() *Request {
+	return &Request{
+		Method: http.MethodDelete, URI: "/x", Host: "h", Body: bytes.NewReader(nil), ContentLength: -1,
+		WaitContinue: true, Unhurried: true, SilentAny: 200 * time.Millisecond,
+	}
+}
+
+func tripTo(t *testing.T, address string, r *Request, timeout time.Duration) error {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	conn, err := NewPool(PoolConfig{Address: address}).Get(ctx, ConnAny)
+	require.NoError(t, err)
+	_, err = conn.RoundTrip(ctx, r)
+	return err
+}
+
+// Guards against a request that ran and is reported as not run: once the peer has asked for the body, an end of the
+// connection leaves the outcome in doubt, also when the body was sent long before.
+func TestConfirmedRequestIsInDoubt(t *testing.T) {
+	address := serveOnce(t, func(conn net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n")
+		time.Sleep(500 * time.Millisecond)
+	})
+	err := tripTo(t, address, twoStep(), 300*time.Millisecond)
+	require.NotErrorIs(t, err, ErrUnconfirmed)
+	require.ErrorIs(t, err, ErrBroken)
+}
+
+// Guards against a silent path that puts a request in doubt although its body was never sent.
+func TestUnconfirmedRequestHasNotRun(t *testing.T) {
+	address := serveOnce(t, func(net.Conn, *bufio.Reader) { time.Sleep(time.Second) })
+	begin := time.Now()
+	require.ErrorIs(t, tripTo(t, address, twoStep(), 5*time.Second), ErrUnconfirmed)
+	require.Less(t, time.Since(begin), time.Second, "the silence is bounded before the request is admitted")
+}
+
+// Guards against the answer of an earlier request that is taken for that of the next one on the connection.
+func TestLateAnswerOfAnotherRequestIsDropped(t *testing.T) {
+	address := serveOnce(t, func(conn net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nX-Id: other\r\n\r\nbad"+
+			"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Id: own\r\n\r\ngood")
+		time.Sleep(100 * time.Millisecond)
+	})
+	ctx := context.Background()
+	conn, err := NewPool(PoolConfig{Address: address}).Get(ctx, ConnAny)
+	require.NoError(t, err)
+	response, err := conn.RoundTrip(ctx, &Request{
+		Method: http.MethodGet, URI: "/", Host: "h",
+		Accept: func(r *http.Response) bool { return r.Header.Get("X-Id") == "own" },
+	})
+	require.NoError(t, err)
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Equal(t, "good", string(body))
+}
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -67,6 +67,8 @@
 	stop      func() bool
 	request   *Request
 	written   chan error
+	// confirmed tells that the peer has asked for the body, so that the request may run.
+	confirmed bool
 	response  *http.Response
 	// timed tells that the connection has a read deadline.
 	timed bool
@@ -141,7 +143,7 @@
 		c.response = response
 		return response, nil
 	}
-	unconfirmed := r.WaitContinue && c.written == nil
+	unconfirmed := r.WaitContinue && !c.confirmed
 	c.Close()
 	if unconfirmed && !errors.Is(err, ErrNotSent) {
 		return nil, eris.Wrapf(ErrUnconfirmed, "%v", err)
@@ -203,7 +205,7 @@
 }
 
 func (c *Conn) finished() bool {
-	unsent := c.request != nil && c.request.WaitContinue && c.written == nil
+	unsent := c.request != nil && c.request.WaitContinue && !c.confirmed
 	if c.response == nil || c.response.Close || c.reader.Buffered() > 0 || unsent || !c.stop() {
 		return false
 	}
@@ -232,6 +234,7 @@
 
 func (c *Conn) exchange(r *Request) (*http.Response, error) {
 	c.limit.left = maxHeaderBytes
+	c.confirmed = false
 	c.writeHeader(r)
 	if r.WaitContinue || r.Body == nil || r.ContentLength == 0 {
 		return c.readAfterWrite(r, c.writer.Flush())
@@ -370,10 +373,11 @@
 			continue
 		}
 		silent = r.SilentAny
-		if response.StatusCode == http.StatusContinue && r.WaitContinue && c.written == nil {
+		if response.StatusCode == http.StatusContinue && r.WaitContinue && !c.confirmed {
+			c.confirmed = true
 			c.startBody(r)
 		}
-		if r.Unhurried && c.written != nil {
+		if r.Unhurried && c.confirmed {
 			silent = 0
 		}
 	}
--- a/internal/relay/header.go
+++ b/internal/relay/header.go
@@ -42,6 +42,8 @@
 	ReasonCrashed = "target-crashed"
 	// ReasonSick tells that the target is probably sick and rests.
 	ReasonSick = "target-sick"
+	// ReasonBudget tells that the target has taken as many repeats as it may.
+	ReasonBudget = "retry-budget"
 	// ReasonShed tells that the target itself refused the request, which reached it.
 	ReasonShed = "target-shed"
 	// ReasonUnconfirmed tells that the edge did not send the body after it was admitted.
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -3,11 +3,11 @@
 import "sync/atomic"
 
 const (
-	// tokenUnits are the units of one token.
-	tokenUnits     = 100
-	defaultPercent = 10
-	defaultBurst   = 20
-	defaultAtRest  = 3
+	// tokenUnits are the units of one token; a first attempt earns a tenth of a token.
+	tokenUnits    = 10
+	earnedUnits   = 1
+	defaultBurst  = 20
+	defaultAtRest = 3
 )
 
 // Config sizes a budget; zero fields take the defaults.
@@ -17,17 +17,13 @@
 	// Reserve is the number of retries that a new budget advances; default 3, none when negative. The first attempts
 	// pay it back before they earn more, so that retries stay within a tenth of the first attempts.
 	Reserve int
-	// Percent is the share of a token that each first attempt earns, 0 to 100; default 10.
-	Percent int
 }
 
-// Budget is a token bucket that allows retries in a share of the first attempts; the zero value starts empty with the
-// default share.
+// Budget is a token bucket that allows one retry per ten first attempts; the zero value starts empty.
 type Budget struct {
 	units    atomic.Int64
 	debt     atomic.Int64
 	maxUnits int64
-	percent  int64
 }
 
 // NewBudget returns a budget that has its reserve advanced.
@@ -38,7 +34,7 @@
 	if c.Reserve == 0 {
 		c.Reserve = defaultAtRest
 	}
-	b := &Budget{maxUnits: int64(c.Burst) * tokenUnits, percent: int64(c.Percent)}
+	b := &Budget{maxUnits: int64(c.Burst) * tokenUnits}
 	advance := min(int64(max(c.Reserve, 0))*tokenUnits, b.maxUnits)
 	b.units.Store(advance)
 	b.debt.Store(advance)
@@ -47,16 +43,12 @@
 
 // Begin counts a first attempt.
 func (b *Budget) Begin() {
-	earned := b.percent
-	if earned <= 0 {
-		earned = defaultPercent
-	}
-	if b.debt.Load() > 0 && b.debt.Add(-earned) >= 0 {
+	if b.debt.Load() > 0 && b.debt.Add(-earnedUnits) >= 0 {
 		return
 	}
 	for {
 		units := b.units.Load()
-		if units >= b.limit() || b.units.CompareAndSwap(units, min(b.limit(), units+earned)) {
+		if units >= b.limit() || b.units.CompareAndSwap(units, units+earnedUnits) {
 			return
 		}
 	}
--- /dev/null
+++ b/internal/retry/window_test.go
@@ -0,0 +1,74 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against retry storms: in no span of ten seconds, the repeats at a service exceed the share of its requests and the
+// extra ones, however the arrivals are spread over its targets and over time.
+func TestWindowsOfAllTargetsKeepTheServicesBound(t *testing.T) {
+	const (
+		span    = 10 * time.Second
+		ratio   = 0.2
+		extra   = 58.0
+		targets = 12
+	)
+	type arrival struct {
+		at     time.Time
+		repeat bool
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		windows := make([]*Window, targets)
+		for i := range windows {
+			windows[i] = NewWindow(span, ratio)
+		}
+		now := time.Unix(1000, 0)
+		var arrivals []arrival
+		for range rapid.IntRange(1, 600).Draw(t, "arrivals") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			w := windows[rapid.IntRange(0, targets-1).Draw(t, "target")]
+			if rapid.Float64Range(0, 1).Draw(t, "kind") < 0.5 {
+				w.First(now)
+				arrivals = append(arrivals, arrival{at: now})
+			} else if w.Repeat(now, extra/targets) {
+				arrivals = append(arrivals, arrival{at: now, repeat: true})
+			}
+		}
+		for i, begin := range arrivals {
+			first, repeats := 0, 0
+			// Buckets are a tenth of the span, so that first attempts of up to one bucket before the span count.
+			for _, a := range arrivals {
+				if !a.repeat && a.at.After(begin.at.Add(-span/windowBuckets)) && a.at.Before(begin.at.Add(span)) {
+					first++
+				}
+			}
+			for _, a := range arrivals[i:] {
+				if a.repeat && a.at.Before(begin.at.Add(span)) {
+					repeats++
+				}
+			}
+			require.LessOrEqual(t, float64(repeats), ratio*float64(first)+extra)
+		}
+	})
+}
+
+// Guards against a window that never forgets, or forgets all after a pause.
+func TestWindowForgets(t *testing.T) {
+	w, now := NewWindow(10*time.Second, 0.1), time.Unix(1000, 0)
+	for range 10 {
+		w.First(now)
+	}
+	require.True(t, w.Repeat(now, 0))
+	require.False(t, w.Repeat(now, 0))
+	require.False(t, w.Repeat(now.Add(9*time.Second), 0))
+	later := now.Add(time.Hour)
+	require.False(t, w.Repeat(later, 0), "old first attempts permit nothing")
+	for range 10 {
+		w.First(later)
+	}
+	require.True(t, w.Repeat(later, 0))
+}
--- a/internal/triage/module.go
+++ b/internal/triage/module.go
@@ -15,8 +15,9 @@
 	means   map[string]*mean
 	trial   uint64
 	trying  bool
-	// nextTrial is the earliest time of the next trial.
+	// nextTrial is the earliest time of the next trial, and pause the time from a failure to it.
 	nextTrial time.Time
+	pause     time.Duration
 	closed    bool
 }
 
@@ -103,18 +104,34 @@
 			m.shift(m.settings.Success)
 		}
 		m.learn(r.class, took)
+		m.pause = 0
 	case Failed:
-		m.shift(m.settings.Failure)
-		m.nextTrial = m.now.Add(m.settings.TrialPause)
+		if m.quick(r.class, took) {
+			m.shift(m.settings.QuickFailure)
+		} else {
+			m.shift(m.settings.Failure)
+		}
+		m.delayTrial()
 	case Shed:
 		m.shift(m.settings.Shed)
-		m.nextTrial = m.now.Add(m.settings.TrialPause)
+		m.delayTrial()
 	case Unknown:
 		// A request that was given up after a long silence keeps its weight.
 		m.shift(m.stall(r))
 	}
 }
 
+// quick reports whether a failure came before the target can have worked on the request.
+func (m *Module) quick(class string, took time.Duration) bool {
+	c := m.means[class]
+	return c == nil || c.samples < meanSamples || took.Seconds() < max(quickShare*c.value, quickLeast.Seconds())
+}
+
+func (m *Module) delayTrial() {
+	m.pause = min(trialMost, max(m.settings.TrialPause, time.Duration(trialGrowth*float64(m.pause))))
+	m.nextTrial = m.now.Add(m.pause)
+}
+
 func (m *Module) shift(by float64) {
 	m.odds = max(-m.settings.Bound, min(m.settings.Bound, m.odds+by))
 }
--- a/internal/triage/settings.go
+++ b/internal/triage/settings.go
@@ -10,29 +10,38 @@
 	Recovery time.Duration
 	// Bound is the greatest distance of the log-odds from zero, so that no belief becomes certain.
 	Bound float64
-	// Failure, Shed and Success are what one end of a request adds to the log-odds.
-	Failure, Shed, Success float64
+	// QuickFailure, Failure, Shed and Success are what one end of a request adds to the log-odds. A quick failure came
+	// before the target can have worked on the request; others may be due to the request or to the calls that it made.
+	QuickFailure, Failure, Shed, Success float64
 	// Stall is the most that one unanswered request adds.
 	Stall float64
-	// TrialPause is the time between a failure and the next trial.
+	// TrialPause is the time between a failure and the next trial; it grows with each failed trial in a row.
 	TrialPause time.Duration
 }
 
 const (
 	// A tenth of the targets is taken as sick: ln(0.1/0.9).
 	defaultUsual = -2.2
-	// Sick spells of a few seconds are common in targets with gray failures.
-	defaultRecovery = 2500 * time.Millisecond
+	// Sick spells of some seconds are common in targets with gray failures; most are ended by a trial that succeeds.
+	defaultRecovery = 5 * time.Second
 	defaultBound    = 4.0
-	// A sick target fails about 0.8 of its requests and a sound one 0.015: ln(0.8/0.015).
-	defaultFailure = 4.0
+	// A sick target fails about 0.8 of its requests at once and a sound one 0.015: ln(0.8/0.015).
+	defaultQuickFailure = 4.0
+	// A sound target fails a few in a hundred requests after work, most because a call of theirs failed.
+	defaultFailure = 1.2
+	// quickShare is the part of the usual duration of its class within which a failure counts as quick.
+	quickShare = 0.15
+	// quickLeast counts as quick for every class.
+	quickLeast = 5 * time.Millisecond
 	// A target sheds when it is full as well, so this says less than a failure.
 	defaultShed = 1.5
 	// ln(0.2/0.985), from the same shares as a failure.
 	defaultSuccess = -1.6
 	defaultStall   = 2.5
-	// One request of the usual duration fits between two trials.
 	defaultTrialPause = 200 * time.Millisecond
+	// trialGrowth and trialMost bound the pause: each failed trial costs a caller a repeat.
+	trialGrowth = 1.7
+	trialMost   = 1500 * time.Millisecond
 	// stallShare is the share of requests that a sick target leaves unanswered.
 	stallShare = 0.5
 	// stallFrom is the part of the evidence of an unanswered request that usual long requests show as well.
@@ -50,6 +59,7 @@
 	}{
 		{&s.Usual, defaultUsual},
 		{&s.Bound, defaultBound},
+		{&s.QuickFailure, defaultQuickFailure},
 		{&s.Failure, defaultFailure},
 		{&s.Shed, defaultShed},
 		{&s.Success, defaultSuccess},
