--- a/cmd/auburnwinch/hosted.go
+++ b/cmd/auburnwinch/hosted.go
@@ -47,6 +47,8 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	context.AfterFunc(ctx, stop)
+	reload := newReloader(c.Settings, settings, n)
+	defer reload.close()
 	return n.Run(ctx)
 }
 
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -41,7 +41,7 @@
 	configurationSettle = 50 * time.Millisecond
 	// retryMargin keeps the repeats at one target below its part of the fleet's allowance, because calls of a request that
 	// runs again count as repeats too, and the agents can't tell them.
-	retryMargin = 0.8
+	retryMargin = 0.65
 )
 
 // Node is the process that runs beside each target.
@@ -107,7 +107,7 @@
 
 func (n *Node) newLimiter(target model.Target, _ model.ServiceSpec) agent.Limiter {
 	a := newAdmission(admissionConfig{
-		slots: target.Slots, clock: n.config.Clock, retries: n.config.Retries,
+		slots: target.Slots, clock: n.config.Clock, retries: n.retries(),
 		extra: func() float64 { return n.extraRepeats(target.Ref.Service) },
 		onChange: func(closed bool, odds float64) {
 			if closed {
@@ -132,7 +132,7 @@
 			targets = max(1, len(s.Candidates))
 		}
 	}
-	return retryMargin * float64(n.config.Retries.Extra) / float64(targets)
+	return retryMargin * float64(n.retries().Extra) / float64(targets)
 }
 
 func (n *Node) buildEdge() (err error) {
--- /dev/null
+++ b/internal/hosted/reload.go
@@ -0,0 +1,43 @@
+package hosted
+
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+)
+
+// SetRetries replaces what the fleet may repeat.
+func (n *Node) SetRetries(r Retries) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.config.Retries = r
+}
+
+// SetGrace replaces the time between the request to stop and the end by force.
+func (n *Node) SetGrace(d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.config.Grace = d
+}
+
+func (n *Node) retries() Retries {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.config.Retries
+}
+
+func (n *Node) grace() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.config.Grace
+}
+
+// Reloaded notes that the settings were read again: an error means that the earlier ones stay, and fixed names the changed
+// fields that hold only from the next start on.
+func (n *Node) Reloaded(cause string, err error, fixed []string) {
+	if err != nil {
+		_ = level.Error(n.config.Failures).Log("msg", "settings rejected, the earlier ones stay", "cause", cause, "err", err)
+		return
+	}
+	_ = level.Info(n.config.Failures).Log("msg", "settings reloaded", "cause", cause, "from-next-start", fixed)
+}
--- a/internal/hosted/run.go
+++ b/internal/hosted/run.go
@@ -54,7 +54,7 @@
 // leave carries out the graceful shutdown.
 func (n *Node) leave() {
 	shutdown := drain.New(drain.Config{
-		Timeout: time.Duration(graceShare * float64(n.config.Grace)), Linger: shutdownLinger,
+		Timeout: time.Duration(graceShare * float64(n.grace())), Linger: shutdownLinger,
 	})
 	ticks := n.config.Clock.Subscribe(shutdownTick)
 	defer ticks.Stop()
