Tell calls of running requests, count the repeats they derive from, and hold their failures against nobody

Change: a call names its running request; when that runs as a repeat, its calls are repeats. Calls start first, since a slot elsewhere waits for them, and a failure whose call was not served says nothing about the target.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -38,6 +38,7 @@
 	suspectRuns atomic.Bool
 	running     running
 	goodbyes    goodbyes
+	parents     parents
 	pauses      *pauseWatch
 	publishing  sync.Mutex
 	stop        chan struct{}
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -145,6 +145,9 @@
 	ResultCrashed
 	// ResultShed means that the target refused the request without running it.
 	ResultShed
+	// ResultCallFailed is an answer with status 500 or above to a request whose calls were not served, which says nothing
+	// about the target.
+	ResultCallFailed
 )
 
 // Result is the end of a request at a target.
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -218,7 +218,12 @@
 	}
 	x.admit()
 	begin := x.agent.config.Clock.Now()
+	id := x.agent.config.Protocol.ID(x.r)
+	x.agent.parents.begin(id, x.class.Repeat)
 	kind := x.forward(ctx, conn)
+	if x.agent.parents.end(id) && kind == ResultError {
+		kind = ResultCallFailed
+	}
 	result := Result{Kind: kind, Duration: x.agent.config.Clock.Now().Sub(begin)}
 	x.record.Ran = result.Duration
 	if x.handle != nil {
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -55,6 +55,16 @@
 	HoldBytes int
 	// Journal is told of each answer.
 	Journal Journal
+	// Parents knows the requests that run at the target on this VM.
+	Parents Parents
+}
+
+// Parents knows the requests that run at the target on this VM.
+type Parents interface {
+	// Repeated reports whether the request runs there as a repeat, which makes its calls repeats as well.
+	Repeated(id string) bool
+	// CallFailed tells that a call of the request was not served.
+	CallFailed(id string)
 }
 
 // Protocol is what callers speak beyond plain HTTP.
@@ -63,8 +73,9 @@
 	ID(r *http.Request) string
 	// Timeout returns how long the caller waits, or zero when it does not say; it fails when the value is malformed.
 	Timeout(r *http.Request) (time.Duration, error)
-	// Call reports whether the target on this VM sends the request while it runs another one.
-	Call(r *http.Request) bool
+	// Parent returns the id of the request that the target on this VM runs while it sends this one, or nothing when the
+	// request is no such call.
+	Parent(r *http.Request) string
 	// Header returns headers for the target, and headers of the caller that are left out.
 	Header(r *http.Request) (add []relay.Field, omit []string)
 	// Refuse gives an answer of the fleet itself.
--- a/internal/edge/negotiate.go
+++ b/internal/edge/negotiate.go
@@ -69,7 +69,7 @@
 func (q *request) class(c Choice) string {
 	route := q.match.Route
 	return relay.Class{
-		Idempotent: route.Idempotent, Call: q.call, Forced: c.Forced, Repeat: q.attempts > 1, Rank: route.Rank,
+		Idempotent: route.Idempotent, Call: q.parent != "", Forced: c.Forced, Repeat: q.attempts > 1 || q.derived, Rank: route.Rank,
 	}.String()
 }
 
@@ -104,15 +104,18 @@
 	return spreadOver(min(max(shortest, retryLeast), retryMost))
 }
 
-// note tells the journal how the request was answered.
+// note tells the target's request that waits for the answer, and the journal, how the request was answered.
 func (q *request) note() {
+	if q.parent != "" && q.edge.config.Parents != nil && q.status >= http.StatusInternalServerError {
+		q.edge.config.Parents.CallFailed(q.parent)
+	}
 	journal := q.edge.config.Journal
 	if journal == nil {
 		return
 	}
 	s := Summary{
 		ID: q.edge.config.Protocol.ID(q.r), Service: q.match.Service, Outcome: q.answered.Answer.Outcome,
-		Reason: q.answered.Answer.Reason, Status: q.status, Call: q.call, Took: q.edge.config.Clock.Now().Sub(q.began),
+		Reason: q.answered.Answer.Reason, Status: q.status, Call: q.parent != "", Took: q.edge.config.Clock.Now().Sub(q.began),
 		Left: time.Until(q.deadline), Tries: q.tries, Configuration: q.number, Begun: q.began,
 	}
 	if q.match.Route != nil {
--- a/internal/edge/protocol.go
+++ b/internal/edge/protocol.go
@@ -32,8 +32,8 @@
 	return timeout, nil
 }
 
-// Call returns false: targets of the product send no requests through the edge beside them.
-func (ownProtocol) Call(*http.Request) bool { return false }
+// Parent returns nothing: targets of the product send no requests through the edge beside them.
+func (ownProtocol) Parent(*http.Request) string { return "" }
 
 // Header adds nothing.
 func (ownProtocol) Header(*http.Request) ([]relay.Field, []string) { return nil, nil }
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -54,8 +54,9 @@
 	sentHeader bool
 	// omit are headers of the caller that targets do not get.
 	omit []string
-	// call tells that a running request of another target waits for the answer.
-	call bool
+	// parent is the id of the request whose target waits for the answer; derived tells that it runs as a repeat.
+	parent  string
+	derived bool
 	// refused are the refusals of agents that may take the request later; asks counts all refusals.
 	refused []Refused
 	asks    int
@@ -132,7 +133,8 @@
 		timeout = min(timeout, own)
 	}
 	q.deadline = q.began.Add(timeout)
-	q.call = q.edge.config.Protocol.Call(q.r)
+	q.parent = q.edge.config.Protocol.Parent(q.r)
+	q.derived = q.parent != "" && q.edge.config.Parents != nil && q.edge.config.Parents.Repeated(q.parent)
 	return relay.Refusal{}, true
 }
 
--- a/internal/hosted/listen.go
+++ b/internal/hosted/listen.go
@@ -16,7 +16,7 @@
 
 const (
 	// closeTimeout bounds the wait for open connections at the end.
-	closeTimeout = 300 * time.Millisecond
+	closeTimeout = 150 * time.Millisecond
 	// serviceHeaderTimeout bounds the header of a call of the platform or of a target.
 	serviceHeaderTimeout = 5 * time.Second
 )
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -39,9 +39,9 @@
 	membersSettle = time.Second
 	// configurationSettle is short because a configuration must be in force everywhere within two seconds.
 	configurationSettle = 50 * time.Millisecond
-	// retryMargin keeps the repeats at one target below its part of the fleet's allowance, because calls of a request that
-	// runs again count as repeats too, and the agents can't tell them.
-	retryMargin = 0.65
+	// retryMargin keeps the repeats at one target below its part of the fleet's allowance, because a target that restarts
+	// forgets what it has taken.
+	retryMargin = 0.8
 )
 
 // Node is the process that runs beside each target.
@@ -140,7 +140,7 @@
 		View: &n.beliefs.view, Picker: picks{n.picker}, Tracker: paths{n.picker}, Clock: n.config.Clock,
 		Logger: n.config.Failures, Dial: n.config.Dial, DialTimeout: relayDialTimeout, SilentReused: silentReused,
 		SilentAny: silentAny, BodyIdle: bodyIdle, Protocol: n.config.Callers, Negotiate: true, HoldBytes: holdBytes,
-		Journal: n.journal,
+		Journal: n.journal, Parents: n.agent,
 	})
 	n.beliefs.edge = n.edge
 	return err
--- a/internal/hosted/run.go
+++ b/internal/hosted/run.go
@@ -16,9 +16,9 @@
 	// once a second, and sends no more work after two refusals.
 	shutdownLinger = 2300 * time.Millisecond
 	// graceShare is the part of the grace within which requests in flight may end.
-	graceShare = 0.88
+	graceShare = 0.84
 	// flushTimeout bounds the last write of the record.
-	flushTimeout = 300 * time.Millisecond
+	flushTimeout = 100 * time.Millisecond
 )
 
 // Run serves until the context ends, then leaves gracefully.
