hosted: refuse callers' requests that a stopping node could not finish

Callers are still sent to a stopping node when most of its failure domain stops. Change: 2.5 s after SIGTERM, callers are told at once that their request has not run.

--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -33,6 +33,8 @@
 	bodyIdle = 2 * time.Second
 	// holdBytes is the largest body that is held until it is whole; the largest downloads have half a megabyte.
 	holdBytes = 1 << 20
+	// restartTime is the usual time until a stopped node serves again.
+	restartTime = time.Second
 	// targetExpiry is the time after which a target without heartbeats is dropped: four of them.
 	targetExpiry = 6 * time.Second
 	// membersSettle groups the rows of nodes that start or change together into one answer of the store.
@@ -59,6 +61,8 @@
 	cancel    context.CancelFunc
 	group     conc.WaitGroup
 	stopping  atomic.Bool
+	// closed tells that callers' requests are refused, because they could not be finished.
+	closed atomic.Bool
 
 	mu         sync.Mutex
 	record     roster.Record
@@ -191,6 +195,15 @@
 		})
 		return
 	}
+	if n.closed.Load() {
+		w.Header()["Connection"] = []string{"close"}
+		n.config.Callers.Refuse(w, relay.Refusal{
+			Status: http.StatusServiceUnavailable, RetryAfter: restartTime,
+			Answer: model.Answer{Outcome: model.OutcomeNotRun, Reason: "the node of this VM is stopping"},
+		})
+		_ = level.Info(n.config.Failures).Log("msg", "request refused", "id", n.config.Callers.ID(r), "reason", "node stopping")
+		return
+	}
 	n.edge.ServeHTTP(w, r)
 }
 
--- a/internal/hosted/run.go
+++ b/internal/hosted/run.go
@@ -14,7 +14,7 @@
 	shutdownTick = 50 * time.Millisecond
 	// shutdownLinger is how long requests are still accepted after the request to stop: the platform asks for readiness
 	// once a second, and sends no more work after two refusals.
-	shutdownLinger = 2300 * time.Millisecond
+	shutdownLinger = 2500 * time.Millisecond
 	// graceShare is the part of the grace within which requests in flight may end.
 	graceShare = 0.84
 	// flushTimeout bounds the last write of the record.
@@ -79,7 +79,8 @@
 	case drain.AnnounceLeavingCmd:
 		n.announceLeaving()
 	case drain.CloseListenersCmd:
-		// The target on this VM may still send calls, so the listeners stay open to the end.
+		// A request that is taken now could not be finished. The listeners stay open, so that it is told so.
+		n.closed.Store(true)
 	case drain.HandOverKeysCmd:
 		return drain.HandedOverMsg{Now: n.config.Clock.Now(), InFlight: n.inFlight()}
 	case drain.ExitCmd:
