--- /dev/null
+++ b/internal/hosted/fleet_test.go
@@ -0,0 +1,283 @@
+package hosted_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwinch/auburnwinch/internal/hosted"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+	"github.com/auburnwinch/auburnwinch/platform"
+	"github.com/auburnwinch/auburnwinch/platform/fake"
+)
+
+// fleet is a stand-in of the store with nodes and their targets on loopback addresses.
+type fleet struct {
+	t       *testing.T
+	store   *fake.Store
+	address string
+	nodes   []*testNode
+	ids     int
+}
+
+// testNode is one node with the target beside it.
+type testNode struct {
+	fleet     *fleet
+	id        string
+	service   string
+	listeners hosted.Listeners
+	target    *target
+	log       *lines
+	node      *hosted.Node
+	stop      context.CancelFunc
+	done      chan struct{}
+}
+
+// target is the stand-in of an application instance.
+type target struct {
+	node   *testNode
+	id     string
+	born   int64
+	server *httptest.Server
+
+	mu       sync.Mutex
+	behave   func(w http.ResponseWriter, r *http.Request) bool
+	runs     map[string]int
+	sequence int
+}
+
+// lines is a log that tests may read while it is written.
+type lines struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write appends a line.
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+// String returns all lines.
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: fake.NewStore(fake.Config{})}
+	server := httptest.NewServer(f.store)
+	f.address = strings.TrimPrefix(server.URL, "http://")
+	t.Cleanup(func() {
+		var group sync.WaitGroup
+		for _, n := range f.nodes {
+			group.Go(n.close)
+		}
+		group.Wait()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return f
+}
+
+// configure writes a configuration with one idempotent and one non-idempotent route for each service.
+func (f *fleet) configure(number int, services ...string) {
+	var resources []string
+	for _, s := range services {
+		for kind, prefix := range map[string]string{"idempotent": "read", "non_idempotent": "order"} {
+			resources = append(resources, fmt.Sprintf(`{"resourceType":"routes","metadata":{"name":"%s-%s"},"spec":{"host":"%s.example",`+
+				`"prefix":"/%s/","kind":"%s","timeoutMs":3000,"targetLatencyMs":1000,"priority":1,"service":"%s","maxAttempts":2}}`,
+				s, prefix, s, prefix, kind, s))
+		}
+		resources = append(resources, fmt.Sprintf(`{"resourceType":"services","metadata":{"name":"%s"},"spec":{}}`, s))
+	}
+	f.store.Put("op", "", "config", fmt.Appendf(nil, `{"version":"r%d","resources":[%s]}`, number, strings.Join(resources, ",")))
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// add starts a node with a ready target of the service in the failure domain.
+func (f *fleet) add(service, domain string) *testNode {
+	f.t.Helper()
+	n := &testNode{fleet: f, id: fmt.Sprintf("node-%d", len(f.nodes)), service: service, log: &lines{}}
+	n.listeners = hosted.Listeners{
+		Callers: freeAddress(f.t), Relay: freeAddress(f.t), Local: freeAddress(f.t), Ready: freeAddress(f.t), Metrics: freeAddress(f.t),
+	}
+	n.target = newTarget(n, "i-"+n.id)
+	f.nodes = append(f.nodes, n)
+	n.start(domain)
+	n.target.heartbeat("ready")
+	return n
+}
+
+func (n *testNode) start(domain string) {
+	store := platform.NewStore(platform.StoreConfig{Address: n.fleet.address, Dial: hosted.Dialer().DialContext})
+	node, err := hosted.New(hosted.Config{
+		Self: model.Node{
+			Ref: model.NodeRef{ID: n.id, Incarnation: uint64(time.Now().UnixMicro())}, Domain: domain, Region: "region",
+			RelayAddress: n.listeners.Relay, CallerAddress: n.listeners.Callers,
+		},
+		Listeners: n.listeners, Nodes: store.Table("nodes"), Configurations: store.Undivided(platform.OperatorTable),
+		Decode: platform.DecodeConfiguration, Callers: platform.Callers{Service: n.service}, Targets: platform.Targets{},
+		Local: func(h hosted.Heartbeats) http.Handler { return platform.Heartbeats(h) }, Ready: platform.Readiness,
+		Grace: 6 * time.Second, Retries: hosted.Retries{Ratio: 0.2, Extra: 58, Window: 10 * time.Second},
+		Logger: log.NewJSONLogger(n.log),
+	})
+	require.NoError(n.fleet.t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	n.node, n.stop, n.done = node, stop, make(chan struct{})
+	go func() {
+		defer close(n.done)
+		_ = node.Run(ctx)
+	}()
+}
+
+func (n *testNode) close() {
+	n.stop()
+	<-n.done
+	n.target.server.CloseClientConnections()
+	n.target.server.Close()
+}
+
+func newTarget(n *testNode, id string) *target {
+	g := &target{node: n, id: id, born: time.Now().UnixMilli(), runs: make(map[string]int)}
+	g.server = httptest.NewServer(g)
+	return g
+}
+
+// ServeHTTP runs a request, unless the behaviour of the test answers it.
+func (g *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if expected := r.Header.Get("Auburnwinch-Expect-Instance"); expected != g.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	id := r.Header.Get("Auburnwinch-Request-Id")
+	g.mu.Lock()
+	behave := g.behave
+	g.runs[id]++
+	g.mu.Unlock()
+	body, _ := io.ReadAll(r.Body)
+	w.Header().Set("Auburnwinch-Request-Id", id)
+	if behave != nil && behave(w, r) {
+		return
+	}
+	w.Header().Set("Auburnwinch-Server-Seal", "seal-"+id)
+	_, _ = fmt.Fprintf(w, "%s %s %s from %s", r.Method, r.RequestURI, body, r.Header.Get("Auburnwinch-Caller-Service"))
+}
+
+func (g *target) set(behave func(w http.ResponseWriter, r *http.Request) bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.behave = behave
+}
+
+func (g *target) ran(id string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.runs[id]
+}
+
+func (g *target) total() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	total := 0
+	for _, n := range g.runs {
+		total += n
+	}
+	return total
+}
+
+// heartbeat tells the node of the state of the target; it is repeated until the node listens.
+func (g *target) heartbeat(state string) {
+	g.node.fleet.t.Helper()
+	g.mu.Lock()
+	g.sequence++
+	body, err := json.Marshal(map[string]any{
+		"service": g.node.service, "address": strings.TrimPrefix(g.server.URL, "http://"), "zone": "z", "version": "v1", "slots": 3,
+		"state": state, "sequence": g.sequence, "born": g.born,
+	})
+	g.mu.Unlock()
+	require.NoError(g.node.fleet.t, err)
+	require.Eventually(g.node.fleet.t, func() bool {
+		response, err := http.Post("http://"+g.node.listeners.Local+"/api/instances/"+g.id+"/heartbeat", "application/json", bytes.NewReader(body))
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	}, 5*time.Second, 10*time.Millisecond)
+}
+
+// answer is what a caller got.
+type answer struct {
+	id     string
+	status int
+	body   string
+	header http.Header
+	err    error
+	took   time.Duration
+}
+
+// call sends a request through the node and returns the answer.
+func (n *testNode) call(method, service, path string) answer {
+	n.fleet.ids++
+	return n.callAs(fmt.Sprintf("request-%d", n.fleet.ids), method, service, path)
+}
+
+func (n *testNode) callAs(id, method, service, path string) answer {
+	var body io.Reader
+	if method == http.MethodPost {
+		body = strings.NewReader("order " + id)
+	}
+	r, err := http.NewRequest(method, "http://"+n.listeners.Callers+path, body)
+	require.NoError(n.fleet.t, err)
+	r.Host = service + ".example"
+	r.Header.Set("Auburnwinch-Request-Id", id)
+	r.Header.Set("Auburnwinch-Deadline-Ms", "3000")
+	r.Header.Set("Auburnwinch-Caller-Service", "forged")
+	begin := time.Now()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	response, err := client.Do(r)
+	if err != nil {
+		return answer{id: id, err: err, took: time.Since(begin)}
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	return answer{id: id, status: response.StatusCode, body: string(content), header: response.Header, err: err, took: time.Since(begin)}
+}
+
+func (n *testNode) ready() bool {
+	response, err := http.Get("http://" + n.listeners.Ready + "/api/readiness")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// await waits until the node serves the path.
+func (n *testNode) await(service, path string) {
+	n.fleet.t.Helper()
+	require.Eventually(n.fleet.t, func() bool { return n.call(http.MethodGet, service, path).status == http.StatusOK }, 5*time.Second, 20*time.Millisecond)
+}
--- /dev/null
+++ b/internal/hosted/node_test.go
@@ -0,0 +1,253 @@
+package hosted_test
+
+import (
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwinch/auburnwinch/platform/fake"
+)
+
+// Guards against a node without a configuration that refuses what is allowed, and against one that is alone and never puts
+// a configuration in force.
+func TestLoneNode(t *testing.T) {
+	f := newFleet(t)
+	n := f.add("kassa", "a")
+	require.False(t, n.ready())
+	a := n.call(http.MethodGet, "kassa", "/read/x")
+	require.Equal(t, http.StatusServiceUnavailable, a.status)
+	require.NotEmpty(t, a.header.Get("Retry-After"))
+
+	f.configure(3, "kassa")
+	n.await("kassa", "/read/x")
+	require.True(t, n.ready())
+	a = n.call(http.MethodPost, "kassa", "/order/1?q=%2F")
+	require.Equal(t, http.StatusOK, a.status)
+	require.Equal(t, "POST /order/1?q=%2F order "+a.id+" from kassa", a.body)
+	require.Equal(t, "seal-"+a.id, a.header.Get("Auburnwinch-Server-Seal"))
+	require.Equal(t, a.id, a.header.Get("Auburnwinch-Request-Id"))
+	require.Equal(t, http.StatusNotFound, n.call(http.MethodGet, "kassa", "/else/").status)
+	require.Equal(t, http.StatusNotFound, n.call(http.MethodGet, "other", "/read/x").status)
+	require.Equal(t, http.StatusOK, n.call(http.MethodDelete, "kassa", "/order/2").status, "a request without a body, in two steps")
+}
+
+// Guards against requests that stay on their own VM, and against a new node that gets none of the others' requests.
+func TestRequestsReachOtherNodes(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, "kassa", "vitrine")
+	first := f.add("vitrine", "a")
+	second := f.add("kassa", "b")
+	first.await("kassa", "/read/x")
+	a := first.call(http.MethodPost, "kassa", "/order/1")
+	require.Equal(t, http.StatusOK, a.status)
+	require.Equal(t, 1, second.target.ran(a.id))
+	require.Contains(t, a.body, "from vitrine", "the service of the VM where the request began")
+
+	third := f.add("kassa", "a")
+	require.Eventually(t, func() bool {
+		first.call(http.MethodGet, "kassa", "/read/x")
+		return third.target.total() > 0
+	}, 4*time.Second, 20*time.Millisecond)
+}
+
+// Pattern: a third of the targets fail nearly all requests for seconds, with good heartbeats. Guards against requests that
+// are lost to such a target one after the other, and against requests that run twice.
+func TestSickTargetGetsNoOrders(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, "kassa", "vitrine")
+	n := f.add("kassa", "a")
+	other := f.add("kassa", "a")
+	caller := f.add("vitrine", "a")
+	require.Eventually(t, func() bool {
+		caller.call(http.MethodGet, "kassa", "/read/x")
+		return other.target.total() > 0 && n.target.total() > 0
+	}, 5*time.Second, 10*time.Millisecond)
+	var sick atomic.Bool
+	sick.Store(true)
+	n.target.set(func(w http.ResponseWriter, _ *http.Request) bool {
+		if sick.Load() {
+			w.Header().Set("Auburnwinch-Server-Seal", "s")
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+		return sick.Load()
+	})
+	failed := 0
+	for range 60 {
+		a := caller.call(http.MethodPost, "kassa", "/order/1")
+		if a.status != http.StatusOK {
+			failed++
+		}
+		require.LessOrEqual(t, n.target.ran(a.id)+other.target.ran(a.id), 1, "an order ran twice")
+		require.Equal(t, http.StatusOK, caller.call(http.MethodGet, "kassa", "/read/x").status, "reads are repeated elsewhere")
+	}
+	require.LessOrEqual(t, failed, 3)
+	sick.Store(false)
+	require.Eventually(t, func() bool {
+		a := caller.call(http.MethodPost, "kassa", "/order/1")
+		caller.call(http.MethodGet, "kassa", "/read/x")
+		return n.target.ran(a.id) == 1
+	}, 15*time.Second, 20*time.Millisecond, "the target comes back")
+}
+
+// Pattern: all targets of a service shed at once. Guards against orders that are lost although a repeat is certain not to
+// double them, and against repeats without bound.
+func TestShedOrdersAreSentElsewhere(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, "kassa", "vitrine")
+	n := f.add("kassa", "a")
+	other := f.add("kassa", "a")
+	caller := f.add("vitrine", "a")
+	require.Eventually(t, func() bool {
+		caller.call(http.MethodGet, "kassa", "/read/x")
+		return other.target.total() > 0 && n.target.total() > 0
+	}, 5*time.Second, 10*time.Millisecond)
+	n.target.set(func(w http.ResponseWriter, _ *http.Request) bool {
+		w.Header().Set("Auburnwinch-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	})
+	for range 10 {
+		a := caller.call(http.MethodPost, "kassa", "/order/1")
+		require.Equal(t, http.StatusOK, a.status, a.body)
+	}
+}
+
+// Guards against an order whose answer was lost and that is reported as not run or runs again.
+func TestBrokenOrderIsUnknown(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, "kassa")
+	n := f.add("kassa", "a")
+	other := f.add("kassa", "a")
+	n.await("kassa", "/read/x")
+	breakOff := func(http.ResponseWriter, *http.Request) bool { panic(http.ErrAbortHandler) }
+	n.target.set(breakOff)
+	other.target.set(breakOff)
+	a := n.call(http.MethodPost, "kassa", "/order/1")
+	require.Equal(t, http.StatusBadGateway, a.status)
+	require.Equal(t, 1, n.target.ran(a.id)+other.target.ran(a.id))
+}
+
+// Guards against an answer of another request that is given to the caller, and against half an answer that looks whole.
+func TestGarbledAnswers(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, "kassa")
+	n := f.add("kassa", "a")
+	n.await("kassa", "/read/x")
+	for name, behave := range map[string]func(http.ResponseWriter, *http.Request) bool{
+		"another id": func(w http.ResponseWriter, _ *http.Request) bool {
+			w.Header().Set("Auburnwinch-Request-Id", "another")
+			w.Header().Set("Auburnwinch-Server-Seal", "s")
+			_, _ = w.Write([]byte("wrong"))
+			return true
+		},
+		"no signature": func(w http.ResponseWriter, _ *http.Request) bool {
+			_, _ = w.Write([]byte("wrong"))
+			return true
+		},
+		"cut short": func(w http.ResponseWriter, _ *http.Request) bool {
+			w.Header().Set("Auburnwinch-Server-Seal", "s")
+			w.Header().Set("Content-Length", "1000")
+			_, _ = w.Write([]byte(strings.Repeat("x", 900)))
+			panic(http.ErrAbortHandler)
+		},
+	} {
+		n.target.set(behave)
+		a := n.call(http.MethodGet, "kassa", "/read/x")
+		require.False(t, a.err == nil && a.status < 300, "%s: %+v", name, a)
+	}
+}
+
+// Guards against a leaving target that gets new work, and against a leave that is not acknowledged while the store is away.
+func TestDrainingTargetGetsNothingNew(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, "kassa")
+	n := f.add("kassa", "a")
+	other := f.add("kassa", "a")
+	n.await("kassa", "/read/x")
+	f.store.SetFault(func(fake.Call) fake.Fault { return fake.Fault{Status: http.StatusServiceUnavailable} })
+	n.target.heartbeat("draining") // Returns once it is acknowledged.
+	before := n.target.total()
+	for range 20 {
+		require.Equal(t, http.StatusOK, other.call(http.MethodPost, "kassa", "/order/1").status)
+		require.Equal(t, http.StatusOK, n.call(http.MethodGet, "kassa", "/read/1").status)
+	}
+	require.Equal(t, before, n.target.total())
+}
+
+// Guards against a configuration that goes back when an older one is seen again, and against one that is half in force.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	f := newFleet(t)
+	f.configure(5, "kassa", "vitrine")
+	n := f.add("kassa", "a")
+	n.await("kassa", "/read/x")
+	f.configure(9, "kassa")
+	require.Eventually(t, func() bool { return n.call(http.MethodGet, "vitrine", "/read/x").status == http.StatusNotFound }, 2*time.Second, 10*time.Millisecond)
+	f.configure(5, "kassa", "vitrine")
+	f.store.Put("op", "", "config", []byte(`{"version":"r10","resources":[{"resourceType":"routes","metadata":{"name":"x"},"spec":{}}]}`))
+	for range 20 {
+		require.Equal(t, http.StatusNotFound, n.call(http.MethodGet, "vitrine", "/read/x").status)
+		require.Equal(t, http.StatusOK, n.call(http.MethodGet, "kassa", "/read/x").status)
+		time.Sleep(10 * time.Millisecond)
+	}
+	require.Contains(t, n.log.String(), "configuration rejected")
+}
+
+// Guards against a target at an address that another one had before, and against a late heartbeat of the earlier one.
+func TestReusedAddress(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, "kassa")
+	n := f.add("kassa", "a")
+	n.await("kassa", "/read/x")
+	earlier := n.target
+	next := &target{node: n, id: "i-next", born: earlier.born + 5000, runs: make(map[string]int)}
+	earlier.server.Config.Handler = next
+	next.server = earlier.server
+	require.Eventually(t, func() bool { return n.call(http.MethodPost, "kassa", "/order/1").status == http.StatusServiceUnavailable }, 3*time.Second, 10*time.Millisecond,
+		"the target that answers is not the expected one")
+	next.heartbeat("ready")
+	n.await("kassa", "/read/x")
+	earlier.heartbeat("ready")
+	require.Equal(t, http.StatusOK, n.call(http.MethodPost, "kassa", "/order/1").status)
+	require.Contains(t, n.log.String(), "heartbeat ignored")
+}
+
+// Guards against a graceful stop that cuts requests off, keeps the node ready, or takes requests that it can't finish.
+func TestStopCutsNothing(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, "kassa")
+	n := f.add("kassa", "a")
+	other := f.add("kassa", "a")
+	n.await("kassa", "/read/x")
+	other.await("kassa", "/read/x")
+	slow := func(_ http.ResponseWriter, _ *http.Request) bool { time.Sleep(1500 * time.Millisecond); return false }
+	n.target.set(slow)
+	other.target.set(slow)
+	answers := make(chan answer, 2)
+	for i, id := range []string{"slow-1", "slow-2"} {
+		go func() { answers <- f.nodes[i].callAs(id, http.MethodPost, "kassa", "/order/1") }()
+	}
+	require.Eventually(t, func() bool {
+		return n.target.ran("slow-1")+other.target.ran("slow-1") == 1 && n.target.ran("slow-2")+other.target.ran("slow-2") == 1
+	}, 2*time.Second, 5*time.Millisecond)
+	n.target.set(nil)
+	other.target.set(nil)
+	n.stop()
+	require.Eventually(t, func() bool { return !n.ready() }, time.Second, 5*time.Millisecond)
+	require.Equal(t, http.StatusOK, n.call(http.MethodPost, "kassa", "/order/1").status, "callers are served until they hear of the stop")
+	require.Equal(t, http.StatusOK, other.call(http.MethodPost, "kassa", "/order/1").status)
+	for range 2 {
+		a := <-answers
+		require.NoError(t, a.err)
+		require.Equal(t, http.StatusOK, a.status, a.body)
+	}
+	time.Sleep(1200 * time.Millisecond)
+	select {
+	case <-n.done:
+	case <-time.After(4 * time.Second):
+		t.Fatal("the node did not end within its grace")
+	}
+}
--- /dev/null
+++ b/internal/roster/members_test.go
@@ -0,0 +1,65 @@
+package roster
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+func recordOf(id string, slots int) *Record {
+	return &Record{
+		Node:    model.Node{Ref: model.NodeRef{ID: id, Incarnation: 1}, Domain: "d", RelayAddress: "10.0.0.1:1"},
+		Targets: []model.Target{{Ref: model.TargetRef{Service: "s", ID: "t-" + id, Incarnation: 7}, Slots: slots, State: model.TargetDraining}},
+	}
+}
+
+// Guards against fields of a record that are lost in its row.
+func TestRecordRoundTrip(t *testing.T) {
+	r := recordOf("n", 3)
+	r.Leaving, r.Poison = true, []model.PoisonEntry{{Service: "s", Fingerprint: 1, Crashes: 2}}
+	decoded, err := DecodeRecord(Row{Key: "n", Value: r.Encode()})
+	require.NoError(t, err)
+	require.Equal(t, r, decoded)
+	require.Empty(t, decoded.Part().Targets, "targets of a leaving node are no candidates")
+}
+
+// Guards against a row of another writer that names a target, or that takes others along.
+func TestForeignRowsAreIgnored(t *testing.T) {
+	m := NewMembers()
+	good := recordOf("good", 1)
+	errs := m.Apply(Page{Whole: true, Rows: []Row{
+		{Key: "good", Value: good.Encode(), Version: 1}, {Key: "text", Value: []byte("hello"), Version: 2},
+		{Key: "empty", Version: 3}, {Key: "borrowed", Value: good.Encode(), Version: 4}, {Key: "bytes", Value: []byte{0xff, 0, 1}, Version: 5},
+	}})
+	require.Len(t, errs, 4)
+	require.Len(t, m.Parts(), 1)
+	require.Equal(t, "good", m.Parts()[0].Node.Ref.ID)
+}
+
+// Guards against a node that goes back to an older state of another one, whatever order pages arrive in.
+func TestMembersNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := NewMembers()
+		newest := map[string]Row{}
+		var history []Row
+		for version := range uint64(rapid.IntRange(1, 60).Draw(t, "steps")) {
+			id := fmt.Sprintf("n%d", rapid.IntRange(0, 3).Draw(t, "node"))
+			row := Row{Key: id, Value: recordOf(id, int(version)).Encode(), Version: version + 1}
+			history = append(history, row)
+			newest[id] = row
+			require.Empty(t, m.Apply(Page{Rows: []Row{row}}))
+			old := history[rapid.IntRange(0, len(history)-1).Draw(t, "old")]
+			require.Empty(t, m.Apply(Page{Rows: []Row{old}}))
+			require.Equal(t, len(newest), m.Len())
+			for _, part := range m.Parts() {
+				require.Equal(t, int(newest[part.Node.Ref.ID].Version)-1, part.Targets[0].Slots)
+			}
+		}
+		require.Empty(t, m.Apply(Page{Whole: true}), "rows that are gone from the table")
+		require.Zero(t, m.Len())
+	})
+}
