--- a/cmd/auburnwinch/main.go
+++ b/cmd/auburnwinch/main.go
@@ -4,6 +4,7 @@
 //
 //	auburnwinch node --settings node.yaml
 //	auburnwinch hosted --settings settings.conf
+//	auburnwinch explain --request 9c41d07be2a35f68 node-1.log node-2.log
 //	auburnwinch state --settings node.yaml --section members
 //	auburnwinch ticket check change.yaml
 //	auburnwinch ticket file change.yaml --settings node.yaml
@@ -27,6 +28,7 @@
 	Node    nodeCmd    `cmd:"" help:"Run the node of this VM."`
 	Hosted  hostedCmd  `cmd:"" help:"Run the node beside a target of a hosted platform."`
 	Ticket  ticketCmd  `cmd:"" help:"Check, file and show tickets, the numbered configuration changes."`
+	Explain explainCmd `cmd:"" help:"Tell what happened to a request, from the logs of the nodes."`
 	State   stateCmd   `cmd:"" help:"Print the state dump of a node as JSON."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
--- /dev/null
+++ b/internal/agent/heartbeat_test.go
@@ -0,0 +1,69 @@
+package agent
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+func newHeartbeatAgent(t *testing.T) *Agent {
+	t.Helper()
+	a, err := New(Config{Self: model.NodeRef{ID: "n", Incarnation: 1}, OneTarget: true, NoSentinels: true})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = a.Close() })
+	return a
+}
+
+func heartbeat(id string, incarnation, sequence uint64, draining bool) Announcement {
+	return Announcement{
+		Service: "kassa", ID: id, Incarnation: incarnation, Address: "127.0.0.1:1", Slots: 3, Draining: draining, Sequence: sequence,
+	}
+}
+
+func refs(a *Agent) []model.TargetRef {
+	var list []model.TargetRef
+	for _, target := range a.Targets() {
+		list = append(list, target.Ref)
+	}
+	return list
+}
+
+// Guards against a heartbeat that was held up and undoes a later one: it would open a draining target, or bring back one
+// that has ended or was replaced at its address.
+func TestLateHeartbeatsChangeNothing(t *testing.T) {
+	a := newHeartbeatAgent(t)
+	require.NoError(t, a.Announce(heartbeat("i-1", 100, 5, true)))
+	require.ErrorIs(t, a.Announce(heartbeat("i-1", 100, 4, false)), ErrOutdated)
+	require.Equal(t, model.TargetDraining, a.Targets()[0].State)
+	require.NoError(t, a.Announce(heartbeat("i-1", 100, 6, false)))
+	require.Equal(t, model.TargetDraining, a.Targets()[0].State, "draining is final for one run")
+
+	require.NoError(t, a.Announce(heartbeat("i-1", 200, 1, false)), "a new run under the same id counts anew")
+	require.Equal(t, model.TargetServing, a.Targets()[0].State)
+	require.ErrorIs(t, a.Announce(heartbeat("i-1", 100, 9, false)), ErrOutdated)
+
+	require.NoError(t, a.Announce(heartbeat("i-2", 300, 1, false)))
+	require.Equal(t, []model.TargetRef{{Service: "kassa", ID: "i-2", Incarnation: 300}}, refs(a), "one target runs on a VM")
+	require.ErrorIs(t, a.Announce(heartbeat("i-1", 200, 9, false)), ErrOutdated)
+
+	a.Withdraw("", "i-2")
+	require.Empty(t, refs(a))
+	require.ErrorIs(t, a.Announce(heartbeat("i-2", 300, 2, false)), ErrOutdated, "it has said goodbye")
+	require.NoError(t, a.Announce(heartbeat("i-2", 301, 1, false)))
+}
+
+// Guards against an invalid heartbeat that takes a good target along.
+func TestInvalidHeartbeatKeepsTheTarget(t *testing.T) {
+	a := newHeartbeatAgent(t)
+	require.NoError(t, a.Announce(heartbeat("i-1", 100, 1, false)))
+	for _, bad := range []Announcement{
+		{}, {Service: "kassa", ID: "i-9", Incarnation: 900, Slots: 3}, {Service: "kassa", ID: "i-9", Incarnation: 900, Address: "x:1"},
+		{Service: "kassa", ID: "i-9", Address: "x:1", Slots: 3}, {Service: "ka ssa", ID: "i-9", Incarnation: 900, Address: "x:1", Slots: 3},
+	} {
+		require.Error(t, a.Announce(bad))
+		require.Len(t, refs(a), 1)
+		require.Equal(t, "i-1", refs(a)[0].ID)
+	}
+}
--- /dev/null
+++ b/internal/hosted/admission_test.go
@@ -0,0 +1,104 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwinch/auburnwinch/internal/agent"
+	"github.com/auburnwinch/auburnwinch/internal/relay"
+	"github.com/auburnwinch/auburnwinch/internal/timer"
+)
+
+type admissionRig struct {
+	*admission
+	clock  *timer.Manual
+	closed int
+}
+
+func newAdmissionRig(extra float64) *admissionRig {
+	r := &admissionRig{clock: timer.NewManual(time.Unix(1000, 0))}
+	r.admission = newAdmission(admissionConfig{
+		slots: 3, clock: r.clock, retries: Retries{Ratio: 0.2, Window: 10 * time.Second}, extra: func() float64 { return extra },
+		onChange: func(closed bool, _ float64) {
+			if closed {
+				r.closed++
+			}
+		},
+	})
+	return r
+}
+
+func (r *admissionRig) ask(c relay.Class, patience time.Duration) (agent.Permit, string) {
+	permit, err := r.Acquire(context.Background(), agent.AdmitRequest{Route: "route", Class: c, Patience: patience, Negotiated: true})
+	var refused *refusedError
+	if errors.As(err, &refused) {
+		return nil, refused.reason
+	}
+	return permit, ""
+}
+
+// Pattern: a target turns sick while orders wait in front of it. Guards against orders that run there one after the other
+// once the target's slots come free by failing fast.
+func TestSickTargetSendsItsWaitersAway(t *testing.T) {
+	r := newAdmissionRig(0)
+	var permits []agent.Permit
+	for range 3 {
+		permit, reason := r.ask(relay.Class{}, 0)
+		require.Empty(t, reason)
+		permits = append(permits, permit)
+	}
+	reasons := make(chan string, 4)
+	for range 4 {
+		go func() {
+			_, reason := r.ask(relay.Class{}, time.Minute)
+			reasons <- reason
+		}()
+	}
+	require.Eventually(t, func() bool { return r.Load().InFlight == 7 }, time.Second, time.Millisecond)
+	permits[0].Release(agent.Result{Kind: agent.ResultReset})
+	for range 4 {
+		require.Equal(t, relay.ReasonSick, <-reasons)
+	}
+	require.Equal(t, 1, r.closed)
+	_, reason := r.ask(relay.Class{}, time.Minute)
+	require.Equal(t, relay.ReasonSick, reason)
+	permit, reason := r.ask(relay.Class{Forced: true}, time.Minute)
+	require.Empty(t, reason, "the last resort of an edge")
+	permit.Release(agent.Result{Kind: agent.ResultOK})
+}
+
+// Pattern: requests whose calls fail elsewhere. Guards against a sound target that rests for the failures of others.
+func TestFailedCallsAreNoEvidence(t *testing.T) {
+	r := newAdmissionRig(0)
+	for range 20 {
+		permit, reason := r.ask(relay.Class{}, 0)
+		require.Empty(t, reason)
+		permit.Release(agent.Result{Kind: agent.ResultCallFailed})
+	}
+	require.Zero(t, r.closed)
+}
+
+// Pattern: a storm of repeats. Guards against repeats beyond the target's part of the fleet's budget, and against first
+// attempts that pay for it.
+func TestBudgetRefusesRepeats(t *testing.T) {
+	r := newAdmissionRig(2)
+	admitted := 0
+	for range 50 {
+		permit, reason := r.ask(relay.Class{Idempotent: true, Repeat: true}, 0)
+		if reason == "" {
+			admitted++
+			permit.Release(agent.Result{Kind: agent.ResultOK})
+		} else {
+			require.Equal(t, relay.ReasonBudget, reason)
+		}
+		first, reason := r.ask(relay.Class{}, 0)
+		require.Empty(t, reason)
+		first.Release(agent.Result{Kind: agent.ResultOK})
+	}
+	share := 49 * 0.2 * retryMargin // The last repeat is asked for after 49 first attempts.
+	require.Equal(t, 2+int(share), admitted)
+}
--- a/internal/hosted/journal.go
+++ b/internal/hosted/journal.go
@@ -7,6 +7,7 @@
 
 	"github.com/auburnwinch/auburnwinch/internal/agent"
 	"github.com/auburnwinch/auburnwinch/internal/edge"
+	"github.com/auburnwinch/auburnwinch/internal/story"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
@@ -37,7 +38,7 @@
 		logger = j.failures
 	}
 	_, members := j.beliefs.ages()
-	_ = logger.Log("msg", "request answered", "id", s.ID, "route", s.Route, "service", s.Service, "outcome", s.Outcome,
+	_ = logger.Log("msg", story.MsgAnswered, "id", s.ID, "route", s.Route, "service", s.Service, "outcome", s.Outcome,
 		"status", s.Status, "reason", s.Reason, "call", s.Call, "took", text(s.Took), "left", text(s.Left),
 		"configuration", s.Configuration, "members-age", text(members), "tries", triesOf(s.Tries))
 }
@@ -49,7 +50,7 @@
 	if r.Outcome != model.OutcomeDone || r.Status >= 500 {
 		logger = j.failures
 	}
-	_ = logger.Log("msg", "request relayed", "id", r.ID, "service", r.Target.Service, "target", r.Target.ID, "class", r.Class.String(),
+	_ = logger.Log("msg", story.MsgRelayed, "id", r.ID, "service", r.Target.Service, "target", r.Target.ID, "class", r.Class.String(),
 		"outcome", r.Outcome, "status", r.Status, "reason", r.Reason, "waited", text(r.Waited), "ran", text(r.Ran), "load", r.Load.String())
 }
 
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -16,6 +16,7 @@
 	"github.com/auburnwinch/auburnwinch/internal/picker"
 	"github.com/auburnwinch/auburnwinch/internal/relay"
 	"github.com/auburnwinch/auburnwinch/internal/roster"
+	"github.com/auburnwinch/auburnwinch/internal/story"
 	"github.com/auburnwinch/auburnwinch/internal/view"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
@@ -201,7 +202,7 @@
 			Status: http.StatusServiceUnavailable, RetryAfter: restartTime,
 			Answer: model.Answer{Outcome: model.OutcomeNotRun, Reason: "the node of this VM is stopping"},
 		})
-		_ = level.Info(n.config.Failures).Log("msg", "request refused", "id", n.config.Callers.ID(r), "reason", "node stopping")
+		_ = level.Info(n.config.Failures).Log("msg", story.MsgRefused, "id", n.config.Callers.ID(r), "reason", "node stopping")
 		return
 	}
 	n.edge.ServeHTTP(w, r)
--- a/internal/hosted/node_test.go
+++ b/internal/hosted/node_test.go
@@ -206,7 +206,9 @@
 	next := &target{node: n, id: "i-next", born: earlier.born + 5000, runs: make(map[string]int)}
 	earlier.server.Config.Handler = next
 	next.server = earlier.server
-	require.Eventually(t, func() bool { return n.call(http.MethodPost, "kassa", "/order/1").status == http.StatusServiceUnavailable }, 3*time.Second, 10*time.Millisecond,
+	require.Eventually(t, func() bool {
+		return n.call(http.MethodPost, "kassa", "/order/1").status == http.StatusServiceUnavailable
+	}, 3*time.Second, 10*time.Millisecond,
 		"the target that answers is not the expected one")
 	next.heartbeat("ready")
 	n.await("kassa", "/read/x")
--- /dev/null
+++ b/internal/limit/rank_test.go
@@ -0,0 +1,84 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var rankStart = time.Unix(1000, 0)
+
+// busyModule returns a module whose two slots are taken, with requests that take about 100 ms.
+func busyModule() *Module {
+	m := NewModule(Settings{Slots: 2, Places: 12, Wait: time.Minute, Deep: true, Fixed: true})
+	for id := range uint64(2) {
+		m.Update(AcquireMsg{Now: rankStart, ID: id})
+	}
+	return m
+}
+
+func granted(cmds []Cmd) []uint64 {
+	var ids []uint64
+	for _, c := range cmds {
+		if g, ok := c.(GrantCmd); ok {
+			ids = append(ids, g.ID)
+		}
+	}
+	return ids
+}
+
+func bounded(id uint64, rank int, patience time.Duration) AcquireMsg {
+	return AcquireMsg{Now: rankStart, ID: id, Request: Request{Rank: rank, Patience: patience, Bounded: true}}
+}
+
+// Pattern: more requests than slots, some of them calls for which a slot elsewhere waits. Guards against calls behind
+// ordinary work, and against requests that can still meet their objective behind those that can't.
+func TestWaitersStartByObjectiveAndRank(t *testing.T) {
+	m := busyModule()
+	late := bounded(10, 0, time.Minute)
+	late.Objective = rankStart.Add(50 * time.Millisecond)
+	inTime := bounded(13, 2, time.Minute)
+	inTime.Objective = rankStart.Add(time.Minute)
+	for _, msg := range []AcquireMsg{late, bounded(11, 2, time.Minute), bounded(12, 1, time.Minute), inTime, bounded(14, -1, time.Minute)} {
+		require.Empty(t, granted(m.Update(msg)))
+	}
+	var order []uint64
+	running := uint64(0)
+	for range 5 {
+		next := granted(m.Update(ReleaseMsg{Now: rankStart, ID: running, Result: Result{OK: false}}))
+		require.Len(t, next, 1)
+		running = next[0]
+		order = append(order, running)
+	}
+	require.Equal(t, []uint64{14, 12, 11, 13, 10}, order)
+}
+
+// Pattern: a request asks for a free slot only. Guards against one that waits all the same, and against one that waits
+// longer than it may.
+func TestPatienceBoundsTheWait(t *testing.T) {
+	m := busyModule()
+	cmds := m.Update(bounded(10, 1, 0))
+	require.IsType(t, RefuseCmd{}, cmds[0])
+	require.Equal(t, ReasonFull, cmds[0].(RefuseCmd).Reason)
+	require.Positive(t, cmds[0].(RefuseCmd).RetryAfter, "the edge is told how long the wait would be")
+	require.IsType(t, WaitCmd{}, m.Update(bounded(11, 1, 300*time.Millisecond))[0])
+	cmds = m.Update(TickMsg{Now: rankStart.Add(301 * time.Millisecond)})
+	require.Equal(t, []Cmd{RefuseCmd{ID: 11, Reason: ReasonWait, RetryAfter: cmds[0].(RefuseCmd).RetryAfter}}, cmds)
+}
+
+// Pattern: the target turns out to be sick while requests wait for it. Guards against requests that wait for their end there
+// although others could take them.
+func TestFlushRefusesAllWaiters(t *testing.T) {
+	m := busyModule()
+	for id := uint64(10); id < 15; id++ {
+		m.Update(bounded(id, 1, time.Minute))
+	}
+	cmds := m.Update(FlushMsg{Now: rankStart})
+	require.Len(t, cmds, 5)
+	for _, c := range cmds {
+		require.Equal(t, ReasonSick, c.(RefuseCmd).Reason)
+	}
+	require.Zero(t, m.Load().Waiting)
+	require.Equal(t, 2, m.Load().InFlight)
+}
--- /dev/null
+++ b/internal/relay/class_test.go
@@ -0,0 +1,27 @@
+package relay
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against a class that an agent reads otherwise than the edge wrote it: a request that must not run twice would be
+// taken for one that may.
+func TestClassRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := Class{
+			Idempotent: rapid.Bool().Draw(t, "idempotent"), Call: rapid.Bool().Draw(t, "call"), Forced: rapid.Bool().Draw(t, "forced"),
+			Repeat: rapid.Bool().Draw(t, "repeat"), Rank: rapid.IntRange(-5, 1000).Draw(t, "rank"),
+		}
+		parsed, ok := ParseClass(c.String())
+		require.True(t, ok)
+		require.Equal(t, c, parsed)
+	})
+	c, ok := ParseClass("novel,call,rank=1")
+	require.True(t, ok, "words of later versions are passed over")
+	require.Equal(t, Class{Call: true, Rank: 1}, c)
+	_, ok = ParseClass("rank=x")
+	require.False(t, ok)
+}
--- /dev/null
+++ b/internal/story/line.go
@@ -0,0 +1,73 @@
+package story
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+)
+
+// Messages of the lines that belong to a request.
+const (
+	MsgAnswered = "request answered"
+	MsgRelayed  = "request relayed"
+	MsgRefused  = "request refused"
+)
+
+// maxLineBytes bounds one line of a log.
+const maxLineBytes = 1 << 20
+
+// Line is one log line that names a request.
+type Line struct {
+	Msg           string `json:"msg"`
+	ID            string `json:"id"`
+	Node          string `json:"node"`
+	Time          string `json:"ts"`
+	Route         string `json:"route"`
+	Service       string `json:"service"`
+	Target        string `json:"target"`
+	Outcome       string `json:"outcome"`
+	Status        int    `json:"status"`
+	Reason        string `json:"reason"`
+	Class         string `json:"class"`
+	Load          string `json:"load"`
+	Took          string `json:"took"`
+	Left          string `json:"left"`
+	Waited        string `json:"waited"`
+	Ran           string `json:"ran"`
+	Configuration uint64 `json:"configuration"`
+	MembersAge    string `json:"members-age"`
+	Tries         []Try  `json:"tries"`
+}
+
+// Try is one attempt in the line of an edge.
+type Try struct {
+	Target   string `json:"target"`
+	Node     string `json:"node"`
+	Result   string `json:"result"`
+	Patience string `json:"patience"`
+	Forced   bool   `json:"forced"`
+	Took     string `json:"took"`
+}
+
+// Read returns the lines that name a request, and the number of lines that are no JSON objects. Text before the object, as
+// collectors add it, is passed over.
+func Read(r io.Reader) (lines []Line, unreadable int, err error) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 64<<10), maxLineBytes)
+	for scanner.Scan() {
+		text := scanner.Bytes()
+		begin := bytes.IndexByte(text, '{')
+		var line Line
+		if begin < 0 || json.Unmarshal(text[begin:], &line) != nil {
+			if len(bytes.TrimSpace(text)) > 0 {
+				unreadable++
+			}
+			continue
+		}
+		if line.ID != "" {
+			lines = append(lines, line)
+		}
+	}
+	return lines, unreadable, scanner.Err()
+}
--- /dev/null
+++ b/internal/story/story.go
@@ -0,0 +1,117 @@
+package story
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+)
+
+// Story is what happened to one request and to the calls that it made.
+type Story struct {
+	ID string
+	// Answers are the lines of edges; there is one unless a node refused the request while it stopped.
+	Answers []Line
+	// Runs are the lines of agents.
+	Runs  []Line
+	Calls []Story
+}
+
+// Of collects the lines of a request. The id of a call is that of its request, a dot and a part of its own.
+func Of(id string, lines []Line) Story {
+	s := Story{ID: id}
+	calls := make(map[string][]Line)
+	for _, line := range lines {
+		switch rest, isCall := strings.CutPrefix(line.ID, id+"."); {
+		case line.ID == id && line.Msg == MsgRelayed:
+			s.Runs = append(s.Runs, line)
+		case line.ID == id:
+			s.Answers = append(s.Answers, line)
+		case isCall:
+			name, _, _ := strings.Cut(rest, ".")
+			calls[name] = append(calls[name], line)
+		}
+	}
+	names := make([]string, 0, len(calls))
+	for name := range calls {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		s.Calls = append(s.Calls, Of(id+"."+name, calls[name]))
+	}
+	return s
+}
+
+// Known reports whether any line names the request.
+func (s *Story) Known() bool {
+	return len(s.Answers)+len(s.Runs)+len(s.Calls) > 0
+}
+
+// Write prints the story; it fails when the writer does.
+func (s *Story) Write(w io.Writer) error {
+	var b strings.Builder
+	s.tell(&b, "")
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func (s *Story) tell(b *strings.Builder, indent string) {
+	fmt.Fprintf(b, "%srequest %s\n", indent, s.ID)
+	runs := slices.Clone(s.Runs)
+	for _, line := range s.Answers {
+		for _, try := range line.Tries {
+			tellTry(b, indent, try)
+			runs = tellRun(b, indent, try.Target, runs)
+		}
+		tellAnswer(b, indent, line)
+	}
+	// Runs without an attempt belong to an edge whose log is missing, for example because it was killed.
+	for _, run := range runs {
+		fmt.Fprintf(b, "%s  no edge reports this one:\n", indent)
+		tellRelayed(b, indent, run)
+	}
+	for i := range s.Calls {
+		s.Calls[i].tell(b, indent+"    ")
+	}
+}
+
+func tellTry(b *strings.Builder, indent string, try Try) {
+	fmt.Fprintf(b, "%s  asked %s for target %s: %s after %s", indent, try.Node, try.Target, try.Result, try.Took)
+	if try.Patience != "" {
+		fmt.Fprintf(b, ", ready to wait %s", try.Patience)
+	}
+	if try.Forced {
+		b.WriteString(", although it is doubtful")
+	}
+	b.WriteByte('\n')
+}
+
+// tellRun prints the first run at the target and returns the others.
+func tellRun(b *strings.Builder, indent, target string, runs []Line) []Line {
+	i := slices.IndexFunc(runs, func(l Line) bool { return l.Target == target })
+	if i < 0 {
+		fmt.Fprintf(b, "%s    the agent has no line of it: it was not reached, or its log is missing\n", indent)
+		return runs
+	}
+	tellRelayed(b, indent, runs[i])
+	return slices.Delete(runs, i, i+1)
+}
+
+func tellRelayed(b *strings.Builder, indent string, run Line) {
+	fmt.Fprintf(b, "%s    %s, target %s: %s status %d, waited %s, ran %s, load %s, class %s", indent, run.Node, run.Target, run.Outcome,
+		run.Status, run.Waited, run.Ran, run.Load, run.Class)
+	if run.Reason != "" {
+		fmt.Fprintf(b, ", because %s", run.Reason)
+	}
+	b.WriteByte('\n')
+}
+
+func tellAnswer(b *strings.Builder, indent string, line Line) {
+	fmt.Fprintf(b, "%s  %s answered %d (%s) after %s at %s; route %s, service %s, configuration %d, members %s old", indent, line.Node,
+		line.Status, line.Outcome, line.Took, line.Time, line.Route, line.Service, line.Configuration, line.MembersAge)
+	if line.Reason != "" {
+		fmt.Fprintf(b, ", because %s", line.Reason)
+	}
+	b.WriteByte('\n')
+}
