--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -201,8 +201,11 @@
 	if wait, err := time.ParseDuration(h.Get(model.HeaderWait)); err == nil {
 		f.wait = wait
 	}
-	if f.reason == relay.ReasonSick {
+	switch f.reason {
+	case relay.ReasonSick:
 		l.load.Rest = f.wait
+	case relay.ReasonUnknownTarget, relay.ReasonLeaving, relay.ReasonDraining:
+		l.load.Rest = goneRest
 	}
 	if model.Outcome(h.Get(model.HeaderOutcome)) == model.OutcomeNotRun {
 		f.result, f.kind = retry.NotRun, ResultRefused
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -126,6 +126,8 @@
 	Refused []Refused
 	// Left is the time that the request has.
 	Left time.Duration
+	// Bytes is the expected size of the request and its answer.
+	Bytes int64
 }
 
 // Refused is the refusal of an agent that had no room for a request.
--- a/internal/edge/deliver.go
+++ b/internal/edge/deliver.go
@@ -47,6 +47,7 @@
 	err := d.copy()
 	if err == nil {
 		d.checkWhole()
+		q.edge.sizes.add(q.match.Route.Name, d.sum.Length)
 		l.conn.Release()
 		return d, nil
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -28,6 +28,7 @@
 	budgets  sync.Map // service name to *retry.Budget
 	leaving  atomic.Bool
 	repeats  repeats
+	sizes    sizes
 	inFlight atomic.Int64
 	counters counters
 	stop     chan struct{}
--- a/internal/edge/negotiate.go
+++ b/internal/edge/negotiate.go
@@ -13,6 +13,10 @@
 const (
 	// maxAsks bounds the agents that are asked for one request; each refusal costs a round trip.
 	maxAsks = 16
+	// maxBudgetAsks bounds the agents that are asked for a repeat after their budgets had no room.
+	maxBudgetAsks = 3
+	// goneRest is the time for which a target is left alone whose agent no longer has it; its node's row tells more by then.
+	goneRest = time.Second
 	// retryLeast and retryMost bound Retry-After; refused callers return spread over that span or the expected wait.
 	retryLeast = 200 * time.Millisecond
 	retryMost  = 3 * time.Second
@@ -31,6 +35,9 @@
 			break
 		}
 	}
+	if f.reason == relay.ReasonBudget {
+		q.budgetRefusals++
+	}
 	switch {
 	case c.Patience > 0 || c.Forced:
 		// The agent was asked to its limit; it will not take the request any more.
@@ -48,7 +55,7 @@
 		return false
 	}
 	if f.result == retry.NotRun && !f.arrived {
-		return q.asks < maxAsks
+		return q.asks < maxAsks && q.budgetRefusals < maxBudgetAsks
 	}
 	if f.result == retry.InDoubt && !q.match.Route.Idempotent {
 		return false
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -58,8 +58,9 @@
 	parent  string
 	derived bool
 	// refused are the refusals of agents that may take the request later; asks counts all refusals.
-	refused []Refused
-	asks    int
+	refused        []Refused
+	asks           int
+	budgetRefusals int
 	// kept is the failure that a target answered to an earlier attempt.
 	kept *keptAnswer
 	// began, tries, number and answered are for the journal.
@@ -191,7 +192,7 @@
 	for {
 		choice, err := q.edge.config.Picker.Pick(PickRequest{
 			Service: q.service, Route: q.match.Route, Idempotent: q.match.Route.Idempotent, Tried: q.tried,
-			Refused: q.refused, Left: time.Until(q.deadline),
+			Refused: q.refused, Left: time.Until(q.deadline), Bytes: q.expectedBytes(),
 		})
 		if err != nil {
 			q.refuseAttempts(q.noTarget())
--- a/internal/hosted/admission.go
+++ b/internal/hosted/admission.go
@@ -32,11 +32,14 @@
 	limiter  *limit.Limiter
 	onChange func(closed bool, odds float64)
 	// extra returns the repeats that the target may take in each window beside the share of its requests.
-	extra func() float64
+	extra  func() float64
+	window time.Duration
 
 	mu      sync.Mutex
 	triage  *triage.Module
 	repeats *retry.Window
+	// since is when the admission began to count arrivals.
+	since   time.Time
 	lastID  uint64
 	running int
 }
@@ -66,7 +69,7 @@
 	return &admission{
 		clock: c.clock, limiter: limit.New(limit.Config{Settings: admissionSettings(c.slots), Now: c.clock.Now}),
 		onChange: c.onChange, extra: c.extra, triage: triage.New(triage.Settings{}),
-		repeats: retry.NewWindow(c.retries.Window, retryMargin*c.retries.Ratio),
+		repeats: retry.NewWindow(c.retries.Window, retryMargin*c.retries.Ratio), since: c.clock.Now(), window: c.retries.Window,
 	}
 }
 
@@ -145,12 +148,18 @@
 		a.repeats.First(now)
 		return nil
 	}
-	if !a.repeats.Repeat(now, a.extra()) {
+	if !a.repeats.Repeat(now, a.extra()*a.grown(now)) {
 		return &refusedError{reason: relay.ReasonBudget}
 	}
 	return nil
 }
 
+// grown is the part of the extra repeats that the target may take: one that starts does not know what it took before, and
+// must not take as much again within the window.
+func (a *admission) grown(now time.Time) float64 {
+	return min(1, float64(now.Sub(a.since))/float64(a.window))
+}
+
 // Release gives the slot back and takes the result as evidence.
 func (p admissionPermit) Release(r agent.Result) {
 	a := p.admission
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -40,6 +40,10 @@
 	Refused []Refused
 	// Left is the time that the request has.
 	Left time.Duration
+	// Objective is the time within which the answer has its full value; zero means that none is stated.
+	Objective time.Duration
+	// Bytes is the expected size of the request and its answer.
+	Bytes int64
 }
 
 // Refused is the refusal of an agent that may take the request later.
--- a/internal/picker/tier.go
+++ b/internal/picker/tier.go
@@ -11,6 +11,12 @@
 // tierCount is the number of tiers: same VM, same failure domain, same region, other regions.
 const tierCount = 4
 
+// The tiers beyond the failure domain.
+const (
+	regionTier = 2
+	farTier    = 3
+)
+
 // entry is one candidate with its counters.
 type entry struct {
 	candidate *view.Candidate
--- a/internal/picker/trust.go
+++ b/internal/picker/trust.go
@@ -10,7 +10,7 @@
 	// row up to pathPauseMost.
 	pathPause     = 500 * time.Millisecond
 	pathPauseMost = 16 * time.Second
-	// trialPause is the time between two idempotent requests to a target that its agent calls sick.
+	// trialPause is the time between two idempotent requests that try a target whose agent calls it sick.
 	trialPause = 200 * time.Millisecond
 	// restMost bounds the time for which the word of an agent about its target holds.
 	restMost = 2 * time.Second
@@ -56,11 +56,11 @@
 	return !now.Before(t.pathFrom)
 }
 
-// mayAsk reports whether the agent would probably admit the request by the target's health.
-func (t *trust) mayAsk(now time.Time, idempotent bool) bool {
+// mayAsk reports whether the agent would probably admit the request by the target's health, or as a trial of it.
+func (t *trust) mayAsk(now time.Time, trial bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if idempotent {
+	if trial {
 		return now.Sub(t.restedAt) >= trialPause
 	}
 	return !now.Before(t.sickFrom)
--- a/internal/triage/module.go
+++ b/internal/triage/module.go
@@ -70,9 +70,6 @@
 		return v
 	}
 	v.Kind, v.Wait = Rest, m.restLeft()
-	if idempotent {
-		v.Wait = max(m.settings.TrialPause, m.nextTrial.Sub(m.now))
-	}
 	return v
 }
 
