Waits by rank and kind of request; sick targets only as the last resort

Cause: on the grown ipmcb, plan-index calls were sent by force to sick targets while sound ones had queues (25 to 40 a second and target): the nearest target that had not been asked was taken whatever was known of it. Calls were refused for want of time by the mean of all requests, which take four times as long. Calls of requests of little urgency went before urgent ones. Ruled out: targets believed sick that are well (their trials failed for ten seconds and more). Change: doubtful targets come last and those expected back first come first among them; durations are learned by kind; the wait of a rank counts the part of the slots that more urgent ones hold; a call has the rank of its request.

--- a/internal/agent/parents.go
+++ b/internal/agent/parents.go
@@ -1,6 +1,10 @@
 package agent
 
-import "sync"
+import (
+	"sync"
+
+	"github.com/auburnwinch/auburnwinch/internal/relay"
+)
 
 // parents are the requests that run at targets of this VM, by id. Calls that targets make for them name that id.
 type parents struct {
@@ -10,6 +14,7 @@
 
 type parent struct {
 	repeated   bool
+	rank       int
 	callFailed bool
 }
 
@@ -20,6 +25,14 @@
 	return a.parents.running[id].repeated
 }
 
+// Rank returns the rank of the request; ok is false when it does not run here.
+func (a *Agent) Rank(id string) (rank int, ok bool) {
+	a.parents.mu.Lock()
+	defer a.parents.mu.Unlock()
+	p, ok := a.parents.running[id]
+	return p.rank, ok
+}
+
 // CallFailed notes that a call of the running request was not served.
 func (a *Agent) CallFailed(id string) {
 	a.parents.mu.Lock()
@@ -30,7 +43,7 @@
 	}
 }
 
-func (p *parents) begin(id string, repeated bool) {
+func (p *parents) begin(id string, class relay.Class) {
 	if id == "" {
 		return
 	}
@@ -39,7 +52,7 @@
 	if p.running == nil {
 		p.running = make(map[string]parent)
 	}
-	p.running[id] = parent{repeated: repeated}
+	p.running[id] = parent{repeated: class.Repeat, rank: class.Rank}
 }
 
 // end forgets the request and reports whether one of its calls was not served.
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -219,7 +219,7 @@
 	x.admit()
 	begin := x.agent.config.Clock.Now()
 	id := x.agent.config.Protocol.ID(x.r)
-	x.agent.parents.begin(id, x.class.Repeat)
+	x.agent.parents.begin(id, x.class)
 	kind := x.forward(ctx, conn)
 	if x.agent.parents.end(id) && kind == ResultError {
 		kind = ResultCallFailed
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -63,6 +63,8 @@
 type Parents interface {
 	// Repeated reports whether the request runs there as a repeat, which makes its calls repeats as well.
 	Repeated(id string) bool
+	// Rank returns the rank of the running request; ok is false when it does not run there.
+	Rank(id string) (rank int, ok bool)
 	// CallFailed tells that a call of the request was not served.
 	CallFailed(id string)
 }
--- a/internal/edge/negotiate.go
+++ b/internal/edge/negotiate.go
@@ -76,7 +76,7 @@
 func (q *request) class(c Choice) string {
 	route := q.match.Route
 	return relay.Class{
-		Idempotent: route.Idempotent, Call: q.parent != "", Forced: c.Forced, Repeat: q.attempts > 1 || q.derived, Rank: route.Rank,
+		Idempotent: route.Idempotent, Call: q.parent != "", Forced: c.Forced, Repeat: q.attempts > 1 || q.derived, Rank: q.rank,
 	}.String()
 }
 
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -57,6 +57,8 @@
 	// parent is the id of the request whose target waits for the answer; derived tells that it runs as a repeat.
 	parent  string
 	derived bool
+	// rank is that of the route, or of the request that waits for the answer.
+	rank int
 	// refused are the refusals of agents that may take the request later; asks counts all refusals.
 	refused        []Refused
 	asks           int
@@ -135,7 +137,13 @@
 	}
 	q.deadline = q.began.Add(timeout)
 	q.parent = q.edge.config.Protocol.Parent(q.r)
-	q.derived = q.parent != "" && q.edge.config.Parents != nil && q.edge.config.Parents.Repeated(q.parent)
+	q.rank = match.Route.Rank
+	if parents := q.edge.config.Parents; parents != nil && q.parent != "" {
+		q.derived = parents.Repeated(q.parent)
+		if rank, ok := parents.Rank(q.parent); ok {
+			q.rank = rank
+		}
+	}
 	return relay.Refusal{}, true
 }
 
--- a/internal/hosted/admission.go
+++ b/internal/hosted/admission.go
@@ -81,6 +81,7 @@
 func (a *admission) Acquire(ctx context.Context, r agent.AdmitRequest) (agent.Permit, error) {
 	request := limit.Request{
 		Deadline: r.Deadline, Patience: r.Patience, Bounded: r.Negotiated, Rank: rankOf(r.Class), Objective: r.Objective,
+		Kind: r.Route,
 	}
 	kind, err := a.examine(r.Class)
 	if err != nil {
@@ -97,12 +98,13 @@
 	return a.begin(permit, r)
 }
 
-// rankOf lets calls start first, because the request that waits for them holds a slot meanwhile.
+// rankOf lets a call start before requests of the rank of its own request, because that one holds a slot meanwhile, but
+// after more urgent ones: a call of little urgency must not turn them away.
 func rankOf(c relay.Class) int {
 	if c.Call {
-		return -1
+		return 2*c.Rank - 1
 	}
-	return c.Rank
+	return 2 * c.Rank
 }
 
 // examine refuses a request by the health of the target.
--- a/internal/limit/module.go
+++ b/internal/limit/module.go
@@ -13,6 +13,12 @@
 	usualDuration = 100 * time.Millisecond
 	// durationGain is the share of a new sample in the mean duration.
 	durationGain = 1.0 / 32
+	// maxKinds bounds the kinds whose durations are remembered.
+	maxKinds = 256
+	// shareGain is the share of a new observation in the parts of the slots that each rank holds.
+	shareGain = 1.0 / 32
+	// leastShare is the part of the slots that is taken to be left for any rank, so that estimates stay finite.
+	leastShare = 0.1
 	// reservedSlots stay free under contention.
 	reservedSlots = 1
 	retryMin      = 10 * time.Millisecond
@@ -29,15 +35,29 @@
 	accounts map[string]*account
 	// denied holds the two latest accounts that were refused below their share, the latest first.
 	denied [2]denial
-	mean   time.Duration
-	// samples are the durations in the mean.
-	samples int
+	usual  mean
+	kinds  map[string]*mean
+	// shares are the parts of the slots that requests of a rank usually hold.
+	shares map[int]float64
 }
 
 type running struct {
 	account  *account
 	since    time.Time
 	inFlight int
+	kind     string
+	rank     int
+}
+
+// mean is a moving mean of durations.
+type mean struct {
+	value   time.Duration
+	samples int
+}
+
+func (m *mean) add(took time.Duration) {
+	m.samples++
+	m.value += time.Duration(max(durationGain, 1/float64(m.samples)) * float64(took-m.value))
 }
 
 type denial struct {
@@ -49,7 +69,8 @@
 func NewModule(s Settings) *Module {
 	m := &Module{
 		running: make(map[uint64]running), accounts: make(map[string]*account),
-		queue: queue{byID: make(map[uint64]*waiter)}, mean: usualDuration,
+		queue: queue{byID: make(map[uint64]*waiter)}, usual: mean{value: usualDuration}, kinds: make(map[string]*mean),
+		shares: make(map[int]float64),
 	}
 	m.configure(s)
 	return m
@@ -95,11 +116,12 @@
 		m.accounts[msg.Account] = a
 	}
 	defer m.forget(a)
+	m.observeShares()
 	if !msg.Deadline.IsZero() && !msg.Deadline.After(m.now) {
 		return []Cmd{m.refuse(msg.ID, ReasonDeadline)}
 	}
 	if m.free() > 0 && m.queue.len() == 0 && m.mayRun(a) {
-		return []Cmd{m.grant(msg.ID, a)}
+		return []Cmd{m.grant(&waiter{id: msg.ID, account: a, rank: msg.Rank, kind: msg.Kind})}
 	}
 	return m.enqueue(msg, a)
 }
@@ -108,13 +130,13 @@
 func (m *Module) enqueue(msg AcquireMsg, a *account) []Cmd {
 	reason, expires := m.admitToQueue(msg, a)
 	if reason != 0 {
-		if reason != ReasonDeadline || !m.now.Add(m.mean).After(msg.Deadline) {
+		if reason != ReasonDeadline || !m.now.Add(m.durationOf(msg.Kind)).After(msg.Deadline) {
 			m.deny(a)
 		}
-		return []Cmd{m.refuse(msg.ID, reason)}
+		return []Cmd{m.refuseRank(msg.ID, reason, msg.Rank)}
 	}
 	cmds := m.makePlace(a)
-	m.queue.push(&waiter{id: msg.ID, account: a, expires: expires, rank: msg.Rank, objective: msg.Objective})
+	m.queue.push(&waiter{id: msg.ID, account: a, expires: expires, rank: msg.Rank, kind: msg.Kind, objective: msg.Objective})
 	invar.Check(m.queue.len() <= m.settings.Places, "limit", "%d requests wait in %d places", m.queue.len(),
 		m.settings.Places)
 	return append(cmds, WaitCmd{ID: msg.ID, Until: expires})
@@ -126,11 +148,11 @@
 	if msg.Bounded {
 		patience = msg.Patience
 	}
-	wait := m.expectedWait(m.ahead(a, msg.Rank))
+	wait := m.waitOf(m.ahead(a, msg.Rank), msg.Rank)
 	expires = m.now.Add(patience)
 	latest := expires
 	if !msg.Deadline.IsZero() {
-		latest = msg.Deadline.Add(-m.mean)
+		latest = msg.Deadline.Add(-m.durationOf(msg.Kind))
 	}
 	switch {
 	case m.queue.len() > places, m.queue.len() == places && m.displaced(a) == nil:
@@ -198,22 +220,67 @@
 
 // expectedWait estimates when a request with so many waiters ahead would start.
 func (m *Module) expectedWait(ahead int) time.Duration {
-	return m.mean * time.Duration(ahead+1) / time.Duration(m.learner.value())
+	return m.usual.value * time.Duration(ahead+1) / time.Duration(m.learner.value())
+}
+
+// waitOf estimates when a request of the rank would start: the slots that come free go to lower ranks first, in the part
+// that these usually hold.
+func (m *Module) waitOf(ahead, rank int) time.Duration {
+	before := 0.0
+	for r, share := range m.shares {
+		if r < rank {
+			before += share
+		}
+	}
+	return time.Duration(float64(m.expectedWait(ahead)) / max(leastShare, 1-before))
+}
+
+// observeShares brings the parts of the slots that each rank holds up to date.
+func (m *Module) observeShares() {
+	for rank := range m.shares {
+		m.shares[rank] -= shareGain * m.shares[rank]
+	}
+	for _, r := range m.running {
+		m.shares[r.rank] += shareGain / float64(m.learner.value())
+	}
+}
+
+// durationOf returns the usual duration of requests of the kind.
+func (m *Module) durationOf(kind string) time.Duration {
+	if k := m.kinds[kind]; k != nil && kind != "" {
+		return k.value
+	}
+	return m.usual.value
 }
 
 func (m *Module) refuse(id uint64, reason Reason) Cmd {
-	after := min(retryMax, max(retryMin, m.expectedWait(m.queue.len())))
+	return m.refuseAfter(id, reason, m.expectedWait(m.queue.len()))
+}
+
+// refuseRank tells the wait that a request of the rank would have.
+func (m *Module) refuseRank(id uint64, reason Reason, rank int) Cmd {
+	ahead := 0
+	for _, w := range m.queue.all() {
+		if w.rank <= rank {
+			ahead++
+		}
+	}
+	return m.refuseAfter(id, reason, m.waitOf(ahead, rank))
+}
+
+func (m *Module) refuseAfter(id uint64, reason Reason, wait time.Duration) Cmd {
+	after := min(retryMax, max(retryMin, wait))
 	if reason == ReasonShare {
 		after = max(after, contentionMemory)
 	}
 	return RefuseCmd{ID: id, Reason: reason, RetryAfter: after}
 }
 
-func (m *Module) grant(id uint64, a *account) Cmd {
-	a.inFlight++
-	m.running[id] = running{account: a, since: m.now, inFlight: len(m.running) + 1}
+func (m *Module) grant(w *waiter) Cmd {
+	w.account.inFlight++
+	m.running[w.id] = running{account: w.account, since: m.now, inFlight: len(m.running) + 1, kind: w.kind, rank: w.rank}
 	invar.Check(len(m.running) <= m.settings.Slots, "limit", "%d requests run in %d slots", len(m.running), m.settings.Slots)
-	return GrantCmd{ID: id}
+	return GrantCmd{ID: w.id}
 }
 
 func (m *Module) release(msg ReleaseMsg) {
@@ -226,14 +293,27 @@
 	m.forget(r.account)
 	if msg.Result.OK {
 		took := m.now.Sub(r.since)
-		m.samples++
-		m.mean += time.Duration(max(durationGain, 1/float64(m.samples)) * float64(took-m.mean))
+		m.usual.add(took)
+		m.learnKind(r.kind, took)
 		if !m.settings.Fixed {
 			m.learner.observe(took, r.inFlight)
 		}
 	}
 }
 
+func (m *Module) learnKind(kind string, took time.Duration) {
+	if kind == "" {
+		return
+	}
+	if m.kinds[kind] == nil {
+		if len(m.kinds) >= maxKinds {
+			return // The mean of all kinds stands for further ones.
+		}
+		m.kinds[kind] = &mean{}
+	}
+	m.kinds[kind].add(took)
+}
+
 // dispatch starts waiting requests in the free slots, those of accounts below their share first.
 func (m *Module) dispatch() []Cmd {
 	var cmds []Cmd
@@ -245,7 +325,7 @@
 		if w == nil {
 			break
 		}
-		cmds = append(cmds, m.grant(w.id, w.account))
+		cmds = append(cmds, m.grant(w))
 	}
 	return cmds
 }
@@ -260,7 +340,7 @@
 }
 
 func (m *Module) late(w *waiter) bool {
-	return !w.objective.IsZero() && m.now.Add(m.mean).After(w.objective)
+	return !w.objective.IsZero() && m.now.Add(m.durationOf(w.kind)).After(w.objective)
 }
 
 func (m *Module) flush() []Cmd {
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -8,6 +8,7 @@
 	account *account
 	expires time.Time
 	rank    int
+	kind    string
 	// objective is when the answer has lost most of its value.
 	objective time.Time
 }
--- a/internal/limit/rank_test.go
+++ b/internal/limit/rank_test.go
@@ -54,6 +54,48 @@
 	require.Equal(t, []uint64{14, 12, 11, 13, 10}, order)
 }
 
+// Pattern: urgent work holds most slots. Guards against less urgent requests that wait to their deadline for slots that go
+// to others, and against short ones that are refused because others take long.
+func TestExpectedWaitKnowsRanksAndKinds(t *testing.T) {
+	m := NewModule(Settings{Slots: 2, Places: 12, Wait: time.Minute, Deep: true, Fixed: true})
+	now, id := rankStart, uint64(100)
+	run := func(kind string, rank int, took time.Duration) {
+		for range 40 {
+			for i := range uint64(2) {
+				m.Update(AcquireMsg{Now: now, ID: id + i, Request: Request{Rank: rank, Kind: kind}})
+			}
+			now = now.Add(took)
+			// Requests that come at any time see the slots in use.
+			for i := range uint64(4) {
+				m.Update(AcquireMsg{Now: now, ID: id + 2 + i, Request: Request{Rank: 5, Bounded: true}})
+			}
+			for i := range uint64(2) {
+				m.Update(ReleaseMsg{Now: now, ID: id + i, Result: Result{OK: true}})
+			}
+			id += 6
+		}
+	}
+	run("short", 1, 100*time.Millisecond)
+	run("long", 1, time.Second)
+	for i := range uint64(2) {
+		m.Update(AcquireMsg{Now: now, ID: i, Request: Request{Rank: 1, Kind: "long"}})
+	}
+	ask := func(kind string, rank int, deadline time.Duration) Cmd {
+		id++
+		cmds := m.Update(AcquireMsg{Now: now, ID: id, Request: Request{
+			Rank: rank, Kind: kind, Bounded: true, Patience: time.Minute, Deadline: now.Add(deadline),
+		}})
+		m.Update(CancelMsg{Now: now, ID: id})
+		return cmds[0]
+	}
+	require.IsType(t, WaitCmd{}, ask("short", 1, 900*time.Millisecond), "it needs 0.5 s for a slot and 0.1 s to run")
+	require.Equal(t, ReasonDeadline, ask("long", 1, 900*time.Millisecond).(RefuseCmd).Reason)
+	require.IsType(t, WaitCmd{}, ask("short", 0, 900*time.Millisecond))
+	refused, ok := ask("short", 2, 900*time.Millisecond).(RefuseCmd)
+	require.True(t, ok, "slots go to the urgent ones first")
+	require.Greater(t, refused.RetryAfter, time.Second)
+}
+
 // Pattern: a request asks for a free slot only. Guards against one that waits all the same, and against one that waits
 // longer than it may.
 func TestPatienceBoundsTheWait(t *testing.T) {
--- a/internal/picker/negotiate.go
+++ b/internal/picker/negotiate.go
@@ -27,19 +27,23 @@
 var crossingCost = [tierCount]time.Duration{0, 0, 20 * time.Millisecond, 40 * time.Millisecond}
 
 // negotiate proposes the nearest target that seems to have room, without patience. It proposes to wait at a target that has
-// refused when that costs the caller less than the way to the next one, or when enough were asked. Last comes a target
-// that is probably sick or behind a failed path: a doubtful chance serves a caller better than a refusal.
+// refused when that costs the caller less than the way to the next one, or when enough were asked; then at one that is only
+// believed to be full. Last come targets that are probably sick or behind a failed path: a doubtful chance serves a caller
+// better than a refusal.
 func (p *Picker) negotiate(s *service, r Request, now time.Time) (Choice, error) {
-	wait, forced := s.pickWait(r, now)
+	wait := s.pickWait(r, now)
 	if len(r.Refused) < quickAsks {
-		if e := p.pickRoom(s, r, now); e != nil && (wait == nil || forced || r.crossing(e.tier)+askCost < s.waitCost(wait, r)) {
+		if e := p.pickRoom(s, r, now); e != nil && (wait == nil || r.crossing(e.tier)+askCost < s.waitCost(wait, r)) {
 			return p.choose(Choice{entry: e}), nil
 		}
 	}
+	if wait == nil {
+		wait = s.pickBelieved(r, now)
+	}
 	if wait != nil {
-		return p.choose(Choice{entry: wait, Patience: r.Left, Forced: forced}), nil
+		return p.choose(Choice{entry: wait, Patience: r.Left}), nil
 	}
-	if e := s.pickUnasked(r, now); e != nil {
+	if e := s.pickDoubtful(r, now); e != nil {
 		return p.choose(Choice{entry: e, Patience: r.Left, Forced: true}), nil
 	}
 	return Choice{}, &NoTargetError{Service: r.Service}
@@ -94,21 +98,20 @@
 	return nil
 }
 
-// pickWait returns the target that refused with the shortest wait. Only when no sound one is left, it returns one that is
-// probably sick, whose agent must be asked with force.
-func (s *service) pickWait(r Request, now time.Time) (best *entry, forced bool) {
+// pickWait returns the sound target that refused with the shortest wait, its way included.
+func (s *service) pickWait(r Request, now time.Time) *entry {
+	var best *entry
 	var bestCost time.Duration
 	for _, refused := range r.Refused {
 		e := s.find(refused.Target)
-		if e == nil || r.excludes(e) || !e.counters.trust.pathOpen(now) || !refused.Sick && refused.Wait > r.Left {
+		if e == nil || r.excludes(e) || !e.counters.trust.pathOpen(now) || refused.Sick || refused.Wait > r.Left {
 			continue
 		}
-		cost := refused.Wait + r.crossing(e.tier)
-		if best == nil || forced && !refused.Sick || forced == refused.Sick && cost < bestCost {
-			best, bestCost, forced = e, cost, refused.Sick
+		if cost := refused.Wait + r.crossing(e.tier); best == nil || cost < bestCost {
+			best, bestCost = e, cost
 		}
 	}
-	return best, forced
+	return best
 }
 
 func (s *service) farRefusals(r Request) int {
@@ -121,20 +124,45 @@
 	return n
 }
 
-// pickUnasked returns the nearest target that was not asked, whatever is known of it. One whose path is open comes before
-// one whose path has failed.
-func (s *service) pickUnasked(r Request, now time.Time) *entry {
+// pickBelieved returns the nearest target that was not asked because it is believed to be full.
+func (s *service) pickBelieved(r Request, now time.Time) *entry {
 	var best *entry
-	bestOpen := false
 	for i := range s.entries {
 		e := &s.entries[i]
-		if r.excludes(e) || r.refusedBy(e) {
+		trust := &e.counters.trust
+		if r.excludes(e) || r.refusedBy(e) || !trust.pathOpen(now) || !trust.mayAsk(now, false) {
 			continue
 		}
-		open := e.counters.trust.pathOpen(now)
-		if best == nil || open && !bestOpen || open == bestOpen && e.tier < best.tier {
-			best, bestOpen = e, open
+		if best == nil || e.tier < best.tier || e.tier == best.tier && e.counters.load(now) < best.counters.load(now) {
+			best = e
+		}
+	}
+	return best
+}
+
+// pickDoubtful returns the target that is expected back first; those behind a failed path come last.
+func (s *service) pickDoubtful(r Request, now time.Time) *entry {
+	var best *entry
+	bestOpen, bestRest := false, time.Duration(0)
+	for i := range s.entries {
+		e := &s.entries[i]
+		if r.excludes(e) {
+			continue
+		}
+		open, rest := e.counters.trust.pathOpen(now), e.counters.trust.restLeft(now)
+		switch {
+		case best != nil && open != bestOpen:
+			if !open {
+				continue
+			}
+		case best != nil && rest != bestRest:
+			if rest > bestRest {
+				continue
+			}
+		case best != nil && e.tier >= best.tier:
+			continue
 		}
+		best, bestOpen, bestRest = e, open, rest
 	}
 	return best
 }
--- a/internal/picker/negotiate_test.go
+++ b/internal/picker/negotiate_test.go
@@ -91,21 +91,42 @@
 	require.True(t, i == 2 || i == 3, "a caller does not wait longer than a quarter of the objective for locality")
 }
 
-// Pattern: every target that was asked is sick. Guards against a refusal while a doubtful target may still serve, and
-// against a doubtful target that is preferred to a wait.
+// Pattern: nearly every target is sick. Guards against a refusal while a doubtful target may still serve, and against a
+// doubtful target that is preferred to a sound one with a queue, asked before or not.
 func TestSickTargetsAreTheLastResort(t *testing.T) {
 	r := newNegotiatingRig()
 	var refused []Refused
 	for i := range 12 {
-		refused = append(refused, Refused{Target: r.ref(i), Wait: time.Duration(i+1) * time.Second, Sick: true})
+		refused = append(refused, Refused{Target: r.ref(i), Wait: time.Duration(i+1) * 100 * time.Millisecond, Sick: true})
+		r.Rest(r.ref(i), refused[i].Wait)
 	}
 	i, c := r.pick(t, Request{Refused: refused})
 	require.Equal(t, 0, i, "the one that is expected back first")
 	require.True(t, c.Forced)
-	refused[7] = Refused{Target: r.ref(7), Wait: 500 * time.Millisecond}
+	r.Done(c, Load{})
+	refused[7].Wait, refused[7].Sick = 500*time.Millisecond, false
 	i, c = r.pick(t, Request{Refused: refused})
 	require.Equal(t, 7, i)
 	require.False(t, c.Forced)
+	r.Done(c, Load{})
+
+	r = newNegotiatingRig()
+	for i := range 12 {
+		if i != 9 {
+			r.Rest(r.ref(i), time.Second)
+		}
+	}
+	var busy []Choice
+	for range 3 {
+		i, c := r.pick(t, Request{})
+		require.Equal(t, 9, i)
+		busy = append(busy, c)
+	}
+	i, c = r.pick(t, Request{})
+	require.Equal(t, 9, i, "the only sound target has a queue")
+	require.False(t, c.Forced)
+	require.Equal(t, time.Second, c.Patience)
+	require.Len(t, busy, 3)
 
 	var all []model.TargetRef
 	for i := range 12 {
--- a/internal/picker/trust.go
+++ b/internal/picker/trust.go
@@ -65,3 +65,10 @@
 	}
 	return !now.Before(t.sickFrom)
 }
+
+// restLeft returns the time for which the agent called the target sick.
+func (t *trust) restLeft(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return max(0, t.sickFrom.Sub(now))
+}
