hosted: answer callers whose requests did not end before the stop

Change: when the time to stop is over, the edge gives up what is in flight and answers what is known of it. TestStopAnswersThoseThatWait fails without the change (EOF) and passes with it.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"sync"
@@ -21,12 +22,15 @@
 
 // Edge serves the requests of callers.
 type Edge struct {
-	config   Config
-	routes   router.Cell
-	signer   *relay.Signer
-	pools    sync.Map // relay address to *relay.Pool
-	budgets  sync.Map // service name to *retry.Budget
-	leaving  atomic.Bool
+	config  Config
+	routes  router.Cell
+	signer  *relay.Signer
+	pools   sync.Map // relay address to *relay.Pool
+	budgets sync.Map // service name to *retry.Budget
+	leaving atomic.Bool
+	// ending is done when requests in flight are given up, because the process ends.
+	ending   context.Context
+	giveUp   context.CancelFunc
 	repeats  repeats
 	sizes    sizes
 	inFlight atomic.Int64
@@ -39,6 +43,7 @@
 // New starts an edge; Close stops it.
 func New(c Config) (*Edge, error) {
 	e := &Edge{config: c.withDefaults(), signer: relay.NewSigner(c.Secret, nil), stop: make(chan struct{})}
+	e.ending, e.giveUp = context.WithCancel(context.Background())
 	ticks := e.config.Clock.Subscribe(poolCheck)
 	e.group.Go(func() { e.watchPools(ticks) })
 	return e, nil
@@ -54,6 +59,11 @@
 	e.leaving.Store(leaving)
 }
 
+// GiveUp answers the requests in flight with what is known of them, because the process ends.
+func (e *Edge) GiveUp() {
+	e.giveUp()
+}
+
 // InFlight returns the number of requests that are not answered yet.
 func (e *Edge) InFlight() int {
 	return int(e.inFlight.Load())
@@ -65,6 +75,7 @@
 		return nil
 	}
 	close(e.stop)
+	e.giveUp()
 	e.group.Wait()
 	e.pools.Range(func(_, pool any) bool {
 		pool.(*relay.Pool).Close()
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -82,6 +82,7 @@
 	}
 	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
 	defer cancel()
+	defer context.AfterFunc(q.edge.ending, cancel)()
 	defer q.body.release()
 	if err := q.body.read(q.w, q.r, q.deadline); err != nil {
 		q.refuseEarly(notRun(http.StatusBadRequest, "the request body is shorter than announced, malformed or too slow", remedyFix))
--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -104,6 +104,8 @@
 				`"prefix":"/%s/","kind":"%s","timeoutMs":3000,"targetLatencyMs":1000,"priority":1,"service":"%s","maxAttempts":2}}`,
 				s, prefix, s, prefix, kind, s))
 		}
+		resources = append(resources, fmt.Sprintf(`{"resourceType":"routes","metadata":{"name":"%s-long"},"spec":{"host":"%s.example",`+
+			`"prefix":"/long/","kind":"non_idempotent","timeoutMs":20000,"targetLatencyMs":9000,"priority":1,"service":"%s","maxAttempts":2}}`, s, s, s))
 		resources = append(resources, fmt.Sprintf(`{"resourceType":"services","metadata":{"name":"%s"},"spec":{}}`, s))
 	}
 	f.store.Put("op", "", "config", fmt.Appendf(nil, `{"version":"r%d","resources":[%s]}`, number, strings.Join(resources, ",")))
@@ -254,7 +256,9 @@
 	require.NoError(n.fleet.t, err)
 	r.Host = service + ".example"
 	r.Header.Set("Auburnwinch-Request-Id", id)
-	r.Header.Set("Auburnwinch-Deadline-Ms", "3000")
+	if r.Header.Set("Auburnwinch-Deadline-Ms", "3000"); strings.HasPrefix(path, "/long/") {
+		r.Header.Set("Auburnwinch-Deadline-Ms", "20000")
+	}
 	r.Header.Set("Auburnwinch-Caller-Service", "forged")
 	begin := time.Now()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
--- a/internal/hosted/node_test.go
+++ b/internal/hosted/node_test.go
@@ -1,6 +1,7 @@
 package hosted_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -253,3 +254,30 @@
 		t.Fatal("the node did not end within its grace")
 	}
 }
+
+// Pattern: a node stops while its callers' requests wait for slots elsewhere. Guards against requests that are cut off
+// without a word although nobody has run them.
+func TestStopAnswersThoseThatWait(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, "kassa", "vitrine")
+	busy := f.add("kassa", "a")
+	caller := f.add("vitrine", "a")
+	caller.await("kassa", "/read/x")
+	release := make(chan struct{})
+	defer close(release)
+	busy.await("kassa", "/read/x")
+	busy.target.set(func(http.ResponseWriter, *http.Request) bool { <-release; return false })
+	for i := range 3 {
+		go busy.callAs(fmt.Sprintf("busy-%d", i), http.MethodPost, "kassa", "/long/1")
+	}
+	require.Eventually(t, func() bool { return busy.target.ran("busy-0")+busy.target.ran("busy-1")+busy.target.ran("busy-2") == 3 }, 2*time.Second, time.Millisecond)
+	answers := make(chan answer, 1)
+	go func() { answers <- caller.callAs("waiting", http.MethodPost, "kassa", "/long/2") }()
+	time.Sleep(200 * time.Millisecond)
+	caller.stop()
+	a := <-answers
+	require.NoError(t, a.err)
+	require.Equal(t, http.StatusServiceUnavailable, a.status, a.body)
+	require.Zero(t, busy.target.ran("waiting"))
+	<-caller.done
+}
--- a/internal/hosted/run.go
+++ b/internal/hosted/run.go
@@ -17,6 +17,8 @@
 	shutdownLinger = 2500 * time.Millisecond
 	// graceShare is the part of the grace within which requests in flight may end.
 	graceShare = 0.84
+	// answerTime bounds the last answers to callers.
+	answerTime = 200 * time.Millisecond
 	// flushTimeout bounds the last write of the record.
 	flushTimeout = 100 * time.Millisecond
 )
@@ -35,6 +37,7 @@
 		"domain", n.config.Self.Domain, "region", n.config.Self.Region, "callers", n.config.Listeners.Callers, "relay", n.config.Listeners.Relay)
 	<-ctx.Done()
 	n.leave()
+	n.giveUp()
 	n.close()
 	return nil
 }
@@ -101,6 +104,14 @@
 	_ = level.Info(n.config.Failures).Log("msg", "node leaves", "in-flight", n.inFlight())
 }
 
+// giveUp answers callers whose requests did not end in time. Most of these still wait for a slot and have not run.
+func (n *Node) giveUp() {
+	n.edge.GiveUp()
+	for end := time.Now().Add(answerTime); n.edge.InFlight() > 0 && time.Now().Before(end); {
+		time.Sleep(answerTime / 20)
+	}
+}
+
 func (n *Node) inFlight() int {
 	return n.edge.InFlight() + n.agent.InFlight()
 }
--- a/internal/procs/process.go
+++ b/internal/procs/process.go
@@ -29,6 +29,16 @@
 	directory string
 }
 
+// StartProgram starts a program whose output goes to a log of its name in the directory.
+func StartProgram(name, directory, program string, arguments ...string) (*Process, error) {
+	return startProcess(name, directory, program, arguments...)
+}
+
+// Reload asks the process to read its settings again.
+func (p *Process) Reload() error {
+	return p.signal(syscall.SIGHUP)
+}
+
 func startProcess(name, directory, program string, arguments ...string) (*Process, error) {
 	log, err := os.OpenFile(filepath.Join(directory, name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
