Refuse early what overload would starve, use half-sick targets when sound ones are full, wait for the start of a node

Targets that lose 0.4 of their answers rested although the sound ones had no room. Change: a request that will miss its objective needs twice its expected wait; waiting ones without hope are told at once; agents state the share that a resting target serves; requests wait up to 1.5 s in the first 5 s of a node.

--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/auburnwinch/auburnwinch/internal/relay"
@@ -29,6 +30,8 @@
 // waiter is an error of the limiter that knows how long the request would wait.
 type waiter interface {
 	Wait() time.Duration
+	// Chance is the share of its latest requests that a sick target served; it is 0 for other refusals.
+	Chance() float64
 }
 
 // stateWait tells the edge how long the request would have waited here.
@@ -36,6 +39,9 @@
 	var w waiter
 	if errors.As(err, &w) {
 		x.w.Header()[model.HeaderWait] = []string{w.Wait().Round(time.Millisecond).String()}
+		if chance := w.Chance(); chance > 0 {
+			x.w.Header()[model.HeaderChance] = []string{strconv.FormatFloat(chance, 'f', 2, 64)}
+		}
 	}
 }
 
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -204,6 +205,9 @@
 	switch f.reason {
 	case relay.ReasonSick:
 		l.load.Rest = f.wait
+		if chance, err := strconv.ParseFloat(h.Get(model.HeaderChance), 64); err == nil {
+			l.load.Chance = chance
+		}
 	case relay.ReasonUnknownTarget, relay.ReasonLeaving, relay.ReasonDraining:
 		l.load.Rest = goneRest
 	}
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -51,6 +51,9 @@
 	// Negotiate makes the edge state class and patience of each request to the agent, send requests that must not run
 	// twice in two steps, and ask further agents after a refusal without counting it as an attempt.
 	Negotiate bool
+	// StartWait is how long a request waits for the configuration and a first target while the edge has just started;
+	// StartPeriod is how long it counts as that. Zero means no wait.
+	StartWait, StartPeriod time.Duration
 	// HoldBytes is the largest body that is held back until it is whole; zero takes one block.
 	HoldBytes int
 	// Journal is told of each answer.
@@ -155,6 +158,8 @@
 type Load struct {
 	relay.Load
 	Known bool
+	// Chance is the share of its latest requests that a resting target served.
+	Chance float64
 	// Own tells that the load counts the answered request itself.
 	Own bool
 	// Rest is the time for which the agent calls its target sick; zero means that it does not.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -35,6 +35,7 @@
 	sizes    sizes
 	inFlight atomic.Int64
 	counters counters
+	began    time.Time
 	stop     chan struct{}
 	stopped  atomic.Bool
 	group    conc.WaitGroup
@@ -43,6 +44,7 @@
 // New starts an edge; Close stops it.
 func New(c Config) (*Edge, error) {
 	e := &Edge{config: c.withDefaults(), signer: relay.NewSigner(c.Secret, nil), stop: make(chan struct{})}
+	e.began = e.config.Clock.Now()
 	e.ending, e.giveUp = context.WithCancel(context.Background())
 	ticks := e.config.Clock.Subscribe(poolCheck)
 	e.group.Go(func() { e.watchPools(ticks) })
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -97,6 +97,7 @@
 		q.refuseAttempts(poisoned())
 		return
 	}
+	q.awaitStart(q.hasTarget)
 	q.edge.counters.requests.Add(1)
 	q.edge.budget(q.match.Service).Begin()
 	q.run(ctx)
@@ -108,6 +109,7 @@
 
 // prepare finds route, service and deadline.
 func (q *request) prepare() (relay.Refusal, bool) {
+	q.awaitStart(q.configured)
 	table, current := q.edge.routes.Load(), q.edge.config.View.Load()
 	if table == nil || current == nil {
 		return notRun(http.StatusServiceUnavailable, "this node has no configuration yet", remedyLater), false
--- a/internal/hosted/admission.go
+++ b/internal/hosted/admission.go
@@ -54,6 +54,8 @@
 type refusedError struct {
 	reason string
 	wait   time.Duration
+	// chance is the share of its latest requests that a sick target served.
+	chance float64
 }
 
 // admissionConfig constructs an admission.
@@ -117,7 +119,7 @@
 func (a *admission) decide(c relay.Class) (triage.VerdictKind, error) {
 	v := a.triage.Decide(a.clock.Now(), c.Idempotent)
 	if v.Kind == triage.Rest && !c.Forced {
-		return v.Kind, &refusedError{reason: relay.ReasonSick, wait: v.Wait}
+		return v.Kind, &refusedError{reason: relay.ReasonSick, wait: v.Wait, chance: v.Chance}
 	}
 	return v.Kind, nil
 }
@@ -243,5 +245,8 @@
 // Reason names the refusal for the edge.
 func (e *refusedError) Reason() string { return e.reason }
 
+// Chance returns the share of its latest requests that a sick target served.
+func (e *refusedError) Chance() float64 { return e.chance }
+
 // Wait returns the time after which a repeat makes sense.
 func (e *refusedError) Wait() time.Duration { return e.wait }
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -34,6 +34,10 @@
 	bodyIdle = 2 * time.Second
 	// holdBytes is the largest body that is held until it is whole; the largest downloads have half a megabyte.
 	holdBytes = 1 << 20
+	// startWait and startPeriod let requests wait while the node has just started: targets send a heartbeat every 1.5 s, and
+	// the records of other nodes follow within a second.
+	startWait   = 1500 * time.Millisecond
+	startPeriod = 5 * time.Second
 	// restartTime is the usual time until a stopped node serves again.
 	restartTime = time.Second
 	// targetExpiry is the time after which a target without heartbeats is dropped: four of them.
@@ -144,7 +148,7 @@
 	n.edge, err = edge.New(edge.Config{
 		View: &n.beliefs.view, Picker: picks{n.picker}, Tracker: paths{n.picker}, Clock: n.config.Clock,
 		Logger: n.config.Failures, Dial: n.config.Dial, DialTimeout: relayDialTimeout, SilentReused: silentReused,
-		SilentAny: silentAny, BodyIdle: bodyIdle, Protocol: n.config.Callers, Negotiate: true, HoldBytes: holdBytes,
+		SilentAny: silentAny, BodyIdle: bodyIdle, StartWait: startWait, StartPeriod: startPeriod, Protocol: n.config.Callers, Negotiate: true, HoldBytes: holdBytes,
 		Journal: n.journal, Parents: n.agent,
 	})
 	n.beliefs.edge = n.edge
--- a/internal/hosted/node_test.go
+++ b/internal/hosted/node_test.go
@@ -19,6 +19,7 @@
 	f := newFleet(t)
 	n := f.add("kassa", "a")
 	require.False(t, n.ready())
+	time.Sleep(startPeriod)
 	a := n.call(http.MethodGet, "kassa", "/read/x")
 	require.Equal(t, http.StatusServiceUnavailable, a.status)
 	require.NotEmpty(t, a.header.Get("Retry-After"))
@@ -36,6 +37,23 @@
 	require.Equal(t, http.StatusOK, n.call(http.MethodDelete, "kassa", "/order/2").status, "a request without a body, in two steps")
 }
 
+// startPeriod is the time in which requests wait for what a starting node may still learn.
+const startPeriod = 5 * time.Second
+
+// Pattern: all nodes start at once, with callers already there. Guards against requests that are refused a moment before
+// configuration and targets are known.
+func TestRequestsWaitForTheStart(t *testing.T) {
+	f := newFleet(t)
+	n := f.add("kassa", "a")
+	answers := make(chan answer, 1)
+	go func() { answers <- n.callAs("early", http.MethodPost, "kassa", "/order/1") }()
+	time.Sleep(200 * time.Millisecond)
+	f.configure(1, "kassa")
+	a := <-answers
+	require.Equal(t, http.StatusOK, a.status, a.body)
+	require.Equal(t, 1, n.target.ran("early"))
+}
+
 // Guards against requests that stay on their own VM, and against a new node that gets none of the others' requests.
 func TestRequestsReachOtherNodes(t *testing.T) {
 	f := newFleet(t)
--- a/internal/limit/module.go
+++ b/internal/limit/module.go
@@ -19,6 +19,8 @@
 	shareGain = 1.0 / 32
 	// leastShare is the part of the slots that is taken to be left for any rank, so that estimates stay finite.
 	leastShare = 0.1
+	// lateMargin is how many times its expected wait a request must have left when it will miss its objective.
+	lateMargin = 2
 	// reservedSlots stay free under contention.
 	reservedSlots = 1
 	retryMin      = 10 * time.Millisecond
@@ -162,7 +164,7 @@
 		return ReasonFull, expires
 	case m.now.Add(wait).After(latest) && latest.Before(expires):
 		return ReasonDeadline, expires
-	case wait > patience:
+	case wait > patience, m.tooLate(msg, wait):
 		return ReasonFull, expires
 	case latest.Before(expires):
 		return 0, latest
@@ -171,6 +173,21 @@
 	}
 }
 
+// tooLate reports whether a request would miss its objective and has too little time beyond it: others that can still meet
+// theirs would start before it until its time is over.
+func (m *Module) tooLate(msg AcquireMsg, wait time.Duration) bool {
+	duration := m.durationOf(msg.Kind)
+	if msg.Objective.IsZero() || msg.Deadline.IsZero() || !m.now.Add(wait+duration).After(msg.Objective) {
+		return false
+	}
+	return wait > msg.Deadline.Add(-duration).Sub(m.now)/lateMargin
+}
+
+// hopeless reports whether a waiting request misses its objective and would hardly start in its time.
+func (m *Module) hopeless(w *waiter) bool {
+	return m.late(w) && m.now.Add(m.expectedWait(m.queue.len()-1)).After(w.expires)
+}
+
 // displaced returns the account that gives a place of the full queue to an account that holds less, or nil.
 func (m *Module) displaced(a *account) *account {
 	if m.settings.AccountShare >= 1 {
@@ -361,6 +378,13 @@
 		m.forget(w.account)
 		cmds = append(cmds, m.refuse(w.id, ReasonWait))
 	}
+	for _, w := range m.queue.all() {
+		if m.hopeless(w) {
+			m.queue.remove(w.id)
+			m.forget(w.account)
+			cmds = append(cmds, m.refuse(w.id, ReasonDeadline))
+		}
+	}
 	return cmds
 }
 
--- a/internal/limit/rank_test.go
+++ b/internal/limit/rank_test.go
@@ -124,3 +124,54 @@
 	require.Zero(t, m.Load().Waiting)
 	require.Equal(t, 2, m.Load().InFlight)
 }
+
+// Pattern: more work than slots for seconds. Guards against queues so long that requests wait to their deadline and are
+// refused then, against slots that stay idle meanwhile, and against requests that are served late although they could have
+// been refused at once.
+func TestOverloadIsRefusedEarly(t *testing.T) {
+	const (
+		slots     = 7
+		work      = 800 * time.Millisecond
+		objective = 2500 * time.Millisecond
+		deadline  = 4 * time.Second
+		arrivals  = 25 * time.Millisecond // 40 a second, where 8.75 can be served.
+	)
+	m := NewModule(Settings{Slots: slots, Places: 6 * slots, Wait: time.Minute, Deep: true, Fixed: true})
+	now, began := rankStart, map[uint64]time.Time{}
+	ends := map[uint64]time.Time{}
+	inTime, late, held := 0, 0, 0
+	note := func(cmds []Cmd) {
+		for _, c := range cmds {
+			switch c := c.(type) {
+			case GrantCmd:
+				ends[c.ID] = now.Add(work)
+			case RefuseCmd:
+				if now.Sub(began[c.ID]) > objective/2 {
+					held++
+				}
+			}
+		}
+	}
+	total := 1200
+	for id := range uint64(total) {
+		now = now.Add(arrivals)
+		for done, end := range ends {
+			if !end.After(now) {
+				delete(ends, done)
+				if now.Sub(began[done]) <= objective {
+					inTime++
+				} else {
+					late++
+				}
+				note(m.Update(ReleaseMsg{Now: now, ID: done, Result: Result{OK: true}}))
+			}
+		}
+		began[id] = now
+		note(m.Update(AcquireMsg{Now: now, ID: id, Request: Request{
+			Rank: 2, Kind: "work", Bounded: true, Patience: deadline, Deadline: now.Add(deadline), Objective: now.Add(objective),
+		}}))
+	}
+	capacity := float64(total) * arrivals.Seconds() / work.Seconds() * slots
+	require.Greater(t, float64(inTime), 0.9*capacity, "%d late, %d held", late, held)
+	require.Less(t, float64(held), 0.05*float64(total))
+}
--- a/internal/picker/negotiate.go
+++ b/internal/picker/negotiate.go
@@ -19,7 +19,11 @@
 	askCost = 10 * time.Millisecond
 	// crossingShare bounds what locality may cost a caller, as a share of the objective of the request.
 	crossingShare = 4
-	kilobyte      = 1 << 10
+	// longWaitShare is the part of the objective from which a wait counts as long.
+	longWaitShare = 4
+	// usefulChance is the chance from which a doubtful target is tried instead of a long wait.
+	usefulChance = 0.5
+	kilobyte     = 1 << 10
 )
 
 // crossingCost is the wait that a request should rather take than send a kilobyte over the way to a tier. Links between
@@ -40,15 +44,27 @@
 	if wait == nil {
 		wait = s.pickBelieved(r, now)
 	}
-	if wait != nil {
+	doubtful := s.pickDoubtful(r, now)
+	if wait != nil && !s.beatsWait(doubtful, wait, r, now) {
 		return p.choose(Choice{entry: wait, Patience: r.Left}), nil
 	}
-	if e := s.pickDoubtful(r, now); e != nil {
-		return p.choose(Choice{entry: e, Patience: r.Left, Forced: true}), nil
+	if doubtful != nil {
+		return p.choose(Choice{entry: doubtful, Patience: r.Left, Forced: true}), nil
 	}
 	return Choice{}, &NoTargetError{Service: r.Service}
 }
 
+// beatsWait reports whether a doubtful target serves the caller better than a long wait: one that still serves most of its
+// requests is capacity that an overloaded service needs.
+func (s *service) beatsWait(doubtful, wait *entry, r Request, now time.Time) bool {
+	if doubtful == nil || r.Objective <= 0 {
+		return false
+	}
+	rest, chance := doubtful.counters.trust.outlook(now)
+	return rest > 0 && chance >= usefulChance && doubtful.counters.trust.pathOpen(now) &&
+		s.waitCost(wait, r) > r.Objective/longWaitShare
+}
+
 // crossing is what the way to a tier costs in waiting time.
 func (r Request) crossing(tier int) time.Duration {
 	objective := r.Objective
@@ -140,29 +156,27 @@
 	return best
 }
 
-// pickDoubtful returns the target that is expected back first; those behind a failed path come last.
+// pickDoubtful returns the resting target with the best chance, and among these the one that is expected back first. Those
+// that do not rest come behind them, since they had no room, and those behind a failed path last.
 func (s *service) pickDoubtful(r Request, now time.Time) *entry {
 	var best *entry
-	bestOpen, bestRest := false, time.Duration(0)
+	var bestRank [5]float64
 	for i := range s.entries {
 		e := &s.entries[i]
 		if r.excludes(e) {
 			continue
 		}
-		open, rest := e.counters.trust.pathOpen(now), e.counters.trust.restLeft(now)
-		switch {
-		case best != nil && open != bestOpen:
-			if !open {
-				continue
-			}
-		case best != nil && rest != bestRest:
-			if rest > bestRest {
-				continue
-			}
-		case best != nil && e.tier >= best.tier:
-			continue
+		rest, chance := e.counters.trust.outlook(now)
+		rank := [5]float64{0, 0, -chance, rest.Seconds(), float64(e.tier)}
+		if !e.counters.trust.pathOpen(now) {
+			rank[0] = 1
+		}
+		if rest == 0 {
+			rank[1] = 1
+		}
+		if best == nil || slices.Compare(rank[:], bestRank[:]) < 0 {
+			best, bestRank = e, rank
 		}
-		best, bestOpen, bestRest = e, open, rest
 	}
 	return best
 }
@@ -181,10 +195,10 @@
 	}
 }
 
-// Rest avoids a target that its agent calls sick.
-func (p *Picker) Rest(ref model.TargetRef, wait time.Duration) {
+// Rest avoids a target that its agent calls sick; chance is the share of its latest requests that it served.
+func (p *Picker) Rest(ref model.TargetRef, wait time.Duration, chance float64) {
 	if e := p.find(ref); e != nil {
-		e.counters.trust.rest(p.config.Now(), wait)
+		e.counters.trust.rest(p.config.Now(), wait, chance)
 	}
 }
 
--- a/internal/picker/negotiate_test.go
+++ b/internal/picker/negotiate_test.go
@@ -98,7 +98,7 @@
 	var refused []Refused
 	for i := range 12 {
 		refused = append(refused, Refused{Target: r.ref(i), Wait: time.Duration(i+1) * 100 * time.Millisecond, Sick: true})
-		r.Rest(r.ref(i), refused[i].Wait)
+		r.Rest(r.ref(i), refused[i].Wait, 0.1)
 	}
 	i, c := r.pick(t, Request{Refused: refused})
 	require.Equal(t, 0, i, "the one that is expected back first")
@@ -113,7 +113,7 @@
 	r = newNegotiatingRig()
 	for i := range 12 {
 		if i != 9 {
-			r.Rest(r.ref(i), time.Second)
+			r.Rest(r.ref(i), time.Second, 0.1)
 		}
 	}
 	var busy []Choice
@@ -140,7 +140,7 @@
 // again.
 func TestRestingTargetIsAvoided(t *testing.T) {
 	r := newNegotiatingRig()
-	r.Rest(r.ref(0), 800*time.Millisecond)
+	r.Rest(r.ref(0), 800*time.Millisecond, 0.1)
 	for range 3 {
 		i, c := r.pick(t, Request{})
 		require.NotZero(t, i)
@@ -195,3 +195,31 @@
 	r.Done(c, Load{InFlight: 3, Limit: 3})
 	require.InDelta(t, 3, c.entry.counters.load(r.now), 0.01, "a refused request is no part of the load")
 }
+
+// Pattern: an overloaded service in which some targets lose a part of their answers. Guards against requests that wait out
+// their time for the sound targets while these could serve most of them, and against the use of targets that fail nearly
+// all.
+func TestHalfSickTargetsAreCapacity(t *testing.T) {
+	r := newNegotiatingRig()
+	var refused []Refused
+	for i := range 12 {
+		refused = append(refused, Refused{Target: r.ref(i), Wait: 900 * time.Millisecond})
+	}
+	refused[4].Sick, refused[5].Sick = true, true
+	r.Rest(r.ref(4), time.Second, 0.3)
+	r.Rest(r.ref(5), time.Second, 0.3)
+	request := Request{Refused: refused, Objective: 2 * time.Second, Left: 4 * time.Second}
+	_, c := r.pick(t, request)
+	require.False(t, c.Forced)
+	r.Done(c, Load{})
+	r.Rest(r.ref(5), time.Second, 0.6)
+	i, c := r.pick(t, request)
+	require.Equal(t, 5, i)
+	require.True(t, c.Forced)
+	r.Done(c, Load{})
+	for j := range refused {
+		refused[j].Wait = 100 * time.Millisecond
+	}
+	_, c = r.pick(t, request)
+	require.False(t, c.Forced, "a short wait is better")
+}
--- a/internal/picker/trust.go
+++ b/internal/picker/trust.go
@@ -23,6 +23,8 @@
 	pathFrom time.Time
 	sickFrom time.Time
 	restedAt time.Time
+	// chance is the share of its latest requests that the resting target served.
+	chance float64
 }
 
 // pathFailed avoids the target for a while.
@@ -43,11 +45,11 @@
 	t.failures, t.pathFrom = 0, time.Time{}
 }
 
-// rest notes that the agent called the target sick for the time.
-func (t *trust) rest(now time.Time, wait time.Duration) {
+// rest notes that the agent called the target sick for the time, and the share of its latest requests that it served.
+func (t *trust) rest(now time.Time, wait time.Duration, chance float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.sickFrom, t.restedAt = now.Add(min(wait, restMost)), now
+	t.sickFrom, t.restedAt, t.chance = now.Add(min(wait, restMost)), now, chance
 }
 
 func (t *trust) pathOpen(now time.Time) bool {
@@ -66,9 +68,13 @@
 	return !now.Before(t.sickFrom)
 }
 
-// restLeft returns the time for which the agent called the target sick.
-func (t *trust) restLeft(now time.Time) time.Duration {
+// outlook returns the time for which the agent called the target sick, and the chance that it serves a request all the
+// same; one that does not rest has a chance of 1.
+func (t *trust) outlook(now time.Time) (rest time.Duration, chance float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return max(0, t.sickFrom.Sub(now))
+	if rest = t.sickFrom.Sub(now); rest <= 0 {
+		return 0, 1
+	}
+	return rest, t.chance
 }
--- a/internal/triage/message.go
+++ b/internal/triage/message.go
@@ -72,4 +72,6 @@
 	Wait time.Duration
 	// Odds are the log-odds that the target is sick.
 	Odds float64
+	// Chance is the share of its latest requests that the target served.
+	Chance float64
 }
--- a/internal/triage/module.go
+++ b/internal/triage/module.go
@@ -19,6 +19,8 @@
 	nextTrial time.Time
 	pause     time.Duration
 	closed    bool
+	// chance is the share of the latest requests that were served.
+	chance float64
 }
 
 type run struct {
@@ -34,7 +36,7 @@
 // New returns a module that knows nothing of its target.
 func New(s Settings) *Module {
 	s = s.withDefaults()
-	return &Module{settings: s, odds: s.Usual, running: make(map[uint64]run), means: make(map[string]*mean)}
+	return &Module{settings: s, odds: s.Usual, chance: 1, running: make(map[uint64]run), means: make(map[string]*mean)}
 }
 
 // Update applies one message and returns its effects; a time before the latest one is taken as the latest one.
@@ -61,7 +63,7 @@
 // Decide tells whether a request may go to the target.
 func (m *Module) Decide(now time.Time, idempotent bool) Verdict {
 	m.advance(now)
-	v := Verdict{Kind: Open, Odds: m.total()}
+	v := Verdict{Kind: Open, Odds: m.total(), Chance: m.chance}
 	if v.Odds < 0 {
 		return v
 	}
@@ -102,12 +104,14 @@
 		}
 		m.learn(r.class, took)
 		m.pause = 0
+		m.chance += chanceGain * (1 - m.chance)
 	case Failed:
 		if m.quick(r.class, took) {
 			m.shift(m.settings.QuickFailure)
 		} else {
 			m.shift(m.settings.Failure)
 		}
+		m.chance -= chanceGain * m.chance
 		m.delayTrial()
 	case Shed:
 		m.shift(m.settings.Shed)
