--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -144,7 +144,7 @@
 		Decode: platform.DecodeConfiguration, Callers: platform.Callers{Service: n.service}, Targets: platform.Targets{},
 		Local: func(h hosted.Heartbeats) http.Handler { return platform.Heartbeats(h) }, Ready: platform.Readiness,
 		Grace: 6 * time.Second, Retries: hosted.Retries{Ratio: 0.2, Extra: 58, Window: 10 * time.Second},
-		Logger: log.NewJSONLogger(n.log),
+		Logger: log.With(log.NewJSONLogger(n.log), "node", n.id),
 	})
 	require.NoError(n.fleet.t, err)
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/limit/module.go
+++ b/internal/limit/module.go
@@ -237,7 +237,19 @@
 
 // expectedWait estimates when a request with so many waiters ahead would start.
 func (m *Module) expectedWait(ahead int) time.Duration {
-	return m.usual.value * time.Duration(ahead+1) / time.Duration(m.learner.value())
+	return m.pace() * time.Duration(ahead+1) / time.Duration(m.learner.value())
+}
+
+// pace is the usual duration of requests, or the mean age of those that run when they take longer than usual.
+func (m *Module) pace() time.Duration {
+	if !m.settings.Fixed || len(m.running) == 0 {
+		return m.usual.value
+	}
+	var ages time.Duration
+	for _, r := range m.running {
+		ages += m.now.Sub(r.since)
+	}
+	return max(m.usual.value, ages/time.Duration(len(m.running)))
 }
 
 // waitOf estimates when a request of the rank would start: the slots that come free go to lower ranks first, in the part
--- a/internal/limit/rank_test.go
+++ b/internal/limit/rank_test.go
@@ -175,3 +175,15 @@
 	require.Greater(t, float64(inTime), 0.9*capacity, "%d late, %d held", late, held)
 	require.Less(t, float64(held), 0.05*float64(total))
 }
+
+// Pattern: a target hangs. Guards against requests that queue behind requests that don't end, because those before them were
+// short.
+func TestHungTargetHasLongWaits(t *testing.T) {
+	m := busyModule()
+	refused := m.Update(bounded(10, 1, 0))[0].(RefuseCmd)
+	require.Less(t, refused.RetryAfter, time.Second)
+	msg := bounded(11, 1, 0)
+	msg.Now = rankStart.Add(5 * time.Second)
+	refused = m.Update(msg)[0].(RefuseCmd)
+	require.GreaterOrEqual(t, refused.RetryAfter, 2500*time.Millisecond)
+}
