--- a/internal/picker/negotiate.go
+++ b/internal/picker/negotiate.go
@@ -22,7 +22,7 @@
 	// longWaitShare is the part of the objective from which a wait counts as long.
 	longWaitShare = 4
 	// usefulChance is the chance from which a doubtful target is tried instead of a long wait.
-	usefulChance = 0.5
+	usefulChance = 0.7
 	kilobyte     = 1 << 10
 )
 
