--- a/internal/hosted/run.go
+++ b/internal/hosted/run.go
@@ -56,25 +56,10 @@
 
 // leave carries out the graceful shutdown.
 func (n *Node) leave() {
-	shutdown := drain.New(drain.Config{
-		Timeout: time.Duration(graceShare * float64(n.grace())), Linger: shutdownLinger,
+	drain.Run(drain.RunConfig{
+		Limits: drain.Config{Timeout: time.Duration(graceShare * float64(n.grace())), Linger: shutdownLinger},
+		Clock:  n.config.Clock, Tick: shutdownTick, InFlight: n.inFlight, Step: n.leaveStep,
 	})
-	ticks := n.config.Clock.Subscribe(shutdownTick)
-	defer ticks.Stop()
-	cmds := shutdown.Update(drain.StopMsg{Now: n.config.Clock.Now()})
-	for {
-		for len(cmds) > 0 {
-			next := n.leaveStep(cmds[0])
-			cmds = cmds[1:]
-			if next != nil {
-				cmds = append(cmds, shutdown.Update(next)...)
-			}
-		}
-		if shutdown.State() == drain.StateExited {
-			return
-		}
-		cmds = shutdown.Update(drain.TickMsg{Now: <-ticks.C, InFlight: n.inFlight()})
-	}
 }
 
 func (n *Node) leaveStep(cmd drain.Cmd) drain.Msg {
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -55,23 +55,10 @@
 
 // leave carries out the graceful shutdown.
 func (n *Node) leave() {
-	shutdown := drain.New(drain.Config{Timeout: time.Duration(n.config.Settings.ShutdownTimeout)})
-	ticks := n.config.Clock.Subscribe(shutdownTick)
-	defer ticks.Stop()
-	cmds := shutdown.Update(drain.StopMsg{Now: n.config.Clock.Now()})
-	for {
-		for len(cmds) > 0 {
-			next := n.leaveStep(cmds[0])
-			cmds = cmds[1:]
-			if next != nil {
-				cmds = append(cmds, shutdown.Update(next)...)
-			}
-		}
-		if shutdown.State() == drain.StateExited {
-			return
-		}
-		cmds = shutdown.Update(drain.TickMsg{Now: <-ticks.C, InFlight: n.inFlight()})
-	}
+	drain.Run(drain.RunConfig{
+		Limits: drain.Config{Timeout: time.Duration(n.config.Settings.ShutdownTimeout)},
+		Clock:  n.config.Clock, Tick: shutdownTick, InFlight: n.inFlight, Step: n.leaveStep,
+	})
 }
 
 // leaveStep carries out one command of the shutdown and returns the message that follows, if any.
