roster: leave calls that a silent store forgot; nodes tell each other of newer configurations

The store was silent for 5.4 s; their calls of 30 s, begun in that time, were never answered, and would have been given up half a minute later. Ruled out: the path (the same nodes went on to hear of members) and lost history. Change: after a failure a call waits 0.5 s, for the configuration at most 8 s; nodes state the number that is in force on each request and answer between them, and one that hears of a newer one asks the store anew. TestWatcherLeavesForgottenCalls covers both ways.

--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -45,6 +45,18 @@
 	}
 }
 
+// compareConfigurations tells the edge which configuration is in force here, and hears which one is there.
+func (a *Agent) compareConfigurations(answer, request http.Header) {
+	c := a.config.Configurations
+	if c == nil {
+		return
+	}
+	if number, err := strconv.ParseUint(request.Get(model.HeaderConfiguration), 10, 64); err == nil {
+		c.Hear(number)
+	}
+	answer[model.HeaderConfiguration] = []string{strconv.FormatUint(c.Number(), 10)}
+}
+
 // left returns the reason to refuse a request whose target or node began to leave while it waited.
 func (x *exchange) left() string {
 	switch {
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -42,6 +42,8 @@
 	Expiry time.Duration
 	// Protocol is what targets speak beyond plain HTTP; without one it is the product's own.
 	Protocol Protocol
+	// Configurations tells the number in force, and hears those of other nodes.
+	Configurations Configurations
 	// Journal is told of the end of each relayed request.
 	Journal Journal
 	// OneTarget tells that a single target runs on this VM: a new one replaces the one before it.
@@ -77,6 +79,13 @@
 	VerdictBroken
 )
 
+// Configurations tells which configuration is in force.
+type Configurations interface {
+	Number() uint64
+	// Hear takes the number that another node has in force.
+	Hear(number uint64)
+}
+
 // Record tells how a relayed request ended.
 type Record struct {
 	ID      string
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -66,6 +66,7 @@
 	defer x.note()
 	x.interim = interim{w: w, interval: a.config.InterimInterval}
 	w.Header()[model.HeaderExchange] = r.Header[model.HeaderExchange]
+	a.compareConfigurations(w.Header(), r.Header)
 	defer x.leave()
 	if refusal := x.check(); refusal != "" {
 		x.refuse(refusal, model.OutcomeNotRun)
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -151,6 +151,11 @@
 		l.log("answer belongs to another exchange", nil)
 		return &failure{result: retry.InDoubt, kind: ResultPathFailure, reason: "the answer was for another exchange", repeat: true}
 	}
+	if c := q.edge.config.Configurations; c != nil {
+		if number, err := strconv.ParseUint(l.response.Header.Get(model.HeaderConfiguration), 10, 64); err == nil {
+			c.Hear(number)
+		}
+	}
 	if load, ok := relay.ParseLoad(l.response.Header.Get(model.HeaderLoad)); ok {
 		l.load = Load{Load: load, Known: true}
 	}
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -56,12 +56,21 @@
 	StartWait, StartPeriod time.Duration
 	// HoldBytes is the largest body that is held back until it is whole; zero takes one block.
 	HoldBytes int
+	// Configurations tells the number in force, and hears those of other nodes.
+	Configurations Configurations
 	// Journal is told of each answer.
 	Journal Journal
 	// Parents knows the requests that run at the target on this VM.
 	Parents Parents
 }
 
+// Configurations tells which configuration is in force.
+type Configurations interface {
+	Number() uint64
+	// Hear takes the number that another node has in force.
+	Hear(number uint64)
+}
+
 // Parents knows the requests that run at the target on this VM.
 type Parents interface {
 	// Repeated reports whether the request runs there as a repeat, which makes its calls repeats as well.
--- a/internal/edge/negotiate.go
+++ b/internal/edge/negotiate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/auburnwinch/auburnwinch/internal/relay"
@@ -83,6 +84,9 @@
 // negotiated adds the fields by which the agent decides on admission.
 func (q *request) negotiated(fields []relay.Field, c Choice) []relay.Field {
 	fields = append(fields, relay.Field{Name: model.HeaderClass, Value: q.class(c)})
+	if c := q.edge.config.Configurations; c != nil {
+		fields = append(fields, relay.Field{Name: model.HeaderConfiguration, Value: strconv.FormatUint(c.Number(), 10)})
+	}
 	if c.Patience > 0 {
 		fields = append(fields, relay.Field{Name: model.HeaderPatience, Value: c.Patience.Round(time.Millisecond).String()})
 	}
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -44,6 +44,8 @@
 	targetExpiry = 6 * time.Second
 	// membersSettle groups the rows of nodes that start or change together into one answer of the store.
 	membersSettle = time.Second
+	// configurationWait bounds the time for which a forgotten call hides a new configuration from a node without traffic.
+	configurationWait = 8 * time.Second
 	// configurationSettle is short because a configuration must be in force everywhere within two seconds.
 	configurationSettle = 50 * time.Millisecond
 	// retryMargin keeps the repeats at one target below its part of the fleet's allowance, because a target that restarts
@@ -109,7 +111,7 @@
 	n.agent, err = agent.New(agent.Config{
 		Self: n.config.Self.Ref, NewLimiter: n.newLimiter, OnTargets: n.targetsChanged, Clock: n.config.Clock,
 		Logger: n.config.Failures, Dial: n.config.Dial, InterimInterval: interimInterval, Expiry: targetExpiry,
-		Protocol: n.config.Targets, Journal: n.journal, OneTarget: true, NoSentinels: true,
+		Protocol: n.config.Targets, Journal: n.journal, OneTarget: true, NoSentinels: true, Configurations: n.beliefs,
 	})
 	return err
 }
@@ -149,7 +151,7 @@
 		View: &n.beliefs.view, Picker: picks{n.picker}, Tracker: paths{n.picker}, Clock: n.config.Clock,
 		Logger: n.config.Failures, Dial: n.config.Dial, DialTimeout: relayDialTimeout, SilentReused: silentReused,
 		SilentAny: silentAny, BodyIdle: bodyIdle, StartWait: startWait, StartPeriod: startPeriod, Protocol: n.config.Callers, Negotiate: true, HoldBytes: holdBytes,
-		Journal: n.journal, Parents: n.agent,
+		Journal: n.journal, Parents: n.agent, Configurations: n.beliefs,
 	})
 	n.beliefs.edge = n.edge
 	return err
@@ -217,11 +219,13 @@
 	n.watchers = append(n.watchers,
 		roster.NewWatcher(roster.WatcherConfig{
 			Table: n.config.Configurations, Name: "configuration", OnRows: n.beliefs.takeConfiguration,
-			Settle: configurationSettle, Logger: n.config.Failures,
+			Settle: configurationSettle, Wait: configurationWait, Logger: n.config.Failures,
 		}),
 		roster.NewWatcher(roster.WatcherConfig{
 			Table: n.config.Nodes, Name: "nodes", OnRows: n.membersChanged, Settle: membersSettle, Logger: n.config.Failures,
 		}))
+	look := n.watchers[0].LookAgain
+	n.beliefs.lookAgain.Store(&look)
 }
 
 func (n *Node) membersChanged(p roster.Page) {
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -18,6 +18,10 @@
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
+// lookPause is the time between two calls to the store for a configuration that another node has. The usual way takes less
+// than that, so that a change that is under way causes no call.
+const lookPause = 300 * time.Millisecond
+
 // beliefs are what the node knows of the fleet: the configuration and the records of all nodes. They are replaced as rows
 // arrive, and published to the request path as one view.
 type beliefs struct {
@@ -30,6 +34,9 @@
 	view   view.Cell
 	limits atomic.Pointer[Limits]
 	number atomic.Uint64
+	// lookAgain makes the watch of the configuration call the store anew; lookedAt is when it did, in Unix nanoseconds.
+	lookAgain atomic.Pointer[func()]
+	lookedAt  atomic.Int64
 	// ready tells that configuration and members are known.
 	ready atomic.Bool
 
@@ -101,6 +108,26 @@
 	}
 }
 
+// Number returns the number of the configuration in force.
+func (b *beliefs) Number() uint64 {
+	return b.number.Load()
+}
+
+// Hear takes the number that another node has in force. The newer one is in the store, whose answer may have been lost.
+func (b *beliefs) Hear(number uint64) {
+	if number <= b.number.Load() {
+		return
+	}
+	now := b.clock.Now().UnixNano()
+	if last := b.lookedAt.Load(); now-last < int64(lookPause) || !b.lookedAt.CompareAndSwap(last, now) {
+		return
+	}
+	_ = level.Info(b.logger).Log("msg", "another node has a newer configuration", "number", b.number.Load(), "heard", number)
+	if look := b.lookAgain.Load(); look != nil {
+		(*look)()
+	}
+}
+
 // ages returns how old the configuration and the members are.
 func (b *beliefs) ages() (configuration, members time.Duration) {
 	b.mu.Lock()
--- a/internal/relay/header.go
+++ b/internal/relay/header.go
@@ -16,7 +16,8 @@
 	model.HeaderExchange: {}, model.HeaderTarget: {}, model.HeaderKey: {}, model.HeaderLoad: {},
 	model.HeaderLength: {}, model.HeaderChecksum: {}, model.HeaderReason: {}, model.HeaderSignature: {},
 	model.HeaderRoute: {}, model.HeaderFingerprint: {}, model.HeaderClass: {}, model.HeaderPatience: {},
-	model.HeaderWait: {}, model.HeaderChance: {}, model.HeaderObjective: {},
+	model.HeaderWait: {}, model.HeaderChance: {},
+	model.HeaderConfiguration: {}, model.HeaderObjective: {},
 }
 
 // Reasons of an agent that refuses a request; each is a certain not-run unless it says otherwise.
--- a/internal/roster/table.go
+++ b/internal/roster/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -28,9 +29,9 @@
 type Table interface {
 	// Read returns all rows; changes after Page.Version may be missing.
 	Read(ctx context.Context) (Page, error)
-	// Watch waits for rows that changed after the version; the page is empty when none did in its time. It fails with
+	// Watch waits for rows that changed after the version; the page is empty when none did within the wait. It fails with
 	// ErrHistory when the store no longer knows these changes.
-	Watch(ctx context.Context, after uint64) (Page, error)
+	Watch(ctx context.Context, after uint64, wait time.Duration) (Page, error)
 	// Write stores the row if it still has the expected version, and returns its new one. It fails with *ConflictError
 	// otherwise; after any other error the write may still take effect.
 	Write(ctx context.Context, row Row, expected uint64) (uint64, error)
--- a/internal/roster/watch_test.go
+++ b/internal/roster/watch_test.go
@@ -110,3 +110,35 @@
 	time.Sleep(500 * time.Millisecond)
 	require.Equal(t, "5", string(store.Get("nodes", "p", "own").Value), "a late write must not undo the last one")
 }
+
+// Guards against a watch that waits for an answer to a call that a silent store took and forgot, long after the store's
+// return.
+func TestWatcherLeavesForgottenCalls(t *testing.T) {
+	store, table := startStore(t)
+	store.Put("nodes", "p", "a", []byte("1"))
+	f := &follower{}
+	w := roster.NewWatcher(roster.WatcherConfig{Table: table, OnRows: f.take, Settle: time.Millisecond, Wait: time.Second})
+	defer w.Close()
+	require.Eventually(t, func() bool { return f.value("a") == "1" }, backWithin, time.Millisecond)
+	store.SetFault(func(fake.Call) fake.Fault { return fake.Fault{Silent: true} })
+	time.Sleep(4 * time.Second)
+	store.Put("nodes", "p", "a", []byte("2"))
+	store.SetFault(nil)
+	require.Eventually(t, func() bool { return f.value("a") == "2" }, backWithin, time.Millisecond)
+
+	slow := &follower{}
+	other := roster.NewWatcher(roster.WatcherConfig{Table: table, OnRows: slow.take, Settle: time.Millisecond})
+	defer other.Close()
+	require.Eventually(t, func() bool { return slow.value("a") == "2" }, backWithin, time.Millisecond)
+	time.Sleep(100 * time.Millisecond) // Until the first call waits.
+	store.SetFault(func(fake.Call) fake.Fault { return fake.Fault{Silent: true} })
+	store.Put("nodes", "p", "a", []byte("3")) // Ends the call that waits; the next one is forgotten.
+	require.Eventually(t, func() bool { return slow.value("a") == "3" }, backWithin, time.Millisecond)
+	time.Sleep(100 * time.Millisecond)
+	store.SetFault(nil)
+	store.Put("nodes", "p", "a", []byte("4"))
+	time.Sleep(100 * time.Millisecond)
+	require.Equal(t, "3", slow.value("a"), "the call of 30 s is forgotten")
+	other.LookAgain()
+	require.Eventually(t, func() bool { return slow.value("a") == "4" }, backWithin, time.Millisecond)
+}
--- a/internal/roster/watcher.go
+++ b/internal/roster/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log"
@@ -15,6 +16,11 @@
 	readTimeout = 5 * time.Second
 	// defaultSettle groups changes that come close together into one answer.
 	defaultSettle = 250 * time.Millisecond
+	// defaultWait is how long one call waits for changes.
+	defaultWait = 30 * time.Second
+	// lostWait replaces it after a failure: a store that takes calls and does not answer must not hold one for long, since
+	// it does not answer it after its return either.
+	lostWait = 500 * time.Millisecond
 )
 
 // WatcherConfig describes what is watched; Table and OnRows are required.
@@ -26,6 +32,8 @@
 	OnRows func(Page)
 	// Settle is the time between an answer and the next call; default 250 ms.
 	Settle time.Duration
+	// Wait is how long one call waits for changes; default 30 s.
+	Wait   time.Duration
 	Logger log.Logger
 }
 
@@ -35,6 +43,12 @@
 	pauses pauses
 	cancel context.CancelFunc
 	group  conc.WaitGroup
+
+	mu sync.Mutex
+	// again ends the call that waits; it is nil while none does.
+	again context.CancelFunc
+	// kicked tells that a call was ended to look again.
+	kicked bool
 }
 
 // NewWatcher starts to follow the table.
@@ -42,6 +56,9 @@
 	if c.Settle <= 0 {
 		c.Settle = defaultSettle
 	}
+	if c.Wait <= 0 {
+		c.Wait = defaultWait
+	}
 	if c.Logger == nil {
 		c.Logger = log.NewNopLogger()
 	}
@@ -52,6 +69,16 @@
 	return w
 }
 
+// LookAgain ends the call that waits and makes a new one, because another node knows of a change that did not arrive.
+func (w *Watcher) LookAgain() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.again != nil {
+		w.kicked = true
+		w.again()
+	}
+}
+
 // Close ends the watch.
 func (w *Watcher) Close() {
 	w.cancel()
@@ -81,15 +108,38 @@
 
 func (w *Watcher) next(ctx context.Context, version uint64, known bool) (Page, error) {
 	if known {
-		return w.config.Table.Watch(ctx, version)
+		wait := w.config.Wait
+		if w.pauses.failures > 0 {
+			wait = min(wait, lostWait)
+		}
+		ctx, cancel := context.WithCancel(ctx)
+		w.waiting(cancel)
+		defer w.waiting(nil)
+		defer cancel()
+		return w.config.Table.Watch(ctx, version, wait)
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	return w.config.Table.Read(ctx)
 }
 
+func (w *Watcher) waiting(again context.CancelFunc) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.again = again
+}
+
+// wasKicked reports whether the call was ended to look again.
+func (w *Watcher) wasKicked() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	kicked := w.kicked
+	w.kicked = false
+	return kicked
+}
+
 func (w *Watcher) lost(ctx context.Context, err error) {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || w.wasKicked() {
 		return
 	}
 	if w.pauses.failures == 0 {
--- a/pkg/model/header.go
+++ b/pkg/model/header.go
@@ -29,6 +29,8 @@
 	HeaderPatience = "Auburnwinch-Patience"
 	// HeaderObjective is the Go duration after which the answer has lost most of its value.
 	HeaderObjective = "Auburnwinch-Objective"
+	// HeaderConfiguration is the number of the configuration that the sender has in force.
+	HeaderConfiguration = "Auburnwinch-Configuration"
 	// HeaderChance is the share of its latest requests that a target served, when it is refused as sick.
 	HeaderChance = "Auburnwinch-Chance"
 	// HeaderWait is the Go duration that a refused request would have to wait.
