--- a/internal/hosted/config.go
+++ b/internal/hosted/config.go
@@ -58,12 +58,10 @@
 	Limits        Limits
 }
 
-// Limits bound what a caller may send and how long it may take; zero means no bound.
+// Limits bound what a caller may send; zero means no bound. Headers and idle connections have the fixed bounds of the
+// callers' listener, which are wider than those of any configuration so far.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	BodyBytes int64
 }
 
 // Heartbeats takes what the target on this VM says of itself.
