agent: take nothing that ended before the target was called as evidence against it

Found by reading: a request that its edge gave up before the body came, or that met a leaving target, was released as not sent, which counts as a quick failure of the target. TestUnconfirmedRequestIsNoEvidence fails without the change.

--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -164,7 +164,8 @@
 		x.refuse(refusalOf(err), model.OutcomeNotRun)
 		return
 	}
-	result := Result{Kind: ResultNotSent}
+	// Until the target is called, the end of the request says nothing about it.
+	result := Result{Kind: ResultCanceled}
 	defer func() { permit.Release(result) }()
 	if reason := x.left(); reason != "" {
 		x.refuse(reason, model.OutcomeNotRun)
@@ -177,6 +178,9 @@
 	defer x.held.release()
 	conn, err := x.local.pool.Get(ctx, relay.ConnAny)
 	if err != nil {
+		if ctx.Err() == nil {
+			result.Kind = ResultNotSent
+		}
 		x.notSent(ctx, err)
 		return
 	}
