--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -34,8 +34,9 @@
 	Chance() float64
 }
 
-// stateWait tells the edge how long the request would have waited here.
+// stateWait tells the edge how long the request would have waited here. Interim answers read the header, so they end first.
 func (x *exchange) stateWait(err error) {
+	x.interim.end()
 	var w waiter
 	if errors.As(err, &w) {
 		x.w.Header()[model.HeaderWait] = []string{w.Wait().Round(time.Millisecond).String()}
