agent, triage: a 504 at the deadline and requests whose calls failed say nothing against the target

Ruled out: hanging targets, which were closed by failures or several silent requests. Change: such an answer counts as overdue, not as a failure; requests with failed calls keep no weight for their length; one silent request stays below what closes a target.

--- a/internal/agent/answer.go
+++ b/internal/agent/answer.go
@@ -45,10 +45,14 @@
 	if x.keyed() {
 		x.agent.config.Ledger.Finish(x.key, kept.answer(response))
 	}
-	if response.StatusCode >= http.StatusInternalServerError {
+	switch {
+	case response.StatusCode == http.StatusGatewayTimeout && time.Until(x.deadline) < deadlineSlack:
+		return ResultOverdue
+	case response.StatusCode >= http.StatusInternalServerError:
 		return ResultError
+	default:
+		return ResultOK
 	}
-	return ResultOK
 }
 
 // brokenBody makes the server close the connection, so that the edge can't take the body as complete.
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -157,6 +157,9 @@
 	// ResultCallFailed is an answer with status 500 or above to a request whose calls were not served, which says nothing
 	// about the target.
 	ResultCallFailed
+	// ResultOverdue is the answer 504 of a target at the end of the time that it was given. Some requests need more than
+	// their route permits, so that it says less than a failure.
+	ResultOverdue
 )
 
 // Result is the end of a request at a target.
--- /dev/null
+++ b/internal/agent/overdue_test.go
@@ -0,0 +1,55 @@
+package agent
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwinch/auburnwinch/internal/relay"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+// Pattern: requests that need more time than their route permits. Guards against a sound target that looks sick because it
+// ends such requests with 504 on time, and against one that answers 504 long before and does not look so.
+func TestAnswerAtTheDeadlineIsNoFailure(t *testing.T) {
+	e := make(ends, 1)
+	a, err := New(Config{
+		Self: model.NodeRef{ID: "n", Incarnation: 1}, NoSentinels: true,
+		NewLimiter: func(model.Target, model.ServiceSpec) Limiter { return e },
+	})
+	require.NoError(t, err)
+	defer func() { _ = a.Close() }()
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		wait, err := time.ParseDuration(r.URL.Query().Get("wait"))
+		if err == nil {
+			time.Sleep(wait)
+		}
+		w.WriteHeader(http.StatusGatewayTimeout)
+	}))
+	defer target.Close()
+	h := heartbeat("i-1", 100, 1, false)
+	h.Address = target.Listener.Addr().String()
+	require.NoError(t, a.Announce(h))
+	node := httptest.NewServer(a)
+	defer node.Close()
+
+	ask := func(wait, timeout time.Duration) ResultKind {
+		request, err := http.NewRequest(http.MethodGet, node.URL+"/x?wait="+wait.String(), nil)
+		require.NoError(t, err)
+		request.Header.Set(model.HeaderClass, relay.Class{Idempotent: true}.String())
+		request.Header.Set(model.HeaderTarget, "kassa/i-1/100")
+		request.Header.Set(model.HeaderTimeout, timeout.String())
+		response, err := http.DefaultClient.Do(request)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		return <-e
+	}
+	require.Equal(t, ResultOverdue, ask(450*time.Millisecond, 500*time.Millisecond))
+	require.Equal(t, ResultError, ask(0, time.Minute))
+}
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -226,7 +226,7 @@
 	id := x.agent.config.Protocol.ID(x.r)
 	x.agent.parents.begin(id, x.class)
 	kind := x.forward(ctx, conn)
-	if x.agent.parents.end(id) && kind == ResultError {
+	if x.agent.parents.end(id) && (kind == ResultError || kind == ResultOverdue) {
 		kind = ResultCallFailed
 	}
 	result := Result{Kind: kind, Duration: x.agent.config.Clock.Now().Sub(begin)}
--- a/internal/hosted/admission.go
+++ b/internal/hosted/admission.go
@@ -183,6 +183,8 @@
 		return triage.Failed
 	case agent.ResultShed:
 		return triage.Shed
+	case agent.ResultCallFailed:
+		return triage.Neutral
 	default:
 		return triage.Unknown
 	}
--- a/internal/node/tracking.go
+++ b/internal/node/tracking.go
@@ -81,7 +81,7 @@
 		return eject.KindError
 	case agent.ResultReset, agent.ResultCrashed:
 		return eject.KindReset
-	case agent.ResultTimeout:
+	case agent.ResultTimeout, agent.ResultOverdue:
 		return eject.KindTimeout
 	case agent.ResultCanceled:
 		return eject.KindCanceled
--- a/internal/triage/message.go
+++ b/internal/triage/message.go
@@ -7,12 +7,15 @@
 
 // The kinds of ends.
 const (
-	// Unknown ends say nothing about the target, such as a caller that went away.
+	// Unknown ends say nothing about the target but by their length, such as a caller that went away or a request whose
+	// time was over.
 	Unknown Kind = iota
 	Succeeded
 	Failed
 	// Shed means that the target refused the request.
 	Shed
+	// Neutral ends say nothing about the target, however long they took: what the request waited for lay elsewhere.
+	Neutral
 )
 
 // Msg is an input of the module.
--- a/internal/triage/settings.go
+++ b/internal/triage/settings.go
@@ -36,8 +36,10 @@
 	// A target sheds when it is full as well, so this says less than a failure.
 	defaultShed = 1.5
 	// ln(0.2/0.985), from the same shares as a failure.
-	defaultSuccess    = -1.6
-	defaultStall      = 2.5
+	defaultSuccess = -1.6
+	// Below the usual distance from zero, so that a single long request does not close a target: kinds of requests exist
+	// that mostly take milliseconds and sometimes a second.
+	defaultStall      = 1.8
 	defaultTrialPause = 200 * time.Millisecond
 	// trialGrowth and trialMost bound the pause: each failed trial costs a caller a repeat.
 	trialGrowth = 1.7
