admission, picker: refuse rather than force a request on a target that fails most of its requests

The caller got a final 500 for an order that ran, where a refusal would have let it come back. Ruled out: requests that had a sound target with room; all of them had been refused there. Change: the chance follows the latest results more quickly, and below 0.3 the agent refuses even a last resort; edges leave such targets out.

--- a/internal/hosted/admission.go
+++ b/internal/hosted/admission.go
@@ -8,6 +8,7 @@
 
 	"github.com/auburnwinch/auburnwinch/internal/agent"
 	"github.com/auburnwinch/auburnwinch/internal/limit"
+	"github.com/auburnwinch/auburnwinch/internal/picker"
 	"github.com/auburnwinch/auburnwinch/internal/relay"
 	"github.com/auburnwinch/auburnwinch/internal/retry"
 	"github.com/auburnwinch/auburnwinch/internal/timer"
@@ -118,7 +119,7 @@
 
 func (a *admission) decide(c relay.Class) (triage.VerdictKind, error) {
 	v := a.triage.Decide(a.clock.Now(), c.Idempotent)
-	if v.Kind == triage.Rest && !c.Forced {
+	if v.Kind == triage.Rest && (!c.Forced || v.Chance < picker.LeastChance) {
 		return v.Kind, &refusedError{reason: relay.ReasonSick, wait: v.Wait, chance: v.Chance}
 	}
 	return v.Kind, nil
--- a/internal/hosted/admission_test.go
+++ b/internal/hosted/admission_test.go
@@ -71,6 +71,23 @@
 	permit.Release(agent.Result{Kind: agent.ResultOK})
 }
 
+// Pattern: all other targets of an overloaded service are full, and a third of the targets fails nine requests in ten. Guards
+// against orders that run and fail one after the other at a sick target, as the last resort of many edges at once.
+func TestHopelessTargetRefusesTheLastResort(t *testing.T) {
+	r := newAdmissionRig(0)
+	ran := 0
+	for range 50 {
+		permit, reason := r.ask(relay.Class{Forced: true}, 0)
+		if reason != "" {
+			require.Equal(t, relay.ReasonSick, reason)
+			continue
+		}
+		ran++
+		permit.Release(agent.Result{Kind: agent.ResultError})
+	}
+	require.LessOrEqual(t, ran, 4)
+}
+
 // Pattern: requests whose calls fail elsewhere. Guards against a sound target that rests for the failures of others.
 func TestFailedCallsAreNoEvidence(t *testing.T) {
 	r := newAdmissionRig(0)
--- a/internal/picker/negotiate.go
+++ b/internal/picker/negotiate.go
@@ -26,14 +26,18 @@
 	kilobyte     = 1 << 10
 )
 
+// LeastChance is the chance from which a resting target takes a request that no other target has room for. Below it, the
+// request would mostly fail after it ran, where a refusal lets its caller come back.
+const LeastChance = 0.3
+
 // crossingCost is the wait that a request should rather take than send a kilobyte over the way to a tier. Links between
 // regions are paid by volume at twice the price of those between failure domains.
 var crossingCost = [tierCount]time.Duration{0, 0, 20 * time.Millisecond, 40 * time.Millisecond}
 
 // negotiate proposes the nearest target that seems to have room, without patience. It proposes to wait at a target that has
 // refused when that costs the caller less than the way to the next one, or when enough were asked; then at one that is only
-// believed to be full. Last come targets that are probably sick or behind a failed path: a doubtful chance serves a caller
-// better than a refusal.
+// believed to be full. Last come targets that are probably sick but serve a part of their requests, and those behind a
+// failed path.
 func (p *Picker) negotiate(s *service, r Request, now time.Time) (Choice, error) {
 	wait := s.pickWait(r, now)
 	if len(r.Refused) < quickAsks {
@@ -157,7 +161,8 @@
 }
 
 // pickDoubtful returns the resting target with the best chance, and among these the one that is expected back first. Those
-// that do not rest come behind them, since they had no room, and those behind a failed path last.
+// that do not rest come behind them, since they had no room, and those behind a failed path last. It is nil when all others
+// rest without a chance that is worth a request.
 func (s *service) pickDoubtful(r Request, now time.Time) *entry {
 	var best *entry
 	var bestRank [5]float64
@@ -167,6 +172,9 @@
 			continue
 		}
 		rest, chance := e.counters.trust.outlook(now)
+		if chance < LeastChance {
+			continue
+		}
 		rank := [5]float64{0, 0, -chance, rest.Seconds(), float64(e.tier)}
 		if !e.counters.trust.pathOpen(now) {
 			rank[0] = 1
--- a/internal/triage/settings.go
+++ b/internal/triage/settings.go
@@ -48,8 +48,9 @@
 	stallShare = 0.5
 	// stallFrom is the part of the evidence of an unanswered request that usual long requests show as well.
 	stallFrom = 1.0
-	// chanceGain is the share of a new result in the chance: the latest eight results make two thirds of it.
-	chanceGain = 0.125
+	// chanceGain is the share of a new result in the chance. Most sick targets fail nine requests in ten, so that two failures
+	// in a row say more than the successes before.
+	chanceGain = 0.35
 	// meanGain is the share of a new duration in the mean of its class.
 	meanGain = 1.0 / 16
 	// meanSamples is the number of durations from which a mean is usable.
