triage: trials that survive the time of quick failures open their target sooner

Cause: sick spells last 3 to 9 s, and a recovered target stayed closed for 1.0 to 1.9 s more at the median: one trial at a time had to run to its end (0.6 to 1 s), and two or three had to succeed. Ruled out: a lack of idempotent requests; trials were refused while one ran. Change: a running request that began after the latest failure and is past the time in which sick targets fail theirs speaks for its target, and the next trial may start; not while requests stay silent, since a hanging target fails nothing quickly.

--- a/internal/triage/module.go
+++ b/internal/triage/module.go
@@ -21,6 +21,10 @@
 	closed    bool
 	// chance is the share of the latest requests that were served.
 	chance float64
+	// failedAt is when the latest request failed.
+	failedAt time.Time
+	// silent is the part of the odds that came from requests which ended after a long silence; it fades like the odds.
+	silent float64
 }
 
 type run struct {
@@ -67,6 +71,7 @@
 	if v.Odds < 0 {
 		return v
 	}
+	m.endSurvivedTrial()
 	if idempotent && !m.trying && !m.now.Before(m.nextTrial) {
 		v.Kind = Trial
 		return v
@@ -82,6 +87,7 @@
 	if !m.now.IsZero() {
 		fade := math.Exp(-float64(now.Sub(m.now)) / float64(m.settings.Recovery))
 		m.odds = m.settings.Usual + (m.odds-m.settings.Usual)*fade
+		m.silent *= fade
 	}
 	m.now = now
 }
@@ -106,6 +112,7 @@
 		m.pause = 0
 		m.chance += chanceGain * (1 - m.chance)
 	case Failed:
+		m.failedAt = m.now
 		if m.quick(r.class, took) {
 			m.shift(m.settings.QuickFailure)
 		} else {
@@ -118,14 +125,37 @@
 		m.delayTrial()
 	case Unknown:
 		// A request that was given up after a long silence keeps its weight.
-		m.shift(m.stall(r))
+		stall := m.stall(r)
+		m.shift(stall)
+		m.silent += stall
 	}
 }
 
 // quick reports whether a failure came before the target can have worked on the request.
 func (m *Module) quick(class string, took time.Duration) bool {
 	c := m.means[class]
-	return c == nil || c.samples < meanSamples || took.Seconds() < max(quickShare*c.value, quickLeast.Seconds())
+	return c == nil || c.samples < meanSamples || took < quickTime(c)
+}
+
+// quickTime is the time within which a failure counts as quick.
+func quickTime(c *mean) time.Duration {
+	return max(time.Duration(quickShare*c.value*float64(time.Second)), quickLeast)
+}
+
+// survived reports whether a running request is past the time within which sick targets mostly fail theirs.
+func (m *Module) survived(r run) bool {
+	after := surviveUsual
+	if c := m.means[r.class]; c != nil && c.samples >= meanSamples {
+		after = max(surviveLeast, quickTime(c))
+	}
+	return m.now.Sub(r.since) >= after
+}
+
+// endSurvivedTrial permits the next trial as soon as the present one has survived.
+func (m *Module) endSurvivedTrial() {
+	if r, runs := m.running[m.trial]; m.trying && runs && m.survived(r) {
+		m.trying, m.pause = false, 0
+	}
 }
 
 func (m *Module) delayTrial() {
@@ -147,11 +177,21 @@
 	c.value += max(meanGain, 1/float64(c.samples)) * (took.Seconds() - c.value)
 }
 
-// total adds the evidence of unanswered requests, which goes when they end.
+// total adds the evidence of running requests, which goes when they end. One that began after the latest failure and has
+// survived speaks for the target, unless it or earlier ones stay unanswered for long: a target that hangs fails nothing
+// quickly either.
 func (m *Module) total() float64 {
-	odds := m.odds
+	stalls, survivors := 0.0, 0
 	for _, r := range m.running {
-		odds += m.stall(r)
+		if stall := m.stall(r); stall > 0 {
+			stalls += stall
+		} else if r.since.After(m.failedAt) && m.survived(r) {
+			survivors++
+		}
+	}
+	odds := m.odds + stalls
+	if m.silent+stalls < silentMost {
+		odds += float64(survivors) * m.settings.Survived
 	}
 	return odds
 }
--- a/internal/triage/settings.go
+++ b/internal/triage/settings.go
@@ -13,6 +13,8 @@
 	// QuickFailure, Failure, Shed and Success are what one end of a request adds to the log-odds. A quick failure came
 	// before the target can have worked on the request; others may be due to the request or to the calls that it made.
 	QuickFailure, Failure, Shed, Success float64
+	// Survived is what a running request adds that is past the time of quick failures.
+	Survived float64
 	// Stall is the most that one unanswered request adds.
 	Stall float64
 	// TrialPause is the time between a failure and the next trial; it grows with each failed trial in a row.
@@ -39,8 +41,17 @@
 	defaultSuccess = -1.6
 	// Below the usual distance from zero, so that a single long request does not close a target: kinds of requests exist
 	// that mostly take milliseconds and sometimes a second.
-	defaultStall      = 1.8
+	defaultStall = 1.8
+	// A sick target answers or keeps a fifth of its requests for longer than the time of quick failures, a sound one nearly
+	// all: ln(0.3/0.985).
+	defaultSurvived   = -1.2
 	defaultTrialPause = 200 * time.Millisecond
+	// surviveUsual is the time after which a request has survived while its class is unknown, and surviveLeast the least for
+	// any class: failing targets answer within some milliseconds.
+	surviveUsual = 100 * time.Millisecond
+	surviveLeast = 30 * time.Millisecond
+	// silentMost is the evidence of silence from which survival says nothing: half a stalled request.
+	silentMost = 0.9
 	// trialGrowth and trialMost bound the pause: each failed trial costs a caller a repeat.
 	trialGrowth = 1.7
 	trialMost   = 1500 * time.Millisecond
@@ -69,6 +80,7 @@
 		{&s.Shed, defaultShed},
 		{&s.Success, defaultSuccess},
 		{&s.Stall, defaultStall},
+		{&s.Survived, defaultSurvived},
 	} {
 		if *field.value == 0 {
 			*field.value = field.standard
