admission: calls of running requests start before all other requests

Change: calls come first, in the order of the requests that wait for them, and have no objective of their own, since one that was late for it was sorted behind all others. It replaces the rule that calls of less urgent requests wait behind more urgent ones.

--- a/internal/hosted/admission.go
+++ b/internal/hosted/admission.go
@@ -22,6 +22,8 @@
 	placesPerSlot = 6
 	// waitMost bounds the wait of a request whose edge states no patience.
 	waitMost = 30 * time.Second
+	// callLead is above any rank of a route.
+	callLead = 1 << 20
 	// stallCheck is the time between two looks at requests that stay unanswered.
 	stallCheck = 250 * time.Millisecond
 )
@@ -86,6 +88,10 @@
 		Deadline: r.Deadline, Patience: r.Patience, Bounded: r.Negotiated, Rank: rankOf(r.Class), Objective: r.Objective,
 		Kind: r.Route,
 	}
+	if r.Class.Call {
+		// What matters is that the request gets its answer in time, not that the call is quick.
+		request.Objective = time.Time{}
+	}
 	kind, err := a.examine(r.Class)
 	if err != nil {
 		return nil, err
@@ -101,13 +107,13 @@
 	return a.begin(permit, r)
 }
 
-// rankOf lets a call start before requests of the rank of its own request, because that one holds a slot meanwhile, but
-// after more urgent ones: a call of little urgency must not turn them away.
+// rankOf lets calls start before all other requests, in the order of the requests that wait for them: these hold a slot
+// elsewhere and have done most of their work, which is lost if the call is refused.
 func rankOf(c relay.Class) int {
 	if c.Call {
-		return 2*c.Rank - 1
+		return c.Rank - callLead
 	}
-	return 2 * c.Rank
+	return c.Rank
 }
 
 // examine refuses a request by the health of the target.
--- a/internal/hosted/admission_test.go
+++ b/internal/hosted/admission_test.go
@@ -88,6 +88,36 @@
 	require.LessOrEqual(t, ran, 4)
 }
 
+// Pattern: a service is full of urgent orders while less urgent requests elsewhere wait for calls to it. Guards against calls
+// behind the queue of orders: the work of the requests that wait for them is lost, and is done again at another target.
+func TestCallsStartBeforeUrgentOrders(t *testing.T) {
+	r := newAdmissionRig(0)
+	var permits []agent.Permit
+	for range 3 {
+		permit, reason := r.ask(relay.Class{Rank: 1}, 0)
+		require.Empty(t, reason)
+		permits = append(permits, permit)
+	}
+	started := make(chan string, 11)
+	wait := func(name string, c relay.Class) {
+		waiting := r.Load().InFlight
+		go func() {
+			if _, reason := r.ask(c, time.Minute); reason == "" {
+				started <- name
+			}
+		}()
+		require.Eventually(t, func() bool { return r.Load().InFlight == waiting+1 }, time.Second, time.Millisecond)
+	}
+	for range 10 {
+		wait("order", relay.Class{Rank: 1})
+	}
+	wait("call", relay.Class{Idempotent: true, Call: true, Rank: 2})
+	permits[0].Release(agent.Result{Kind: agent.ResultOK})
+	require.Equal(t, "call", <-started)
+	permits[1].Release(agent.Result{Kind: agent.ResultOK})
+	require.Equal(t, "order", <-started)
+}
+
 // Pattern: requests whose calls fail elsewhere. Guards against a sound target that rests for the failures of others.
 func TestFailedCallsAreNoEvidence(t *testing.T) {
 	r := newAdmissionRig(0)
