--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -78,6 +78,19 @@
 	return l.b.String()
 }
 
+// story returns the lines of all nodes about a request.
+func (f *fleet) story(id string) string {
+	var about []string
+	for _, n := range f.nodes {
+		for line := range strings.Lines(n.log.String()) {
+			if strings.Contains(line, id) {
+				about = append(about, line)
+			}
+		}
+	}
+	return strings.Join(about, "")
+}
+
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
 	f := &fleet{t: t, store: fake.NewStore(fake.Config{})}
--- a/internal/hosted/node_test.go
+++ b/internal/hosted/node_test.go
@@ -93,7 +93,8 @@
 			failed++
 		}
 		require.LessOrEqual(t, n.target.ran(a.id)+other.target.ran(a.id), 1, "an order ran twice")
-		require.Equal(t, http.StatusOK, caller.call(http.MethodGet, "kassa", "/read/x").status, "reads are repeated elsewhere")
+		read := caller.call(http.MethodGet, "kassa", "/read/x")
+		require.Equal(t, http.StatusOK, read.status, "reads are repeated elsewhere:\n%s", f.story(read.id))
 	}
 	require.LessOrEqual(t, failed, 3)
 	sick.Store(false)
