hosted: let new agents grow into their budget before a test counts on repeats

TestSickTargetGetsNoOrders failed in 4 of some 300 runs. The check is unchanged; the test waits 0.2 s first.

--- a/internal/hosted/node_test.go
+++ b/internal/hosted/node_test.go
@@ -87,6 +87,8 @@
 		return sick.Load()
 	})
 	failed := 0
+	// New agents grow into the extra repeats: 8 of the 400 of each target by then.
+	time.Sleep(200 * time.Millisecond)
 	for range 60 {
 		a := caller.call(http.MethodPost, "kassa", "/order/1")
 		if a.status != http.StatusOK {
