--- /dev/null
+++ b/internal/node/lone_test.go
@@ -0,0 +1,94 @@
+package node_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwinch/auburnwinch/internal/fakes/cloud"
+	"github.com/auburnwinch/auburnwinch/internal/node"
+	"github.com/auburnwinch/auburnwinch/internal/procs"
+	"github.com/auburnwinch/auburnwinch/internal/store"
+)
+
+// Pattern: a VM is the last one that runs, or is cut off from all others. Guards against a node that has read the
+// configuration and never puts it in force, because no other node changes its membership.
+func TestLoneNodeServes(t *testing.T) {
+	for name, filedFirst := range map[string]bool{"ticket before the start": true, "ticket after the start": false} {
+		t.Run(name, func(t *testing.T) {
+			network, claim, err := procs.ClaimNetwork(firstNetwork, lastNetwork)
+			require.NoError(t, err)
+			defer func() { _ = claim.Close() }()
+			plan, err := procs.LoadPlan("../../examples/instituto", procs.PlanConfig{Directory: t.TempDir(), Network: network, TargetsPerService: 6})
+			require.NoError(t, err)
+			platform, err := cloud.Start(cloud.Config{})
+			require.NoError(t, err)
+			defer func() { _ = platform.Close() }()
+			settings := &plan.Nodes[0].Settings
+			settings.Platform, settings.ShutdownTimeout = platform.Settings(), 0
+			tickets, err := store.New(store.Config{Platform: settings.Platform})
+			require.NoError(t, err)
+			file := func() {
+				_, err := tickets.FileTicket(t.Context(), plan.Ticket)
+				require.NoError(t, err)
+			}
+			if filedFirst {
+				file()
+			}
+			n, err := node.New(node.Config{Settings: settings})
+			require.NoError(t, err)
+			ctx, stop := context.WithCancel(context.Background())
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				_ = n.Run(ctx)
+			}()
+			defer func() { stop(); <-ended }()
+			if !filedFirst {
+				file()
+			}
+			target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") }))
+			defer target.Close()
+			service := plan.Ticket.Services[0]
+			route := service.Routes[0]
+			announce := func() error {
+				body, err := json.Marshal(map[string]any{
+					"service": service.Name, "id": "lone", "incarnation": 1, "address": target.Listener.Addr().String(), "slots": 2,
+				})
+				require.NoError(t, err)
+				response, err := http.Post("http://"+settings.Listeners.Local+"/v1/announce", "application/json", bytes.NewReader(body))
+				if err == nil {
+					_ = response.Body.Close() // The next announcement repeats a refused one.
+				}
+				return err
+			}
+			ask := func() string {
+				request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+settings.Listeners.Callers+route.PathPrefix, nil)
+				require.NoError(t, err)
+				request.Host = route.Host
+				response, err := http.DefaultClient.Do(request)
+				if err != nil {
+					return err.Error()
+				}
+				defer response.Body.Close()
+				body, err := io.ReadAll(response.Body)
+				require.NoError(t, err)
+				return string(body)
+			}
+			require.Eventually(t, func() bool {
+				return strings.Contains(ask(), "no target")
+			}, 30*time.Second, 200*time.Millisecond, "the configuration is not in force")
+			require.Eventually(t, func() bool {
+				return announce() == nil && ask() == "whole"
+			}, 10*time.Second, 200*time.Millisecond, "the target beside the node is not used")
+		})
+	}
+}
--- a/internal/peer/join.go
+++ b/internal/peer/join.go
@@ -47,6 +47,8 @@
 			p.sleep(joinRetry)
 		}
 	}
+	// A node without others has its first snapshot now; no change of the membership would publish one.
+	p.contentChanged.Raise()
 	close(p.joined)
 	p.keepContact()
 }
