hosted: hold chunked bodies to the limit; count answers by service, kind and outcome

The pause between two calls for a configuration that others have follows the steady clock. Summary.Begun, which nobody read, is gone.

--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -121,7 +121,8 @@
 	Tries []Try
 	// Configuration is the number of the configuration by which the request was routed.
 	Configuration uint64
-	Begun         time.Time
+	// Idempotent tells that the request may run more than once.
+	Idempotent bool
 }
 
 // Journal takes note of answers.
--- a/internal/edge/negotiate.go
+++ b/internal/edge/negotiate.go
@@ -127,10 +127,10 @@
 	s := Summary{
 		ID: q.edge.config.Protocol.ID(q.r), Service: q.match.Service, Outcome: q.answered.Answer.Outcome,
 		Reason: q.answered.Answer.Reason, Status: q.status, Call: q.parent != "", Took: q.edge.config.Clock.Now().Sub(q.began),
-		Left: time.Until(q.deadline), Tries: q.tries, Configuration: q.number, Begun: q.began,
+		Left: time.Until(q.deadline), Tries: q.tries, Configuration: q.number,
 	}
 	if q.match.Route != nil {
-		s.Route = q.match.Route.Name
+		s.Route, s.Idempotent = q.match.Route.Name, q.match.Route.Idempotent
 	}
 	if s.Outcome == "" {
 		s.Outcome = model.OutcomeDone
--- a/internal/edge/refuse.go
+++ b/internal/edge/refuse.go
@@ -32,6 +32,11 @@
 	return r
 }
 
+// BodyTooLarge refuses a request whose body exceeds the limit of the configuration.
+func BodyTooLarge() relay.Refusal {
+	return notRun(http.StatusRequestEntityTooLarge, "the body is larger than the configuration permits", remedyFix)
+}
+
 func spreadRetry() time.Duration {
 	return retrySoon + time.Duration(rand.IntN(retrySpread))*time.Second
 }
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -85,6 +85,11 @@
 	defer context.AfterFunc(q.edge.ending, cancel)()
 	defer q.body.release()
 	if err := q.body.read(q.w, q.r, q.deadline); err != nil {
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			q.refuseEarly(BodyTooLarge())
+			return
+		}
 		q.refuseEarly(notRun(http.StatusBadRequest, "the request body is shorter than announced, malformed or too slow", remedyFix))
 		return
 	}
--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -30,6 +30,8 @@
 	address string
 	nodes   []*testNode
 	ids     int
+	// bodyLimit of the configurations; zero leaves it out.
+	bodyLimit int
 }
 
 // testNode is one node with the target beside it.
@@ -121,6 +123,9 @@
 			`"prefix":"/long/","kind":"non_idempotent","timeoutMs":20000,"targetLatencyMs":9000,"priority":1,"service":"%s","maxAttempts":2}}`, s, s, s))
 		resources = append(resources, fmt.Sprintf(`{"resourceType":"services","metadata":{"name":"%s"},"spec":{}}`, s))
 	}
+	if f.bodyLimit > 0 {
+		resources = append(resources, fmt.Sprintf(`{"resourceType":"limits","metadata":{},"spec":{"maxBodyBytes":%d}}`, f.bodyLimit))
+	}
 	f.store.Put("op", "", "config", fmt.Appendf(nil, `{"version":"r%d","resources":[%s]}`, number, strings.Join(resources, ",")))
 }
 
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -23,6 +23,7 @@
 type meters struct {
 	*meter.Meter
 	answers  *meter.DurationHistogram
+	outcomes *meter.LabelledCounter
 	waits    *meter.DurationHistogram
 	runs     *meter.DurationHistogram
 	refusals map[string]*atomic.Int64
@@ -37,6 +38,8 @@
 	}
 	t := &meters{
 		Meter: m, refusals: make(map[string]*atomic.Int64),
+		outcomes: m.Labelled("auburnwinch.edge.answers", "answers to callers by service, kind of request and outcome",
+			"service", "kind", "outcome"),
 		answers: m.Histogram("auburnwinch.edge.answer", "time from a caller's request to its answer"),
 		waits:   m.Histogram("auburnwinch.agent.wait", "time that relayed requests waited for a slot"),
 		runs:    m.Histogram("auburnwinch.agent.run", "time that targets took for relayed requests"),
@@ -54,9 +57,22 @@
 
 func (t *meters) answered(s edge.Summary) {
 	t.answers.Record(s.Took)
+	t.outcomes.Add(s.Service, kindOf(s), string(s.Outcome))
 	t.asks.Add(int64(len(s.Tries)))
 }
 
+// kindOf names the kind of a request for operators.
+func kindOf(s edge.Summary) string {
+	switch {
+	case s.Call:
+		return "call"
+	case s.Idempotent:
+		return "idempotent"
+	default:
+		return "once"
+	}
+}
+
 func (t *meters) relayed(r agent.Record) {
 	t.waits.Record(r.Waited)
 	if r.Outcome == model.OutcomeDone {
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -101,7 +101,7 @@
 	})
 	n.beliefs = &beliefs{
 		self: n.config.Self, clock: n.config.Clock, logger: n.config.Failures, decode: n.config.Decode, picker: n.picker,
-		builder: view.NewBuilder(n.config.Self), members: roster.NewMembers(),
+		builder: view.NewBuilder(n.config.Self), members: roster.NewMembers(), began: n.config.Clock.Now(),
 	}
 	n.journal = &journal{ordinary: n.config.Logger, failures: n.config.Failures, beliefs: n.beliefs, meters: n.meters}
 	return nil
@@ -195,12 +195,12 @@
 
 // serveCallers hands requests to the edge.
 func (n *Node) serveCallers(w http.ResponseWriter, r *http.Request) {
-	if limits := n.beliefs.limits.Load(); limits != nil && limits.BodyBytes > 0 && r.ContentLength > limits.BodyBytes {
-		n.config.Callers.Refuse(w, relay.Refusal{
-			Status: http.StatusRequestEntityTooLarge,
-			Answer: model.Answer{Outcome: model.OutcomeNotRun, Reason: "the body is larger than the configuration permits"},
-		})
-		return
+	if limits := n.beliefs.limits.Load(); limits != nil && limits.BodyBytes > 0 {
+		if r.ContentLength > limits.BodyBytes {
+			n.config.Callers.Refuse(w, edge.BodyTooLarge())
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, limits.BodyBytes)
 	}
 	if n.closed.Load() {
 		w.Header()["Connection"] = []string{"close"}
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -34,9 +34,11 @@
 	view   view.Cell
 	limits atomic.Pointer[Limits]
 	number atomic.Uint64
-	// lookAgain makes the watch of the configuration call the store anew; lookedAt is when it did, in Unix nanoseconds.
+	// lookAgain makes the watch of the configuration call the store anew; lookedAt is when it did, in nanoseconds since
+	// began, so that a step of the wall clock delays no call.
 	lookAgain atomic.Pointer[func()]
 	lookedAt  atomic.Int64
+	began     time.Time
 	// ready tells that configuration and members are known.
 	ready atomic.Bool
 
@@ -118,8 +120,8 @@
 	if number <= b.number.Load() {
 		return
 	}
-	now := b.clock.Now().UnixNano()
-	if last := b.lookedAt.Load(); now-last < int64(lookPause) || !b.lookedAt.CompareAndSwap(last, now) {
+	now := int64(b.clock.Now().Sub(b.began))
+	if last := b.lookedAt.Load(); last > 0 && now-last < int64(lookPause) || !b.lookedAt.CompareAndSwap(last, now) {
 		return
 	}
 	_ = level.Info(b.logger).Log("msg", "another node has a newer configuration", "number", b.number.Load(), "heard", number)
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/attribute"
 	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
@@ -31,6 +32,12 @@
 	histogram metric.Float64Histogram
 }
 
+// LabelledCounter counts events by the values of its labels.
+type LabelledCounter struct {
+	counter metric.Int64Counter
+	labels  []string
+}
+
 // New returns a meter with a registry of its own.
 func New() (*Meter, error) {
 	registry := prometheus.NewRegistry()
@@ -61,6 +68,13 @@
 	return &DurationHistogram{histogram: h}
 }
 
+// Labelled returns a counter with a label for each of the names; its values should be few.
+func (m *Meter) Labelled(name, description string, labels ...string) *LabelledCounter {
+	c, err := m.meter.Int64Counter(name, metric.WithDescription(description))
+	m.keep(err)
+	return &LabelledCounter{counter: c, labels: labels}
+}
+
 // Err returns the first error of a registration, for example a malformed name.
 func (m *Meter) Err() error {
 	return m.err
@@ -76,6 +90,15 @@
 	return eris.Wrap(m.provider.Shutdown(ctx), "stop the metrics provider")
 }
 
+// Add counts one event; values stand in the order of the labels.
+func (c *LabelledCounter) Add(values ...string) {
+	attributes := make([]attribute.KeyValue, 0, len(c.labels))
+	for i, label := range c.labels {
+		attributes = append(attributes, attribute.String(label, values[i]))
+	}
+	c.counter.Add(context.Background(), 1, metric.WithAttributes(attributes...))
+}
+
 // Record adds one duration.
 func (h *DurationHistogram) Record(d time.Duration) {
 	h.histogram.Record(context.Background(), d.Seconds())
