--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -72,19 +72,10 @@
 		a.refuseAnnouncement(w, http.StatusNotFound, body.Service, body.ID, err)
 		return
 	}
-	changed, err := a.registry.announce(a.newLocal(body, spec), a.config.Clock.Now())
-	if err != nil {
+	if err := a.take(body, spec, Announcement{}); err != nil && !errors.Is(err, errUnknown) {
 		a.refuseAnnouncement(w, http.StatusConflict, body.Service, body.ID, err)
 		return
 	}
-	if l := a.registry.find(body.Service, body.ID); l != nil {
-		l.shared.sentinel.start()
-	}
-	if changed {
-		_ = level.Info(a.config.Logger).Log("msg", "target announced", "service", body.Service, "target", body.ID,
-			"incarnation", body.Incarnation, "address", body.Address, "slots", body.Slots)
-		a.publish()
-	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -41,14 +41,19 @@
 		return ErrOutdated
 	}
 	spec, _ := a.service(h.Service)
-	changed, err := a.registry.announce(a.newLocal(body, spec), a.config.Clock.Now())
-	if errors.Is(err, errStale) {
-		return ErrOutdated
+	if err := a.take(body, spec, h); !errors.Is(err, errStale) {
+		return err
 	}
+	return ErrOutdated
+}
+
+// take brings an announced target up to date and publishes what changed.
+func (a *Agent) take(body announcement, spec model.ServiceSpec, h Announcement) error {
+	changed, err := a.registry.announce(a.newLocal(body, spec), a.config.Clock.Now())
 	if err != nil {
 		return err
 	}
-	l := a.registry.find(h.Service, h.ID)
+	l := a.registry.find(body.Service, body.ID)
 	if l == nil {
 		return errUnknown // It was withdrawn meanwhile.
 	}
@@ -60,8 +65,8 @@
 		changed = true
 	}
 	if changed {
-		_ = level.Info(a.config.Logger).Log("msg", "target announced", "service", h.Service, "target", h.ID, "incarnation", h.Incarnation,
-			"address", h.Address, "slots", h.Slots, "draining", h.Draining, "sequence", h.Sequence)
+		_ = level.Info(a.config.Logger).Log("msg", "target announced", "service", body.Service, "target", body.ID, "incarnation", body.Incarnation,
+			"address", body.Address, "slots", body.Slots, "draining", h.Draining, "sequence", h.Sequence)
 		a.publish()
 	}
 	return nil
--- a/internal/hosted/listen.go
+++ b/internal/hosted/listen.go
@@ -2,16 +2,14 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/go-kit/log/level"
-	"github.com/rotisserie/eris"
 
 	"github.com/auburnwinch/auburnwinch/internal/agent"
 	"github.com/auburnwinch/auburnwinch/internal/edge"
+	"github.com/auburnwinch/auburnwinch/internal/listen"
 )
 
 const (
@@ -21,12 +19,6 @@
 	serviceHeaderTimeout = 5 * time.Second
 )
 
-type server struct {
-	name   string
-	socket net.Listener
-	*http.Server
-}
-
 func (n *Node) openListeners() error {
 	callers := edge.NewServer(n.edge, n.config.Failures)
 	callers.Handler = http.HandlerFunc(n.serveCallers)
@@ -43,11 +35,11 @@
 		if l.address == "" {
 			continue
 		}
-		socket, err := net.Listen("tcp", l.address)
+		opened, err := listen.Open(l.name, l.address, l.server)
 		if err != nil {
-			return eris.Wrapf(err, "open the listener %s on %s; choose an address of this VM that is free", l.name, l.address)
+			return err
 		}
-		n.servers = append(n.servers, &server{name: l.name, socket: socket, Server: l.server})
+		n.listeners = append(n.listeners, opened)
 	}
 	return nil
 }
@@ -56,10 +48,10 @@
 	return &http.Server{Handler: handler, ReadHeaderTimeout: serviceHeaderTimeout}
 }
 
-func (n *Node) serve(s *server) {
+func (n *Node) serve(l *listen.Listener) {
 	n.group.Go(func() {
-		if err := s.Serve(s.socket); !errors.Is(err, http.ErrServerClosed) {
-			_ = level.Error(n.config.Failures).Log("msg", "listener failed", "listener", s.name, "err", err)
+		if err := l.Run(); err != nil {
+			_ = level.Error(n.config.Failures).Log("msg", "listener failed", "listener", l.Name, "err", err)
 			n.cancel()
 		}
 	})
@@ -69,10 +61,7 @@
 func (n *Node) closeListeners() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	for _, s := range n.servers {
-		if s.Shutdown(ctx) != nil {
-			_ = s.Close() // The time for a graceful end is over.
-		}
-		_ = s.socket.Close() // Closed already unless serving never began.
+	for _, l := range n.listeners {
+		l.Close(ctx)
 	}
 }
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -13,6 +13,7 @@
 	"github.com/auburnwinch/auburnwinch/internal/agent"
 	"github.com/auburnwinch/auburnwinch/internal/edge"
 	"github.com/auburnwinch/auburnwinch/internal/invar"
+	"github.com/auburnwinch/auburnwinch/internal/listen"
 	"github.com/auburnwinch/auburnwinch/internal/picker"
 	"github.com/auburnwinch/auburnwinch/internal/relay"
 	"github.com/auburnwinch/auburnwinch/internal/roster"
@@ -64,7 +65,7 @@
 	picker    *picker.Picker
 	publisher *roster.Publisher
 	watchers  []*roster.Watcher
-	servers   []*server
+	listeners []*listen.Listener
 	cancel    context.CancelFunc
 	group     conc.WaitGroup
 	stopping  atomic.Bool
--- a/internal/hosted/run.go
+++ b/internal/hosted/run.go
@@ -27,8 +27,8 @@
 func (n *Node) Run(ctx context.Context) error {
 	ctx, n.cancel = context.WithCancel(ctx)
 	defer n.cancel()
-	for _, s := range n.servers {
-		n.serve(s)
+	for _, l := range n.listeners {
+		n.serve(l)
 	}
 	n.startPublisher()
 	n.watch()
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -2,16 +2,14 @@
 
 import (
 	"crypto/tls"
-	"errors"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/go-kit/log/level"
-	"github.com/rotisserie/eris"
 
 	"github.com/auburnwinch/auburnwinch/internal/agent"
 	"github.com/auburnwinch/auburnwinch/internal/edge"
+	"github.com/auburnwinch/auburnwinch/internal/listen"
 )
 
 const (
@@ -20,29 +18,22 @@
 	maxHeaderBytes    = 64 << 10
 )
 
-// listener is one HTTP listener of the node.
-type listener struct {
-	name   string
-	socket net.Listener
-	server *http.Server
-}
-
 func (n *Node) openListeners() (err error) {
 	addresses := n.config.Settings.Listeners
-	if n.listeners.callers, err = n.listen("callers", addresses.Callers, edge.NewServer(n.edge, n.logger)); err != nil {
+	if n.listeners.callers, err = listen.Open("callers", addresses.Callers, edge.NewServer(n.edge, n.logger)); err != nil {
 		return err
 	}
-	n.listeners.callers.socket = edge.NewListener(n.listeners.callers.socket, n.logger)
-	if n.listeners.relay, err = n.listen("relay", addresses.Relay, agent.NewServer(n.agent, n.logger)); err != nil {
+	n.listeners.callers.Socket = edge.NewListener(n.listeners.callers.Socket, n.logger)
+	if n.listeners.relay, err = listen.Open("relay", addresses.Relay, agent.NewServer(n.agent, n.logger)); err != nil {
 		return err
 	}
 	if n.tls != nil {
-		n.listeners.relay.socket = tls.NewListener(n.listeners.relay.socket, n.tls.server())
+		n.listeners.relay.Socket = tls.NewListener(n.listeners.relay.Socket, n.tls.server())
 	}
-	if n.listeners.local, err = n.listen("local", addresses.Local, n.plainServer("local", n.agent.Local())); err != nil {
+	if n.listeners.local, err = listen.Open("local", addresses.Local, n.plainServer("local", n.agent.Local())); err != nil {
 		return err
 	}
-	n.listeners.admin, err = n.listen("admin", addresses.Admin, n.plainServer("admin", n.adminHandler()))
+	n.listeners.admin, err = listen.Open("admin", addresses.Admin, n.plainServer("admin", n.adminHandler()))
 	return err
 }
 
@@ -57,20 +48,11 @@
 	}
 }
 
-// listen opens the address for the server.
-func (n *Node) listen(name, address string, server *http.Server) (*listener, error) {
-	socket, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, eris.Wrapf(err, "open the listener %s on %s; choose an address of this VM that is free", name, address)
-	}
-	return &listener{name: name, socket: socket, server: server}, nil
-}
-
 // serve accepts connections until the listener is closed.
-func (n *Node) serve(l *listener) {
+func (n *Node) serve(l *listen.Listener) {
 	n.group.Go(func() {
-		if err := l.server.Serve(l.socket); !errors.Is(err, http.ErrServerClosed) {
-			_ = level.Error(n.logger).Log("msg", "listener failed", "listener", l.name, "err", err)
+		if err := l.Run(); err != nil {
+			_ = level.Error(n.logger).Log("msg", "listener failed", "listener", l.Name, "err", err)
 			n.cancel()
 		}
 	})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/auburnwinch/auburnwinch/internal/edge"
 	"github.com/auburnwinch/auburnwinch/internal/eject"
 	"github.com/auburnwinch/auburnwinch/internal/invar"
+	"github.com/auburnwinch/auburnwinch/internal/listen"
 	"github.com/auburnwinch/auburnwinch/internal/member"
 	"github.com/auburnwinch/auburnwinch/internal/meter"
 	"github.com/auburnwinch/auburnwinch/internal/once"
@@ -70,10 +71,10 @@
 }
 
 type listeners struct {
-	callers *listener
-	relay   *listener
-	local   *listener
-	admin   *listener
+	callers *listen.Listener
+	relay   *listen.Listener
+	local   *listen.Listener
+	admin   *listen.Listener
 }
 
 // New builds all parts and opens the listeners; Run serves.
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/auburnwinch/auburnwinch/internal/drain"
+	"github.com/auburnwinch/auburnwinch/internal/listen"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
@@ -20,7 +21,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	ctx, n.cancel = context.WithCancel(ctx)
 	defer n.cancel()
-	for _, l := range []*listener{n.listeners.callers, n.listeners.relay, n.listeners.local, n.listeners.admin} {
+	for _, l := range []*listen.Listener{n.listeners.callers, n.listeners.relay, n.listeners.local, n.listeners.admin} {
 		n.serve(l)
 	}
 	n.group.Go(func() { n.register(ctx) })
@@ -90,7 +91,7 @@
 	n.group.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n.config.Settings.ShutdownTimeout))
 		defer cancel()
-		_ = n.listeners.callers.server.Shutdown(ctx) // The requests in flight are counted by the edge itself.
+		_ = n.listeners.callers.Server.Shutdown(ctx) // The requests in flight are counted by the edge itself.
 	})
 }
 
@@ -124,16 +125,13 @@
 }
 
 func (n *Node) closeListeners() {
-	for _, l := range []*listener{n.listeners.callers, n.listeners.relay, n.listeners.local, n.listeners.admin} {
+	for _, l := range []*listen.Listener{n.listeners.callers, n.listeners.relay, n.listeners.local, n.listeners.admin} {
 		if l == nil {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-		if l.server.Shutdown(ctx) != nil {
-			_ = l.server.Close() // The time for a graceful end is over.
-		}
+		l.Close(ctx)
 		cancel()
-		_ = l.socket.Close() // Closed already unless serving never began.
 	}
 }
 
