--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -4,5 +4,6 @@
 // Usage:
 //
 //	go test ./internal/soak                                     # a short run of the seeds that CI keeps
+//	AUBURNWINCH_SOAK_SEEDS=7 AUBURNWINCH_SOAK_NODES=100 go test ./internal/soak -run TestSeeds
 //	AUBURNWINCH_SOAK_SEEDS=100-149 go test -timeout 60m ./internal/soak -run TestSeeds
 package soak
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -19,7 +19,8 @@
 )
 
 const (
-	soakNodes = 9
+	// usualNodes are the processes of a run, unless AUBURNWINCH_SOAK_NODES says otherwise.
+	usualNodes = 9
 	// ciSeconds is the time in which faults begin in the runs that CI makes.
 	ciSeconds = 12
 	// recoverWithin and recoveredShare tell when the fleet has recovered from the last fault.
@@ -40,14 +41,23 @@
 	program := filepath.Join(t.TempDir(), "auburnwinch")
 	out, err := exec.Command("go", "build", "-o", program, "github.com/auburnwinch/auburnwinch/cmd/auburnwinch").CombinedOutput()
 	require.NoError(t, err, string(out))
-	seconds := ciSeconds
-	if text := os.Getenv("AUBURNWINCH_SOAK_SECONDS"); text != "" {
-		seconds, err = strconv.Atoi(text)
-		require.NoError(t, err)
-	}
+	faultsFor := time.Duration(setting(t, "AUBURNWINCH_SOAK_SECONDS", ciSeconds)) * time.Second
+	nodes := setting(t, "AUBURNWINCH_SOAK_NODES", usualNodes)
 	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, program, time.Duration(seconds)*time.Second) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, program, nodes, faultsFor) })
+	}
+}
+
+// setting reads a number from the environment.
+func setting(t *testing.T, name string, usual int) int {
+	t.Helper()
+	text := os.Getenv(name)
+	if text == "" {
+		return usual
 	}
+	value, err := strconv.Atoi(text)
+	require.NoError(t, err, name)
+	return value
 }
 
 // parseSeeds reads `7` or `100-149`.
@@ -68,10 +78,10 @@
 	return seeds
 }
 
-func runSeed(t *testing.T, seed uint64, program string, faultsFor time.Duration) {
+func runSeed(t *testing.T, seed uint64, program string, nodes int, faultsFor time.Duration) {
 	directory, err := os.MkdirTemp("", fmt.Sprintf("auburnwinch-soak-%d-", seed))
 	require.NoError(t, err)
-	w, err := newWorld(seed, program, directory, soakNodes)
+	w, err := newWorld(seed, program, directory, nodes)
 	require.NoError(t, err)
 	defer w.close()
 	require.Eventually(t, func() bool {
