--- a/internal/node/lone_test.go
+++ b/internal/node/lone_test.go
@@ -13,31 +13,48 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/auburnwinch/auburnwinch/internal/config"
 	"github.com/auburnwinch/auburnwinch/internal/fakes/cloud"
 	"github.com/auburnwinch/auburnwinch/internal/node"
 	"github.com/auburnwinch/auburnwinch/internal/procs"
 	"github.com/auburnwinch/auburnwinch/internal/store"
 )
 
+// lone is what a node needs that runs without any other one.
+type lone struct {
+	plan     *procs.Plan
+	settings *config.Settings
+	platform *cloud.Platform
+	store    *store.Store
+}
+
+func newLone(t *testing.T) lone {
+	t.Helper()
+	network, claim, err := procs.ClaimNetwork(firstNetwork, lastNetwork)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = claim.Close() })
+	l := lone{}
+	l.plan, err = procs.LoadPlan("../../examples/instituto", procs.PlanConfig{Directory: t.TempDir(), Network: network, TargetsPerService: 6})
+	require.NoError(t, err)
+	l.platform, err = cloud.Start(cloud.Config{})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.platform.Close() })
+	l.settings = &l.plan.Nodes[0].Settings
+	l.settings.Platform, l.settings.ShutdownTimeout = l.platform.Settings(), 0
+	l.store, err = store.New(store.Config{Platform: l.settings.Platform})
+	require.NoError(t, err)
+	return l
+}
+
 // Pattern: a VM is the last one that runs, or is cut off from all others. Guards against a node that has read the
 // configuration and never puts it in force, because no other node changes its membership.
 func TestLoneNodeServes(t *testing.T) {
 	for name, filedFirst := range map[string]bool{"ticket before the start": true, "ticket after the start": false} {
 		t.Run(name, func(t *testing.T) {
-			network, claim, err := procs.ClaimNetwork(firstNetwork, lastNetwork)
-			require.NoError(t, err)
-			defer func() { _ = claim.Close() }()
-			plan, err := procs.LoadPlan("../../examples/instituto", procs.PlanConfig{Directory: t.TempDir(), Network: network, TargetsPerService: 6})
-			require.NoError(t, err)
-			platform, err := cloud.Start(cloud.Config{})
-			require.NoError(t, err)
-			defer func() { _ = platform.Close() }()
-			settings := &plan.Nodes[0].Settings
-			settings.Platform, settings.ShutdownTimeout = platform.Settings(), 0
-			tickets, err := store.New(store.Config{Platform: settings.Platform})
-			require.NoError(t, err)
+			lone := newLone(t)
+			settings, ticket := lone.settings, lone.plan.Ticket
 			file := func() {
-				_, err := tickets.FileTicket(t.Context(), plan.Ticket)
+				_, err := lone.store.FileTicket(t.Context(), ticket)
 				require.NoError(t, err)
 			}
 			if filedFirst {
@@ -57,7 +74,7 @@
 			}
 			target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") }))
 			defer target.Close()
-			service := plan.Ticket.Services[0]
+			service := ticket.Services[0]
 			route := service.Routes[0]
 			announce := func() error {
 				body, err := json.Marshal(map[string]any{
--- a/internal/node/registry_test.go
+++ b/internal/node/registry_test.go
@@ -10,8 +10,6 @@
 	"github.com/auburnwinch/auburnwinch/internal/fakes/cloud"
 	"github.com/auburnwinch/auburnwinch/internal/fakes/fault"
 	"github.com/auburnwinch/auburnwinch/internal/node"
-	"github.com/auburnwinch/auburnwinch/internal/procs"
-	"github.com/auburnwinch/auburnwinch/internal/store"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
@@ -19,18 +17,8 @@
 // returns the duration of the exit and the registered nodes after it.
 func startAndStop(t *testing.T, fail func(*cloud.Platform)) (time.Duration, []model.Node) {
 	t.Helper()
-	network, claim, err := procs.ClaimNetwork(firstNetwork, lastNetwork)
-	require.NoError(t, err)
-	defer func() { _ = claim.Close() }()
-	plan, err := procs.LoadPlan("../../examples/instituto", procs.PlanConfig{Directory: t.TempDir(), Network: network, TargetsPerService: 6})
-	require.NoError(t, err)
-	platform, err := cloud.Start(cloud.Config{})
-	require.NoError(t, err)
-	defer func() { _ = platform.Close() }()
-	settings := &plan.Nodes[0].Settings
-	settings.Platform, settings.ShutdownTimeout = platform.Settings(), 0
-	registry, err := store.New(store.Config{Platform: settings.Platform})
-	require.NoError(t, err)
+	lone := newLone(t)
+	platform, settings, registry := lone.platform, lone.settings, lone.store
 	n, err := node.New(node.Config{Settings: settings})
 	require.NoError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
