--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -198,23 +198,28 @@
 func (n *Node) serveCallers(w http.ResponseWriter, r *http.Request) {
 	if limits := n.beliefs.limits.Load(); limits != nil && limits.BodyBytes > 0 {
 		if r.ContentLength > limits.BodyBytes {
-			n.config.Callers.Refuse(w, edge.BodyTooLarge())
+			n.refuse(w, r, edge.BodyTooLarge(), "body too large")
 			return
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, limits.BodyBytes)
 	}
 	if n.closed.Load() {
 		w.Header()["Connection"] = []string{"close"}
-		n.config.Callers.Refuse(w, relay.Refusal{
+		n.refuse(w, r, relay.Refusal{
 			Status: http.StatusServiceUnavailable, RetryAfter: restartTime,
 			Answer: model.Answer{Outcome: model.OutcomeNotRun, Reason: "the node of this VM is stopping"},
-		})
-		_ = level.Info(n.config.Failures).Log("msg", story.MsgRefused, "id", n.config.Callers.ID(r), "reason", "node stopping")
+		}, "node stopping")
 		return
 	}
 	n.edge.ServeHTTP(w, r)
 }
 
+// refuse answers a request that the edge does not see.
+func (n *Node) refuse(w http.ResponseWriter, r *http.Request, refusal relay.Refusal, reason string) {
+	n.config.Callers.Refuse(w, refusal)
+	_ = level.Info(n.config.Failures).Log("msg", story.MsgRefused, "id", n.config.Callers.ID(r), "reason", reason)
+}
+
 // watch starts to follow the store.
 func (n *Node) watch() {
 	n.watchers = append(n.watchers,
