--- a/internal/agent/confirm_test.go
+++ b/internal/agent/confirm_test.go
@@ -28,16 +28,23 @@
 // Release keeps the result.
 func (e ends) Release(r Result) { e <- r.Kind }
 
-// Guards against an edge that gives up before its request runs and makes the target look sick, and against a target that
-// can't be reached and does not.
-func TestUnconfirmedRequestIsNoEvidence(t *testing.T) {
+// newEndsAgent returns an agent that admits all requests, and how these end.
+func newEndsAgent(t *testing.T) (ends, *Agent) {
+	t.Helper()
 	e := make(ends, 1)
 	a, err := New(Config{
 		Self: model.NodeRef{ID: "n", Incarnation: 1}, NoSentinels: true,
 		NewLimiter: func(model.Target, model.ServiceSpec) Limiter { return e },
 	})
 	require.NoError(t, err)
-	defer func() { _ = a.Close() }()
+	t.Cleanup(func() { _ = a.Close() })
+	return e, a
+}
+
+// Guards against an edge that gives up before its request runs and makes the target look sick, and against a target that
+// can't be reached and does not.
+func TestUnconfirmedRequestIsNoEvidence(t *testing.T) {
+	e, a := newEndsAgent(t)
 	require.NoError(t, a.Announce(heartbeat("i-1", 100, 1, false)))
 	server := httptest.NewServer(a)
 	defer server.Close()
--- a/internal/agent/overdue_test.go
+++ b/internal/agent/overdue_test.go
@@ -16,13 +16,7 @@
 // Pattern: requests that need more time than their route permits. Guards against a sound target that looks sick because it
 // ends such requests with 504 on time, and against one that answers 504 long before and does not look so.
 func TestAnswerAtTheDeadlineIsNoFailure(t *testing.T) {
-	e := make(ends, 1)
-	a, err := New(Config{
-		Self: model.NodeRef{ID: "n", Incarnation: 1}, NoSentinels: true,
-		NewLimiter: func(model.Target, model.ServiceSpec) Limiter { return e },
-	})
-	require.NoError(t, err)
-	defer func() { _ = a.Close() }()
+	e, a := newEndsAgent(t)
 	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		wait, err := time.ParseDuration(r.URL.Query().Get("wait"))
 		if err == nil {
