--- a/internal/hosted/node_test.go
+++ b/internal/hosted/node_test.go
@@ -175,12 +175,18 @@
 	n := f.add("kassa", "a")
 	other := f.add("kassa", "a")
 	n.await("kassa", "/read/x")
+	for _, node := range f.nodes {
+		// A node learns of targets from the store, which is about to go away.
+		require.Eventually(t, func() bool { return strings.Contains(node.log.String(), `"nodes":2`) }, 5*time.Second, 10*time.Millisecond)
+	}
 	f.store.SetFault(func(fake.Call) fake.Fault { return fake.Fault{Status: http.StatusServiceUnavailable} })
 	n.target.heartbeat("draining") // Returns once it is acknowledged.
 	before := n.target.total()
 	for range 20 {
-		require.Equal(t, http.StatusOK, other.call(http.MethodPost, "kassa", "/order/1").status)
-		require.Equal(t, http.StatusOK, n.call(http.MethodGet, "kassa", "/read/1").status)
+		a := other.call(http.MethodPost, "kassa", "/order/1")
+		require.Equal(t, http.StatusOK, a.status, f.story(a.id))
+		a = n.call(http.MethodGet, "kassa", "/read/1")
+		require.Equal(t, http.StatusOK, a.status, f.story(a.id))
 	}
 	require.Equal(t, before, n.target.total())
 }
--- a/internal/node/respread_test.go
+++ b/internal/node/respread_test.go
@@ -109,6 +109,12 @@
 	clock.Advance(poisonTick)
 	require.Eventually(t, func() bool { return peers.heard("silent") > 0 }, time.Second, time.Millisecond)
 
+	// The report goes to all agents at once; the others may hear it a moment after the silent one.
+	require.Eventually(t, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.spreading) == 0
+	}, time.Second, time.Millisecond)
 	calls := peers.heard("a")
 	change(agentsOf("shop", "self", "a", "joined", "silent"))
 	clock.Advance(poisonTick)
