--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -174,8 +174,10 @@
 }
 
 func (n *testNode) close() {
-	n.stop()
-	<-n.done
+	if n.stop != nil { // It is nil when the node could not be started, which has failed the test.
+		n.stop()
+		<-n.done
+	}
 	n.target.server.CloseClientConnections()
 	n.target.server.Close()
 }
