feed: two nodes of each failure domain read the store, the others follow them

Cause: every node watched the table of the nodes, so that each change cost a call for each node.

Now the nodes of a failure domain rank its nodes alike; the first two that answer read the store, and the others take the rows from these over net/rpc. A node that is turned away by the store follows others; a reader says at once that it no longer reads. The calls for a configuration that another node has grow rarer while the store brings nothing newer: they were made every 0.3 s. Passing on the configuration as well was ruled out for now: a reader that is cut off would hide a change for longer than the bound permits.

--- a/cmd/auburnwinch/hosted.go
+++ b/cmd/auburnwinch/hosted.go
@@ -70,8 +70,11 @@
 		Failures: log.With(log.NewJSONLogger(lines.Important()), "node", s.Node, "ts", log.DefaultTimestampUTC),
 		Version:  version(),
 	}
-	if s.FirstPort > 0 {
-		c.Listeners.Metrics = net.JoinHostPort(s.Address, strconv.Itoa(s.FirstPort))
+	if s.MetricsPort > 0 {
+		c.Listeners.Metrics = net.JoinHostPort(s.Address, strconv.Itoa(s.MetricsPort))
+	}
+	if s.PeerPort > 0 {
+		c.Listeners.Peer = net.JoinHostPort(s.Address, strconv.Itoa(s.PeerPort))
 	}
 	return c
 }
--- a/internal/hosted/config.go
+++ b/internal/hosted/config.go
@@ -8,6 +8,7 @@
 
 	"github.com/auburnwinch/auburnwinch/internal/agent"
 	"github.com/auburnwinch/auburnwinch/internal/edge"
+	"github.com/auburnwinch/auburnwinch/internal/feed"
 	"github.com/auburnwinch/auburnwinch/internal/relay"
 	"github.com/auburnwinch/auburnwinch/internal/roster"
 	"github.com/auburnwinch/auburnwinch/internal/timer"
@@ -18,8 +19,8 @@
 type Config struct {
 	Self      model.Node
 	Listeners Listeners
-	// Nodes is the table in which each node publishes its record.
-	Nodes roster.Table
+	// Nodes is the table in which each node publishes its record, in the part of its failure domain.
+	Nodes feed.Store
 	// Configurations is the table of the operator; Decode returns nil for rows that are no configuration.
 	Configurations roster.Table
 	Decode         func(roster.Row) (*Desired, error)
@@ -40,9 +41,10 @@
 	Version  string
 }
 
-// Listeners holds the addresses, `host:port`, on which the node listens. Metrics may be empty.
+// Listeners holds the addresses, `host:port`, on which the node listens. Metrics may be empty, and Peer too: then no other
+// node takes the members from this one.
 type Listeners struct {
-	Callers, Relay, Local, Ready, Metrics string
+	Callers, Relay, Local, Ready, Metrics, Peer string
 }
 
 // Retries is what the whole fleet may repeat at one service: Ratio of its requests, and Extra more in each Window.
@@ -84,5 +86,6 @@
 	if c.Dial == nil {
 		c.Dial = Dialer().DialContext
 	}
+	c.Self.PeerAddress = c.Listeners.Peer
 	return c
 }
--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -143,6 +143,7 @@
 	n := &testNode{fleet: f, id: fmt.Sprintf("node-%d", len(f.nodes)), service: service, log: &lines{}}
 	n.listeners = hosted.Listeners{
 		Callers: freeAddress(f.t), Relay: freeAddress(f.t), Local: freeAddress(f.t), Ready: freeAddress(f.t), Metrics: freeAddress(f.t),
+		Peer: freeAddress(f.t),
 	}
 	n.target = newTarget(n, "i-"+n.id)
 	f.nodes = append(f.nodes, n)
--- a/internal/hosted/listen.go
+++ b/internal/hosted/listen.go
@@ -9,6 +9,7 @@
 
 	"github.com/auburnwinch/auburnwinch/internal/agent"
 	"github.com/auburnwinch/auburnwinch/internal/edge"
+	"github.com/auburnwinch/auburnwinch/internal/feed"
 	"github.com/auburnwinch/auburnwinch/internal/listen"
 )
 
@@ -41,7 +42,12 @@
 		}
 		n.listeners = append(n.listeners, opened)
 	}
-	return nil
+	if n.config.Listeners.Peer == "" {
+		return nil
+	}
+	var err error
+	n.feed, err = feed.NewServer(n.config.Listeners.Peer, n.nodes)
+	return err
 }
 
 func plainServer(handler http.Handler) *http.Server {
@@ -64,4 +70,7 @@
 	for _, l := range n.listeners {
 		l.Close(ctx)
 	}
+	if n.feed != nil {
+		n.feed.Close()
+	}
 }
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -97,6 +97,8 @@
 	} {
 		m.Counter("auburnwinch.edge."+name, "requests of callers: "+name, func() int64 { return int64(value(n.edge.Counters())) })
 	}
+	m.Counter("auburnwinch.store.member-calls", "calls to the store for the records of the nodes", n.nodes.StoreCalls)
+	m.Counter("auburnwinch.feed.calls", "calls to other nodes for the records of the nodes", n.nodes.PeerCalls)
 	m.Gauge("auburnwinch.configuration.number", "number of the configuration in force", func() int64 { return int64(n.beliefs.number.Load()) })
 	m.Gauge("auburnwinch.members.age-milliseconds", "time since the members were last heard of", func() int64 {
 		_, members := n.beliefs.ages()
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/auburnwinch/auburnwinch/internal/agent"
 	"github.com/auburnwinch/auburnwinch/internal/edge"
+	"github.com/auburnwinch/auburnwinch/internal/feed"
 	"github.com/auburnwinch/auburnwinch/internal/invar"
 	"github.com/auburnwinch/auburnwinch/internal/listen"
 	"github.com/auburnwinch/auburnwinch/internal/picker"
@@ -45,6 +46,8 @@
 	targetExpiry = 6 * time.Second
 	// membersSettle groups the rows of nodes that start or change together into one answer of the store.
 	membersSettle = time.Second
+	// peerSettle is the pause of a node that takes the rows from another one, which has grouped them.
+	peerSettle = 20 * time.Millisecond
 	// configurationWait bounds the time for which a forgotten call hides a new configuration from a node without traffic.
 	configurationWait = 8 * time.Second
 	// configurationSettle is short because a configuration must be in force everywhere within two seconds.
@@ -63,6 +66,8 @@
 	edge      *edge.Edge
 	agent     *agent.Agent
 	picker    *picker.Picker
+	nodes     *feed.Table
+	feed      *feed.Server
 	publisher *roster.Publisher
 	watchers  []*roster.Watcher
 	listeners []*listen.Listener
@@ -102,8 +107,12 @@
 	})
 	n.beliefs = &beliefs{
 		self: n.config.Self, clock: n.config.Clock, logger: n.config.Failures, decode: n.config.Decode, picker: n.picker,
-		builder: view.NewBuilder(n.config.Self), members: roster.NewMembers(), began: n.config.Clock.Now(),
+		builder: view.NewBuilder(n.config.Self), members: roster.NewMembers(),
 	}
+	n.nodes = feed.NewTable(feed.Config{
+		Store: n.config.Nodes, Self: n.config.Self.Ref.ID, Domain: n.config.Self.Domain, Settle: membersSettle,
+		Configurations: n.beliefs, Clock: n.config.Clock, Dial: n.config.Dial, Logger: n.config.Failures,
+	})
 	n.journal = &journal{ordinary: n.config.Logger, failures: n.config.Failures, beliefs: n.beliefs, meters: n.meters}
 	return nil
 }
@@ -228,7 +237,7 @@
 			Settle: configurationSettle, Wait: configurationWait, Logger: n.config.Failures,
 		}),
 		roster.NewWatcher(roster.WatcherConfig{
-			Table: n.config.Nodes, Name: "nodes", OnRows: n.membersChanged, Settle: membersSettle, Logger: n.config.Failures,
+			Table: n.nodes, Name: "nodes", OnRows: n.membersChanged, Settle: peerSettle, Logger: n.config.Failures,
 		}))
 	look := n.watchers[0].LookAgain
 	n.beliefs.lookAgain.Store(&look)
--- a/internal/hosted/run.go
+++ b/internal/hosted/run.go
@@ -46,7 +46,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.publisher = roster.NewPublisher(roster.PublisherConfig{
-		Table: n.config.Nodes, Part: n.config.Self.Domain, Key: n.config.Self.Ref.ID, Logger: n.config.Failures,
+		Table: n.nodes, Part: n.config.Self.Domain, Key: n.config.Self.Ref.ID, Logger: n.config.Failures,
 	})
 	// A node without a target has nothing to say; its first record follows the first heartbeat.
 	if len(n.record.Targets) > 0 {
@@ -82,6 +82,7 @@
 	n.stopping.Store(true)
 	n.agent.SetLeaving(true)
 	n.edge.SetLeaving(true)
+	n.nodes.StopServing()
 	n.mu.Lock()
 	n.record.Leaving = true
 	n.publish()
@@ -110,6 +111,7 @@
 		w.Close()
 	}
 	n.publisher.Close()
+	n.nodes.Close()
 	_ = n.edge.Close()  // It only closes idle connections.
 	_ = n.agent.Close() // It only closes idle connections.
 	n.group.Wait()
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -18,10 +18,6 @@
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
-// lookPause is the time between two calls to the store for a configuration that another node has. The usual way takes less
-// than that, so that a change that is under way causes no call.
-const lookPause = 300 * time.Millisecond
-
 // beliefs are what the node knows of the fleet: the configuration and the records of all nodes. They are replaced as rows
 // arrive, and published to the request path as one view.
 type beliefs struct {
@@ -34,11 +30,9 @@
 	view   view.Cell
 	limits atomic.Pointer[Limits]
 	number atomic.Uint64
-	// lookAgain makes the watch of the configuration call the store anew; lookedAt is when it did, in nanoseconds since
-	// began, so that a step of the wall clock delays no call.
+	// lookAgain makes the watch of the configuration call the store anew, as often as looks permits.
 	lookAgain atomic.Pointer[func()]
-	lookedAt  atomic.Int64
-	began     time.Time
+	looks     looks
 	// ready tells that configuration and members are known.
 	ready atomic.Bool
 
@@ -90,6 +84,7 @@
 	}
 	before := b.number.Swap(desired.Configuration.Number)
 	invar.Check(before < desired.Configuration.Number, "hosted", "configuration went from %d to %d", before, desired.Configuration.Number)
+	b.looks.succeeded()
 	b.desired, b.configuredAt = desired, b.clock.Now()
 	b.limits.Store(&desired.Limits)
 	b.publish()
@@ -120,8 +115,7 @@
 	if number <= b.number.Load() {
 		return
 	}
-	now := int64(b.clock.Now().Sub(b.began))
-	if last := b.lookedAt.Load(); last > 0 && now-last < int64(lookPause) || !b.lookedAt.CompareAndSwap(last, now) {
+	if !b.looks.due(b.clock.Now()) {
 		return
 	}
 	_ = level.Info(b.logger).Log("msg", "another node has a newer configuration", "number", b.number.Load(), "heard", number)
