relay, agent, edge: answers without end are cut off by their size, their number and the deadline

Cause: a body that comes without end keeps the copying loops from seeing that their connection was closed at the deadline, and nothing bounded its size: it was streamed for up to 8.2 s and 2.5 GB to a caller who had stated 3 s. Answers of other requests without end renewed the bound on the header each time.

Now both loops look at the deadline between blocks, an answer has at most 64 MiB on a hosted platform, and an exchange drops at most 8 foreign answers of 4 MiB together. Ruled out: stopping at the announced length alone, since chunked and unframed bodies announce none.

--- a/internal/agent/answer.go
+++ b/internal/agent/answer.go
@@ -32,7 +32,7 @@
 		defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 	}
 	var sum relay.Checksum
-	kept, err := x.copyBody(conn, response, &sum)
+	kept, err := x.copyBody(ctx, conn, response, &sum)
 	if err != nil {
 		conn.Close()
 		x.fail()
@@ -99,19 +99,27 @@
 	return x.agent.leaving.Load() || x.source != nil && !x.source.Ended()
 }
 
-// errWrite marks that the edge no longer takes the answer.
-var errWrite = eris.New("the edge closed the connection; nothing to do")
+var (
+	// errWrite marks that the edge no longer takes the answer.
+	errWrite = eris.New("the edge closed the connection; nothing to do")
+	// errEndless marks an answer beyond the bound on its size.
+	errEndless = eris.New("the target sends an answer without end; restart it")
+)
 
 // copyBody flushes only when it has to wait for more of the body, so that a short answer and its trailer leave in one
 // packet.
-func (x *exchange) copyBody(conn *relay.Conn, response *http.Response, sum *relay.Checksum) (*keptBody, error) {
+func (x *exchange) copyBody(ctx context.Context, conn *relay.Conn, response *http.Response, sum *relay.Checksum) (*keptBody, error) {
 	block := relay.GetBlock()
 	defer relay.PutBlock(block)
 	kept := &keptBody{wanted: x.keyed()}
 	flusher, _ := x.w.(http.Flusher)
-	body := response.Body
-	for {
+	body, most := response.Body, x.agent.config.AnswerBytes
+	// A target that never stops sending keeps the reader from seeing that the connection was closed at the deadline.
+	for ctx.Err() == nil {
 		n, err := relay.ReadBlock(body, block[:])
+		if most > 0 && sum.Length+int64(n) > most {
+			return nil, errEndless
+		}
 		if n > 0 {
 			x.progress()
 			sum.Add(block[:n])
@@ -130,4 +138,5 @@
 			return nil, err
 		}
 	}
+	return nil, ctx.Err()
 }
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -46,6 +46,8 @@
 	Configurations Configurations
 	// Journal is told of the end of each relayed request.
 	Journal Journal
+	// AnswerBytes bounds the body of an answer; zero means no bound.
+	AnswerBytes int64
 	// OneTarget tells that a single target runs on this VM: a new one replaces the one before it.
 	OneTarget bool
 	// NoSentinels saves the connections by which a crash is told from a broken connection when a target restarts at once.
--- a/internal/edge/deliver.go
+++ b/internal/edge/deliver.go
@@ -44,7 +44,7 @@
 		l.conn.Release()
 		return d, nil
 	}
-	err := d.copy()
+	err := d.copy(ctx)
 	if err == nil {
 		d.checkWhole()
 		q.edge.sizes.add(q.match.Route.Name, d.sum.Length)
@@ -83,12 +83,12 @@
 
 // copy holds back the end of a body of known length until its trailer is checked, because the caller takes the body as
 // complete with its last byte. A body of unknown length is complete only with the end that follows the check.
-func (d *delivery) copy() error {
+func (d *delivery) copy(ctx context.Context) error {
 	block := relay.GetBlock()
 	defer relay.PutBlock(block)
 	buffer := block[:]
 	held := 0
-	for {
+	for ctx.Err() == nil {
 		d.leg.conn.SetReadTimeout(d.idle)
 		n, err := relay.ReadBlock(d.leg.response.Body, buffer[held:])
 		if n > 0 && d.leg.handle != nil {
@@ -119,6 +119,7 @@
 			held = 0
 		}
 	}
+	return ctx.Err()
 }
 
 // holdsBack reports whether the bytes read so far must wait for the rest of the body: a caller takes nothing of an answer
--- a/internal/edge/resume.go
+++ b/internal/edge/resume.go
@@ -98,7 +98,7 @@
 	}
 	l.log("download continues from another target", nil)
 	d := &delivery{request: q, leg: l, length: lengthOf(h), idle: q.edge.config.BodyIdleRange}
-	err := d.copy()
+	err := d.copy(ctx)
 	r.next += d.written
 	if err == nil {
 		l.conn.Release()
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -36,6 +36,8 @@
 	bodyIdle = 2 * time.Second
 	// holdBytes is the largest body that is held until it is whole; the largest downloads have half a megabyte.
 	holdBytes = 1 << 20
+	// answerBytes is the longest answer of a target, a hundred times the largest downloads; one that sends on is sick.
+	answerBytes = 64 << 20
 	// startWait and startPeriod let requests wait while the node has just started: targets send a heartbeat every 1.5 s, and
 	// the records of other nodes follow within a second.
 	startWait   = 1500 * time.Millisecond
@@ -121,7 +123,7 @@
 	n.agent, err = agent.New(agent.Config{
 		Self: n.config.Self.Ref, NewLimiter: n.newLimiter, OnTargets: n.targetsChanged, Clock: n.config.Clock,
 		Logger: n.config.Failures, Dial: n.config.Dial, InterimInterval: interimInterval, Expiry: targetExpiry,
-		Protocol: n.config.Targets, Journal: n.journal, OneTarget: true, NoSentinels: true, Configurations: n.beliefs,
+		Protocol: n.config.Targets, Journal: n.journal, OneTarget: true, NoSentinels: true, AnswerBytes: answerBytes, Configurations: n.beliefs,
 	})
 	return err
 }
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -23,6 +23,10 @@
 	maxHeaderBytes = 256 << 10
 	// bodyEndWait bounds the wait for the last bytes of a body after its answer.
 	bodyEndWait = 50 * time.Millisecond
+	// maxForeignAnswers and maxForeignBytes bound the answers of other requests that are dropped before the own one: a peer
+	// sends a late second copy now and then, and one that sends more than that is broken.
+	maxForeignAnswers = 8
+	maxForeignBytes   = 4 << 20
 )
 
 var readers, writers sync.Pool
@@ -354,6 +358,7 @@
 	if c.reused && r.SilentReused > 0 {
 		silent = r.SilentReused
 	}
+	foreign := foreignAnswers{}
 	for {
 		response, err := c.readHeader(r, silent)
 		if err != nil {
@@ -367,7 +372,7 @@
 			if r.Accept == nil || r.Accept(response) {
 				return response, nil
 			}
-			if err := c.dropAnswer(response); err != nil {
+			if err := c.dropAnswer(response, &foreign); err != nil {
 				return nil, err
 			}
 			continue
@@ -383,13 +388,25 @@
 	}
 }
 
+// foreignAnswers counts what a peer sent of other requests during one exchange.
+type foreignAnswers struct {
+	answers int
+	bytes   int64
+}
+
 // dropAnswer reads an answer of another request to its end, so that the next one on the connection can be read.
-func (c *Conn) dropAnswer(response *http.Response) error {
+func (c *Conn) dropAnswer(response *http.Response, foreign *foreignAnswers) error {
 	if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		return eris.Wrapf(ErrBroken, "%s: the connection ends with the answer of another request", c.pool.config.Address)
 	}
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+	foreign.answers++
+	n, err := io.CopyN(io.Discard, response.Body, maxForeignBytes+1-foreign.bytes)
+	foreign.bytes += n
+	switch {
+	case err != nil && !errors.Is(err, io.EOF):
 		return c.readError(err)
+	case foreign.answers > maxForeignAnswers || foreign.bytes > maxForeignBytes:
+		return eris.Wrapf(ErrBroken, "%s: answers of other requests without end", c.pool.config.Address)
 	}
 	c.limit.left = maxHeaderBytes
 	return nil
