admission: calls of requests that have had a call served start first

Pattern: running requests make two calls each, one after the other, to a service that is short of slots. First come, first served, each request has the same chance at both calls and loses all of its work at the second. Now those that have had a call served start first, so that the service ends some requests instead of half of each. Agents tell edges by the id of the parent, as they did for ranks and repeats.

--- a/internal/agent/parents.go
+++ b/internal/agent/parents.go
@@ -13,34 +13,29 @@
 }
 
 type parent struct {
-	repeated   bool
-	rank       int
+	relay.Parent
 	callFailed bool
 }
 
-// Repeated reports whether the request runs here as a repeat.
-func (a *Agent) Repeated(id string) bool {
+// Parent returns the running request; ok is false when it does not run here.
+func (a *Agent) Parent(id string) (p relay.Parent, ok bool) {
 	a.parents.mu.Lock()
 	defer a.parents.mu.Unlock()
-	return a.parents.running[id].repeated
+	running, ok := a.parents.running[id]
+	return running.Parent, ok
 }
 
-// Rank returns the rank of the request; ok is false when it does not run here.
-func (a *Agent) Rank(id string) (rank int, ok bool) {
+// CallEnded notes whether a call of the running request was served.
+func (a *Agent) CallEnded(id string, served bool) {
 	a.parents.mu.Lock()
 	defer a.parents.mu.Unlock()
-	p, ok := a.parents.running[id]
-	return p.rank, ok
-}
-
-// CallFailed notes that a call of the running request was not served.
-func (a *Agent) CallFailed(id string) {
-	a.parents.mu.Lock()
-	defer a.parents.mu.Unlock()
-	if p, runs := a.parents.running[id]; runs {
-		p.callFailed = true
-		a.parents.running[id] = p
+	p, runs := a.parents.running[id]
+	if !runs {
+		return
 	}
+	p.Advanced = p.Advanced || served
+	p.callFailed = p.callFailed || !served
+	a.parents.running[id] = p
 }
 
 func (p *parents) begin(id string, class relay.Class) {
@@ -52,7 +47,7 @@
 	if p.running == nil {
 		p.running = make(map[string]parent)
 	}
-	p.running[id] = parent{repeated: class.Repeat, rank: class.Rank}
+	p.running[id] = parent{Parent: relay.Parent{Rank: class.Rank, Repeated: class.Repeat}}
 }
 
 // end forgets the request and reports whether one of its calls was not served.
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -73,12 +73,10 @@
 
 // Parents knows the requests that run at the target on this VM.
 type Parents interface {
-	// Repeated reports whether the request runs there as a repeat, which makes its calls repeats as well.
-	Repeated(id string) bool
-	// Rank returns the rank of the running request; ok is false when it does not run there.
-	Rank(id string) (rank int, ok bool)
-	// CallFailed tells that a call of the request was not served.
-	CallFailed(id string)
+	// Parent returns the running request; ok is false when it does not run there.
+	Parent(id string) (p relay.Parent, ok bool)
+	// CallEnded tells whether a call of the request was served.
+	CallEnded(id string, served bool)
 }
 
 // Protocol is what callers speak beyond plain HTTP.
--- a/internal/edge/negotiate.go
+++ b/internal/edge/negotiate.go
@@ -77,7 +77,8 @@
 func (q *request) class(c Choice) string {
 	route := q.match.Route
 	return relay.Class{
-		Idempotent: route.Idempotent, Call: q.parent != "", Forced: c.Forced, Repeat: q.attempts > 1 || q.derived, Rank: q.rank,
+		Idempotent: route.Idempotent, Call: q.parent != "", Forced: c.Forced, Repeat: q.attempts > 1 || q.derived, Advanced: q.advanced,
+		Rank: q.rank,
 	}.String()
 }
 
@@ -117,8 +118,8 @@
 
 // note tells the target's request that waits for the answer, and the journal, how the request was answered.
 func (q *request) note() {
-	if q.parent != "" && q.edge.config.Parents != nil && q.status >= http.StatusInternalServerError {
-		q.edge.config.Parents.CallFailed(q.parent)
+	if q.parent != "" && q.edge.config.Parents != nil {
+		q.edge.config.Parents.CallEnded(q.parent, q.status < http.StatusInternalServerError)
 	}
 	journal := q.edge.config.Journal
 	if journal == nil {
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -54,9 +54,11 @@
 	sentHeader bool
 	// omit are headers of the caller that targets do not get.
 	omit []string
-	// parent is the id of the request whose target waits for the answer; derived tells that it runs as a repeat.
-	parent  string
-	derived bool
+	// parent is the id of the request whose target waits for the answer; derived tells that it runs as a repeat, and advanced
+	// that another call of it was served.
+	parent   string
+	derived  bool
+	advanced bool
 	// rank is that of the route, or of the request that waits for the answer.
 	rank int
 	// refused are the refusals of agents that may take the request later; asks counts all refusals.
@@ -147,9 +149,8 @@
 	q.parent = q.edge.config.Protocol.Parent(q.r)
 	q.rank = match.Route.Rank
 	if parents := q.edge.config.Parents; parents != nil && q.parent != "" {
-		q.derived = parents.Repeated(q.parent)
-		if rank, ok := parents.Rank(q.parent); ok {
-			q.rank = rank
+		if parent, ok := parents.Parent(q.parent); ok {
+			q.rank, q.derived, q.advanced = parent.Rank, parent.Repeated, parent.Advanced
 		}
 	}
 	return relay.Refusal{}, true
--- a/internal/hosted/admission.go
+++ b/internal/hosted/admission.go
@@ -108,12 +108,17 @@
 }
 
 // rankOf lets calls start before all other requests, in the order of the requests that wait for them: these hold a slot
-// elsewhere and have done most of their work, which is lost if the call is refused.
+// elsewhere and have done most of their work, which is lost if the call is refused. First come those that have had a call
+// served: a service that is short of slots then ends some requests instead of half of each.
 func rankOf(c relay.Class) int {
-	if c.Call {
+	switch {
+	case c.Call && c.Advanced:
+		return c.Rank - 2*callLead
+	case c.Call:
 		return c.Rank - callLead
+	default:
+		return c.Rank
 	}
-	return c.Rank
 }
 
 // examine refuses a request by the health of the target.
--- a/internal/hosted/admission_test.go
+++ b/internal/hosted/admission_test.go
@@ -118,6 +118,42 @@
 	require.Equal(t, "order", <-started)
 }
 
+// Pattern: running requests make two calls each, one after the other, to a service that can serve two thirds of them. Guards
+// against second calls that are refused behind first ones: the request is lost with all of its work, where a request whose
+// first call is refused has lost little.
+func TestSecondCallsStartBeforeFirstOnes(t *testing.T) {
+	const requests, perRound, rounds = 300, 4, 100
+	serve := func(advanced bool) (whole int) {
+		type request struct{ served int }
+		waiting := make([]*request, 0, requests)
+		for range requests {
+			waiting = append(waiting, &request{})
+		}
+		for range rounds {
+			for range perRound {
+				best := 0
+				for i, r := range waiting {
+					rank := rankOf(relay.Class{Call: true, Rank: 1, Advanced: advanced && r.served > 0})
+					if rank < rankOf(relay.Class{Call: true, Rank: 1, Advanced: advanced && waiting[best].served > 0}) {
+						best = i
+					}
+				}
+				r := waiting[best]
+				waiting = append(waiting[:best], waiting[best+1:]...)
+				if r.served++; r.served == 2 {
+					whole++
+					continue
+				}
+				waiting = append(waiting, r) // The second call comes behind all that wait.
+			}
+		}
+		return whole
+	}
+	require.Equal(t, rounds*perRound/2, serve(true), "each two calls end a request")
+	require.Less(t, serve(false), rounds*perRound/2)
+	require.Less(t, rankOf(relay.Class{Call: true, Rank: 9, Advanced: true}), rankOf(relay.Class{Call: true}))
+}
+
 // Pattern: requests whose calls fail elsewhere. Guards against a sound target that rests for the failures of others.
 func TestFailedCallsAreNoEvidence(t *testing.T) {
 	r := newAdmissionRig(0)
--- a/internal/relay/class.go
+++ b/internal/relay/class.go
@@ -10,6 +10,7 @@
 	classCall       = "call"
 	classForced     = "forced"
 	classRepeat     = "repeat"
+	classAdvanced   = "advanced"
 	classRank       = "rank="
 )
 
@@ -23,17 +24,29 @@
 	Forced bool
 	// Repeat tells that an earlier attempt has reached a target.
 	Repeat bool
+	// Advanced tells that the request which waits for the answer of this call has had another call served, so that more work
+	// is lost with it.
+	Advanced bool
 	// Rank orders waiting requests; 0 comes first.
 	Rank int
 }
 
+// Parent is a request that runs at a target and makes calls.
+type Parent struct {
+	Rank int
+	// Repeated tells that it runs as a repeat, which makes its calls repeats as well.
+	Repeated bool
+	// Advanced tells that one of its calls was served.
+	Advanced bool
+}
+
 // String writes the class as it stands in the header.
 func (c Class) String() string {
-	parts := make([]string, 0, 5)
+	parts := make([]string, 0, 6)
 	for _, flag := range []struct {
 		set  bool
 		name string
-	}{{c.Idempotent, classIdempotent}, {c.Call, classCall}, {c.Forced, classForced}, {c.Repeat, classRepeat}} {
+	}{{c.Idempotent, classIdempotent}, {c.Call, classCall}, {c.Forced, classForced}, {c.Repeat, classRepeat}, {c.Advanced, classAdvanced}} {
 		if flag.set {
 			parts = append(parts, flag.name)
 		}
@@ -57,6 +70,8 @@
 			class.Forced = true
 		case part == classRepeat:
 			class.Repeat = true
+		case part == classAdvanced:
+			class.Advanced = true
 		case isRank:
 			n, err := strconv.Atoi(rank)
 			if err != nil {
