feed: an outage of the store and a start of all nodes cost fewer calls

Now followers ask the store rarer while it fails and leave it to their readers to notice its return; a node that neither readers nor store serve asks one more node at a time. A starting node waits up to 0.7 s for readers that start with it.

Ruled out: leaving the store to the readers alone; a node whose readers are both turned away would stay blind.

--- a/internal/feed/order.go
+++ b/internal/feed/order.go
@@ -45,6 +45,7 @@
 type avoidance struct {
 	failures int
 	until    time.Time
+	refused  bool
 }
 
 // OrderMsg is an input of the module.
@@ -53,10 +54,11 @@
 // PeersMsg gives the nodes of the failure domain that may pass rows on, this node among them.
 type PeersMsg struct{ Peers []Peer }
 
-// FailedMsg tells that a source did not answer or knows nothing new itself.
+// FailedMsg tells that a source failed; Refused tells that it answered and does not read the store.
 type FailedMsg struct {
-	Now    time.Time
-	Source Source
+	Now     time.Time
+	Source  Source
+	Refused bool
 }
 
 // WorkedMsg tells that a source has answered.
@@ -77,11 +79,7 @@
 	case PeersMsg:
 		o.setPeers(msg.Peers)
 	case FailedMsg:
-		if msg.Source.Store {
-			o.store = o.store.next(msg.Now)
-			return
-		}
-		o.avoided[msg.Source.Peer.ID] = o.avoided[msg.Source.Peer.ID].next(msg.Now)
+		o.fail(msg)
 	case WorkedMsg:
 		if msg.Source.Store {
 			o.store = avoidance{}
@@ -91,37 +89,80 @@
 	}
 }
 
-// Sources returns where to ask for rows, the preferred source first. The store is always among them, so that a node whose
-// peers fail depends on none.
+// Sources returns where to ask for rows, the preferred source first. It is empty while all that may be asked have just
+// failed.
 func (o *Order) Sources(now time.Time) []Source {
-	var readers []Source
+	peers, reads := o.readers(now)
+	storeOpen := !now.Before(o.store.until)
+	switch {
+	case reads && storeOpen:
+		// The peers are for the case that the store fails here.
+		return append([]Source{{Store: true}}, peers...)
+	case !storeOpen && len(peers) == 0:
+		return o.spare(now)
+	case !storeOpen:
+		return o.divide(peers)
+	default:
+		return append(o.divide(peers), Source{Store: true})
+	}
+}
+
+// readers returns the peers that should read the store, and whether this node should. A peer that is dead to this node gives
+// its place to the next one; one that answers and does not read keeps it, since the next one does not read either.
+func (o *Order) readers(now time.Time) (peers []Source, reads bool) {
+	places := 0
 	for _, p := range o.ranked {
-		if len(readers) == readerCount {
-			break
-		}
+		avoided := o.avoided[p.ID]
+		open := !now.Before(avoided.until)
 		switch {
-		case p.ID == o.self && !now.Before(o.store.until):
-			return append([]Source{{Store: true}}, o.others(now)...)
-		case p.ID != o.self && !now.Before(o.avoided[p.ID].until):
-			readers = append(readers, Source{Peer: p})
+		case p.ID == o.self:
+			reads = places < readerCount
+		case places == readerCount:
+			return peers, reads
+		case open:
+			peers = append(peers, Source{Peer: p})
+			places++
+		case avoided.refused:
+			places++
 		}
 	}
-	// Followers are divided between the readers.
+	return peers, reads || places == 0
+}
+
+// spare returns one more peer for a node that neither the readers nor the store serves: others read the store then, unless it
+// is away from all.
+func (o *Order) spare(now time.Time) []Source {
+	for _, p := range o.ranked {
+		if p.ID != o.self && !now.Before(o.avoided[p.ID].until) {
+			return []Source{{Peer: p}}
+		}
+	}
+	return nil
+}
+
+// divide spreads the followers over the readers.
+func (o *Order) divide(peers []Source) []Source {
 	if rankOf(o.self)%readerCount == 1 {
-		slices.Reverse(readers)
+		slices.Reverse(peers)
 	}
-	return append(readers, Source{Store: true})
+	return peers
 }
 
-// others returns the peers that a reader asks when the store fails it.
-func (o *Order) others(now time.Time) []Source {
-	var sources []Source
-	for _, p := range o.ranked {
-		if p.ID != o.self && !now.Before(o.avoided[p.ID].until) && len(sources) < readerCount {
-			sources = append(sources, Source{Peer: p})
+func (o *Order) fail(msg FailedMsg) {
+	if !msg.Source.Store {
+		known := o.avoided[msg.Source.Peer.ID]
+		if msg.Refused {
+			o.avoided[msg.Source.Peer.ID] = avoidance{until: msg.Now.Add(avoidFirst), refused: true}
+			return
 		}
+		o.avoided[msg.Source.Peer.ID] = known.next(msg.Now, avoidMost)
+		return
+	}
+	most := avoidMost
+	if _, reads := o.readers(msg.Now); reads {
+		most = avoidFirst // Others learn of the store's return from this node.
 	}
-	return sources
+	o.store = o.store.next(msg.Now, most)
 }
 
 func (o *Order) setPeers(peers []Peer) {
@@ -144,11 +185,9 @@
 	return h.Sum64()
 }
 
-func (a avoidance) next(now time.Time) avoidance {
+func (a avoidance) next(now time.Time, most time.Duration) avoidance {
 	if now.Before(a.until) {
 		return a // Calls that were under way at the failure say nothing new.
 	}
-	a.until = now.Add(min(avoidMost, avoidFirst<<min(a.failures, 8)))
-	a.failures++
-	return a
+	return avoidance{failures: a.failures + 1, until: now.Add(min(most, avoidFirst<<min(a.failures, 8)))}
 }
--- a/internal/feed/order_test.go
+++ b/internal/feed/order_test.go
@@ -53,7 +53,7 @@
 			}
 			ok := s.Store && !d.turnedAway[id] || !s.Store && !d.down[s.Peer.ID] && d.reads(s.Peer.ID, now)
 			if !ok {
-				o.Update(feed.FailedMsg{Now: now, Source: s})
+				o.Update(feed.FailedMsg{Now: now, Source: s, Refused: !s.Store && !d.down[s.Peer.ID]})
 				continue
 			}
 			o.Update(feed.WorkedMsg{Source: s})
@@ -109,6 +109,33 @@
 	}
 }
 
+// Pattern: the store is away from all 40 nodes of a failure domain for ten seconds. Guards against calls of all of them
+// meanwhile, against connections of each to each, and against nodes that stay behind after the store's return.
+func TestOutageCostsFewCalls(t *testing.T) {
+	// step is the shortest pause of a watch whose calls fail again and again.
+	const size, step, outage = 40, 900 * time.Millisecond, 10 * time.Second
+	d := newDomain(size)
+	for id := range d.orders {
+		d.turnedAway[id] = true
+	}
+	calls, asks := 0, 0
+	for at := time.Duration(0); at < outage; at += step {
+		for _, o := range d.orders {
+			asks += len(o.Sources(start.Add(at)))
+		}
+		c, _ := d.change(start.Add(at))
+		calls += c
+	}
+	require.LessOrEqual(t, calls, size*4+2*10, "of %d calls with one each second", size*10)
+	require.LessOrEqual(t, asks, size*5*10, "five sources a second and node")
+	clear(d.turnedAway)
+	var missed []string
+	for at := outage; at < outage+2*time.Second; at += step {
+		_, missed = d.change(start.Add(at))
+	}
+	require.Empty(t, missed)
+}
+
 // Guards against nodes that follow each other while none reads the store.
 func TestNobodyFollowsAFollower(t *testing.T) {
 	d := newDomain(40)
--- a/internal/feed/rpc.go
+++ b/internal/feed/rpc.go
@@ -154,7 +154,10 @@
 	case <-call.Done:
 	}
 	var refused rpc.ServerError
-	if call.Error != nil && !errors.As(call.Error, &refused) {
+	switch {
+	case errors.As(call.Error, &refused):
+		return WatchReply{}, eris.Wrap(ErrNotReading, address)
+	case call.Error != nil:
 		c.close()
 	}
 	return reply, call.Error
--- a/internal/feed/table.go
+++ b/internal/feed/table.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/rotisserie/eris"
 
 	"github.com/auburnwinch/auburnwinch/internal/relay"
 	"github.com/auburnwinch/auburnwinch/internal/roster"
@@ -22,6 +23,10 @@
 	// storeWait is how long one call to the store waits for changes. It bounds the time for which a call that the store has
 	// forgotten hides them from a whole failure domain.
 	storeWait = 5 * time.Second
+	// startWait is how long a starting node waits for one that starts with it and will read the store; startPause is the time
+	// between two looks.
+	startWait  = 700 * time.Millisecond
+	startPause = 100 * time.Millisecond
 	// defaultSettle groups the changes of nodes that start or stop together into one answer of the store.
 	defaultSettle = time.Second
 )
@@ -40,6 +45,9 @@
 	Hear(number uint64)
 }
 
+// errNoSource means that all sources have failed a moment ago.
+var errNoSource = eris.New("neither the store nor a node of the failure domain has answered; they are asked again soon")
+
 type dialFunc = relay.DialFunc
 
 // Config constructs a table; Store, Self and Domain are required.
@@ -96,11 +104,10 @@
 	if !t.knowsPeers() {
 		t.findPeers(ctx)
 	}
+	patient := t.config.Clock.Now().Add(startWait)
 	return t.ask(ctx, func(s Source) (roster.Page, error) {
 		if !s.Store {
-			page, err := t.watchPeer(ctx, s.Peer, 0, 0)
-			page.Whole = true
-			return page, err
+			return t.readPeer(ctx, s.Peer, patient)
 		}
 		t.storeCalls.Add(1)
 		return t.config.Store.Read(ctx)
@@ -141,7 +148,7 @@
 
 // ask goes through the sources until one answers.
 func (t *Table) ask(ctx context.Context, call func(Source) (roster.Page, error)) (roster.Page, error) {
-	var last error
+	last := errNoSource
 	for _, source := range t.sources() {
 		page, err := call(source)
 		if ctx.Err() != nil {
@@ -176,22 +183,38 @@
 	return reply.Page, nil
 }
 
+// readPeer takes all rows of a node; until the time it is asked again if it does not read the store yet.
+func (t *Table) readPeer(ctx context.Context, p Peer, patient time.Time) (roster.Page, error) {
+	for {
+		page, err := t.watchPeer(ctx, p, 0, 0)
+		page.Whole = true
+		if !errors.Is(err, ErrNotReading) || t.config.Clock.Now().After(patient) || !sleep(ctx, startPause) {
+			return page, err
+		}
+	}
+}
+
+// sleep reports whether the time has passed before the context ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	wait := time.NewTimer(d)
+	defer wait.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-wait.C:
+		return true
+	}
+}
+
 // awaitSettled spaces the calls to the store.
 func (t *Table) awaitSettled(ctx context.Context) error {
 	t.mu.Lock()
 	pause := t.settled.Sub(t.config.Clock.Now())
 	t.mu.Unlock()
-	if pause <= 0 {
-		return nil
-	}
-	wait := time.NewTimer(pause)
-	defer wait.Stop()
-	select {
-	case <-ctx.Done():
+	if pause > 0 && !sleep(ctx, pause) {
 		return ctx.Err()
-	case <-wait.C:
-		return nil
 	}
+	return nil
 }
 
 func (t *Table) worked(source Source, page roster.Page) {
@@ -219,7 +242,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.order.Update(FailedMsg{Now: t.config.Clock.Now(), Source: source})
+	t.order.Update(FailedMsg{Now: t.config.Clock.Now(), Source: source, Refused: errors.Is(err, ErrNotReading)})
 	if source == t.source {
 		_ = level.Info(t.config.Logger).Log("msg", "source of the members failed", "source", source.String(), "err", err)
 	}
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -50,8 +50,9 @@
 	membersSettle = time.Second
 	// peerSettle is the pause of a node that takes the rows from another one, which has grouped them.
 	peerSettle = 20 * time.Millisecond
-	// configurationWait bounds the time for which a forgotten call hides a new configuration from a node without traffic.
-	configurationWait = 8 * time.Second
+	// configurationWait is the longest that the store permits: a node whose call was forgotten hears of a newer configuration
+	// from the next request that it shares with another node, or from the one whose records it follows.
+	configurationWait = 30 * time.Second
 	// configurationSettle is short because a configuration must be in force everywhere within two seconds.
 	configurationSettle = 50 * time.Millisecond
 	// retryMargin keeps the repeats at one target below its part of the fleet's allowance, because a target that restarts
