feed: the configuration reaches most nodes by way of two readers; nodes recall targets that left

A call for a configuration that another node has waits 0.3 s for the usual way first.

Restarts: what a target says of its leaving was known to the process of its node only. The record of a node now names the targets that have said goodbye, and a starting node reads its earlier record before it writes its own.

--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -18,6 +18,8 @@
 type goodbyes struct {
 	mu   sync.Mutex
 	refs []model.TargetRef
+	// draining are those that an earlier process of this node knew as draining.
+	draining []model.TargetRef
 }
 
 // ErrOutdated refuses what a target said before something that arrived earlier; there is nothing to correct.
@@ -61,7 +63,7 @@
 	if !a.config.NoSentinels {
 		l.shared.sentinel.start()
 	}
-	if h.Draining && !l.shared.draining.Swap(true) {
+	if (h.Draining || a.goodbyes.drains(l.target.Ref)) && !l.shared.draining.Swap(true) {
 		changed = true
 	}
 	if changed {
@@ -86,6 +88,34 @@
 	}
 }
 
+// Gone returns the latest targets that have said goodbye.
+func (a *Agent) Gone() []model.TargetRef {
+	a.goodbyes.mu.Lock()
+	defer a.goodbyes.mu.Unlock()
+	return slices.Clone(a.goodbyes.refs)
+}
+
+// Recall takes what an earlier process of this node knew of its targets, so that a late heartbeat does not undo it after a
+// restart.
+func (a *Agent) Recall(draining, gone []model.TargetRef) {
+	for _, ref := range gone {
+		if !a.goodbyes.has(ref) {
+			a.goodbyes.add(ref)
+		}
+	}
+	a.goodbyes.mu.Lock()
+	a.goodbyes.draining = slices.Clone(draining)
+	a.goodbyes.mu.Unlock()
+	for _, l := range a.registry.all() {
+		switch ref := l.target.Ref; {
+		case slices.Contains(gone, ref):
+			a.targetGone(l, "it said goodbye before the node was restarted")
+		case slices.Contains(draining, ref) && !l.shared.draining.Swap(true):
+			a.publish()
+		}
+	}
+}
+
 // replacePrevious drops the targets that were here before the announced one; it returns false when a later one is here.
 func (a *Agent) replacePrevious(body announcement) bool {
 	for _, l := range a.registry.all() {
@@ -110,6 +140,12 @@
 	g.refs = append(g.refs, ref)
 }
 
+func (g *goodbyes) drains(ref model.TargetRef) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Contains(g.draining, ref)
+}
+
 func (g *goodbyes) has(ref model.TargetRef) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/agent/heartbeat_test.go
+++ b/internal/agent/heartbeat_test.go
@@ -54,6 +54,32 @@
 	require.NoError(t, a.Announce(heartbeat("i-2", 301, 1, false)))
 }
 
+// Pattern: the node's process is restarted while its target leaves, and a heartbeat that was held up arrives. Guards against
+// a target that has left, or drains, and is in use again.
+func TestLateHeartbeatsAfterARestart(t *testing.T) {
+	before := newHeartbeatAgent(t)
+	require.NoError(t, before.Announce(heartbeat("i-1", 100, 1, false)))
+	before.Withdraw("", "i-1")
+	require.NoError(t, before.Announce(heartbeat("i-2", 200, 5, true)))
+	gone := before.Gone()
+	drains := []model.TargetRef{before.Targets()[0].Ref}
+
+	after := newHeartbeatAgent(t)
+	after.Recall(drains, gone)
+	require.ErrorIs(t, after.Announce(heartbeat("i-1", 100, 2, false)), ErrOutdated, "it has said goodbye")
+	require.NoError(t, after.Announce(heartbeat("i-2", 200, 4, false)))
+	require.Equal(t, model.TargetDraining, after.Targets()[0].State)
+	require.NoError(t, after.Announce(heartbeat("i-2", 201, 1, false)))
+	require.Equal(t, model.TargetServing, after.Targets()[0].State, "a new run of the target counts anew")
+
+	late := newHeartbeatAgent(t)
+	require.NoError(t, late.Announce(heartbeat("i-1", 100, 2, false)))
+	late.Recall(drains, gone)
+	require.Empty(t, refs(late), "the memory arrives after the heartbeat")
+	require.NoError(t, late.Announce(heartbeat("i-2", 200, 4, false)))
+	require.Equal(t, model.TargetDraining, late.Targets()[0].State)
+}
+
 // Guards against an invalid heartbeat that takes a good target along.
 func TestInvalidHeartbeatKeepsTheTarget(t *testing.T) {
 	a := newHeartbeatAgent(t)
--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -174,6 +174,15 @@
 	}()
 }
 
+// restart ends the process of the node and starts it again; its target runs on.
+func (n *testNode) restart(domain string) {
+	n.fleet.t.Helper()
+	n.stop()
+	<-n.done
+	n.start(domain)
+	require.Eventually(n.fleet.t, n.ready, 5*time.Second, 10*time.Millisecond)
+}
+
 func (n *testNode) close() {
 	if n.stop != nil { // It is nil when the node could not be started, which has failed the test.
 		n.stop()
@@ -252,6 +261,14 @@
 	}, 5*time.Second, 10*time.Millisecond)
 }
 
+// withdraw says goodbye to the node.
+func (g *target) withdraw() {
+	g.node.fleet.t.Helper()
+	response, err := http.Post("http://"+g.node.listeners.Local+"/api/instances/"+g.id+"/deregister", "application/json", nil)
+	require.NoError(g.node.fleet.t, err)
+	require.NoError(g.node.fleet.t, response.Body.Close())
+}
+
 // answer is what a caller got.
 type answer struct {
 	id     string
--- a/internal/hosted/looks.go
+++ b/internal/hosted/looks.go
@@ -16,26 +16,25 @@
 
 // looks spaces the calls to the store for a configuration that another node has.
 type looks struct {
-	mu    sync.Mutex
-	next  time.Time
-	pause time.Duration
+	mu     sync.Mutex
+	number uint64
+	next   time.Time
+	pause  time.Duration
 }
 
-// due reports whether a call may be made now.
-func (l *looks) due(now time.Time) bool {
+// due reports whether a call may be made now for the number; the first one waits for the usual way.
+func (l *looks) due(now time.Time, number uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now.Before(l.next) {
+	switch {
+	case number > l.number:
+		l.number, l.pause = number, lookPause
+		l.next = now.Add(l.pause)
+		return false
+	case now.Before(l.next):
 		return false
 	}
-	l.pause = min(max(lookPause, 2*l.pause), lookPauseMost)
+	l.pause = min(2*l.pause, lookPauseMost)
 	l.next = now.Add(l.pause)
 	return true
 }
-
-// succeeded notes that a newer configuration has come.
-func (l *looks) succeeded() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.pause = 0
-}
--- a/internal/hosted/looks_test.go
+++ b/internal/hosted/looks_test.go
@@ -15,16 +15,16 @@
 	begin := time.Unix(1000, 0)
 	calls := 0
 	for at := time.Duration(0); at < outage; at += step {
-		if l.due(begin.Add(at)) {
+		if l.due(begin.Add(at), 7) {
 			calls++
 		}
 	}
 	require.LessOrEqual(t, calls, 6, "of 30 calls at a fixed pause")
 	require.GreaterOrEqual(t, calls, 4)
-	require.True(t, l.due(begin.Add(outage+lookPauseMost)))
-	l.succeeded()
+	require.True(t, l.due(begin.Add(outage+lookPauseMost), 7))
 	now := begin.Add(time.Minute)
-	require.True(t, l.due(now))
-	require.False(t, l.due(now.Add(lookPause-step)))
-	require.True(t, l.due(now.Add(lookPause)), "the next change starts with the short pause")
+	require.False(t, l.due(now, 8), "the usual way takes less than the pause")
+	require.False(t, l.due(now.Add(lookPause-step), 8))
+	require.True(t, l.due(now.Add(lookPause), 8), "the next change starts with the short pause")
+	require.False(t, l.due(now.Add(lookPause), 7), "a number that is older than one heard of starts nothing anew")
 }
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -50,9 +50,6 @@
 	membersSettle = time.Second
 	// peerSettle is the pause of a node that takes the rows from another one, which has grouped them.
 	peerSettle = 20 * time.Millisecond
-	// configurationWait is the longest that the store permits: a node whose call was forgotten hears of a newer configuration
-	// from the next request that it shares with another node, or from the one whose records it follows.
-	configurationWait = 30 * time.Second
 	// configurationSettle is short because a configuration must be in force everywhere within two seconds.
 	configurationSettle = 50 * time.Millisecond
 	// retryMargin keeps the repeats at one target below its part of the fleet's allowance, because a target that restarts
@@ -70,6 +67,7 @@
 	agent     *agent.Agent
 	picker    *picker.Picker
 	nodes     *feed.Table
+	operator  *feed.Table
 	feed      *feed.Server
 	publisher *roster.Publisher
 	watchers  []*roster.Watcher
@@ -80,8 +78,11 @@
 	// closed tells that callers' requests are refused, because they could not be finished.
 	closed atomic.Bool
 
-	mu         sync.Mutex
-	record     roster.Record
+	mu     sync.Mutex
+	record roster.Record
+	// recalled tells that the row of an earlier process of this node has been read, or that there is none. The record is not
+	// published before.
+	recalled   bool
 	admissions []*admission
 }
 
@@ -112,10 +113,15 @@
 		self: n.config.Self, clock: n.config.Clock, logger: n.config.Failures, decode: n.config.Decode, picker: n.picker,
 		builder: view.NewBuilder(n.config.Self), members: roster.NewMembers(),
 	}
-	n.nodes = feed.NewTable(feed.Config{
-		Store: n.config.Nodes, Self: n.config.Self.Ref.ID, Domain: n.config.Self.Domain, Settle: membersSettle,
-		Configurations: n.beliefs, Clock: n.config.Clock, Dial: n.config.Dial, Logger: n.config.Failures,
-	})
+	base := feed.Config{
+		Self: n.config.Self.Ref.ID, Configurations: n.beliefs, Clock: n.config.Clock, Dial: n.config.Dial, Logger: n.config.Failures,
+	}
+	nodes, operator := base, base
+	nodes.Name, nodes.Store, nodes.Domain, nodes.Settle = "nodes", n.config.Nodes, n.config.Self.Domain, membersSettle
+	n.nodes = feed.NewTable(nodes)
+	operator.Name, operator.Store, operator.Nodes, operator.Settle = "configuration", n.config.Configurations, n.nodes, configurationSettle
+	operator.Urgent = true
+	n.operator = feed.NewTable(operator)
 	n.journal = &journal{ordinary: n.config.Logger, failures: n.config.Failures, beliefs: n.beliefs, meters: n.meters}
 	return nil
 }
@@ -173,17 +179,43 @@
 func (n *Node) targetsChanged(targets []model.Target) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.record.Targets = targets
+	n.record.Targets, n.record.Gone = targets, n.agent.Gone()
 	n.publish()
 }
 
 // publish hands the record to the publisher; it is called under the lock.
 func (n *Node) publish() {
-	if n.publisher != nil {
+	if n.publisher != nil && n.recalled {
 		n.publisher.Publish(n.record.Encode())
 	}
 }
 
+// recall takes over what an earlier process of this node has published of its targets, once all rows are known.
+func (n *Node) recall(p roster.Page) {
+	n.mu.Lock()
+	recalled := n.recalled
+	n.mu.Unlock()
+	if recalled || !p.Whole {
+		return
+	}
+	for _, row := range p.Rows {
+		if row.Key != n.config.Self.Ref.ID || row.Deleted {
+			continue
+		}
+		if earlier, err := roster.DecodeRecord(row); err == nil { // The beliefs log rows that are no records.
+			n.agent.Recall(earlier.Draining(), earlier.Gone)
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.recalled = true
+	n.record.Gone = n.agent.Gone()
+	// A node without a target has nothing to say; its first record follows the first heartbeat.
+	if len(n.record.Targets) > 0 || n.record.Leaving {
+		n.publish()
+	}
+}
+
 // Announce takes a heartbeat of the target on this VM.
 func (n *Node) Announce(h agent.Announcement) error {
 	if n.stopping.Load() && !h.Draining {
@@ -236,21 +268,25 @@
 func (n *Node) watch() {
 	n.watchers = append(n.watchers,
 		roster.NewWatcher(roster.WatcherConfig{
-			Table: n.config.Configurations, Name: "configuration", OnRows: n.beliefs.takeConfiguration,
-			Settle: configurationSettle, Wait: configurationWait, Logger: n.config.Failures,
+			Table: n.operator, Name: "configuration", OnRows: n.beliefs.takeConfiguration, Settle: peerSettle, Logger: n.config.Failures,
 		}),
 		roster.NewWatcher(roster.WatcherConfig{
 			Table: n.nodes, Name: "nodes", OnRows: n.membersChanged, Settle: peerSettle, Logger: n.config.Failures,
 		}))
-	look := n.watchers[0].LookAgain
+	configuration := n.watchers[0]
+	look := func() {
+		n.operator.AskStore()
+		configuration.LookAgain()
+	}
 	n.beliefs.lookAgain.Store(&look)
 }
 
 func (n *Node) membersChanged(p roster.Page) {
-	n.beliefs.takeMembers(p)
 	for _, row := range p.Rows {
 		n.publisher.See(row)
 	}
+	n.recall(p)
+	n.beliefs.takeMembers(p)
 }
 
 // checkStalls looks for requests that stay unanswered.
--- a/internal/hosted/node_test.go
+++ b/internal/hosted/node_test.go
@@ -168,6 +168,44 @@
 	}
 }
 
+// Pattern: a target drains or says goodbye, the process of its node is restarted, and a heartbeat that was held up arrives.
+// Guards against a target that has left and is in use again.
+func TestRestartDoesNotReviveLeavingTargets(t *testing.T) {
+	f, caller := withCaller(t, 2)
+	leaving := f.nodes[0]
+	late := func() {
+		leaving.target.mu.Lock()
+		leaving.target.sequence = 0 // The next heartbeat is older than all before.
+		leaving.target.mu.Unlock()
+		leaving.target.heartbeat("ready")
+	}
+	for _, leave := range []func(){
+		func() { leaving.target.heartbeat("draining") },
+		leaving.target.withdraw,
+	} {
+		leave()
+		leaving.restart("a")
+		before := leaving.target.total()
+		late()
+		for range 20 {
+			a := caller.call(http.MethodPost, "kassa", "/order/1")
+			require.Equal(t, http.StatusOK, a.status, f.story(a.id))
+			time.Sleep(20 * time.Millisecond)
+		}
+		late()
+		a := leaving.call(http.MethodPost, "kassa", "/order/1")
+		require.Equal(t, http.StatusOK, a.status, f.story(a.id))
+		require.Equal(t, before, leaving.target.total(), "a target that has left got a request")
+	}
+	leaving.target.mu.Lock()
+	leaving.target.born++
+	leaving.target.mu.Unlock()
+	leaving.target.heartbeat("ready")
+	require.Eventually(t, func() bool {
+		return leaving.target.ran(leaving.call(http.MethodPost, "kassa", "/order/1").id) == 1
+	}, 5*time.Second, 20*time.Millisecond, "its next run is served")
+}
+
 // Guards against a leaving target that gets new work, and against a leave that is not acknowledged while the store is away.
 func TestDrainingTargetGetsNothingNew(t *testing.T) {
 	f := newFleet(t)
--- a/internal/hosted/run.go
+++ b/internal/hosted/run.go
@@ -48,10 +48,6 @@
 	n.publisher = roster.NewPublisher(roster.PublisherConfig{
 		Table: n.nodes, Part: n.config.Self.Domain, Key: n.config.Self.Ref.ID, Logger: n.config.Failures,
 	})
-	// A node without a target has nothing to say; its first record follows the first heartbeat.
-	if len(n.record.Targets) > 0 {
-		n.publish()
-	}
 }
 
 // leave carries out the graceful shutdown.
@@ -83,6 +79,7 @@
 	n.agent.SetLeaving(true)
 	n.edge.SetLeaving(true)
 	n.nodes.StopServing()
+	n.operator.StopServing()
 	n.mu.Lock()
 	n.record.Leaving = true
 	n.publish()
@@ -112,6 +109,7 @@
 	}
 	n.publisher.Close()
 	n.nodes.Close()
+	n.operator.Close()
 	_ = n.edge.Close()  // It only closes idle connections.
 	_ = n.agent.Close() // It only closes idle connections.
 	n.group.Wait()
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -84,7 +84,6 @@
 	}
 	before := b.number.Swap(desired.Configuration.Number)
 	invar.Check(before < desired.Configuration.Number, "hosted", "configuration went from %d to %d", before, desired.Configuration.Number)
-	b.looks.succeeded()
 	b.desired, b.configuredAt = desired, b.clock.Now()
 	b.limits.Store(&desired.Limits)
 	b.publish()
@@ -115,7 +114,7 @@
 	if number <= b.number.Load() {
 		return
 	}
-	if !b.looks.due(b.clock.Now()) {
+	if !b.looks.due(b.clock.Now(), number) {
 		return
 	}
 	_ = level.Info(b.logger).Log("msg", "another node has a newer configuration", "number", b.number.Load(), "heard", number)
--- a/internal/roster/record.go
+++ b/internal/roster/record.go
@@ -15,6 +15,8 @@
 	// Leaving tells that the node shuts down and takes no more requests for its targets.
 	Leaving bool                `cbor:"3,keyasint,omitempty"`
 	Poison  []model.PoisonEntry `cbor:"4,keyasint,omitempty"`
+	// Gone are the latest targets of the node that have said goodbye; its next process reads them.
+	Gone []model.TargetRef `cbor:"5,keyasint,omitempty"`
 }
 
 // Encode returns the value of the node's row.
@@ -38,6 +40,17 @@
 	return &r, nil
 }
 
+// Draining returns the targets that accept nothing new.
+func (r *Record) Draining() []model.TargetRef {
+	var refs []model.TargetRef
+	for i := range r.Targets {
+		if r.Targets[i].State == model.TargetDraining {
+			refs = append(refs, r.Targets[i].Ref)
+		}
+	}
+	return refs
+}
+
 // Part returns what the node contributes to the view; targets of leaving nodes are no candidates.
 func (r *Record) Part() view.Part {
 	part := view.Part{Node: r.Node, Poison: r.Poison}
