--- a/Makefile
+++ b/Makefile
@@ -53,7 +53,7 @@
 CAPACITY := $(BIN)/capacity
 MEASURE := go test -v -count=1 -timeout 1800s
 
-capacity: build ## measure and work out the tables of docs/CAPACITY.md (some ten minutes)
+capacity: build ## measure the fleet of gossip, tickets and keys and work out its tables (some ten minutes)
 	mkdir -p $(CAPACITY)
 	for n in 10 100 670; do AUBURNWINCH_CAPACITY_NODES=$$n $(MEASURE) -run '^TestCapacity$$' ./internal/member || exit 1; done > $(CAPACITY)/member.txt
 	AUBURNWINCH_CAPACITY_NODES=670 $(MEASURE) -run '^TestBadDays$$' ./internal/member > $(CAPACITY)/baddays.txt
--- a/cmd/bench/capacity.go
+++ b/cmd/bench/capacity.go
@@ -11,7 +11,7 @@
 	Measurements string `help:"Directory with the output of the measuring tests, as make capacity writes it."`
 }
 
-// Run measures the slopes of this machine and prints the tables of docs/CAPACITY.md.
+// Run measures the slopes of this machine and prints the tables of the fleet of gossip, tickets and keys.
 func (c *capacityCmd) Run() error {
 	printMachine()
 	figures, err := measureScale()
--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +13,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -54,9 +57,11 @@
 	born   int64
 	server *httptest.Server
 
-	mu       sync.Mutex
-	behave   func(w http.ResponseWriter, r *http.Request) bool
-	runs     map[string]int
+	mu     sync.Mutex
+	behave func(w http.ResponseWriter, r *http.Request) bool
+	runs   map[string]int
+	// received are the checksums of the bodies that arrived whole, by the id of the request.
+	received map[string][sha256.Size]byte
 	sequence int
 }
 
@@ -114,7 +119,7 @@
 func (f *fleet) configure(number int, services ...string) {
 	var resources []string
 	for _, s := range services {
-		for kind, prefix := range map[string]string{"idempotent": "read", "non_idempotent": "order"} {
+		for kind, prefix := range map[string]string{"idempotent": "read", "non_idempotent": "order", "upload": "upload"} {
 			resources = append(resources, fmt.Sprintf(`{"resourceType":"routes","metadata":{"name":"%s-%s"},"spec":{"host":"%s.example",`+
 				`"prefix":"/%s/","kind":"%s","timeoutMs":3000,"targetLatencyMs":1000,"priority":1,"service":"%s","maxAttempts":2}}`,
 				s, prefix, s, prefix, kind, s))
@@ -141,18 +146,30 @@
 func (f *fleet) add(service, domain string) *testNode {
 	f.t.Helper()
 	n := &testNode{fleet: f, id: fmt.Sprintf("node-%d", len(f.nodes)), service: service, log: &lines{}}
-	n.listeners = hosted.Listeners{
-		Callers: freeAddress(f.t), Relay: freeAddress(f.t), Local: freeAddress(f.t), Ready: freeAddress(f.t), Metrics: freeAddress(f.t),
-		Peer: freeAddress(f.t),
-	}
 	n.target = newTarget(n, "i-"+n.id)
 	f.nodes = append(f.nodes, n)
-	n.start(domain)
+	// Another process may take a free address before the node opens it.
+	err := error(syscall.EADDRINUSE)
+	for range 5 {
+		if errors.Is(err, syscall.EADDRINUSE) {
+			n.listeners = freeListeners(f.t)
+			err = n.start(domain)
+		}
+	}
+	require.NoError(f.t, err)
 	n.target.heartbeat("ready")
 	return n
 }
 
-func (n *testNode) start(domain string) {
+func freeListeners(t *testing.T) hosted.Listeners {
+	t.Helper()
+	return hosted.Listeners{
+		Callers: freeAddress(t), Relay: freeAddress(t), Local: freeAddress(t), Ready: freeAddress(t), Metrics: freeAddress(t),
+		Peer: freeAddress(t),
+	}
+}
+
+func (n *testNode) start(domain string) error {
 	store := platform.NewStore(platform.StoreConfig{Address: n.fleet.address, Dial: hosted.Dialer().DialContext})
 	node, err := hosted.New(hosted.Config{
 		Self: model.Node{
@@ -165,13 +182,16 @@
 		Grace: 6 * time.Second, Retries: hosted.Retries{Ratio: 0.2, Extra: 1000, Window: 10 * time.Second}, // New agents may use little of it.
 		Logger: log.With(log.NewJSONLogger(n.log), "node", n.id),
 	})
-	require.NoError(n.fleet.t, err)
+	if err != nil {
+		return err
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	n.node, n.stop, n.done = node, stop, make(chan struct{})
 	go func() {
 		defer close(n.done)
 		_ = node.Run(ctx)
 	}()
+	return nil
 }
 
 // restart ends the process of the node and starts it again; its target runs on.
@@ -179,7 +199,7 @@
 	n.fleet.t.Helper()
 	n.stop()
 	<-n.done
-	n.start(domain)
+	require.NoError(n.fleet.t, n.start(domain))
 	require.Eventually(n.fleet.t, n.ready, 5*time.Second, 10*time.Millisecond)
 }
 
@@ -193,7 +213,7 @@
 }
 
 func newTarget(n *testNode, id string) *target {
-	g := &target{node: n, id: id, born: time.Now().UnixMilli(), runs: make(map[string]int)}
+	g := &target{node: n, id: id, born: time.Now().UnixMilli(), runs: make(map[string]int), received: make(map[string][sha256.Size]byte)}
 	g.server = httptest.NewServer(g)
 	return g
 }
@@ -209,7 +229,12 @@
 	behave := g.behave
 	g.runs[id]++
 	g.mu.Unlock()
-	body, _ := io.ReadAll(r.Body)
+	body, err := io.ReadAll(r.Body)
+	if err == nil {
+		g.mu.Lock()
+		g.received[id] = sha256.Sum256(body)
+		g.mu.Unlock()
+	}
 	w.Header().Set("Auburnwinch-Request-Id", id)
 	if behave != nil && behave(w, r) {
 		return
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -113,17 +113,24 @@
 		self: n.config.Self, clock: n.config.Clock, logger: n.config.Failures, decode: n.config.Decode, picker: n.picker,
 		builder: view.NewBuilder(n.config.Self), members: roster.NewMembers(),
 	}
-	base := feed.Config{
+	n.buildTables()
+	n.journal = &journal{ordinary: n.config.Logger, failures: n.config.Failures, beliefs: n.beliefs, meters: n.meters}
+	return nil
+}
+
+// buildTables makes the tables that are read by way of the failure domain.
+func (n *Node) buildTables() {
+	common := feed.Config{
 		Self: n.config.Self.Ref.ID, Configurations: n.beliefs, Clock: n.config.Clock, Dial: n.config.Dial, Logger: n.config.Failures,
 	}
-	nodes, operator := base, base
-	nodes.Name, nodes.Store, nodes.Domain, nodes.Settle = "nodes", n.config.Nodes, n.config.Self.Domain, membersSettle
+	nodes := common
+	nodes.Name, nodes.Store, nodes.Settle = "nodes", n.config.Nodes, membersSettle
+	nodes.Domain = n.config.Self.Domain
 	n.nodes = feed.NewTable(nodes)
-	operator.Name, operator.Store, operator.Nodes, operator.Settle = "configuration", n.config.Configurations, n.nodes, configurationSettle
-	operator.Urgent = true
+	operator := common
+	operator.Name, operator.Store, operator.Settle = "configuration", n.config.Configurations, configurationSettle
+	operator.Nodes, operator.Urgent = n.nodes, true
 	n.operator = feed.NewTable(operator)
-	n.journal = &journal{ordinary: n.config.Logger, failures: n.config.Failures, beliefs: n.beliefs, meters: n.meters}
-	return nil
 }
 
 func (n *Node) buildAgent() (err error) {
