hosted: a starting node recalls its targets from its first call

Cause: a node published nothing before it had read all rows, so that after a loss of power of all nodes the targets came back up to a second later.

Now the part of its own failure domain, the first thing that a node reads, is enough. Ruled out: the wait of followers for their readers, which was there before.

--- a/internal/feed/table.go
+++ b/internal/feed/table.go
@@ -63,6 +63,8 @@
 	// Domain is the part of this table that holds the nodes of the failure domain; or Nodes is the table that does.
 	Domain string
 	Nodes  *Table
+	// OnOwnPart is called with the rows of the failure domain that a starting node reads first, straight from the store.
+	OnOwnPart func(rows []roster.Row)
 	// Urgent takes turns with the readers and goes to the store at the first failure, so that no single node hides a change
 	// for long.
 	Urgent bool
@@ -322,6 +324,9 @@
 		_ = level.Info(t.config.Logger).Log("msg", "nodes of the failure domain unknown, reading all rows", "err", err)
 		return
 	}
+	if t.config.OnOwnPart != nil {
+		t.config.OnOwnPart(page.Rows)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.order.Update(PeersMsg{Peers: peersOf(page.Rows)})
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -125,7 +125,7 @@
 	}
 	nodes := common
 	nodes.Name, nodes.Store, nodes.Settle = "nodes", n.config.Nodes, membersSettle
-	nodes.Domain = n.config.Self.Domain
+	nodes.Domain, nodes.OnOwnPart = n.config.Self.Domain, n.recall
 	n.nodes = feed.NewTable(nodes)
 	operator := common
 	operator.Name, operator.Store, operator.Settle = "configuration", n.config.Configurations, configurationSettle
@@ -197,18 +197,19 @@
 	}
 }
 
-// recall takes over what an earlier process of this node has published of its targets, once all rows are known.
-func (n *Node) recall(p roster.Page) {
+// recall takes over what an earlier process of this node has published of its targets; rows hold all of its failure domain.
+func (n *Node) recall(rows []roster.Row) {
 	n.mu.Lock()
 	recalled := n.recalled
 	n.mu.Unlock()
-	if recalled || !p.Whole {
+	if recalled {
 		return
 	}
-	for _, row := range p.Rows {
+	for _, row := range rows {
 		if row.Key != n.config.Self.Ref.ID || row.Deleted {
 			continue
 		}
+		n.publisher.See(row)
 		if earlier, err := roster.DecodeRecord(row); err == nil { // The beliefs log rows that are no records.
 			n.agent.Recall(earlier.Draining(), earlier.Gone)
 		}
@@ -292,7 +293,9 @@
 	for _, row := range p.Rows {
 		n.publisher.See(row)
 	}
-	n.recall(p)
+	if p.Whole {
+		n.recall(p.Rows)
+	}
 	n.beliefs.takeMembers(p)
 }
 
