--- a/internal/feed/order.go
+++ b/internal/feed/order.go
@@ -89,11 +89,6 @@
 	}
 }
 
-// Peers returns the known nodes of the failure domain by their ranks, this node among them.
-func (o *Order) Peers() []Peer {
-	return slices.Clone(o.ranked)
-}
-
 // Sources returns where to ask for rows, the preferred source first. It is empty while all that may be asked have just
 // failed.
 func (o *Order) Sources(now time.Time) []Source {
--- a/internal/feed/rpc.go
+++ b/internal/feed/rpc.go
@@ -27,7 +27,6 @@
 
 // WatchArgs ask for the rows that changed after a version; net/rpc requires exported types.
 type WatchArgs struct {
-	Table string
 	After uint64
 	Wait  time.Duration
 	// Number is that of the configuration in force at the caller.
@@ -41,14 +40,14 @@
 	Number uint64
 }
 
-// Feed serves the rows of tables to followers over net/rpc.
+// Feed serves the rows to followers over net/rpc.
 type Feed struct {
-	tables map[string]*Table
+	table *Table
 }
 
 // Server accepts followers until it is closed.
 type Server struct {
-	tables   []*Table
+	table    *Table
 	listener net.Listener
 	group    conc.WaitGroup
 
@@ -66,33 +65,26 @@
 
 // Watch returns the rows that changed after the version, or none when none did within the wait.
 func (f *Feed) Watch(args WatchArgs, reply *WatchReply) error {
-	t := f.tables[args.Table]
-	if t == nil {
-		return ErrNotReading
-	}
-	t.hear(args.Number)
-	page, err := t.hub.wait(context.Background(), args.After, min(args.Wait, longestWait))
+	f.table.hear(args.Number)
+	page, err := f.table.hub.wait(context.Background(), args.After, min(args.Wait, longestWait))
 	if err != nil {
 		return err
 	}
-	reply.Page, reply.Number = page, t.number()
+	reply.Page, reply.Number = page, f.table.number()
 	return nil
 }
 
-// NewServer opens the address and serves the tables to followers.
-func NewServer(address string, tables ...*Table) (*Server, error) {
-	service, feed := rpc.NewServer(), &Feed{tables: make(map[string]*Table)}
-	for _, t := range tables {
-		feed.tables[t.config.Name] = t
-	}
-	if err := service.RegisterName(serviceName, feed); err != nil {
+// NewServer opens the address and serves the table to followers.
+func NewServer(address string, t *Table) (*Server, error) {
+	service := rpc.NewServer()
+	if err := service.RegisterName(serviceName, &Feed{table: t}); err != nil {
 		return nil, eris.Wrap(err, "register the feed")
 	}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "open the listener peer on %s; choose an address of this VM that is free", address)
 	}
-	s := &Server{tables: tables, listener: listener, conns: make(map[net.Conn]struct{})}
+	s := &Server{table: t, listener: listener, conns: make(map[net.Conn]struct{})}
 	s.group.Go(func() {
 		for {
 			conn, err := listener.Accept()
@@ -117,9 +109,7 @@
 
 // Close ends all calls and connections.
 func (s *Server) Close() {
-	for _, t := range s.tables {
-		t.StopServing()
-	}
+	s.table.StopServing()
 	s.mu.Lock()
 	s.closed = true
 	_ = s.listener.Close() // Followers notice by their connections.
--- a/internal/feed/table.go
+++ b/internal/feed/table.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,10 +18,8 @@
 )
 
 const (
-	// peerWait is how long one call to a node waits for changes, and urgentWait that for a table whose changes must be known
-	// within two seconds. With answerSlack they bound the time for which a frozen node hides a change.
-	peerWait   = 2 * time.Second
-	urgentWait = 700 * time.Millisecond
+	// peerWait is how long one call to a node waits for changes. It bounds the time for which a frozen node hides them.
+	peerWait = 2 * time.Second
 	// storeWait is how long one call to the store waits for changes. It bounds the time for which a call that the store has
 	// forgotten hides them from a whole failure domain.
 	storeWait = 5 * time.Second
@@ -53,21 +50,14 @@
 
 type dialFunc = relay.DialFunc
 
-// Config constructs a table; Name, Store and Self are required.
+// Config constructs a table; Store, Self and Domain are required.
 type Config struct {
-	// Name tells the tables of a node apart.
-	Name  string
 	Store Store
-	// Self is the key of this node's row in the table of the nodes.
-	Self string
-	// Domain is the part of this table that holds the nodes of the failure domain; or Nodes is the table that does.
+	// Self is the key of this node's row, and Domain the part that holds it.
+	Self   string
 	Domain string
-	Nodes  *Table
 	// OnOwnPart is called with the rows of the failure domain that a starting node reads first, straight from the store.
 	OnOwnPart func(rows []roster.Row)
-	// Urgent takes turns with the readers and goes to the store at the first failure, so that no single node hides a change
-	// for long.
-	Urgent bool
 	// Settle is the time between two calls to the store when the first one brought changes; default 1 s.
 	Settle         time.Duration
 	Configurations Configurations
@@ -92,9 +82,6 @@
 	settled time.Time
 	// source is where the last rows came from.
 	source Source
-	// turn counts the calls of an urgent table to its readers; direct tells that the next call goes to the store.
-	turn   int
-	direct bool
 }
 
 // NewTable returns a table that knows no other node yet.
@@ -116,7 +103,7 @@
 
 // Read returns all rows, from another node if one is known or found in the part of the failure domain.
 func (t *Table) Read(ctx context.Context) (roster.Page, error) {
-	if t.config.Nodes == nil && len(t.Peers()) == 0 {
+	if !t.knowsPeers() {
 		t.findPeers(ctx)
 	}
 	patient := t.config.Clock.Now().Add(startWait)
@@ -133,7 +120,7 @@
 func (t *Table) Watch(ctx context.Context, after uint64, wait time.Duration) (roster.Page, error) {
 	return t.ask(ctx, func(s Source) (roster.Page, error) {
 		if !s.Store {
-			return t.watchPeer(ctx, s.Peer, after, min(wait, t.peerWait()))
+			return t.watchPeer(ctx, s.Peer, after, min(wait, peerWait))
 		}
 		if err := t.awaitSettled(ctx); err != nil {
 			return roster.Page{}, err
@@ -155,20 +142,6 @@
 // PeerCalls returns the calls to other nodes so far.
 func (t *Table) PeerCalls() int64 { return t.peerCalls.Load() }
 
-// Peers returns the nodes of the failure domain that may pass rows on.
-func (t *Table) Peers() []Peer {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.order.Peers()
-}
-
-// AskStore makes the next call go to the store, because another node knows of a change that did not arrive.
-func (t *Table) AskStore() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.direct = true
-}
-
 // StopServing refuses followers from now on, because the node leaves.
 func (t *Table) StopServing() { t.hub.close() }
 
@@ -195,53 +168,16 @@
 }
 
 func (t *Table) sources() []Source {
-	var peers []Peer
-	if t.config.Nodes != nil {
-		peers = t.config.Nodes.Peers()
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.direct {
-		t.direct = false
-		return []Source{{Store: true}}
-	}
-	if t.config.Nodes != nil {
-		t.order.Update(PeersMsg{Peers: peers})
-	}
-	sources := t.order.Sources(t.config.Clock.Now())
-	if !t.config.Urgent {
-		return sources
-	}
-	t.turn++
-	return inTurn(sources, t.turn)
-}
-
-// inTurn keeps one of the peers that come before the store.
-func inTurn(sources []Source, turn int) []Source {
-	peers := slices.IndexFunc(sources, func(s Source) bool { return s.Store })
-	if peers < 0 {
-		peers = len(sources)
-	}
-	if peers < 2 {
-		return sources
-	}
-	return append([]Source{sources[turn%peers]}, sources[peers:]...)
-}
-
-func (t *Table) peerWait() time.Duration {
-	if t.config.Urgent {
-		return urgentWait
-	}
-	return peerWait
+	return t.order.Sources(t.config.Clock.Now())
 }
 
 func (t *Table) watchPeer(ctx context.Context, p Peer, after uint64, wait time.Duration) (roster.Page, error) {
 	// While this node follows another one, nobody should follow it.
 	t.hub.stopReading()
 	t.peerCalls.Add(1)
-	reply, err := t.client.watch(ctx, t.config.Dial, p.Address, WatchArgs{
-		Table: t.config.Name, After: after, Wait: wait, Number: t.number(),
-	})
+	reply, err := t.client.watch(ctx, t.config.Dial, p.Address, WatchArgs{After: after, Wait: wait, Number: t.number()})
 	if err != nil {
 		return roster.Page{}, err
 	}
@@ -289,19 +225,16 @@
 	defer t.mu.Unlock()
 	t.order.Update(WorkedMsg{Source: source})
 	if len(page.Rows) > 0 {
-		if t.config.Nodes == nil {
-			t.order.Update(PeersMsg{Peers: peersOf(t.hub.domainRows(t.config.Domain))})
-		}
+		t.order.Update(PeersMsg{Peers: peersOf(t.hub.domainRows(t.config.Domain))})
 		if source.Store {
 			t.settled = t.config.Clock.Now().Add(t.config.Settle)
 		}
 	}
-	// The readers of an urgent table change with each call.
-	if changed := source != t.source; changed && (!t.config.Urgent || source.Store != t.source.Store) {
-		_ = level.Info(t.config.Logger).Log("msg", "source of rows changed", "table", t.config.Name, "from", t.source.String(), "to", source.String(),
+	if source != t.source {
+		_ = level.Info(t.config.Logger).Log("msg", "source of the members changed", "from", t.source.String(), "to", source.String(),
 			"version", page.Version, "peers", len(t.order.ranked))
+		t.source = source
 	}
-	t.source = source
 }
 
 func (t *Table) failed(source Source, err error) {
@@ -312,10 +245,16 @@
 	defer t.mu.Unlock()
 	t.order.Update(FailedMsg{Now: t.config.Clock.Now(), Source: source, Refused: errors.Is(err, ErrNotReading)})
 	if source == t.source {
-		_ = level.Info(t.config.Logger).Log("msg", "source of rows failed", "table", t.config.Name, "source", source.String(), "err", err)
+		_ = level.Info(t.config.Logger).Log("msg", "source of the members failed", "source", source.String(), "err", err)
 	}
 }
 
+func (t *Table) knowsPeers() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.order.ranked) > 0
+}
+
 // findPeers reads the part of the failure domain, which is one call where a whole read needs one for each domain.
 func (t *Table) findPeers(ctx context.Context) {
 	t.storeCalls.Add(1)
--- a/internal/feed/table_test.go
+++ b/internal/feed/table_test.go
@@ -37,21 +37,15 @@
 	server  *feed.Server
 	watcher *roster.Watcher
 	cut     atomic.Bool
-	// operator is the urgent table of the node, and silent lets its calls to the store wait for nothing.
-	operator *feed.Table
-	commands *roster.Watcher
-	silent   atomic.Bool
 
 	mu     sync.Mutex
 	values map[string]string
-	config string
 }
 
-// cutStore passes calls on to the store unless the node is cut off from it, or its calls get no answer.
+// cutStore passes calls on to the store unless the node is cut off from it.
 type cutStore struct {
 	feed.Store
-	cut    *atomic.Bool
-	silent *atomic.Bool
+	cut *atomic.Bool
 }
 
 func (s cutStore) check() error {
@@ -67,10 +61,6 @@
 		return roster.Page{}, err
 	}
 	page, err := s.Store.Watch(ctx, after, wait)
-	if s.silent.Load() {
-		<-ctx.Done()
-		return roster.Page{}, ctx.Err()
-	}
 	if cut := s.check(); cut != nil {
 		return roster.Page{}, cut
 	}
@@ -115,14 +105,9 @@
 	n := &node{id: id, domain: "a", values: make(map[string]string)}
 	store := platform.NewStore(platform.StoreConfig{Address: f.address})
 	n.table = feed.NewTable(feed.Config{
-		Name: "nodes", Store: cutStore{Store: store.Table("nodes"), cut: &n.cut, silent: new(atomic.Bool)}, Self: id, Domain: n.domain,
-		Settle: 10 * time.Millisecond,
-	})
-	n.operator = feed.NewTable(feed.Config{
-		Name: "operator", Store: cutStore{Store: store.Undivided("op"), cut: &n.cut, silent: &n.silent}, Self: id, Nodes: n.table,
-		Settle: 10 * time.Millisecond, Urgent: true,
+		Store: cutStore{Store: store.Table("nodes"), cut: &n.cut}, Self: id, Domain: n.domain, Settle: 10 * time.Millisecond,
 	})
-	server, err := feed.NewServer("127.0.0.1:0", n.table, n.operator)
+	server, err := feed.NewServer("127.0.0.1:0", n.table)
 	require.NoError(f.t, err)
 	n.server = server
 	record := roster.Record{Node: model.Node{
@@ -130,7 +115,6 @@
 	}}
 	f.store.Put("nodes", n.domain, id, record.Encode())
 	n.watcher = roster.NewWatcher(roster.WatcherConfig{Table: n.table, OnRows: n.take, Settle: time.Millisecond})
-	n.commands = roster.NewWatcher(roster.WatcherConfig{Table: n.operator, OnRows: n.takeConfig, Settle: time.Millisecond})
 	f.nodes = append(f.nodes, n)
 	return n
 }
@@ -148,21 +132,9 @@
 	}
 }
 
-func (n *node) takeConfig(p roster.Page) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, row := range p.Rows {
-		n.config = string(row.Value)
-	}
-}
-
-// value returns that of a row of the nodes' table, or of the configuration.
 func (n *node) value(key string) string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if key == "config" {
-		return n.config
-	}
 	return n.values[key]
 }
 
@@ -171,10 +143,8 @@
 		return
 	}
 	n.server.Close()
-	n.commands.Close()
 	n.watcher.Close()
 	n.table.Close()
-	n.operator.Close()
 	n.watcher = nil
 }
 
@@ -297,38 +267,6 @@
 	require.Eventually(t, func() bool { return n.value("row") == "1" }, 3*time.Second, time.Millisecond)
 }
 
-// Pattern: the operator changes the configuration while one of the two readers is cut off and does not know it yet. Guards
-// against followers for which a single node hides a change for longer than a configuration may take.
-func TestUrgentTableOutrunsABlindReader(t *testing.T) {
-	const bound = 2 * time.Second
-	f := newFleet(t, 8)
-	f.store.Put("op", "", "config", []byte("0"))
-	f.know("config", "0", 5*time.Second)
-	readers, _ := f.settle()
-	time.Sleep(time.Second) // The followers of the configuration have taken their turns.
-	before := f.store.Calls("rows-feed")
-	f.store.Put("op", "", "config", []byte("1"))
-	f.know("config", "1", bound)
-	require.LessOrEqual(t, f.store.Calls("rows-feed")-before, 6, "two readers for a change, of eight nodes")
-	for _, blind := range readers {
-		blind.silent.Store(true)
-		value := "without " + blind.id
-		f.store.Put("op", "", "config", []byte(value))
-		require.Eventually(t, func() bool {
-			for _, n := range f.nodes {
-				if n != blind && n.value("config") != value {
-					return false
-				}
-			}
-			return true
-		}, bound, time.Millisecond)
-		blind.silent.Store(false)
-		blind.operator.AskStore()
-		blind.commands.LookAgain()
-		f.know("config", value, bound)
-	}
-}
-
 // Guards against chains of followers, in which a change arrives late or never, and against a refusal without a reason.
 func TestFollowerOfAFollowerIsRefused(t *testing.T) {
 	f := newFleet(t, 6)
@@ -337,7 +275,7 @@
 	require.NoError(t, err)
 	defer func() { _ = client.Close() }()
 	require.Eventually(t, func() bool {
-		err := client.Call("Feed.Watch", feed.WatchArgs{Table: "nodes"}, &feed.WatchReply{})
+		err := client.Call("Feed.Watch", feed.WatchArgs{}, &feed.WatchReply{})
 		return err != nil && err.Error() == feed.ErrNotReading.Error()
 	}, 2*time.Second, 10*time.Millisecond)
 }
--- a/internal/hosted/config.go
+++ b/internal/hosted/config.go
@@ -22,7 +22,7 @@
 	// Nodes is the table in which each node publishes its record, in the part of its failure domain.
 	Nodes feed.Store
 	// Configurations is the table of the operator; Decode returns nil for rows that are no configuration.
-	Configurations feed.Store
+	Configurations roster.Table
 	Decode         func(roster.Row) (*Desired, error)
 	// Callers and Targets are what both sides speak.
 	Callers edge.Protocol
--- a/internal/hosted/listen.go
+++ b/internal/hosted/listen.go
@@ -46,7 +46,7 @@
 		return nil
 	}
 	var err error
-	n.feed, err = feed.NewServer(n.config.Listeners.Peer, n.nodes, n.operator)
+	n.feed, err = feed.NewServer(n.config.Listeners.Peer, n.nodes)
 	return err
 }
 
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -7,7 +7,6 @@
 
 	"github.com/auburnwinch/auburnwinch/internal/agent"
 	"github.com/auburnwinch/auburnwinch/internal/edge"
-	"github.com/auburnwinch/auburnwinch/internal/feed"
 	"github.com/auburnwinch/auburnwinch/internal/invar"
 	"github.com/auburnwinch/auburnwinch/internal/meter"
 	"github.com/auburnwinch/auburnwinch/internal/relay"
@@ -98,10 +97,8 @@
 	} {
 		m.Counter("auburnwinch.edge."+name, "requests of callers: "+name, func() int64 { return int64(value(n.edge.Counters())) })
 	}
-	for name, table := range map[string]*feed.Table{"nodes": n.nodes, "configuration": n.operator} {
-		m.Counter("auburnwinch.store.calls."+name, "calls to the store: "+name, table.StoreCalls)
-		m.Counter("auburnwinch.feed.calls."+name, "calls to other nodes of the failure domain: "+name, table.PeerCalls)
-	}
+	m.Counter("auburnwinch.store.member-calls", "calls to the store for the records of the nodes", n.nodes.StoreCalls)
+	m.Counter("auburnwinch.feed.calls", "calls to other nodes for the records of the nodes", n.nodes.PeerCalls)
 	m.Gauge("auburnwinch.configuration.number", "number of the configuration in force", func() int64 { return int64(n.beliefs.number.Load()) })
 	m.Gauge("auburnwinch.members.age-milliseconds", "time since the members were last heard of", func() int64 {
 		_, members := n.beliefs.ages()
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -50,6 +50,8 @@
 	membersSettle = time.Second
 	// peerSettle is the pause of a node that takes the rows from another one, which has grouped them.
 	peerSettle = 20 * time.Millisecond
+	// configurationWait bounds the time for which a forgotten call hides a new configuration from a node without traffic.
+	configurationWait = 8 * time.Second
 	// configurationSettle is short because a configuration must be in force everywhere within two seconds.
 	configurationSettle = 50 * time.Millisecond
 	// retryMargin keeps the repeats at one target below its part of the fleet's allowance, because a target that restarts
@@ -67,7 +69,6 @@
 	agent     *agent.Agent
 	picker    *picker.Picker
 	nodes     *feed.Table
-	operator  *feed.Table
 	feed      *feed.Server
 	publisher *roster.Publisher
 	watchers  []*roster.Watcher
@@ -113,26 +114,14 @@
 		self: n.config.Self, clock: n.config.Clock, logger: n.config.Failures, decode: n.config.Decode, picker: n.picker,
 		builder: view.NewBuilder(n.config.Self), members: roster.NewMembers(),
 	}
-	n.buildTables()
+	n.nodes = feed.NewTable(feed.Config{
+		Store: n.config.Nodes, Self: n.config.Self.Ref.ID, Domain: n.config.Self.Domain, Settle: membersSettle, OnOwnPart: n.recall,
+		Configurations: n.beliefs, Clock: n.config.Clock, Dial: n.config.Dial, Logger: n.config.Failures,
+	})
 	n.journal = &journal{ordinary: n.config.Logger, failures: n.config.Failures, beliefs: n.beliefs, meters: n.meters}
 	return nil
 }
 
-// buildTables makes the tables that are read by way of the failure domain.
-func (n *Node) buildTables() {
-	common := feed.Config{
-		Self: n.config.Self.Ref.ID, Configurations: n.beliefs, Clock: n.config.Clock, Dial: n.config.Dial, Logger: n.config.Failures,
-	}
-	nodes := common
-	nodes.Name, nodes.Store, nodes.Settle = "nodes", n.config.Nodes, membersSettle
-	nodes.Domain, nodes.OnOwnPart = n.config.Self.Domain, n.recall
-	n.nodes = feed.NewTable(nodes)
-	operator := common
-	operator.Name, operator.Store, operator.Settle = "configuration", n.config.Configurations, configurationSettle
-	operator.Nodes, operator.Urgent = n.nodes, true
-	n.operator = feed.NewTable(operator)
-}
-
 func (n *Node) buildAgent() (err error) {
 	n.agent, err = agent.New(agent.Config{
 		Self: n.config.Self.Ref, NewLimiter: n.newLimiter, OnTargets: n.targetsChanged, Clock: n.config.Clock,
@@ -276,16 +265,13 @@
 func (n *Node) watch() {
 	n.watchers = append(n.watchers,
 		roster.NewWatcher(roster.WatcherConfig{
-			Table: n.operator, Name: "configuration", OnRows: n.beliefs.takeConfiguration, Settle: peerSettle, Logger: n.config.Failures,
+			Table: n.config.Configurations, Name: "configuration", OnRows: n.beliefs.takeConfiguration,
+			Settle: configurationSettle, Wait: configurationWait, Logger: n.config.Failures,
 		}),
 		roster.NewWatcher(roster.WatcherConfig{
 			Table: n.nodes, Name: "nodes", OnRows: n.membersChanged, Settle: peerSettle, Logger: n.config.Failures,
 		}))
-	configuration := n.watchers[0]
-	look := func() {
-		n.operator.AskStore()
-		configuration.LookAgain()
-	}
+	look := n.watchers[0].LookAgain
 	n.beliefs.lookAgain.Store(&look)
 }
 
--- a/internal/hosted/run.go
+++ b/internal/hosted/run.go
@@ -79,7 +79,6 @@
 	n.agent.SetLeaving(true)
 	n.edge.SetLeaving(true)
 	n.nodes.StopServing()
-	n.operator.StopServing()
 	n.mu.Lock()
 	n.record.Leaving = true
 	n.publish()
@@ -109,7 +108,6 @@
 	}
 	n.publisher.Close()
 	n.nodes.Close()
-	n.operator.Close()
 	_ = n.edge.Close()  // It only closes idle connections.
 	_ = n.agent.Close() // It only closes idle connections.
 	n.group.Wait()
--- a/internal/roster/pause.go
+++ b/internal/roster/pause.go
@@ -9,7 +9,7 @@
 	// firstPause and longestPause bound the time between two calls after failures. A node must be back within two seconds
 	// of the store's return, and a refused call costs as much as any other.
 	firstPause   = 150 * time.Millisecond
-	longestPause = 1800 * time.Millisecond
+	longestPause = time.Second
 )
 
 // pauses spaces the calls to a store that fails.
