--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -213,7 +213,7 @@
 }
 
 func newTarget(n *testNode, id string) *target {
-	g := &target{node: n, id: id, born: time.Now().UnixMilli(), runs: make(map[string]int), received: make(map[string][sha256.Size]byte)}
+	g := &target{node: n, id: id, born: time.Now().UnixMilli(), runs: make(map[string]int)}
 	g.server = httptest.NewServer(g)
 	return g
 }
@@ -232,6 +232,9 @@
 	body, err := io.ReadAll(r.Body)
 	if err == nil {
 		g.mu.Lock()
+		if g.received == nil {
+			g.received = make(map[string][sha256.Size]byte)
+		}
 		g.received[id] = sha256.Sum256(body)
 		g.mu.Unlock()
 	}
