--- a/internal/hosted/explain_test.go
+++ b/internal/hosted/explain_test.go
@@ -38,6 +38,8 @@
 	f.nodes[0].fill(caller)
 	a := caller.callAs("no-room", http.MethodPost, "kassa", "/order/1")
 	require.Equal(t, http.StatusServiceUnavailable, a.status)
+	// The edge may answer at its deadline a moment before the agent has written its line.
+	require.Eventually(t, func() bool { return strings.Contains(f.explain("no-room"), "load 3/3") }, 2*time.Second, 10*time.Millisecond)
 	told := f.explain("no-room")
 	require.Regexp(t, "asked node-0 for target i-node-0: (no-slot|deadline)", told)
 	require.Contains(t, told, "load 3/3")
