timer, listen: one copy of waiting under a context and of opening a socket; tests: second calls against the real limiter

Four packages had a sleep of their own that ends with a context, one of them new with feed; feed also repeated the error of listen for an address that is taken. The test of second calls played a queue of its own; it plays the limiter's module now, with the same assertions. Behaviour stays as it is.

--- a/cmd/standin/demo_scenario.go
+++ b/cmd/standin/demo_scenario.go
@@ -11,6 +11,7 @@
 
 	"github.com/auburnwinch/auburnwinch/internal/load"
 	"github.com/auburnwinch/auburnwinch/internal/procs"
+	"github.com/auburnwinch/auburnwinch/internal/timer"
 )
 
 // errUntrue reports that the demo found an answer that was not true.
@@ -24,14 +25,14 @@
 	defer stop()
 	var callers conc.WaitGroup
 	callers.Go(func() { runner.Run(loadContext) })
-	if !sleep(ctx, duration/4) {
+	if !timer.Sleep(ctx, duration/4) {
 		return ctx.Err()
 	}
 	fmt.Printf("%s: killing target %s\n", fleet.Plan.Name, fleet.Targets[killed].Name)
 	if err := fleet.Targets[killed].Kill(); err != nil {
 		return err
 	}
-	if !sleep(ctx, duration/4) {
+	if !timer.Sleep(ctx, duration/4) {
 		return ctx.Err()
 	}
 	fmt.Printf("%s: stalling target %s; it still answers probes\n", fleet.Plan.Name, fleet.Targets[stalled].Name)
@@ -52,12 +53,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -35,7 +35,7 @@
 	return &hub{rows: make(map[rowKey]roster.Row), changed: make(chan struct{})}
 }
 
-// take adds a page; a page that is older than what is known changes nothing.
+// take adds a page; rows that are older than the known ones change nothing.
 func (h *hub) take(p roster.Page, reading bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/feed/rpc.go
+++ b/internal/feed/rpc.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 
+	"github.com/auburnwinch/auburnwinch/internal/listen"
 	"github.com/auburnwinch/auburnwinch/internal/roster"
 )
 
@@ -80,9 +81,9 @@
 	if err := service.RegisterName(serviceName, &Feed{table: t}); err != nil {
 		return nil, eris.Wrap(err, "register the feed")
 	}
-	listener, err := net.Listen("tcp", address)
+	listener, err := listen.Socket("peer", address)
 	if err != nil {
-		return nil, eris.Wrapf(err, "open the listener peer on %s; choose an address of this VM that is free", address)
+		return nil, err
 	}
 	s := &Server{table: t, listener: listener, conns: make(map[net.Conn]struct{})}
 	s.group.Go(func() {
--- a/internal/feed/table.go
+++ b/internal/feed/table.go
@@ -190,30 +190,18 @@
 	for {
 		page, err := t.watchPeer(ctx, p, 0, 0)
 		page.Whole = true
-		if !errors.Is(err, ErrNotReading) || t.config.Clock.Now().After(patient) || !sleep(ctx, startPause) {
+		if !errors.Is(err, ErrNotReading) || t.config.Clock.Now().After(patient) || !timer.Sleep(ctx, startPause) {
 			return page, err
 		}
 	}
 }
 
-// sleep reports whether the time has passed before the context ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	wait := time.NewTimer(d)
-	defer wait.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-wait.C:
-		return true
-	}
-}
-
 // awaitSettled spaces the calls to the store.
 func (t *Table) awaitSettled(ctx context.Context) error {
 	t.mu.Lock()
 	pause := t.settled.Sub(t.config.Clock.Now())
 	t.mu.Unlock()
-	if pause > 0 && !sleep(ctx, pause) {
+	if pause > 0 && !timer.Sleep(ctx, pause) {
 		return ctx.Err()
 	}
 	return nil
--- a/internal/hosted/admission_test.go
+++ b/internal/hosted/admission_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/auburnwinch/auburnwinch/internal/agent"
+	"github.com/auburnwinch/auburnwinch/internal/limit"
 	"github.com/auburnwinch/auburnwinch/internal/relay"
 	"github.com/auburnwinch/auburnwinch/internal/timer"
 )
@@ -122,35 +123,41 @@
 // against second calls that are refused behind first ones: the request is lost with all of its work, where a request whose
 // first call is refused has lost little.
 func TestSecondCallsStartBeforeFirstOnes(t *testing.T) {
-	const requests, perRound, rounds = 300, 4, 100
+	const requests, slots, rounds = 300, 4, 100
 	serve := func(advanced bool) (whole int) {
-		type request struct{ served int }
-		waiting := make([]*request, 0, requests)
-		for range requests {
-			waiting = append(waiting, &request{})
-		}
-		for range rounds {
-			for range perRound {
-				best := 0
-				for i, r := range waiting {
-					rank := rankOf(relay.Class{Call: true, Rank: 1, Advanced: advanced && r.served > 0})
-					if rank < rankOf(relay.Class{Call: true, Rank: 1, Advanced: advanced && waiting[best].served > 0}) {
-						best = i
-					}
-				}
-				r := waiting[best]
-				waiting = append(waiting[:best], waiting[best+1:]...)
-				if r.served++; r.served == 2 {
-					whole++
-					continue
+		m := limit.NewModule(limit.Settings{Slots: slots, Places: 2 * requests, Wait: time.Hour, Deep: true, Fixed: true})
+		now := time.Unix(1000, 0)
+		var running []uint64
+		update := func(msg limit.Msg) {
+			for _, cmd := range m.Update(msg) {
+				if granted, ok := cmd.(limit.GrantCmd); ok {
+					running = append(running, granted.ID)
 				}
-				waiting = append(waiting, r) // The second call comes behind all that wait.
 			}
 		}
+		// The second call of a request has its id and requests more.
+		call := func(id uint64) {
+			class := relay.Class{Call: true, Rank: 1, Advanced: advanced && id >= requests}
+			update(limit.AcquireMsg{Now: now, ID: id, Request: limit.Request{Rank: rankOf(class)}})
+		}
+		for id := range uint64(requests) {
+			call(id)
+		}
+		for range rounds * slots {
+			now = now.Add(10 * time.Millisecond)
+			ended := running[0]
+			running = running[1:]
+			if ended >= requests {
+				whole++
+			} else {
+				call(ended + requests)
+			}
+			update(limit.ReleaseMsg{Now: now, ID: ended, Result: limit.Result{OK: true}})
+		}
 		return whole
 	}
-	require.Equal(t, rounds*perRound/2, serve(true), "each two calls end a request")
-	require.Less(t, serve(false), rounds*perRound/2)
+	require.Equal(t, rounds*slots/2, serve(true), "each two calls end a request")
+	require.Less(t, serve(false), rounds*slots/2)
 	require.Less(t, rankOf(relay.Class{Call: true, Rank: 9, Advanced: true}), rankOf(relay.Class{Call: true}))
 }
 
--- a/internal/listen/listener.go
+++ b/internal/listen/listener.go
@@ -18,11 +18,20 @@
 
 // Open opens the address for the server.
 func Open(name, address string, server *http.Server) (*Listener, error) {
+	socket, err := Socket(name, address)
+	if err != nil {
+		return nil, err
+	}
+	return &Listener{Name: name, Socket: socket, Server: server}, nil
+}
+
+// Socket opens the address for a listener of the name that serves something other than HTTP.
+func Socket(name, address string) (net.Listener, error) {
 	socket, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "open the listener %s on %s; choose an address of this VM that is free", name, address)
 	}
-	return &Listener{Name: name, Socket: socket, Server: server}, nil
+	return socket, nil
 }
 
 // Run accepts connections until the server is shut down; any other end is an error.
--- a/internal/roster/publisher.go
+++ b/internal/roster/publisher.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/sourcegraph/conc"
 
+	"github.com/auburnwinch/auburnwinch/internal/timer"
 	"github.com/auburnwinch/auburnwinch/internal/wake"
 )
 
@@ -115,7 +116,7 @@
 		}
 		if cmd := p.take(); cmd != nil {
 			if cmd.After {
-				sleep(ctx, p.pauses.next())
+				timer.Sleep(ctx, p.pauses.next())
 			}
 			p.update(p.write(ctx, cmd))
 		}
--- a/internal/roster/watcher.go
+++ b/internal/roster/watcher.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/auburnwinch/auburnwinch/internal/timer"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/sourcegraph/conc"
@@ -95,7 +96,7 @@
 			version, known = page.Version, true
 			if page.Whole || len(page.Rows) > 0 {
 				w.config.OnRows(page)
-				sleep(ctx, w.config.Settle)
+				timer.Sleep(ctx, w.config.Settle)
 			}
 		case errors.Is(err, ErrHistory):
 			_ = level.Info(w.config.Logger).Log("msg", "history lost, reading the table anew", "table", w.config.Name, "version", version)
@@ -145,7 +146,7 @@
 	if w.pauses.failures == 0 {
 		_ = level.Warn(w.config.Logger).Log("msg", "store lost", "table", w.config.Name, "err", err)
 	}
-	sleep(ctx, w.pauses.next())
+	timer.Sleep(ctx, w.pauses.next())
 }
 
 func (w *Watcher) regained() {
@@ -153,12 +154,3 @@
 		_ = level.Info(w.config.Logger).Log("msg", "store regained", "table", w.config.Name, "failures", failures)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/store/tickets.go
+++ b/internal/store/tickets.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/auburnwinch/auburnwinch/internal/ticket"
+	"github.com/auburnwinch/auburnwinch/internal/timer"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
@@ -138,7 +139,7 @@
 			return err
 		}
 		wait := time.Duration(float64(filingWait<<round) * (0.5 + rand.Float64()))
-		if !sleep(ctx, wait) {
+		if !timer.Sleep(ctx, wait) {
 			return err
 		}
 	}
@@ -268,14 +269,3 @@
 	}
 	return false
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
