tests: the members of a stand-in have joined; the target that stays sends heartbeats

Cause of TestRealNodeFollowsMembers (KNOWN-RED): the module of the stand-in took its records from an answer that gave no bucket, so it counted as joining itself and waited for records from the real node, while that waited for its members. Ruled out: the claimed network (its failure has another text), a dial that timed out (the real node joins at once).

With 4 s more before its first step the same line fails with the same refusal. It now sends a heartbeat every 1.5 s as the platform says; no bound has changed.

--- a/internal/fakes/peers/fleet.go
+++ b/internal/fakes/peers/fleet.go
@@ -98,7 +98,8 @@
 	first := &f.config.Records[0]
 	f.module = member.New(member.Config{Self: first.Node, Seed: f.config.Seed, Now: now.Add(-2 * time.Second)})
 	f.module.Update(member.LocalMsg{Now: now, Local: member.Local{Ticket: uint64(len(f.tickets)), Targets: first.Targets}})
-	var reply member.SyncReply
+	// The members have joined: otherwise they would wait for records from the real node while it waits for theirs.
+	reply := member.SyncReply{Given: member.AllBuckets, Records: uint64(len(f.config.Records))}
 	for i := 1; i < len(f.config.Records); i++ {
 		reply.Rumours = append(reply.Rumours, member.RumourOf(&f.config.Records[i], member.StatusAlive, false))
 	}
--- a/internal/fakes/peers/peers_test.go
+++ b/internal/fakes/peers/peers_test.go
@@ -53,7 +53,18 @@
 	has := func(id string, ok func(*member.NodeRecord) bool) func() bool {
 		return func() bool { return ok(p.Snapshot().Record(id)) }
 	}
-	require.Eventually(t, func() bool { return len(p.Snapshot().Records) == 13 }, 5*time.Second, 10*time.Millisecond)
+	known := func() (ids []string) {
+		for _, r := range p.Snapshot().Records {
+			ids = append(ids, r.Node.Ref.ID)
+		}
+		return ids
+	}
+	began := time.Now()
+	for time.Since(began) < 5*time.Second && len(known()) != 13 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	require.Len(t, known(), 13, "known after %v: %v", time.Since(began), known())
+	t.Log("joined after", time.Since(began))
 	f.Restart(2, 200*time.Millisecond)
 	f.Fail(4)
 	f.Accept(model.Ticket{Number: 2})
--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -271,6 +271,11 @@
 // heartbeat tells the node of the state of the target; it is repeated until the node listens.
 func (g *target) heartbeat(state string) {
 	g.node.fleet.t.Helper()
+	require.Eventually(g.node.fleet.t, func() bool { return g.beat(state) }, 5*time.Second, 10*time.Millisecond)
+}
+
+// beat sends one heartbeat and reports whether the node took it.
+func (g *target) beat(state string) bool {
 	g.mu.Lock()
 	g.sequence++
 	body, err := json.Marshal(map[string]any{
@@ -278,15 +283,37 @@
 		"state": state, "sequence": g.sequence, "born": g.born,
 	})
 	g.mu.Unlock()
-	require.NoError(g.node.fleet.t, err)
-	require.Eventually(g.node.fleet.t, func() bool {
-		response, err := http.Post("http://"+g.node.listeners.Local+"/api/instances/"+g.id+"/heartbeat", "application/json", bytes.NewReader(body))
-		if err != nil {
-			return false
+	if err != nil {
+		return false
+	}
+	response, err := http.Post("http://"+g.node.listeners.Local+"/api/instances/"+g.id+"/heartbeat", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// runOn sends a heartbeat every 1.5 s until the test ends; without them the node drops the target after 6 s.
+func (g *target) runOn() {
+	ended := make(chan struct{})
+	var group sync.WaitGroup
+	group.Go(func() {
+		beats := time.NewTicker(1500 * time.Millisecond)
+		defer beats.Stop()
+		for {
+			select {
+			case <-ended:
+				return
+			case <-beats.C:
+				g.beat("ready")
+			}
 		}
-		_ = response.Body.Close()
-		return response.StatusCode == http.StatusOK
-	}, 5*time.Second, 10*time.Millisecond)
+	})
+	g.node.fleet.t.Cleanup(func() {
+		close(ended)
+		group.Wait()
+	})
 }
 
 // withdraw says goodbye to the node.
--- a/internal/hosted/node_test.go
+++ b/internal/hosted/node_test.go
@@ -172,6 +172,7 @@
 // Guards against a target that has left and is in use again.
 func TestRestartDoesNotReviveLeavingTargets(t *testing.T) {
 	f, caller := withCaller(t, 2)
+	f.nodes[1].target.runOn()
 	leaving := f.nodes[0]
 	late := func() {
 		leaving.target.mu.Lock()
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -200,7 +200,7 @@
 // because of these; those of 670 nodes take 2.7 kB.
 func numberBuckets(differing uint64) uint64 {
 	if differing == 0 {
-		return allBuckets
+		return AllBuckets
 	}
 	return differing
 }
--- a/internal/member/takeover.go
+++ b/internal/member/takeover.go
@@ -15,7 +15,8 @@
 	partPatience = 2 * time.Second
 	// introduced is the number of nodes that a listed node names to a joining one: half of its failure domain.
 	introduced = 8
-	allBuckets = 1<<bucketCount - 1
+	// AllBuckets has the bit of every bucket, as in SyncReply.Given.
+	AllBuckets uint64 = 1<<bucketCount - 1
 )
 
 // takeover is the state of a joining node that takes the records in parts.
@@ -34,7 +35,7 @@
 	reply.Records = uint64(len(m.table.sorted))
 	wanted := r.Wanted
 	if wanted == 0 && len(m.table.sorted) <= partRecords {
-		wanted = allBuckets
+		wanted = AllBuckets
 	}
 	reply.Given = wanted &^ m.takeover.missing
 	if reply.Given == 0 {
@@ -65,7 +66,7 @@
 // takePart notes the buckets that an answer gave to the joining node, and ends the joining phase after the last one.
 func (m *Module) takePart(r *SyncReply) {
 	if m.takeover.missing == 0 {
-		m.takeover.missing = allBuckets
+		m.takeover.missing = AllBuckets
 		m.takeover.atOnce = int(max(1, partRecords*bucketCount/max(r.Records, 1)))
 	}
 	m.takeover.missing &^= r.Given
--- a/internal/member/takeover_test.go
+++ b/internal/member/takeover_test.go
@@ -59,7 +59,7 @@
 	request := SyncRequest{Self: Rumour{Key: 1, Version: 1, Status: StatusAlive}, Full: true}
 	for _, cmd := range m.Update(SyncRequestMsg{Now: now, Request: request}) {
 		if reply, ok := cmd.(SyncReplyCmd); ok {
-			require.Equal(t, uint64(allBuckets), reply.Reply.Given)
+			require.Equal(t, uint64(AllBuckets), reply.Reply.Given)
 			return
 		}
 	}
