--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -30,7 +30,8 @@
 type Report struct {
 	Rows   []*Row
 	Untrue []string
-	// Unserved are the operations that ended as not run, with the refusals of all sends.
+	// Unserved are the operations that ended as not run, and the repeatable ones that ended as unknown, with the refusals
+	// of all sends.
 	Unserved []string
 }
 
@@ -101,9 +102,12 @@
 		row.Done++
 	case op.Outcome == model.OutcomeNotRun:
 		row.NotRun++
-		r.Unserved = append(r.Unserved, fmt.Sprintf("operation %s of %s not run: %s", op.ID, op.Service, strings.Join(op.Refusals, "; ")))
+		r.addUnserved(op)
 	default:
 		row.Unknown++
+		if op.Kind != KindWrite {
+			r.addUnserved(op)
+		}
 	}
 	if fault := faultOf(op, runs); fault != "" {
 		row.Untrue++
@@ -112,6 +116,11 @@
 	}
 }
 
+func (r *Report) addUnserved(op Operation) {
+	r.Unserved = append(r.Unserved, fmt.Sprintf("operation %s of %s: %s after %d sends, %v: %s",
+		op.ID, op.Service, op.Outcome, op.Sends, op.Duration, strings.Join(op.Refusals, "; ")))
+}
+
 // faultOf compares an answer with what the targets ran.
 func faultOf(op Operation, runs int) string {
 	switch {
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -171,6 +171,7 @@
 	response, err := r.client.Do(request)
 	if err != nil {
 		op.Outcome = model.OutcomeUnknown
+		op.Refusals = append(op.Refusals, err.Error())
 		return false
 	}
 	defer func() { _ = response.Body.Close() }() // The body is read in full or given up.
@@ -254,6 +255,7 @@
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		op.Outcome = model.OutcomeUnknown
+		op.Refusals = append(op.Refusals, "body: "+err.Error())
 		return false
 	}
 	if response.StatusCode >= http.StatusInternalServerError {
--- a/internal/node/links_fault_test.go
+++ b/internal/node/links_fault_test.go
@@ -16,7 +16,7 @@
 	for _, row := range report.Rows {
 		require.Zero(t, row.NotRun, "%s: %v", row.Service, report.Unserved)
 		if row.Service == "courtview" || row.Service == "plandesk" {
-			require.Equal(t, len(row.Durations), row.Done, row.Service)
+			require.Equal(t, len(row.Durations), row.Done, "%s: %v", row.Service, report.Unserved)
 		}
 	}
 	total := report.Total()
