edge: a call that its target gave up says nothing about the service called

Cause: the end of each call was told by its status alone. A call whose target went away counted as failed (the caller's own end is answered with a 5xx nobody reads), so the running request said nothing about its target; an answer that broke off after its header counted as served, so the running request started first. Both shown by TestEndOfCallIsTold, which failed on the given-up call before.

--- a/internal/edge/negotiate.go
+++ b/internal/edge/negotiate.go
@@ -118,8 +118,9 @@
 
 // note tells the target's request that waits for the answer, and the journal, how the request was answered.
 func (q *request) note() {
-	if q.parent != "" && q.edge.config.Parents != nil {
-		q.edge.config.Parents.CallEnded(q.parent, q.status < http.StatusInternalServerError)
+	// A call that its target gave up says nothing about the service called.
+	if q.parent != "" && q.edge.config.Parents != nil && q.r.Context().Err() == nil {
+		q.edge.config.Parents.CallEnded(q.parent, q.status < http.StatusInternalServerError && !q.abort)
 	}
 	journal := q.edge.config.Journal
 	if journal == nil {
