agent, roster: a node remembers draining targets over more than one restart

Cause: the row names the draining targets among those that are announced. A process that stops before the target's next heartbeat publishes a row without targets, and the process after it takes a late heartbeat for a new target: 12 requests instead of 1 ran on a target that had left (TestRestartDoesNotReviveLeavingTargets with a second restart, red before). The record now carries what the earlier process knew. Ruled out: goodbyes, which are in the row already.

--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -95,6 +95,13 @@
 	return slices.Clone(a.goodbyes.refs)
 }
 
+// Drained returns the targets that drained under an earlier process of this node.
+func (a *Agent) Drained() []model.TargetRef {
+	a.goodbyes.mu.Lock()
+	defer a.goodbyes.mu.Unlock()
+	return slices.Clone(a.goodbyes.draining)
+}
+
 // Recall takes what an earlier process of this node knew of its targets, so that a late heartbeat does not undo it after a
 // restart.
 func (a *Agent) Recall(draining, gone []model.TargetRef) {
@@ -104,7 +111,7 @@
 		}
 	}
 	a.goodbyes.mu.Lock()
-	a.goodbyes.draining = slices.Clone(draining)
+	a.goodbyes.draining = slices.Clone(draining[max(0, len(draining)-maxGoodbyes):])
 	a.goodbyes.mu.Unlock()
 	for _, l := range a.registry.all() {
 		switch ref := l.target.Ref; {
--- a/internal/hosted/node_test.go
+++ b/internal/hosted/node_test.go
@@ -168,7 +168,8 @@
 	}
 }
 
-// Pattern: a target drains or says goodbye, the process of its node is restarted, and a heartbeat that was held up arrives.
+// Pattern: a target drains or says goodbye, the process of its node is restarted, once or twice, and a heartbeat that was
+// held up arrives.
 // Guards against a target that has left and is in use again.
 func TestRestartDoesNotReviveLeavingTargets(t *testing.T) {
 	f, caller := withCaller(t, 2)
@@ -182,6 +183,7 @@
 	}
 	for _, leave := range []func(){
 		func() { leaving.target.heartbeat("draining") },
+		func() { leaving.restart("a") }, // This process hears nothing of the target before the next one starts.
 		leaving.target.withdraw,
 	} {
 		leave()
--- a/internal/roster/record.go
+++ b/internal/roster/record.go
@@ -1,6 +1,8 @@
 package roster
 
 import (
+	"slices"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
@@ -17,6 +19,8 @@
 	Poison  []model.PoisonEntry `cbor:"4,keyasint,omitempty"`
 	// Gone are the latest targets of the node that have said goodbye; its next process reads them.
 	Gone []model.TargetRef `cbor:"5,keyasint,omitempty"`
+	// Drained are the targets that drained under an earlier process of the node, which this one may not have heard of yet.
+	Drained []model.TargetRef `cbor:"6,keyasint,omitempty"`
 }
 
 // Encode returns the value of the node's row.
@@ -40,11 +44,11 @@
 	return &r, nil
 }
 
-// Draining returns the targets that accept nothing new.
+// Draining returns the targets that accept nothing new, now or under an earlier process of the node.
 func (r *Record) Draining() []model.TargetRef {
-	var refs []model.TargetRef
+	refs := slices.Clone(r.Drained)
 	for i := range r.Targets {
-		if r.Targets[i].State == model.TargetDraining {
+		if r.Targets[i].State == model.TargetDraining && !slices.Contains(refs, r.Targets[i].Ref) {
 			refs = append(refs, r.Targets[i].Ref)
 		}
 	}
