tests: a read that loses its answer five times in a row is sent again

A read whose first attempt is lost and that gets no repeat ends as unknown, which is true; with a loss of 0.15 to 0.19 an attempt, five such sends in a row come to 2 to 5% of the plays of 200 reads. Ruled out: a share of the client account (no refusal among the five), a target that stays broken (the fault closes one connection an answer). Callers now send up to twelve times, and a new check bounds the sends: together reads may not be sent again more often than answers were lost, so that an answer that the fleet itself loses turns the test red.

--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -189,7 +189,7 @@
 	if err := json.NewDecoder(response.Body).Decode(&refusal); err != nil {
 		refusal.Reason = err.Error()
 	}
-	op.Refusals = append(op.Refusals, string(op.Outcome)+": "+refusal.Reason)
+	op.Refusals = append(op.Refusals, fmt.Sprintf("%s after %v: %s", op.Outcome, time.Since(op.Begun).Round(time.Millisecond), refusal.Reason))
 	return false
 }
 
--- a/internal/node/links_fault_test.go
+++ b/internal/node/links_fault_test.go
@@ -79,20 +79,31 @@
 	}))
 }
 
-// Guards against double runs and untrue answers when answers are lost after the effect, on each hop by itself.
+// Guards against double runs and untrue answers when answers are lost after the effect, on each hop by itself. More answers
+// are lost than the budget lets the fleet repeat, so a read can lose five in a row by chance: callers send up to twelve
+// times, and all reads together may not be sent again more often than answers were lost.
 func TestAnswersLostAfterEffect(t *testing.T) {
 	t.Parallel()
+	const rounds, lostInRound = 40, 2
 	for name, hop := range map[string]int{"target to agent": hopTarget, "agent to edge": hopRelay, "peer to peer": hopPeer} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := startFleet(t)
-			requireService(t, f.under(load.Config{}, func() {
-				for range 40 {
-					f.links.lose[hop].Store(2)
+			report := f.under(load.Config{Sends: 12}, func() {
+				for range rounds {
+					f.links.lose[hop].Store(lostInRound)
 					time.Sleep(100 * time.Millisecond)
 				}
 				f.links.lose[hop].Store(0)
-			}))
+			})
+			requireService(t, report)
+			again := 0
+			for _, row := range report.Rows {
+				if row.Service == "courtview" || row.Service == "plandesk" {
+					again += row.Sends - len(row.Durations)
+				}
+			}
+			require.LessOrEqual(t, again, rounds*lostInRound, "reads were sent again more often than answers were lost")
 		})
 	}
 }
