--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -26,6 +26,8 @@
 	// recoverWithin and recoveredShare tell when the fleet has recovered from the last fault.
 	recoverWithin  = 15 * time.Second
 	recoveredShare = 0.9
+	// crowdLasts is long enough for more repeats than the budget holds, when nothing bounds them.
+	crowdLasts = 3 * time.Second
 )
 
 // ciSeeds are those that CI runs, among them each seed that ever failed, with its cause.
@@ -127,7 +129,7 @@
 	n := f.world.nodes[f.rng.IntN(len(f.world.nodes))]
 	lasts := time.Duration(300+f.rng.IntN(3000)) * time.Millisecond
 	name := ""
-	switch f.rng.IntN(10) {
+	switch f.rng.IntN(12) {
 	case 0:
 		name = "pause " + n.name
 		if p, _, wanted := n.running(); wanted && p.Pause() == nil {
@@ -164,10 +166,28 @@
 		n.target.drain(drainBound + lasts)
 	case 9:
 		name = f.disturbStore(lasts)
+	case 10:
+		name = f.crowd(n.service, crowdLasts+lasts)
+	case 11:
+		// A write of the operator that was held up arrives after the ones that followed it.
+		name = "late write of an older configuration"
+		f.world.putConfiguration(max(1, f.world.version.Load()-1))
+		time.AfterFunc(lasts, func() { f.world.putConfiguration(f.world.version.Load()) })
 	}
 	f.begun = append(f.begun, name)
 }
 
+// crowd lets all targets of a service turn requests away, so that nearly every request asks for a repeat.
+func (f *faults) crowd(service string, lasts time.Duration) string {
+	for _, n := range f.world.nodes {
+		if n.service == service {
+			n.target.setMood(moodShedding)
+			time.AfterFunc(lasts, func() { n.target.setMood(moodSound) })
+		}
+	}
+	return "crowd at " + service
+}
+
 // disturbStore changes the configuration, or the store itself for all nodes.
 func (f *faults) disturbStore(lasts time.Duration) string {
 	switch kind := f.rng.IntN(5); kind {
@@ -200,7 +220,7 @@
 
 // recover waits until all faults are over and reports whether the fleet serves again.
 func (f *faults) recover(c *callers) bool {
-	time.Sleep(3500*time.Millisecond + grace)
+	time.Sleep(crowdLasts + 3500*time.Millisecond + grace)
 	for end := time.Now().Add(recoverWithin); time.Now().Before(end); {
 		served, total := c.served.Load(), c.total.Load()
 		time.Sleep(time.Second)
--- a/internal/soak/target_test.go
+++ b/internal/soak/target_test.go
@@ -183,7 +183,7 @@
 	case moodMute:
 		panic(http.ErrAbortHandler)
 	case moodGarbling:
-		switch rand.IntN(3) {
+		switch rand.IntN(4) {
 		case 0:
 			w.Header().Set("Content-Length", fmt.Sprint(len(whole)))
 			_, _ = io.WriteString(w, whole[:len(whole)/2])
@@ -191,6 +191,11 @@
 		case 1:
 			w.Header().Set("Auburnwinch-Request-Id", "another")
 			_, _ = io.WriteString(w, "the answer of another request")
+		case 2:
+			// In chunks, so that only the missing last one tells that the answer broke off.
+			_, _ = io.WriteString(w, whole[:len(whole)/2])
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
 		default:
 			w.Header().Del("Auburnwinch-Server-Seal")
 			_, _ = io.WriteString(w, "unsigned")
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -101,9 +101,11 @@
 	w.findings = append(w.findings, fmt.Sprintf(format, args...))
 }
 
-// configure writes the next configuration. Each has the routes of all services and one that only it has.
-func (w *world) configure() {
-	version := w.version.Add(1)
+// configure writes the next configuration.
+func (w *world) configure() { w.putConfiguration(w.version.Add(1)) }
+
+// putConfiguration writes a configuration. Each has the routes of all services and one that only it has.
+func (w *world) putConfiguration(version int64) {
 	var resources []string
 	route := func(name, host, prefix, kind, service string) {
 		resources = append(resources, fmt.Sprintf(`{"resourceType":"routes","metadata":{"name":"%s"},"spec":{"host":"%s","prefix":"%s",`+
