picker, hosted: a path that has failed is checked by a connection before a request takes it

Ruled out: cut links (the connections time out from all nodes alike), rows that are read late (nobody writes them any more). A path that has failed now stays closed until a connection of its own has opened; the pauses between checks are those of before. Where nothing else is left, requests still take it (pickDoubtful).

--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -109,6 +109,7 @@
 	}
 	n.picker = picker.New(picker.Config{
 		Health: noVerdicts{}, Now: n.config.Clock.Now, Seed: n.config.Self.Ref.Incarnation, Negotiate: true,
+		CheckPaths: true,
 	})
 	n.beliefs = &beliefs{
 		self: n.config.Self, clock: n.config.Clock, logger: n.config.Failures, decode: n.config.Decode, picker: n.picker,
--- a/internal/hosted/node_test.go
+++ b/internal/hosted/node_test.go
@@ -209,6 +209,33 @@
 	}, 5*time.Second, 20*time.Millisecond, "its next run is served")
 }
 
+// Pattern: a VM leaves for good while the store is away, so that its row says that it serves.
+// Guards against callers that wait again and again to learn that it is gone, and against a VM that is not used after its
+// return.
+func TestCallersDoNotTryALostNodeAgain(t *testing.T) {
+	f, caller := withCaller(t, 2)
+	f.nodes[1].target.runOn()
+	lost := f.nodes[0]
+	f.store.SetFault(func(fake.Call) fake.Fault { return fake.Fault{Status: http.StatusServiceUnavailable} })
+	lost.stop()
+	<-lost.done
+	f.store.SetFault(nil)
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		a := caller.call(http.MethodGet, "kassa", "/read/x")
+		require.Equal(t, http.StatusOK, a.status, f.story(a.id))
+	}
+	tries := strings.Count(caller.log.String(), "the node of the target can't be reached")
+	require.LessOrEqual(t, tries, 1, "one caller learns that the node is gone")
+	require.NoError(t, lost.start("a"))
+	require.Eventually(t, lost.ready, 5*time.Second, 10*time.Millisecond)
+	lost.target.heartbeat("ready")
+	before := lost.target.total()
+	require.Eventually(t, func() bool {
+		caller.call(http.MethodGet, "kassa", "/read/x")
+		return lost.target.total() > before
+	}, 5*time.Second, 20*time.Millisecond)
+}
+
 // Guards against a leaving target that gets new work, and against a leave that is not acknowledged while the store is away.
 func TestDrainingTargetGetsNothingNew(t *testing.T) {
 	f := newFleet(t)
--- a/internal/picker/negotiate.go
+++ b/internal/picker/negotiate.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/auburnwinch/auburnwinch/internal/view"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
@@ -192,10 +193,24 @@
 // PathFailed avoids the target for a while, because the connection to its agent failed.
 func (p *Picker) PathFailed(ref model.TargetRef) {
 	if e := p.find(ref); e != nil {
-		e.counters.trust.pathFailed(p.config.Now())
+		e.counters.trust.pathFailed(p.config.Now(), p.config.CheckPaths)
 	}
 }
 
+// DuePaths returns the targets whose paths have failed and are to be checked now; PathWorks or PathFailed takes the result.
+func (p *Picker) DuePaths() []view.Candidate {
+	var due []view.Candidate
+	now := p.config.Now()
+	for _, s := range p.fleet.Load().services {
+		for i := range s.entries {
+			if e := &s.entries[i]; e.counters.trust.checkDue(now) {
+				due = append(due, *e.candidate)
+			}
+		}
+	}
+	return due
+}
+
 // PathWorks ends the avoidance, because the agent has answered.
 func (p *Picker) PathWorks(ref model.TargetRef) {
 	if e := p.find(ref); e != nil {
--- a/internal/picker/negotiate_test.go
+++ b/internal/picker/negotiate_test.go
@@ -193,6 +193,29 @@
 	require.Zero(t, i)
 }
 
+// Pattern: a VM has left for good while the store was away, so that its row stays. Guards against requests that pay, after
+// each pause, to learn that it is still away, and against a path that stays closed after it works again.
+func TestFailedPathIsCheckedBeforeARequestTakesIt(t *testing.T) {
+	r := newNegotiatingRig()
+	r.config.CheckPaths = true
+	r.PathFailed(r.ref(0))
+	require.Empty(t, r.DuePaths(), "it has just failed")
+	for range 4 {
+		for len(r.DuePaths()) == 0 {
+			r.now = r.now.Add(100 * time.Millisecond)
+		}
+		require.Equal(t, r.ref(0), r.DuePaths()[0].Target.Ref)
+		i, c := r.pick(t, Request{})
+		require.NotZero(t, i)
+		r.Done(c, Load{})
+		r.PathFailed(r.ref(0))
+	}
+	r.PathWorks(r.ref(0))
+	require.Empty(t, r.DuePaths())
+	i, _ := r.pick(t, Request{})
+	require.Zero(t, i)
+}
+
 // Guards against a target that looks loaded by the request that it has just answered, which sends each second request of a
 // caller elsewhere.
 func TestAnsweredRequestIsNoLoad(t *testing.T) {
--- a/internal/picker/trust.go
+++ b/internal/picker/trust.go
@@ -21,19 +21,22 @@
 	mu       sync.Mutex
 	failures int
 	pathFrom time.Time
-	sickFrom time.Time
-	restedAt time.Time
+	// needsCheck tells that the path has failed and a check must succeed before a request takes it.
+	needsCheck bool
+	sickFrom   time.Time
+	restedAt   time.Time
 	// chance is the share of its latest requests that the resting target served.
 	chance float64
 }
 
-// pathFailed avoids the target for a while.
-func (t *trust) pathFailed(now time.Time) {
+// pathFailed avoids the target for a while, and after that until a check succeeds if checked is set.
+func (t *trust) pathFailed(now time.Time, checked bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if now.Before(t.pathFrom) {
 		return // Requests that were under way at the first failure say nothing new.
 	}
+	t.needsCheck = checked
 	t.pathFrom = now.Add(min(pathPauseMost, pathPause<<min(t.failures, 10)))
 	t.failures++
 }
@@ -42,7 +45,7 @@
 func (t *trust) pathWorks() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.failures, t.pathFrom = 0, time.Time{}
+	t.failures, t.pathFrom, t.needsCheck = 0, time.Time{}, false
 }
 
 // rest notes that the agent called the target sick for the time, and the share of its latest requests that it served.
@@ -55,7 +58,14 @@
 func (t *trust) pathOpen(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !now.Before(t.pathFrom)
+	return !t.needsCheck && !now.Before(t.pathFrom)
+}
+
+// checkDue reports whether a check of the path is due.
+func (t *trust) checkDue(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.needsCheck && !now.Before(t.pathFrom)
 }
 
 // mayAsk reports whether the agent would probably admit the request by the target's health, or as a trial of it.
