picker: a check that succeeds does not begin the pauses of a failed path anew

Cause, found by reading the change: the check of a path only opens a connection, which a frozen node takes as well, and its success counted like an answer. Callers would then try a frozen node every half second instead of at growing pauses. A check now only lets a request try; the answer to a request ends the avoidance, as before the checks. With the former call the new test fails.

--- a/internal/picker/negotiate.go
+++ b/internal/picker/negotiate.go
@@ -197,7 +197,7 @@
 	}
 }
 
-// DuePaths returns the targets whose paths have failed and are to be checked now; PathWorks or PathFailed takes the result.
+// DuePaths returns the targets whose paths have failed and are to be checked now; PathOpened or PathFailed takes the result.
 func (p *Picker) DuePaths() []view.Candidate {
 	var due []view.Candidate
 	now := p.config.Now()
@@ -211,6 +211,13 @@
 	return due
 }
 
+// PathOpened lets requests try a path that has failed, because a check of it succeeded.
+func (p *Picker) PathOpened(ref model.TargetRef) {
+	if e := p.find(ref); e != nil {
+		e.counters.trust.pathOpened()
+	}
+}
+
 // PathWorks ends the avoidance, because the agent has answered.
 func (p *Picker) PathWorks(ref model.TargetRef) {
 	if e := p.find(ref); e != nil {
--- a/internal/picker/negotiate_test.go
+++ b/internal/picker/negotiate_test.go
@@ -216,6 +216,27 @@
 	require.Zero(t, i)
 }
 
+// Pattern: a VM is frozen, so that connections to it open and requests stay unanswered. Guards against a check of the path
+// that begins the pauses anew, so that callers try it every half second.
+func TestPauseGrowsBehindChecksThatSucceed(t *testing.T) {
+	r := newNegotiatingRig()
+	r.config.CheckPaths = true
+	last := time.Duration(0)
+	for range 4 {
+		r.PathFailed(r.ref(0))
+		begin := r.now
+		for len(r.DuePaths()) == 0 {
+			r.now = r.now.Add(100 * time.Millisecond)
+		}
+		require.Greater(t, r.now.Sub(begin), last)
+		last = r.now.Sub(begin)
+		r.PathOpened(r.ref(0))
+		i, c := r.pick(t, Request{})
+		require.Zero(t, i, "a request may try it")
+		r.Done(c, Load{})
+	}
+}
+
 // Guards against a target that looks loaded by the request that it has just answered, which sends each second request of a
 // caller elsewhere.
 func TestAnsweredRequestIsNoLoad(t *testing.T) {
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -28,7 +28,7 @@
 	Seed uint64
 	// Negotiate makes choices state how long the request may wait there, see negotiate.go.
 	Negotiate bool
-	// CheckPaths keeps a target whose path has failed out of the choice until PathWorks; DuePaths tells which to check.
+	// CheckPaths keeps a target whose path has failed out of the choice until PathOpened or PathWorks; DuePaths tells which to check.
 	CheckPaths bool
 }
 
--- a/internal/picker/trust.go
+++ b/internal/picker/trust.go
@@ -48,6 +48,14 @@
 	t.failures, t.pathFrom, t.needsCheck = 0, time.Time{}, false
 }
 
+// pathOpened lets requests try the path again; the pause after the next failure still grows, since a frozen node takes
+// connections too.
+func (t *trust) pathOpened() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.needsCheck = false
+}
+
 // rest notes that the agent called the target sick for the time, and the share of its latest requests that it served.
 func (t *trust) rest(now time.Time, wait time.Duration, chance float64) {
 	t.mu.Lock()
