hosted: name the request in the log, and the requests at which a target died

The logs could not tell two attempts of one request from two requests, because each attempt has a new id, and no line said what a target was running when it died. Lines about answers and relayed requests now carry the fingerprint of the request, and a line names each request in flight at a crash. Nothing is decided by it yet.

--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -99,6 +99,8 @@
 	Waited  time.Duration
 	Ran     time.Duration
 	Load    relay.Load
+	// Fingerprint is the same for all attempts of one request; zero means that it is not known.
+	Fingerprint uint64
 }
 
 // Journal takes note of relayed requests.
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -129,7 +129,7 @@
 		if err != nil {
 			return relay.ReasonBadRequest
 		}
-		x.suspect.Fingerprint = fingerprint
+		x.suspect.Fingerprint, x.record.Fingerprint = fingerprint, fingerprint
 		return x.checkPoison()
 	}
 	return ""
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -121,6 +121,8 @@
 	Configuration uint64
 	// Idempotent tells that the request may run more than once.
 	Idempotent bool
+	// Fingerprint is the same for all attempts of one request; zero means that it is not known.
+	Fingerprint uint64
 }
 
 // Journal takes note of answers.
@@ -291,6 +293,7 @@
 
 // PoisonRequest holds the parts of a request that make up its fingerprint.
 type PoisonRequest struct {
+	Host    string
 	Service string
 	Method  string
 	Path    string
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -194,7 +194,7 @@
 	}
 	if p := q.edge.config.Poison; p != nil {
 		q.fingerprint = p.Fingerprint(PoisonRequest{
-			Service: q.match.Service, Method: q.r.Method, Path: q.r.URL.Path, Query: q.r.URL.RawQuery,
+			Host: q.r.Host, Service: q.match.Service, Method: q.r.Method, Path: q.r.URL.Path, Query: q.r.URL.RawQuery,
 			Body: q.body.held,
 		})
 		q.addField(model.HeaderFingerprint, strconv.FormatUint(q.fingerprint, 16))
--- a/internal/hosted/journal.go
+++ b/internal/hosted/journal.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/go-kit/log"
@@ -40,7 +41,8 @@
 	_, members := j.beliefs.ages()
 	_ = logger.Log("msg", story.MsgAnswered, "id", s.ID, "route", s.Route, "service", s.Service, "outcome", s.Outcome,
 		"status", s.Status, "reason", s.Reason, "call", s.Call, "took", text(s.Took), "left", text(s.Left),
-		"configuration", s.Configuration, "members-age", text(members), "tries", triesOf(s.Tries))
+		"configuration", s.Configuration, "members-age", text(members), "fingerprint", hex(s.Fingerprint),
+		"tries", triesOf(s.Tries))
 }
 
 // Relayed notes the end of a relayed request.
@@ -51,7 +53,8 @@
 		logger = j.failures
 	}
 	_ = logger.Log("msg", story.MsgRelayed, "id", r.ID, "service", r.Target.Service, "target", r.Target.ID, "class", r.Class.String(),
-		"outcome", r.Outcome, "status", r.Status, "reason", r.Reason, "waited", text(r.Waited), "ran", text(r.Ran), "load", r.Load.String())
+		"outcome", r.Outcome, "status", r.Status, "reason", r.Reason, "waited", text(r.Waited), "ran", text(r.Ran), "load", r.Load.String(),
+		"fingerprint", hex(r.Fingerprint))
 }
 
 func triesOf(tries []edge.Try) []tryLine {
@@ -66,6 +69,14 @@
 	return lines
 }
 
+// hex writes a fingerprint as it stands in the headers between nodes; one that is not known is empty.
+func hex(fingerprint uint64) string {
+	if fingerprint == 0 {
+		return ""
+	}
+	return strconv.FormatUint(fingerprint, 16)
+}
+
 // text writes a duration in whole milliseconds.
 func text(d time.Duration) string {
 	return d.Round(time.Millisecond).String()
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -65,6 +65,7 @@
 	beliefs   *beliefs
 	meters    *meters
 	journal   *journal
+	guard     *guard
 	edge      *edge.Edge
 	agent     *agent.Agent
 	picker    *picker.Picker
@@ -119,6 +120,7 @@
 		Store: n.config.Nodes, Self: n.config.Self.Ref.ID, Domain: n.config.Self.Domain, Settle: membersSettle, OnOwnPart: n.recall,
 		Configurations: n.beliefs, Clock: n.config.Clock, Dial: n.config.Dial, Logger: n.config.Failures,
 	})
+	n.guard = &guard{logger: n.config.Failures}
 	n.journal = &journal{ordinary: n.config.Logger, failures: n.config.Failures, beliefs: n.beliefs, meters: n.meters}
 	return nil
 }
@@ -127,7 +129,7 @@
 	n.agent, err = agent.New(agent.Config{
 		Self: n.config.Self.Ref, NewLimiter: n.newLimiter, OnTargets: n.targetsChanged, Clock: n.config.Clock,
 		Logger: n.config.Failures, Dial: n.config.Dial, InterimInterval: interimInterval, Expiry: targetExpiry,
-		Protocol: n.config.Targets, Journal: n.journal, OneTarget: true, NoSentinels: true, AnswerBytes: answerBytes, Configurations: n.beliefs,
+		Protocol: n.config.Targets, Journal: n.journal, Poison: n.guard, OneTarget: true, NoSentinels: true, AnswerBytes: answerBytes, Configurations: n.beliefs,
 	})
 	return err
 }
@@ -167,7 +169,7 @@
 		View: &n.beliefs.view, Picker: picks{n.picker}, Tracker: paths{n.picker}, Clock: n.config.Clock,
 		Logger: n.config.Failures, Dial: n.config.Dial, DialTimeout: relayDialTimeout, SilentReused: silentReused,
 		SilentAny: silentAny, BodyIdle: bodyIdle, StartWait: startWait, StartPeriod: startPeriod, Protocol: n.config.Callers, Negotiate: true, HoldBytes: holdBytes,
-		Journal: n.journal, Parents: n.agent, Configurations: n.beliefs,
+		Journal: n.journal, Poison: n.guard, Parents: n.agent, Configurations: n.beliefs,
 	})
 	n.beliefs.edge = n.edge
 	return err
--- a/internal/poison/fingerprint.go
+++ b/internal/poison/fingerprint.go
@@ -9,12 +9,12 @@
 // BodyBytes is how much of a body the fingerprint covers.
 const BodyBytes = 4 << 10
 
-// Fingerprint identifies a request that is sent again; body is its start, of which BodyBytes count. Requests with the
-// same fingerprint share suspicion and quarantine. The idempotency key is no part of it, because a caller may send the
-// same request again under a new key.
-func Fingerprint(service, method, path, query string, body []byte) uint64 {
+// Fingerprint identifies a request that is sent again; scope is the service or the host, and body its start, of which
+// BodyBytes count. Requests with the same fingerprint share suspicion and quarantine. The idempotency key is no part of it,
+// because a caller may send the same request again under a new key.
+func Fingerprint(scope, method, path, query string, body []byte) uint64 {
 	h := xxhash.New()
-	for _, part := range []string{service, method, path, query} {
+	for _, part := range []string{scope, method, path, query} {
 		_, _ = fmt.Fprintf(h, "%d:%s", len(part), part)
 	}
 	_, _ = h.Write(body[:min(len(body), BodyBytes)])
