--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -341,11 +341,16 @@
 }
 
 func (n *testNode) callAs(id, method, service, path string) answer {
-	var body io.Reader
+	body := ""
 	if method == http.MethodPost {
-		body = strings.NewReader("order " + id)
+		body = "order " + id
 	}
-	r, err := http.NewRequest(method, "http://"+n.listeners.Callers+path, body)
+	return n.send(id, method, service, path, body)
+}
+
+// send sends a request with the body under the id and returns the answer.
+func (n *testNode) send(id, method, service, path, body string) answer {
+	r, err := http.NewRequest(method, "http://"+n.listeners.Callers+path, strings.NewReader(body))
 	require.NoError(n.fleet.t, err)
 	r.Host = service + ".example"
 	r.Header.Set("Auburnwinch-Request-Id", id)
