hosted, poison: a request that crashes three targets in a row is quarantined

Cause: nothing on the platform remembered a crash from one attempt to the next. Edge and agent were built without their guard, since the product's holds back whatever was in flight at a single crash, and the platform's nodes have no calls to grant trials. The class of fault: a bound that holds for one attempt and that nobody keeps for the request.

Each agent now counts the deaths of its target under a request (poison.Counter) on top of what the sender knew, and publishes the count in its row. Three in a row quarantine the request for ten minutes at every edge and agent. A restarted node takes over its counts.

Ruled out: repeats within one attempt, and the window of repeats, by the logs of the failing test.

--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -31,6 +31,8 @@
 	Ledger Ledger
 	// Poison refuses requests that crash targets, and is told of crashes.
 	Poison Poison
+	// Survivors is told of requests that a target has answered after a crash.
+	Survivors Survivors
 	// OnTargets is called with all targets after a change.
 	OnTargets func([]model.Target)
 	Clock     timer.Service
@@ -214,6 +216,8 @@
 	Service     string
 	Fingerprint uint64
 	Idempotent  bool
+	// Known is what the edge knew of crashes under the request when it sent it.
+	Known model.Crashes
 }
 
 // PoisonVerdict says whether a request may run.
@@ -253,6 +257,11 @@
 	Crashed(target model.TargetRef, s Suspect)
 }
 
+// Survivors takes note of the requests that a target has answered with success.
+type Survivors interface {
+	Answered(fingerprint uint64)
+}
+
 const (
 	defaultInterim = time.Second
 	defaultExpiry  = 6 * time.Second
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -130,6 +130,13 @@
 			return relay.ReasonBadRequest
 		}
 		x.suspect.Fingerprint, x.record.Fingerprint = fingerprint, fingerprint
+		if text := x.r.Header.Get(model.HeaderCrashes); text != "" {
+			known, ok := relay.ParseCrashes(text)
+			if !ok {
+				return relay.ReasonBadRequest
+			}
+			x.suspect.Known = known
+		}
 		return x.checkPoison()
 	}
 	return ""
@@ -229,6 +236,9 @@
 	if x.agent.parents.end(id) && (kind == ResultError || kind == ResultOverdue) {
 		kind = ResultCallFailed
 	}
+	if s := x.agent.config.Survivors; s != nil && kind == ResultOK && x.record.Status < http.StatusMultipleChoices {
+		s.Answered(x.suspect.Fingerprint)
+	}
 	result := Result{Kind: kind, Duration: x.agent.config.Clock.Now().Sub(begin)}
 	x.record.Ran = result.Duration
 	if x.handle != nil {
--- a/internal/agent/trial.go
+++ b/internal/agent/trial.go
@@ -14,8 +14,11 @@
 		return ""
 	}
 	x.begin()
-	if poison.Verdict(x.suspect.Service, x.suspect.Fingerprint) == PoisonClear {
+	switch poison.Verdict(x.suspect.Service, x.suspect.Fingerprint) {
+	case PoisonClear:
 		return ""
+	case PoisonQuarantined:
+		return relay.ReasonPoison
 	}
 	// A request that only asks for its trial must not look like one that runs.
 	x.end()
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -28,6 +28,8 @@
 	Keys Keys
 	// Poison refuses requests that crash targets.
 	Poison Poison
+	// Crashes tells agents what is known of crashes under the request.
+	Crashes Crashes
 	// Retry sizes the retry budget of each service.
 	Retry  retry.Config
 	Clock  timer.Service
@@ -307,6 +309,11 @@
 	Quarantined(service string, fingerprint uint64) bool
 }
 
+// Crashes knows how many targets in a row died while they ran a request.
+type Crashes interface {
+	Crashes(fingerprint uint64) model.Crashes
+}
+
 const (
 	defaultSilentReused  = 500 * time.Millisecond
 	defaultSilentAny     = 3 * time.Second
--- a/internal/edge/negotiate.go
+++ b/internal/edge/negotiate.go
@@ -88,6 +88,9 @@
 	if c := q.edge.config.Configurations; c != nil {
 		fields = append(fields, relay.Field{Name: model.HeaderConfiguration, Value: strconv.FormatUint(c.Number(), 10)})
 	}
+	if crashes := q.crashesSoFar(); crashes != (model.Crashes{}) {
+		fields = append(fields, relay.Field{Name: model.HeaderCrashes, Value: relay.FormatCrashes(crashes)})
+	}
 	if c.Patience > 0 {
 		fields = append(fields, relay.Field{Name: model.HeaderPatience, Value: c.Patience.Round(time.Millisecond).String()})
 	}
@@ -98,6 +101,20 @@
 	return fields
 }
 
+// crashesSoFar adds the crashes of this request's own attempts, of which the agents' records may not tell yet.
+func (q *request) crashesSoFar() model.Crashes {
+	known := q.edge.config.Crashes
+	if known == nil {
+		return model.Crashes{}
+	}
+	own := q.knownCrashes
+	own.Count += uint32(q.crashes)
+	if heard := known.Crashes(q.fingerprint); heard.Compare(own) > 0 {
+		return heard
+	}
+	return own
+}
+
 // noTarget refuses a request for which no candidate is left; the wait that agents expect tells when to return.
 func (q *request) noTarget() relay.Refusal {
 	r := notRun(http.StatusServiceUnavailable, "no target of the service takes requests", remedyLater)
--- a/internal/edge/refuse.go
+++ b/internal/edge/refuse.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/auburnwinch/auburnwinch/internal/poison"
 	"github.com/auburnwinch/auburnwinch/internal/relay"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
@@ -70,6 +71,8 @@
 }
 
 func poisoned() relay.Refusal {
-	return notRun(http.StatusUnprocessableEntity, "requests like this one crashed the targets that ran them",
+	r := notRun(http.StatusUnprocessableEntity, "requests like this one crashed the targets that ran them",
 		"don't send this request again; report it to the operators of the service")
+	r.RetryAfter = poison.CounterExpiry
+	return r
 }
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -50,6 +50,8 @@
 	// fingerprint identifies the request for the detection of poison requests; crashes counts targets that died.
 	fingerprint uint64
 	crashes     int
+	// knownCrashes is what was known of crashes under the request when it arrived.
+	knownCrashes model.Crashes
 	// sentHeader tells that the caller has received the header of an answer.
 	sentHeader bool
 	// omit are headers of the caller that targets do not get.
@@ -199,6 +201,9 @@
 		})
 		q.addField(model.HeaderFingerprint, strconv.FormatUint(q.fingerprint, 16))
 	}
+	if c := q.edge.config.Crashes; c != nil {
+		q.knownCrashes = c.Crashes(q.fingerprint)
+	}
 }
 
 func (q *request) addField(name, value string) {
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -16,7 +16,7 @@
 // refusalReasons are the refusals of agents that are counted one by one.
 var refusalReasons = []string{
 	relay.ReasonNoSlot, relay.ReasonSick, relay.ReasonDeadline, relay.ReasonDraining, relay.ReasonLeaving, relay.ReasonUnknownTarget,
-	relay.ReasonShed, relay.ReasonUnconfirmed,
+	relay.ReasonShed, relay.ReasonUnconfirmed, relay.ReasonPoison,
 }
 
 // meters count what the node does, for the metrics address.
@@ -97,6 +97,7 @@
 	} {
 		m.Counter("auburnwinch.edge."+name, "requests of callers: "+name, func() int64 { return int64(value(n.edge.Counters())) })
 	}
+	m.Counter("auburnwinch.poison.in-flight-at-crash", "requests that were in flight when the own target died", n.guard.deaths.Load)
 	m.Counter("auburnwinch.store.member-calls", "calls to the store for the records of the nodes", n.nodes.StoreCalls)
 	m.Counter("auburnwinch.feed.calls", "calls to other nodes for the records of the nodes", n.nodes.PeerCalls)
 	m.Gauge("auburnwinch.configuration.number", "number of the configuration in force", func() int64 { return int64(n.beliefs.number.Load()) })
@@ -114,6 +115,8 @@
 	Edge  edge.State  `json:"edge"`
 	Agent agent.State `json:"agent"`
 	View  any         `json:"view"`
+	// Crashes are the counts of requests under which targets of the fleet died.
+	Crashes []model.CrashEntry `json:"crashes"`
 }
 
 // metricsHandler serves the instruments, and the state of the node on request.
@@ -124,6 +127,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(stateDump{ // A reader that went away needs no answer.
 			Self: n.config.Self, Ready: n.ready(), Edge: n.edge.State(), Agent: n.agent.State(), View: n.beliefs.view.Load(),
+			Crashes: n.guard.counter.Counts().Entries(),
 		})
 	})
 	return mux
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -19,7 +19,9 @@
 	"github.com/auburnwinch/auburnwinch/internal/relay"
 	"github.com/auburnwinch/auburnwinch/internal/roster"
 	"github.com/auburnwinch/auburnwinch/internal/story"
+	"github.com/auburnwinch/auburnwinch/internal/timer"
 	"github.com/auburnwinch/auburnwinch/internal/view"
+	"github.com/auburnwinch/auburnwinch/internal/wake"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
@@ -42,6 +44,8 @@
 	// the records of other nodes follow within a second.
 	startWait   = 1500 * time.Millisecond
 	startPeriod = 5 * time.Second
+	// publishDelay groups the changes of a record that follow one cause into one write.
+	publishDelay = 20 * time.Millisecond
 	// restartTime is the usual time until a stopped node serves again.
 	restartTime = time.Second
 	// targetExpiry is the time after which a target without heartbeats is dropped: four of them.
@@ -80,6 +84,9 @@
 	// closed tells that callers' requests are refused, because they could not be finished.
 	closed atomic.Bool
 
+	// due asks for a publication of the record.
+	due wake.Signal
+
 	mu     sync.Mutex
 	record roster.Record
 	// recalled tells that the row of an earlier process of this node has been read, or that there is none. The record is not
@@ -90,7 +97,7 @@
 
 // New builds all parts and opens the listeners; Run serves.
 func New(c Config) (*Node, error) {
-	n := &Node{config: c.withDefaults()}
+	n := &Node{config: c.withDefaults(), due: wake.New()}
 	n.record = roster.Record{Node: n.config.Self}
 	invar.OnViolation(func(v invar.Violation) {
 		_ = level.Error(n.config.Failures).Log("msg", "invariant violated", "module", v.Module, "detail", v.Detail)
@@ -112,15 +119,15 @@
 		Health: noVerdicts{}, Now: n.config.Clock.Now, Seed: n.config.Self.Ref.Incarnation, Negotiate: true,
 		CheckPaths: true,
 	})
+	n.guard = newGuard(n.config.Clock, n.config.Failures, n.due)
 	n.beliefs = &beliefs{
 		self: n.config.Self, clock: n.config.Clock, logger: n.config.Failures, decode: n.config.Decode, picker: n.picker,
-		builder: view.NewBuilder(n.config.Self), members: roster.NewMembers(),
+		builder: view.NewBuilder(n.config.Self), members: roster.NewMembers(), guard: n.guard,
 	}
 	n.nodes = feed.NewTable(feed.Config{
 		Store: n.config.Nodes, Self: n.config.Self.Ref.ID, Domain: n.config.Self.Domain, Settle: membersSettle, OnOwnPart: n.recall,
 		Configurations: n.beliefs, Clock: n.config.Clock, Dial: n.config.Dial, Logger: n.config.Failures,
 	})
-	n.guard = &guard{logger: n.config.Failures}
 	n.journal = &journal{ordinary: n.config.Logger, failures: n.config.Failures, beliefs: n.beliefs, meters: n.meters}
 	return nil
 }
@@ -129,7 +136,7 @@
 	n.agent, err = agent.New(agent.Config{
 		Self: n.config.Self.Ref, NewLimiter: n.newLimiter, OnTargets: n.targetsChanged, Clock: n.config.Clock,
 		Logger: n.config.Failures, Dial: n.config.Dial, InterimInterval: interimInterval, Expiry: targetExpiry,
-		Protocol: n.config.Targets, Journal: n.journal, Poison: n.guard, OneTarget: true, NoSentinels: true, AnswerBytes: answerBytes, Configurations: n.beliefs,
+		Protocol: n.config.Targets, Journal: n.journal, Poison: n.guard, Survivors: n.guard, OneTarget: true, NoSentinels: true, AnswerBytes: answerBytes, Configurations: n.beliefs,
 	})
 	return err
 }
@@ -169,7 +176,7 @@
 		View: &n.beliefs.view, Picker: picks{n.picker}, Tracker: paths{n.picker}, Clock: n.config.Clock,
 		Logger: n.config.Failures, Dial: n.config.Dial, DialTimeout: relayDialTimeout, SilentReused: silentReused,
 		SilentAny: silentAny, BodyIdle: bodyIdle, StartWait: startWait, StartPeriod: startPeriod, Protocol: n.config.Callers, Negotiate: true, HoldBytes: holdBytes,
-		Journal: n.journal, Poison: n.guard, Parents: n.agent, Configurations: n.beliefs,
+		Journal: n.journal, Poison: n.guard, Crashes: n.guard, Parents: n.agent, Configurations: n.beliefs,
 	})
 	n.beliefs.edge = n.edge
 	return err
@@ -179,12 +186,30 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.record.Targets, n.record.Gone, n.record.Drained = targets, n.agent.Gone(), n.agent.Drained()
-	n.publish()
+	n.due.Raise()
+}
+
+// publishChanges publishes the record soon after a change, with the changes that follow at once: a target that dies is
+// removed and makes requests suspect one after the other, and the readers of the table look again only after a pause.
+func (n *Node) publishChanges(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.due:
+		}
+		if timer.Sleep(ctx, publishDelay) {
+			n.mu.Lock()
+			n.publish()
+			n.mu.Unlock()
+		}
+	}
 }
 
 // publish hands the record to the publisher; it is called under the lock.
 func (n *Node) publish() {
 	if n.publisher != nil && n.recalled {
+		n.record.Crashes = n.guard.own()
 		n.publisher.Publish(n.record.Encode())
 	}
 }
@@ -204,6 +229,7 @@
 		n.publisher.See(row)
 		if earlier, err := roster.DecodeRecord(row); err == nil { // The beliefs log rows that are no records.
 			n.agent.Recall(earlier.Draining(), earlier.Gone)
+			n.guard.recall(earlier.Crashes)
 		}
 	}
 	n.mu.Lock()
--- a/internal/hosted/poison_test.go
+++ b/internal/hosted/poison_test.go
@@ -93,7 +93,10 @@
 	t.Cleanup(c.back.Wait)
 	for _, n := range f.nodes {
 		c.arm(n.target)
-		n.await("kassa", "/read/x")
+		require.Eventually(t, func() bool {
+			n.call(http.MethodGet, "kassa", "/read/x")
+			return n.target.total() > 0
+		}, 5*time.Second, 10*time.Millisecond, "a node prefers the target beside it once it knows it")
 	}
 	return f, c
 }
@@ -129,9 +132,98 @@
 					require.Zero(t, n.target.ran(a.id), "a request that was refused as not run has run")
 				}
 			}
+			crashes.back.Wait()
 			for _, n := range f.nodes {
+				n.target.heartbeat("ready") // The node drops a target that has said nothing for 6 s.
 				n.await("kassa", "/read/x")
 			}
 		})
 	}
 }
+
+// Pattern: all targets of a service die at the same moment, three times, each time with one read in flight at all of them
+// and one order in flight twice. Guards against sound requests that are held back because they were there.
+func TestDeathsTogetherHoldBackNothing(t *testing.T) {
+	f, crashes := newCrashFleet(t, 6)
+	for round := range 3 {
+		held := make(chan struct{})
+		release := sync.OnceFunc(func() { close(held) })
+		t.Cleanup(release)
+		for _, n := range f.nodes {
+			n.target.set(func(http.ResponseWriter, *http.Request) bool {
+				<-held
+				panic(http.ErrAbortHandler)
+			})
+		}
+		begun := f.running()
+		var calls sync.WaitGroup
+		for i, n := range f.nodes {
+			calls.Go(func() { n.send(fmt.Sprintf("read-%d-%d", round, i), http.MethodGet, "kassa", "/read/popular", "") })
+		}
+		for i, n := range f.nodes[:2] {
+			calls.Go(func() { n.send(fmt.Sprintf("order-%d-%d", round, i), http.MethodPost, "kassa", "/order/1", "the same") })
+		}
+		require.Eventually(t, func() bool { return f.running()-begun == len(f.nodes)+2 }, 2*time.Second, time.Millisecond,
+			"round %d, %d requests run", round, f.running()-begun)
+		for _, n := range f.nodes {
+			n.target.crash(&crashes.back)
+		}
+		release()
+		calls.Wait()
+		crashes.back.Wait()
+		for _, n := range f.nodes {
+			n.target.set(nil)
+		}
+		for i, n := range f.nodes {
+			n.await("kassa", "/read/x")
+			read := n.send(fmt.Sprintf("again-%d-%d", round, i), http.MethodGet, "kassa", "/read/popular", "")
+			require.Equal(t, http.StatusOK, read.status, "round %d: %s", round, read.body)
+			order := n.send(fmt.Sprintf("anew-%d-%d", round, i), http.MethodPost, "kassa", "/order/1", "the same")
+			require.Equal(t, http.StatusOK, order.status, "round %d: %s", round, order.body)
+		}
+	}
+}
+
+// running returns the number of requests that have reached targets so far.
+func (f *fleet) running() int {
+	total := 0
+	for _, n := range f.nodes {
+		total += n.target.total()
+	}
+	return total
+}
+
+// Guards against a request that crashes targets again after all nodes were restarted at once, and after the nodes that saw
+// the crashes were restarted later than the others.
+func TestRestartsKeepTheQuarantine(t *testing.T) {
+	f, crashes := newCrashFleet(t, 4)
+	f.returnEverywhere(http.MethodPost, "/order/poison", "the same", 50*time.Millisecond, stableTime)
+	crashes.back.Wait()
+	require.GreaterOrEqual(t, crashes.count(), 3)
+	var stops sync.WaitGroup
+	for _, n := range f.nodes {
+		stops.Go(func() { n.stop(); <-n.done })
+	}
+	stops.Wait()
+	for i, n := range f.nodes {
+		require.NoError(t, n.start(string(rune('a'+i%2))))
+	}
+	before := crashes.count()
+	check := func(when string) {
+		t.Helper()
+		for _, n := range f.nodes {
+			n.target.heartbeat("ready")
+			n.await("kassa", "/read/x")
+		}
+		for _, a := range f.returnEverywhere(http.MethodPost, "/order/poison", "the same", 20*time.Millisecond, 500*time.Millisecond) {
+			require.Equal(t, http.StatusServiceUnavailable, a.status, when)
+			require.NotEmpty(t, a.header.Get("Retry-After"))
+		}
+		require.Equal(t, before, crashes.count(), when)
+	}
+	check("after all nodes were restarted at once")
+	for i, n := range f.nodes {
+		n.restart(string(rune('a' + i%2)))
+	}
+	check("after one node was restarted after the other")
+}
--- a/internal/hosted/run.go
+++ b/internal/hosted/run.go
@@ -34,6 +34,7 @@
 	n.watch()
 	n.group.Go(func() { n.checkStalls(ctx) })
 	n.group.Go(func() { n.checkPaths(ctx) })
+	n.group.Go(func() { n.publishChanges(ctx) })
 	_ = level.Info(n.config.Failures).Log("msg", "node started", "incarnation", n.config.Self.Ref.Incarnation, "version", n.config.Version,
 		"domain", n.config.Self.Domain, "region", n.config.Self.Region, "callers", n.config.Listeners.Callers, "relay", n.config.Listeners.Relay)
 	<-ctx.Done()
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -26,6 +26,7 @@
 	logger log.Logger
 	decode func(roster.Row) (*Desired, error)
 	picker *picker.Picker
+	guard  *guard
 	edge   *edge.Edge
 	view   view.Cell
 	limits atomic.Pointer[Limits]
@@ -50,9 +51,13 @@
 func (b *beliefs) takeMembers(p roster.Page) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, err := range b.members.Apply(p) {
+	changed, errs := b.members.Apply(p)
+	for _, err := range errs {
 		_ = level.Warn(b.logger).Log("msg", "row ignored", "err", err)
 	}
+	for _, record := range changed {
+		b.guard.hear(record.Crashes)
+	}
 	b.known, b.membersAt = true, b.clock.Now()
 	_ = level.Info(b.logger).Log("msg", "members changed", "version", p.Version, "rows", len(p.Rows), "whole", p.Whole, "nodes", b.members.Len())
 	b.publish()
--- a/internal/poison/doc.go
+++ b/internal/poison/doc.go
@@ -5,6 +5,8 @@
 // alone on its target. A second crash quarantines the request. Requests that start elsewhere before the suspicion
 // arrives there are beyond the bound of two, so the shell holds the answer of a crash until SpreadMsg.
 //
+// Counter is for nodes that share records only: it counts crashes in a row and quarantines after three of them.
+//
 // Usage at the agent:
 //
 //	module := poison.New(poison.Config{Self: node})
--- a/internal/relay/header.go
+++ b/internal/relay/header.go
@@ -16,7 +16,7 @@
 	model.HeaderExchange: {}, model.HeaderTarget: {}, model.HeaderKey: {}, model.HeaderLoad: {},
 	model.HeaderLength: {}, model.HeaderChecksum: {}, model.HeaderReason: {}, model.HeaderSignature: {},
 	model.HeaderRoute: {}, model.HeaderFingerprint: {}, model.HeaderClass: {}, model.HeaderPatience: {},
-	model.HeaderWait: {}, model.HeaderChance: {},
+	model.HeaderWait: {}, model.HeaderChance: {}, model.HeaderCrashes: {},
 	model.HeaderConfiguration: {}, model.HeaderObjective: {},
 }
 
--- a/internal/roster/members.go
+++ b/internal/roster/members.go
@@ -22,10 +22,9 @@
 	return &Members{records: make(map[string]member)}
 }
 
-// Apply takes a page of rows and returns the errors of the rows that are no records; these rows are passed over. Rows older
-// than the known ones change nothing.
-func (m *Members) Apply(p Page) []error {
-	var errs []error
+// Apply takes a page of rows and returns the records that are new, and the errors of the rows that are no records; these
+// rows are passed over. Rows older than the known ones change nothing.
+func (m *Members) Apply(p Page) (changed []*Record, errs []error) {
 	seen := make(map[string]bool, len(p.Rows))
 	for _, row := range p.Rows {
 		seen[row.Key] = true
@@ -43,6 +42,7 @@
 			continue
 		}
 		m.records[row.Key] = member{record: record, version: row.Version}
+		changed = append(changed, record)
 	}
 	if p.Whole {
 		for key := range m.records {
@@ -51,7 +51,7 @@
 			}
 		}
 	}
-	return errs
+	return changed, errs
 }
 
 // Len returns the number of nodes.
--- a/internal/roster/members_test.go
+++ b/internal/roster/members_test.go
@@ -20,7 +20,8 @@
 // Guards against fields of a record that are lost in its row.
 func TestRecordRoundTrip(t *testing.T) {
 	r := recordOf("n", 3)
-	r.Leaving, r.Poison = true, []model.PoisonEntry{{Service: "s", Fingerprint: 1, Crashes: 2}}
+	r.Leaving, r.Crashes = true, []model.CrashEntry{{Fingerprint: 1, Crashes: model.Crashes{Round: 3, Count: 2}}}
+	r.Gone, r.Drained = []model.TargetRef{{Service: "s", ID: "g", Incarnation: 1}}, []model.TargetRef{{Service: "s", ID: "d", Incarnation: 2}}
 	decoded, err := DecodeRecord(Row{Key: "n", Value: r.Encode()})
 	require.NoError(t, err)
 	require.Equal(t, r, decoded)
@@ -31,7 +32,7 @@
 func TestForeignRowsAreIgnored(t *testing.T) {
 	m := NewMembers()
 	good := recordOf("good", 1)
-	errs := m.Apply(Page{Whole: true, Rows: []Row{
+	changed, errs := m.Apply(Page{Whole: true, Rows: []Row{
 		{Key: "good", Value: good.Encode(), Version: 1},
 		{Key: "text", Value: []byte("hello"), Version: 2},
 		{Key: "empty", Version: 3},
@@ -39,6 +40,7 @@
 		{Key: "bytes", Value: []byte{0xff, 0, 1}, Version: 5},
 	}})
 	require.Len(t, errs, 4)
+	require.Equal(t, []*Record{good}, changed)
 	require.Len(t, m.Parts(), 1)
 	require.Equal(t, "good", m.Parts()[0].Node.Ref.ID)
 }
@@ -54,15 +56,21 @@
 			row := Row{Key: id, Value: recordOf(id, int(version)).Encode(), Version: version + 1}
 			history = append(history, row)
 			newest[id] = row
-			require.Empty(t, m.Apply(Page{Rows: []Row{row}}))
+			apply(t, m, Page{Rows: []Row{row}})
 			old := history[rapid.IntRange(0, len(history)-1).Draw(t, "old")]
-			require.Empty(t, m.Apply(Page{Rows: []Row{old}}))
+			apply(t, m, Page{Rows: []Row{old}})
 			require.Equal(t, len(newest), m.Len())
 			for _, part := range m.Parts() {
 				require.Equal(t, int(newest[part.Node.Ref.ID].Version)-1, part.Targets[0].Slots)
 			}
 		}
-		require.Empty(t, m.Apply(Page{Whole: true}), "rows that are gone from the table")
+		apply(t, m, Page{Whole: true}) // All rows are gone from the table.
 		require.Zero(t, m.Len())
 	})
 }
+
+// apply takes a page whose rows are all records.
+func apply(t require.TestingT, m *Members, p Page) {
+	_, errs := m.Apply(p)
+	require.Empty(t, errs)
+}
--- a/internal/roster/record.go
+++ b/internal/roster/record.go
@@ -15,8 +15,9 @@
 	Node    model.Node     `cbor:"1,keyasint"`
 	Targets []model.Target `cbor:"2,keyasint,omitempty"`
 	// Leaving tells that the node shuts down and takes no more requests for its targets.
-	Leaving bool                `cbor:"3,keyasint,omitempty"`
-	Poison  []model.PoisonEntry `cbor:"4,keyasint,omitempty"`
+	Leaving bool `cbor:"3,keyasint,omitempty"`
+	// Crashes are the requests under which targets of the node died, or that survived after such a death.
+	Crashes []model.CrashEntry `cbor:"7,keyasint,omitempty"`
 	// Gone are the latest targets of the node that have said goodbye; its next process reads them.
 	Gone []model.TargetRef `cbor:"5,keyasint,omitempty"`
 	// Drained are the targets that drained under an earlier process of the node, which this one may not have heard of yet.
@@ -57,7 +58,7 @@
 
 // Part returns what the node contributes to the view; targets of leaving nodes are no candidates.
 func (r *Record) Part() view.Part {
-	part := view.Part{Node: r.Node, Poison: r.Poison}
+	part := view.Part{Node: r.Node}
 	if !r.Leaving {
 		part.Targets = r.Targets
 	}
--- a/pkg/model/header.go
+++ b/pkg/model/header.go
@@ -23,6 +23,8 @@
 	HeaderRoute = "Auburnwinch-Route"
 	// HeaderFingerprint holds the fingerprint of the request in hexadecimal, for the detection of poison requests.
 	HeaderFingerprint = "Auburnwinch-Fingerprint"
+	// HeaderCrashes is what the sender knows of crashes of targets that ran the request, see relay.FormatCrashes.
+	HeaderCrashes = "Auburnwinch-Crashes"
 	// HeaderClass holds what the agent needs to know of the request before it admits it, see relay.Class.
 	HeaderClass = "Auburnwinch-Class"
 	// HeaderPatience is the Go duration that the request may wait for a slot.
