edge, poison: a starting node looks at the quarantine after it knows the records; a streak is no row

Cause, found by reading the change: the edge looked whether a request is quarantined before it waited for what a starting node may still learn, and quarantines come with the same records as targets. After a restart of all nodes, a request that came in the first moments could pass the edge. It now looks after the wait. The tests of restarts and of starts pass (58 s, internal/hosted). Without a test of its own: the agent refuses such a request as well, once it knows.

Comments called crashes in a row a row, like the rows of the store; now a streak.

--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -103,11 +103,12 @@
 		return
 	}
 	// The owner of the key is asked first: an earlier send of the key may have run, and then nothing is a certain not-run.
+	// A node that has just started learns of quarantines and of targets by the same records.
+	q.awaitStart(q.hasTarget)
 	if p := q.edge.config.Poison; p != nil && p.Quarantined(q.match.Service, q.fingerprint) {
 		q.refuseAttempts(poisoned())
 		return
 	}
-	q.awaitStart(q.hasTarget)
 	q.edge.counters.requests.Add(1)
 	q.edge.budget(q.match.Service).Begin()
 	q.run(ctx)
--- a/internal/poison/counter.go
+++ b/internal/poison/counter.go
@@ -30,7 +30,7 @@
 
 // Counter counts, for each request, the targets in a row that died while they ran it. It is for nodes that share records
 // only, where no node grants trials. Targets that die together count once for a request that runs on several of them, and
-// an answer ends the row, so that deaths with another cause hold back no sound request. It is not safe for concurrent use
+// an answer ends the streak, so that deaths with another cause hold back no sound request. It is not safe for concurrent use
 // except for Counts.
 type Counter struct {
 	config CounterConfig
@@ -79,8 +79,8 @@
 	return k.counts.Load()
 }
 
-// Own returns what this node has seen itself, sorted by fingerprint. Beyond the bound the shortest rows are left out, and
-// among these the oldest.
+// Own returns what this node has seen itself, sorted by fingerprint. Beyond the bound the shortest streaks are left out,
+// and among these the oldest.
 func (k *Counter) Own() []model.CrashEntry {
 	var own []uint64
 	for f, c := range k.known {
@@ -112,7 +112,7 @@
 	return cmds
 }
 
-// answer ends a row of crashes. The end of a row of one waits for the next record, since it holds nothing back.
+// answer ends a streak of crashes. The end of a streak of one waits for the next record, since it holds nothing back.
 func (k *Counter) answer(msg AnsweredMsg) []CounterCmd {
 	k.expire(msg.Now)
 	before := k.known[msg.Fingerprint].crashes
@@ -158,13 +158,13 @@
 	maps.DeleteFunc(k.known, func(_ uint64, c counted) bool { return !c.expires.After(now) })
 }
 
-// compare orders two requests by the length of their rows, then by age.
+// compare orders two requests by the length of their streaks, then by age.
 func (k *Counter) compare(a, b uint64) int {
 	x, y := k.known[a], k.known[b]
 	return cmp.Or(cmp.Compare(x.crashes.Count, y.crashes.Count), x.expires.Compare(y.expires), cmp.Compare(a, b))
 }
 
-// bound drops the entries beyond the bound: the shortest rows, and among these the oldest.
+// bound drops the entries beyond the bound: the shortest streaks, and among these the oldest.
 func (k *Counter) bound() {
 	if len(k.known) > k.config.MaxEntries {
 		all := slices.SortedFunc(maps.Keys(k.known), k.compare)
--- a/internal/poison/counter_test.go
+++ b/internal/poison/counter_test.go
@@ -89,7 +89,7 @@
 
 // Guards against single crashes that add up over hours although the request is served between them, and against an answer
 // that only one node knows of.
-func TestAnswerEndsTheRow(t *testing.T) {
+func TestAnswerEndsTheStreak(t *testing.T) {
 	s := newSharers(3, poison.CounterConfig{})
 	for range 5 {
 		s.die(0, s.known(1))
@@ -98,14 +98,14 @@
 		s.spread()
 		require.Equal(t, uint32(2), s.known(2).Count)
 		require.Equal(t, []poison.CounterCmd{poison.PublishCountsCmd{}}, s.answer(2))
-		require.Empty(t, s.answer(2), "the row has ended")
+		require.Empty(t, s.answer(2), "the streak has ended")
 		s.spread()
 		require.Zero(t, s.known(0).Count)
 	}
 }
 
-// Guards against a crash from before the answer that is heard after it and begins the row again.
-func TestLateCrashDoesNotReviveTheRow(t *testing.T) {
+// Guards against a crash from before the answer that is heard after it and begins the streak again.
+func TestLateCrashDoesNotReviveTheStreak(t *testing.T) {
 	s := newSharers(3, poison.CounterConfig{})
 	s.die(0, s.known(0))
 	s.hear(0, 1)
@@ -145,7 +145,7 @@
 	require.Empty(t, k.Counts().Entries())
 }
 
-// Guards against a count that depends on the order in which records arrive, and against a row that goes back.
+// Guards against a count that depends on the order in which records arrive, and against a streak that goes back.
 func TestCountersConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSharers(3, poison.CounterConfig{})
