agent, platform: log what targets state about themselves

A target may state a rate limit and that it leaves. The nodes decode both and log each change; lines of relayed requests carry the limit, gauges and the state dump show it. No decision uses it yet.

The logs of an unchanged node couldn't tell which targets state a limit, so that 'nothing reads it' and 'each node keeps it for itself' looked alike.

--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -102,7 +102,7 @@
 	x.record.Class = x.class
 	x.record.ID = x.agent.config.Protocol.ID(x.r)
 	if x.local != nil {
-		x.record.Load = x.local.limiter.Load()
+		x.record.Load, x.record.Notice = x.local.limiter.Load(), x.local.shared.notice.current()
 	}
 	if x.record.Outcome == "" {
 		x.record.Outcome = model.OutcomeDone
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -68,6 +68,8 @@
 	Matches(r *http.Request, response *http.Response) bool
 	// Verdict returns what a response says about the request beyond its status.
 	Verdict(response *http.Response) Verdict
+	// Notice returns what the target states about itself in a response; it fails if a value is malformed.
+	Notice(response *http.Response) (relay.Notice, error)
 }
 
 // Verdict is what a response of a target says about its request.
@@ -103,6 +105,8 @@
 	Waited  time.Duration
 	Ran     time.Duration
 	Load    relay.Load
+	// Notice is what the target had stated about itself when the request ended.
+	Notice relay.Notice
 	// Fingerprint is the same for all attempts of one request; zero means unknown.
 	Fingerprint uint64
 }
--- a/internal/agent/protocol.go
+++ b/internal/agent/protocol.go
@@ -28,3 +28,6 @@
 
 // Verdict accepts every response as that of the request.
 func (defaultProtocol) Verdict(*http.Response) Verdict { return VerdictOK }
+
+// Notice returns an empty notice, because targets of the product state nothing about themselves.
+func (defaultProtocol) Notice(*http.Response) (relay.Notice, error) { return relay.Notice{}, nil }
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -263,7 +263,11 @@
 	if err != nil {
 		return x.handleBroken(ctx, err)
 	}
-	switch x.agent.config.Protocol.Verdict(response) {
+	verdict := x.agent.config.Protocol.Verdict(response)
+	if verdict == VerdictOK || verdict == VerdictShed {
+		x.observeNotice(response)
+	}
+	switch verdict {
 	case VerdictShed:
 		return x.shed(conn, response)
 	case VerdictWrongTarget:
--- a/internal/agent/state.go
+++ b/internal/agent/state.go
@@ -14,6 +14,7 @@
 	InFlight int64        `json:"in-flight"`
 	Load     relay.Load   `json:"load"`
 	Idle     int          `json:"idle-connections"`
+	Notice   relay.Notice `json:"notice"`
 }
 
 // State is the state of an agent for operators.
@@ -29,7 +30,7 @@
 	for _, l := range a.registry.all() {
 		s.Targets = append(s.Targets, TargetState{
 			Target: l.model(), Address: l.address, InFlight: l.shared.inFlight.Load(), Load: l.limiter.Load(),
-			Idle: l.pool.Idle(),
+			Idle: l.pool.Idle(), Notice: l.shared.notice.current(),
 		})
 	}
 	slices.SortFunc(s.Targets, func(x, y TargetState) int { return x.Target.Ref.Compare(y.Target.Ref) })
--- a/internal/agent/target.go
+++ b/internal/agent/target.go
@@ -28,6 +28,8 @@
 	announced atomic.Int64
 	// sequence is that of the latest heartbeat.
 	sequence atomic.Uint64
+	// notice is what the target states about itself.
+	notice noticeState
 	// liveness tells whether the process of this incarnation has died.
 	liveness *livenessMonitor
 
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -97,6 +97,8 @@
 	} {
 		m.Counter("auburnwinch.edge."+name, "requests of callers: "+name, func() int64 { return int64(value(n.edge.Counters())) })
 	}
+	m.Gauge("auburnwinch.agent.limited", "targets of this VM that state a rate limit", func() int64 { return int64(n.agent.Limited()) })
+	m.Gauge("auburnwinch.agent.target-leaving", "targets of this VM that have stated that they shut down", func() int64 { return int64(n.agent.TargetsLeaving()) })
 	m.Counter("auburnwinch.poison.in-flight-at-crash", "requests that were in flight when the own target died", n.guard.inFlightAtCrash.Load)
 	m.Counter("auburnwinch.store.member-calls", "calls to the store for the records of the nodes", n.nodes.StoreCalls)
 	m.Counter("auburnwinch.feed.calls", "calls to other nodes for the records of the nodes", n.nodes.PeerCalls)
--- a/pkg/model/header.go
+++ b/pkg/model/header.go
@@ -36,6 +36,11 @@
 	// HeaderChance is the share of its latest requests that a target served, sent when a request is refused because the
 	// target is sick.
 	HeaderChance = "Auburnwinch-Chance"
+	// HeaderRateLimit is the number of requests per second that the target accepts, as a decimal number. Agents send it
+	// with each response while the target states a limit, and edges send what they know with a request.
+	HeaderRateLimit = "Auburnwinch-Rate-Limit"
+	// HeaderTargetLeaving is sent with each response of a target that has stated that it shuts down.
+	HeaderTargetLeaving = "Auburnwinch-Target-Leaving"
 	// HeaderWait is how long a refused request would have had to wait, as a Go duration.
 	HeaderWait = "Auburnwinch-Wait"
 )
