--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -203,6 +203,15 @@
 	require.Eventually(n.fleet.t, n.ready, 5*time.Second, 10*time.Millisecond)
 }
 
+// restartUnready restarts the node without waiting until it is ready, which it is not while the store is away.
+func (n *testNode) restartUnready(domain string) {
+	n.fleet.t.Helper()
+	n.stop()
+	<-n.done
+	require.NoError(n.fleet.t, n.start(domain))
+	n.target.heartbeat("ready")
+}
+
 func (n *testNode) close() {
 	if n.stop != nil { // It is nil if the node could not be started, which has failed the test.
 		n.stop()
