Keep the rate limits that targets state

Requests went by free slots and distance; with 'target notice' in the logs the rate at a target does not change when it states a limit, and breaks come before any restart and at targets whose nodes are not restarted.

Only the agent beside a target can reach it, so the agent alone keeps the limit, for all edges together: a token bucket in internal/limit that holds a second of the rate. A request waits for a token only if it can still meet its objective; otherwise the refusal 'rate-limit' makes the edge go on to other targets, and edges avoid the target until its next token. An agent that has restarted knows no limit: each edge adds the limit that it knows to its requests until the target has answered. The edges that have passed on an answer with the limit are the ones that know it, so that no store is needed.

TestRateLimitOfTarget now lets requests take 150 ms in the part after the end of the limit: with the load it had, the two other targets had room for all, and the count of requests at the third said nothing about idle capacity. The bound is the same.

--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -127,6 +127,14 @@
 	Configure(slots int, spec model.ServiceSpec)
 }
 
+// RateLimited is a limiter that keeps the rate limit that its target states.
+type RateLimited interface {
+	// SetRate changes the limit in requests per second; without limited there is none.
+	SetRate(rate float64, limited bool)
+	// RateWait returns how long the next request would wait for the limit.
+	RateWait() time.Duration
+}
+
 // AdmitRequest is what admission needs to know about a request.
 type AdmitRequest struct {
 	Account  string
@@ -178,6 +186,8 @@
 type Result struct {
 	Kind     ResultKind
 	Duration time.Duration
+	// Sent is set once the request was handed to the target.
+	Sent bool
 }
 
 // TrackRequest is what the detection of unhealthy targets needs to know about a request.
--- a/internal/agent/notice.go
+++ b/internal/agent/notice.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/auburnwinch/auburnwinch/internal/relay"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
 // noticeLogInterval bounds the log lines about a rate limit that changes with every response.
@@ -15,8 +16,10 @@
 
 // noticeState is what a target has stated about itself in its latest response. The zero value knows nothing.
 type noticeState struct {
-	mu       sync.Mutex
-	latest   relay.Notice
+	mu     sync.Mutex
+	latest relay.Notice
+	// observed is set once this process has seen a response; until then the notice is what edges know.
+	observed bool
 	loggedAt time.Time
 }
 
@@ -27,34 +30,83 @@
 	return s.latest
 }
 
-// observe records the notice of a response. It reports whether the notice has changed, and whether the change is due to be
+// observe records the notice of a response and applies a change to the limiter. It reports whether the change is due to be
 // logged. A target that has stated once that it leaves does not come back.
-func (s *noticeState) observe(n relay.Notice, now time.Time) (changed, log bool) {
+func (s *noticeState) observe(n relay.Notice, limiter Limiter, now time.Time) (log bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.observed = true
 	n.Leaving = n.Leaving || s.latest.Leaving
+	return s.set(n, limiter, now)
+}
+
+// adopt takes the limit that an edge knows, as long as this process has seen no response of the target. Edges may know
+// limits of different age, so the lowest one counts.
+func (s *noticeState) adopt(n relay.Notice, limiter Limiter, now time.Time) (log bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.observed || s.latest.Limited && s.latest.RateLimit <= n.RateLimit {
+		return false
+	}
+	n.Leaving = s.latest.Leaving
+	return s.set(n, limiter, now)
+}
+
+func (s *noticeState) set(n relay.Notice, limiter Limiter, now time.Time) (log bool) {
 	if n == s.latest {
-		return false, false
+		return false
 	}
 	log = n.Limited != s.latest.Limited || n.Leaving != s.latest.Leaving || now.Sub(s.loggedAt) >= noticeLogInterval
 	if log {
 		s.loggedAt = now
 	}
 	s.latest = n
-	return true, log
+	setRate(limiter, n)
+	return log
+}
+
+func setRate(limiter Limiter, n relay.Notice) {
+	if r, ok := limiter.(RateLimited); ok {
+		r.SetRate(n.RateLimit, n.Limited)
+	}
 }
 
-// observeNotice records what the target states about itself in a response to the request.
+// observeNotice applies what the target states about itself in a response to the request.
 func (x *exchange) observeNotice(response *http.Response) {
-	ref := x.local.target.Ref
-	n, err := x.agent.config.Protocol.Notice(response)
+	a, ref := x.agent, x.local.target.Ref
+	n, err := a.config.Protocol.Notice(response)
 	if err != nil {
-		_ = level.Warn(x.agent.config.Logger).Log("msg", "notice of the target ignored", "service", ref.Service, "target", ref.ID, "err", err)
+		_ = level.Warn(a.config.Logger).Log("msg", "notice of the target ignored", "service", ref.Service, "target", ref.ID, "err", err)
 		return
 	}
-	if _, log := x.local.shared.notice.observe(n, x.agent.config.Clock.Now()); log {
-		_ = level.Info(x.agent.config.Logger).Log("msg", "target notice", "service", ref.Service, "target", ref.ID,
-			"limited", n.Limited, "rate-limit", n.RateLimit, "leaving", n.Leaving)
+	if x.local.shared.notice.observe(n, x.local.limiter, a.config.Clock.Now()) {
+		a.logNotice(ref, "target")
+	}
+}
+
+// adoptNotice applies the limit that an edge knows, because a node that has restarted has forgotten it.
+func (a *Agent) adoptNotice(l *localTarget, n relay.Notice) {
+	if n.Limited && l.shared.notice.adopt(n, l.limiter, a.config.Clock.Now()) {
+		a.logNotice(l.target.Ref, "edge")
+	}
+}
+
+func (a *Agent) logNotice(ref model.TargetRef, source string) {
+	l := a.registry.find(ref.Service, ref.ID)
+	if l == nil {
+		return // The target was removed meanwhile, which has its own line.
+	}
+	n := l.shared.notice.current()
+	_ = level.Info(a.config.Logger).Log("msg", "target notice", "service", ref.Service, "target", ref.ID,
+		"limited", n.Limited, "rate-limit", n.RateLimit, "leaving", n.Leaving, "source", source)
+}
+
+// setNoticeHeaders tells the edge what the target states, and how long its rate limit would make the next request wait.
+func (x *exchange) setNoticeHeaders(h http.Header) {
+	n := x.local.shared.notice.current()
+	n.Set(h)
+	if r, ok := x.local.limiter.(RateLimited); ok && n.Limited {
+		h[model.HeaderWait] = []string{r.RateWait().Round(time.Millisecond).String()}
 	}
 }
 
--- a/internal/agent/registry.go
+++ b/internal/agent/registry.go
@@ -92,7 +92,9 @@
 		c.Configure(next.target.Slots, next.spec)
 		return limiter
 	}
-	return r.newLimiter(next.target, next.spec)
+	limiter = r.newLimiter(next.target, next.spec)
+	setRate(limiter, next.shared.notice.current())
+	return limiter
 }
 
 // drain marks a target as draining and reports whether that changed its state; it fails with errUnknown.
--- a/internal/agent/response.go
+++ b/internal/agent/response.go
@@ -78,6 +78,7 @@
 	relay.CopyHeader(h, response.Header)
 	h[model.HeaderOutcome] = []string{string(model.OutcomeDone)}
 	h[model.HeaderLoad] = []string{x.local.limiter.Load().String()}
+	x.setNoticeHeaders(h)
 	if _, ok := h["Content-Type"]; !ok {
 		// Prevents the server from sniffing a content type that the target did not state.
 		h["Content-Type"] = nil
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -120,6 +120,7 @@
 }
 
 func (x *exchange) checkLocal(ref model.TargetRef) string {
+	x.agent.adoptNotice(x.local, relay.ParseNotice(x.r.Header))
 	if x.local.shared.draining.Load() {
 		return relay.ReasonDraining
 	}
@@ -239,7 +240,7 @@
 	if s := x.agent.config.CrashCounter; s != nil && kind == ResultOK && x.record.Status < http.StatusMultipleChoices {
 		s.RequestSucceeded(x.suspect.Fingerprint)
 	}
-	result := Result{Kind: kind, Duration: x.agent.config.Clock.Now().Sub(begin)}
+	result := Result{Kind: kind, Duration: x.agent.config.Clock.Now().Sub(begin), Sent: true}
 	x.record.Ran = result.Duration
 	if x.handle != nil {
 		x.handle.Finish(result)
@@ -374,6 +375,7 @@
 	x.w.Header()[model.HeaderReason] = []string{reason}
 	if x.local != nil {
 		x.w.Header()[model.HeaderLoad] = []string{x.local.limiter.Load().String()}
+		x.local.shared.notice.current().Set(x.w.Header())
 	}
 	if x.closesConn() {
 		x.w.Header()["Connection"] = []string{"close"}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -158,13 +158,42 @@
 	if load, ok := relay.ParseLoad(x.response.Header.Get(model.HeaderLoad)); ok {
 		x.load = Load{Load: load, Reported: true}
 	}
-	if model.Outcome(x.response.Header.Get(model.HeaderOutcome)) == model.OutcomeDone {
+	answered := model.Outcome(x.response.Header.Get(model.HeaderOutcome)) == model.OutcomeDone
+	x.observeNotice(answered)
+	if answered {
 		x.load.IncludesRequest = true
 		return nil
 	}
 	return x.readRefusal()
 }
 
+// observeNotice records what the response says about its target, before the caller gets any of it.
+func (x *exchange) observeNotice(answered bool) {
+	notices := x.request.edge.config.Notices
+	if notices == nil {
+		return
+	}
+	h, ref := x.response.Header, x.choice.Candidate.Target.Ref
+	if answered {
+		notices.ObserveAnswer(ref, relay.ParseNotice(h), waitOf(h))
+		return
+	}
+	var wait time.Duration
+	if h.Get(model.HeaderReason) == relay.ReasonRateLimit {
+		wait = waitOf(h)
+	}
+	notices.ObserveRefusal(ref, relay.ParseNotice(h), wait)
+}
+
+// waitOf returns the wait that the agent states, or zero.
+func waitOf(h http.Header) time.Duration {
+	wait, err := time.ParseDuration(h.Get(model.HeaderWait))
+	if err != nil {
+		return 0
+	}
+	return wait
+}
+
 func (x *exchange) relayRequest(part *resumption) *relay.Request {
 	q := x.request
 	target := relay.FormatTarget(x.choice.Candidate.Target.Ref)
@@ -203,9 +232,7 @@
 	h := x.response.Header
 	f := &failure{result: retry.InDoubt, kind: ResultReset, reason: h.Get(model.HeaderReason), retryable: true}
 	f.refusedByTarget = f.reason == relay.ReasonShed
-	if wait, err := time.ParseDuration(h.Get(model.HeaderWait)); err == nil {
-		f.wait = wait
-	}
+	f.wait = waitOf(h)
 	switch f.reason {
 	case relay.ReasonUnhealthy:
 		x.load.UnhealthyFor = f.wait
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -68,6 +68,19 @@
 	RequestLogger RequestLogger
 	// Parents looks up the requests that run at the target on this VM.
 	Parents Parents
+	// Notices remembers what targets state about themselves.
+	Notices Notices
+}
+
+// Notices remembers what targets state about themselves, beyond restarts of the nodes beside them.
+type Notices interface {
+	// ObserveAnswer records what a response of the target states, and how long its rate limit would make the next request
+	// wait.
+	ObserveAnswer(target model.TargetRef, n relay.Notice, wait time.Duration)
+	// ObserveRefusal records what the agent states in place of its target.
+	ObserveRefusal(target model.TargetRef, n relay.Notice, wait time.Duration)
+	// Notice returns what the target is known to have stated.
+	Notice(target model.TargetRef) relay.Notice
 }
 
 // Configurations tracks the current configuration number.
@@ -156,8 +169,10 @@
 	Target model.TargetRef
 	// ExpectedWait is the wait that the agent expects.
 	ExpectedWait time.Duration
-	// Unhealthy tells whether the agent considers the target unhealthy.
-	Unhealthy bool
+	// Unhealthy tells whether the agent considers the target unhealthy, RateLimited whether the rate limit that the target
+	// states is used up.
+	Unhealthy   bool
+	RateLimited bool
 }
 
 // Choice is a chosen target. Token is private to the picker.
--- a/internal/edge/negotiate.go
+++ b/internal/edge/negotiate.go
@@ -41,12 +41,18 @@
 	if f.reason == relay.ReasonBudget {
 		q.budgetRefusals++
 	}
+	if f.reason == relay.ReasonRateLimit && (q.rateWait == 0 || f.wait < q.rateWait) {
+		q.rateWait = f.wait
+	}
 	switch {
 	case c.Patience > 0 || c.Forced:
 		// The request has already queued there or asked for forced admission; asking again would not help.
 		q.tried = append(q.tried, c.Candidate.Target.Ref)
-	case f.reason == relay.ReasonNoSlot || f.reason == relay.ReasonUnhealthy:
-		q.refused = append(q.refused, AgentRefusal{Target: c.Candidate.Target.Ref, ExpectedWait: f.wait, Unhealthy: f.reason == relay.ReasonUnhealthy})
+	case f.reason == relay.ReasonNoSlot || f.reason == relay.ReasonUnhealthy || f.reason == relay.ReasonRateLimit:
+		q.refused = append(q.refused, AgentRefusal{
+			Target: c.Candidate.Target.Ref, ExpectedWait: f.wait, Unhealthy: f.reason == relay.ReasonUnhealthy,
+			RateLimited: f.reason == relay.ReasonRateLimit,
+		})
 	default:
 		q.tried = append(q.tried, c.Candidate.Target.Ref)
 	}
@@ -89,6 +95,11 @@
 // addAdmissionFields adds the fields that the agent uses for admission.
 func (q *request) addAdmissionFields(fields []relay.Field, c Choice) []relay.Field {
 	fields = append(fields, relay.Field{Name: model.HeaderClass, Value: q.class(c)})
+	if notices := q.edge.config.Notices; notices != nil {
+		if n := notices.Notice(c.Candidate.Target.Ref); n.Limited {
+			fields = append(fields, relay.Field{Name: model.HeaderRateLimit, Value: relay.FormatRate(n.RateLimit)})
+		}
+	}
 	if c := q.edge.config.Configurations; c != nil {
 		fields = append(fields, relay.Field{Name: model.HeaderConfiguration, Value: strconv.FormatUint(c.Number(), 10)})
 	}
@@ -136,6 +147,9 @@
 	for _, r := range q.refused {
 		shortest = min(shortest, r.ExpectedWait)
 	}
+	if q.rateWait > 0 {
+		shortest = min(shortest, q.rateWait)
+	}
 	return addJitter(min(max(shortest, minRetryWait), maxRetryWait))
 }
 
--- a/internal/edge/refuse.go
+++ b/internal/edge/refuse.go
@@ -64,6 +64,8 @@
 		return notRunRefusal(http.StatusServiceUnavailable, "all slots of the service are taken", remedyLater)
 	case relay.ReasonDeadline:
 		return notRunRefusal(http.StatusServiceUnavailable, "no slot would be free within the time of the request", remedyLater)
+	case relay.ReasonRateLimit:
+		return notRunRefusal(http.StatusServiceUnavailable, "the targets of the service state rate limits that are used up", remedyLater)
 	case "":
 		reason = "the node of the target can't be reached"
 	}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -68,6 +68,8 @@
 	refused        []AgentRefusal
 	refusalCount   int
 	budgetRefusals int
+	// rateWait is the shortest wait that an agent expects because of the rate limit of its target; zero means none.
+	rateWait time.Duration
 	// saved is the error response of a target to an earlier attempt.
 	saved *savedResponse
 	// startedAt, tries, number, refusal and status are for the request log.
@@ -272,7 +274,11 @@
 		q.edge.counters.broken.Add(1)
 		q.abort = true
 	case f.result == retry.NotRun:
-		q.refuseAttempts(agentRefusal(f.reason))
+		r := agentRefusal(f.reason)
+		if f.reason == relay.ReasonRateLimit {
+			r.RetryAfter = q.retryAfter()
+		}
+		q.refuseAttempts(r)
 	case q.saved != nil:
 		q.saved.deliver(q)
 	default:
--- a/internal/hosted/admission.go
+++ b/internal/hosted/admission.go
@@ -145,7 +145,7 @@
 	}
 	if err != nil {
 		a.mu.Unlock()
-		permit.Release(limit.Result{})
+		permit.Release(limit.Result{Unsent: true})
 		return nil, err
 	}
 	a.lastID++
@@ -184,7 +184,7 @@
 	cmds := a.health.Update(health.EndMsg{Now: a.clock.Now(), ID: p.id, Kind: evidenceOf(r.Kind)})
 	a.mu.Unlock()
 	a.apply(cmds)
-	p.permit.Release(limit.Result{OK: r.Kind == agent.ResultOK})
+	p.permit.Release(limit.Result{OK: r.Kind == agent.ResultOK, Unsent: !r.Sent})
 }
 
 func evidenceOf(kind agent.ResultKind) health.Kind {
@@ -230,6 +230,16 @@
 	a.limiter.SetSettings(admissionSettings(slots))
 }
 
+// SetRate changes the rate limit that the target states, in requests per second.
+func (a *admission) SetRate(rate float64, limited bool) {
+	a.limiter.SetRate(rate, limited)
+}
+
+// RateWait returns how long one more request would wait for the rate limit.
+func (a *admission) RateWait() time.Duration {
+	return a.limiter.RateWait()
+}
+
 // Load returns the requests in flight or queued and the limit.
 func (a *admission) Load() relay.Load {
 	load := a.limiter.Load()
@@ -247,6 +257,8 @@
 		reason = relay.ReasonDeadline
 	case limit.ReasonUnhealthy:
 		reason = relay.ReasonUnhealthy
+	case limit.ReasonRateLimit:
+		reason = relay.ReasonRateLimit
 	}
 	return &refusedError{reason: reason, wait: refused.RetryAfter}
 }
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -16,7 +16,7 @@
 // refusalReasons are the agents' refusal reasons that have a counter of their own.
 var refusalReasons = []string{
 	relay.ReasonNoSlot, relay.ReasonUnhealthy, relay.ReasonDeadline, relay.ReasonDraining, relay.ReasonLeaving, relay.ReasonUnknownTarget,
-	relay.ReasonShed, relay.ReasonUnconfirmed, relay.ReasonPoison,
+	relay.ReasonShed, relay.ReasonUnconfirmed, relay.ReasonPoison, relay.ReasonRateLimit,
 }
 
 // metrics holds the instruments served at the metrics address.
--- a/internal/hosted/notice_test.go
+++ b/internal/hosted/notice_test.go
@@ -19,18 +19,21 @@
 	limitExtra  = 5
 	// drainTime is the time after which a target that leaves must get no new requests.
 	drainTime = 2 * time.Second
+	// shortRun and longRun are how long a target takes for a request.
+	shortRun = 20 * time.Millisecond
+	longRun  = 150 * time.Millisecond
 )
 
 // arrivalLog records when a target gets requests.
 type arrivalLog struct {
 	mu sync.Mutex
 	at []time.Time
-	// fromCaller counts the requests by the id that their caller gave them.
+	// ids holds the latest arrival of each request id.
 	ids map[string]time.Time
 }
 
-// states makes the target add a header to each answer and record its requests; each takes 20 ms.
-func (l *arrivalLog) states(g *target, name, value string) {
+// states makes the target add a header to each answer and record its requests, each of which takes the given time.
+func (l *arrivalLog) states(g *target, name, value string, took time.Duration) {
 	l.ids = make(map[string]time.Time)
 	g.set(func(w http.ResponseWriter, r *http.Request) bool {
 		l.mu.Lock()
@@ -40,7 +43,7 @@
 		if name != "" {
 			w.Header().Set(name, value)
 		}
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(took)
 		return false
 	})
 }
@@ -114,8 +117,8 @@
 	}
 	const rate = 2
 	var limited, open arrivalLog
-	limited.states(f.nodes[0].target, "Server-Limit", "2.0")
-	open.states(f.nodes[1].target, "", "")
+	limited.states(f.nodes[0].target, "Server-Limit", "2.0", shortRun)
+	open.states(f.nodes[1].target, "", "", shortRun)
 	begin := time.Now()
 	for _, a := range press(25*time.Millisecond, stableTime+limitWindow+time.Second, callers...) {
 		require.Equal(t, http.StatusOK, a.status, "%s\n%s", a.body, f.logOf(a.id))
@@ -123,9 +126,11 @@
 	require.LessOrEqual(t, limited.busiest(begin.Add(stableTime)), allowed(rate))
 	require.Greater(t, limited.count(), rate*int(limitWindow.Seconds())/2, "the limit is capacity that must be used")
 	require.Greater(t, open.count(), 50)
-	// The limit ends with the first answer that states none.
+	// The limit ends with the first answer that states none, and then two other targets are too few for the load.
 	var free arrivalLog
-	free.states(f.nodes[0].target, "", "")
+	free.states(f.nodes[0].target, "", "", longRun)
+	open.states(f.nodes[1].target, "", "", longRun)
+	open.states(f.nodes[2].target, "", "", longRun)
 	press(25*time.Millisecond, 3*time.Second, callers...)
 	require.Greater(t, free.count(), 10*rate)
 }
@@ -137,7 +142,7 @@
 	var logs [2]arrivalLog
 	for i := range logs {
 		f.nodes[i].target.keepAlive()
-		logs[i].states(f.nodes[i].target, "Server-Limit", "3")
+		logs[i].states(f.nodes[i].target, "Server-Limit", "3", shortRun)
 	}
 	begin := time.Now()
 	served := 0
@@ -166,7 +171,7 @@
 	}
 	const rate = 1
 	var limited arrivalLog
-	limited.states(f.nodes[0].target, "Server-Limit", "1")
+	limited.states(f.nodes[0].target, "Server-Limit", "1", shortRun)
 	begin := time.Now()
 	done := make(chan struct{})
 	go func() {
@@ -192,7 +197,7 @@
 		n.target.keepAlive()
 	}
 	var leaving arrivalLog
-	leaving.states(f.nodes[0].target, "Server-Leaving", "1")
+	leaving.states(f.nodes[0].target, "Server-Leaving", "1", shortRun)
 	begin := time.Now()
 	press(20*time.Millisecond, time.Second, caller)
 	require.Positive(t, leaving.count())
--- a/internal/hosted/picker.go
+++ b/internal/hosted/picker.go
@@ -38,7 +38,7 @@
 		Refusals: make([]picker.AgentRefusal, 0, len(r.Refusals)),
 	}
 	for _, refused := range r.Refusals {
-		request.Refusals = append(request.Refusals, picker.AgentRefusal{Target: refused.Target, Wait: refused.ExpectedWait, Unhealthy: refused.Unhealthy})
+		request.Refusals = append(request.Refusals, picker.AgentRefusal{Target: refused.Target, Wait: refused.ExpectedWait, Unhealthy: refused.Unhealthy, RateLimited: refused.RateLimited})
 	}
 	choice, err := p.Picker.Pick(request)
 	if err != nil {
--- a/internal/limit/limiter.go
+++ b/internal/limit/limiter.go
@@ -23,6 +23,8 @@
 	module  *Module
 	nextID  uint64
 	waiting map[uint64]chan Cmd
+	// wake sends the tick that a WakeCmd has asked for.
+	wake *time.Timer
 }
 
 // Permit is an admission; it must be released once.
@@ -131,7 +133,7 @@
 	select {
 	case decision := <-decisions:
 		if _, granted := decision.(GrantCmd); granted {
-			l.apply(l.module.Update(ReleaseMsg{Now: l.now(), ID: id}))
+			l.apply(l.module.Update(ReleaseMsg{Now: l.now(), ID: id, Result: Result{Unsent: true}}))
 		}
 	default:
 		l.apply(l.module.Update(CancelMsg{Now: l.now(), ID: id}))
@@ -146,6 +148,20 @@
 	l.apply(l.module.Update(RefuseWaitingMsg{Now: l.now()}))
 }
 
+// SetRate changes the rate limit that the target states, in requests per second; without limited it states none.
+func (l *Limiter) SetRate(rate float64, limited bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.apply(l.module.Update(RateMsg{Now: l.now(), Rate: rate, Limited: limited}))
+}
+
+// RateWait returns how long one more request would wait for the rate limit of the target.
+func (l *Limiter) RateWait() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.module.RateWait(l.now())
+}
+
 func (l *Limiter) tick() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -160,6 +176,10 @@
 
 func (l *Limiter) apply(cmds []Cmd) {
 	for _, c := range cmds {
+		if wake, ok := c.(WakeCmd); ok {
+			l.tickAt(wake.At)
+			continue
+		}
 		if decisions := l.waiting[idOf(c)]; decisions != nil && !isWait(c) {
 			decisions <- c
 		}
@@ -167,6 +187,14 @@
 	l.publish()
 }
 
+func (l *Limiter) tickAt(at time.Time) {
+	if l.wake == nil {
+		l.wake = time.AfterFunc(at.Sub(l.now()), l.tick)
+		return
+	}
+	l.wake.Reset(at.Sub(l.now()))
+}
+
 func (l *Limiter) publish() {
 	load := l.module.Load()
 	l.load.Store(&load)
--- a/internal/limit/message.go
+++ b/internal/limit/message.go
@@ -34,6 +34,13 @@
 // RefuseWaitingMsg refuses all waiting requests because the target became unhealthy.
 type RefuseWaitingMsg struct{ Now time.Time }
 
+// RateMsg changes the rate limit that the target states, in requests per second; Limited is false if it states none.
+type RateMsg struct {
+	Now     time.Time
+	Rate    float64
+	Limited bool
+}
+
 // TickMsg advances the time; requests that have waited longer than allowed are refused.
 type TickMsg struct{ Now time.Time }
 
@@ -42,6 +49,7 @@
 func (m ReleaseMsg) at() time.Time       { return m.Now }
 func (m CancelMsg) at() time.Time        { return m.Now }
 func (m RefuseWaitingMsg) at() time.Time { return m.Now }
+func (m RateMsg) at() time.Time          { return m.Now }
 func (m TickMsg) at() time.Time          { return m.Now }
 
 // Cmd is an action that the caller of Update must carry out.
@@ -57,6 +65,10 @@
 	Until time.Time
 }
 
+// WakeCmd asks the caller of Update for a TickMsg at At, when the rate limit permits the next waiting request. It replaces
+// earlier ones.
+type WakeCmd struct{ At time.Time }
+
 // RefuseCmd refuses a request that has not run.
 type RefuseCmd struct {
 	ID         uint64
@@ -66,4 +78,5 @@
 
 func (GrantCmd) cmd()  {}
 func (WaitCmd) cmd()   {}
+func (WakeCmd) cmd()   {}
 func (RefuseCmd) cmd() {}
--- a/internal/limit/module.go
+++ b/internal/limit/module.go
@@ -32,6 +32,7 @@
 	settings Settings
 	now      time.Time
 	limit    adaptiveLimit
+	rate     rateLimit
 	running  map[uint64]runningRequest
 	queue    queue
 	accounts map[string]*account
@@ -80,7 +81,15 @@
 
 // Load returns the current load.
 func (m *Module) Load() Load {
-	return Load{InFlight: len(m.running), Waiting: m.queue.len(), Limit: m.limit.value()}
+	limit := m.rate.concurrency(m.duration.value, m.limit.value())
+	return Load{InFlight: len(m.running), Waiting: m.queue.len(), Limit: limit}
+}
+
+// RateWait returns how long one more request would wait for the rate limit of the target.
+func (m *Module) RateWait(now time.Time) time.Duration {
+	limit := m.rate
+	limit.advance(now)
+	return limit.wait(m.queue.len())
 }
 
 // Update applies one message and returns its effects. A time before the latest one counts as the latest one.
@@ -88,8 +97,11 @@
 	if msg.at().After(m.now) {
 		m.now = msg.at()
 	}
+	m.rate.advance(m.now)
 	cmds := m.expire()
 	switch msg := msg.(type) {
+	case RateMsg:
+		m.rate.set(m.now, msg.Rate, msg.Limited)
 	case SettingsMsg:
 		m.configure(msg.Settings)
 	case AcquireMsg:
@@ -103,7 +115,15 @@
 			m.dropIfIdle(w.account)
 		}
 	}
-	return append(cmds, m.dispatch()...)
+	return append(append(cmds, m.dispatch()...), m.wake()...)
+}
+
+// wake asks for a tick if the rate limit alone holds back the next waiting request.
+func (m *Module) wake() []Cmd {
+	if m.queue.len() == 0 || m.freeSlots() <= 0 || m.rate.permits() {
+		return nil
+	}
+	return []Cmd{WakeCmd{At: m.now.Add(m.rate.wait(0))}}
 }
 
 func (m *Module) configure(s Settings) {
@@ -122,7 +142,7 @@
 	if !msg.Deadline.IsZero() && !msg.Deadline.After(m.now) {
 		return []Cmd{m.refuse(msg.ID, ReasonDeadline)}
 	}
-	if m.freeSlots() > 0 && m.queue.len() == 0 && m.mayRun(a) {
+	if m.freeSlots() > 0 && m.rate.permits() && m.queue.len() == 0 && m.mayRun(a) {
 		return []Cmd{m.grant(&waiter{id: msg.ID, account: a, rank: msg.Rank, route: msg.Route})}
 	}
 	return m.enqueue(msg, a)
@@ -150,7 +170,8 @@
 	if msg.HasPatience {
 		patience = msg.Patience
 	}
-	wait := m.expectedWaitOfRank(m.workAhead(a, msg.Rank), msg.Rank)
+	ahead := m.waitersAhead(a, msg.Rank)
+	wait := m.slotWait(ahead, msg.Rank)
 	expires = m.now.Add(patience)
 	latest := expires
 	if !msg.Deadline.IsZero() {
@@ -167,6 +188,8 @@
 		return ReasonDeadline, expires
 	case wait > patience, m.startsTooLate(msg, wait):
 		return ReasonQueueFull, expires
+	case m.rateRefuses(msg, m.shareWait(m.rate.wait(len(ahead)), msg.Rank), patience, latest):
+		return ReasonRateLimit, expires
 	case latest.Before(expires):
 		return 0, latest
 	default:
@@ -174,6 +197,17 @@
 	}
 }
 
+// rateRefuses reports whether the request would wait too long for the rate limit of the target. Other targets may take it.
+// A request that would miss its objective gets no place: the limit lets through a fixed number of requests, so that it would
+// only take the place of one that can meet its objective.
+func (m *Module) rateRefuses(msg AcquireMsg, wait, patience time.Duration, latest time.Time) bool {
+	if wait <= 0 {
+		return false
+	}
+	late := !msg.Objective.IsZero() && m.now.Add(wait+m.durationOf(msg.Route)).After(msg.Objective)
+	return late || wait > patience || m.now.Add(wait).After(latest)
+}
+
 // startsTooLate reports whether a request would miss its objective and has too little time beyond it: requests that can
 // still meet their objective would start before it until it expires.
 func (m *Module) startsTooLate(msg AcquireMsg, wait time.Duration) bool {
@@ -233,21 +267,21 @@
 	return []Cmd{m.refuseForRank(last.id, ReasonQueueFull, last.rank)}
 }
 
-// workAhead is the work of the waiters that start before the next one of the account. Those of accounts below their
-// share come first; otherwise the accounts take turns.
-func (m *Module) workAhead(a *account, rank int) time.Duration {
+// waitersAhead returns the waiters that start before the next one of the account. Those of accounts below their share
+// come first; otherwise the accounts take turns.
+func (m *Module) waitersAhead(a *account, rank int) []*waiter {
 	favored := m.belowShare(a)
-	work := m.work(upToRank(a.waiters, rank))
+	ahead := upToRank(a.waiters, rank)
 	for _, other := range m.queue.ring {
 		switch {
 		case other == a, favored && !m.belowShare(other):
 		case !favored && m.belowShare(other):
-			work += m.work(other.waiters)
+			ahead = append(ahead, other.waiters...)
 		default:
-			work += m.work(other.waiters[:min(len(a.waiters)+1, len(other.waiters))])
+			ahead = append(ahead, other.waiters[:min(len(a.waiters)+1, len(other.waiters))]...)
 		}
 	}
-	return work
+	return ahead
 }
 
 // upToRank returns the waiters that a request of the rank does not overtake.
@@ -298,13 +332,27 @@
 // expectedWaitOfRank estimates when a request of the rank would start behind this much work: slots that come free go to
 // lower ranks first, in the share that these usually hold.
 func (m *Module) expectedWaitOfRank(ahead time.Duration, rank int) time.Duration {
+	return m.shareWait(m.expectedWait(ahead), rank)
+}
+
+// slotWait estimates when a request of the rank would get a slot after the waiters ahead. Requests that wait only for the
+// rate limit leave slots free.
+func (m *Module) slotWait(ahead []*waiter, rank int) time.Duration {
+	if m.rate.limited && m.freeSlots() > len(ahead) {
+		return 0
+	}
+	return m.expectedWaitOfRank(m.work(ahead), rank)
+}
+
+// shareWait lengthens a wait by the share that requests of lower ranks take.
+func (m *Module) shareWait(wait time.Duration, rank int) time.Duration {
 	before := 0.0
 	for r, share := range m.rankShares {
 		if r < rank {
 			before += share
 		}
 	}
-	return time.Duration(float64(m.expectedWait(ahead)) / max(minShare, 1-before))
+	return time.Duration(float64(wait) / max(minShare, 1-before))
 }
 
 // updateRankShares updates the share of the slots that each rank holds.
@@ -326,12 +374,13 @@
 }
 
 func (m *Module) refuse(id uint64, reason Reason) Cmd {
-	return m.refuseAfter(id, reason, m.expectedWait(m.work(m.queue.all())))
+	return m.refuseAfter(id, reason, max(m.expectedWait(m.work(m.queue.all())), m.rate.wait(m.queue.len())))
 }
 
 // refuseForRank refuses a request with the wait that a request of the rank would have.
 func (m *Module) refuseForRank(id uint64, reason Reason, rank int) Cmd {
-	return m.refuseAfter(id, reason, m.expectedWaitOfRank(m.work(upToRank(m.queue.all(), rank)), rank))
+	ahead := upToRank(m.queue.all(), rank)
+	return m.refuseAfter(id, reason, max(m.slotWait(ahead, rank), m.shareWait(m.rate.wait(len(ahead)), rank)))
 }
 
 func (m *Module) refuseAfter(id uint64, reason Reason, wait time.Duration) Cmd {
@@ -343,6 +392,7 @@
 }
 
 func (m *Module) grant(w *waiter) Cmd {
+	m.rate.take()
 	w.account.inFlight++
 	m.running[w.id] = runningRequest{
 		account: w.account, since: m.now, inFlight: len(m.running) + 1, route: w.route, rank: w.rank,
@@ -357,6 +407,9 @@
 		return
 	}
 	delete(m.running, msg.ID)
+	if msg.Result.Unsent {
+		m.rate.giveBack()
+	}
 	r.account.inFlight--
 	m.dropIfIdle(r.account)
 	if msg.Result.OK {
@@ -385,7 +438,7 @@
 // dispatch starts waiting requests in the free slots, those of accounts below their share first.
 func (m *Module) dispatch() []Cmd {
 	var cmds []Cmd
-	for m.freeSlots() > 0 && m.queue.len() > 0 {
+	for m.freeSlots() > 0 && m.rate.permits() && m.queue.len() > 0 {
 		w := m.queue.next(m.belowShare, m.startsBefore)
 		if w == nil {
 			w = m.queue.next(m.mayRun, m.startsBefore)
@@ -432,16 +485,27 @@
 	waiters := m.queue.all()
 	work := m.work(waiters)
 	for _, w := range waiters {
-		if m.unlikelyToStart(w, work) {
-			m.queue.remove(w.id)
-			m.dropIfIdle(w.account)
-			work -= m.durationOf(w.route)
-			cmds = append(cmds, m.refuse(w.id, ReasonDeadline))
+		reason := ReasonDeadline
+		switch {
+		case m.overtaken(w):
+			reason = ReasonRateLimit
+		case !m.unlikelyToStart(w, work):
+			continue
 		}
+		m.queue.remove(w.id)
+		m.dropIfIdle(w.account)
+		work -= m.durationOf(w.route)
+		cmds = append(cmds, m.refuse(w.id, reason))
 	}
 	return cmds
 }
 
+// overtaken reports whether the requests that a rate limit lets through are needed by others: a waiter that misses its
+// objective starts after those that can meet theirs, and more of them arrive all the time.
+func (m *Module) overtaken(w *waiter) bool {
+	return m.rate.limited && m.queue.len() > 1 && m.missesObjective(w)
+}
+
 func (m *Module) freeSlots() int {
 	return m.limit.value() - len(m.running)
 }
--- a/internal/limit/settings.go
+++ b/internal/limit/settings.go
@@ -21,6 +21,8 @@
 	ReasonWaitTimeout
 	// ReasonUnhealthy means that the target became unhealthy while the request waited.
 	ReasonUnhealthy
+	// ReasonRateLimit means that the target would get more requests than the rate limit that it states.
+	ReasonRateLimit
 )
 
 // Settings configure the admission to one target.
@@ -59,6 +61,8 @@
 type Result struct {
 	// OK means that the target responded; only durations of such requests adapt the limit and the estimates.
 	OK bool
+	// Unsent means that the request was not sent to the target, so that it does not count against its rate limit.
+	Unsent bool
 }
 
 // Load is the current load of a limiter.
@@ -100,6 +104,8 @@
 		return "no slot became free in time"
 	case ReasonUnhealthy:
 		return "the target is probably unhealthy"
+	case ReasonRateLimit:
+		return "the target states a rate limit that is used up"
 	default:
 		return "invalid"
 	}
--- a/internal/picker/load.go
+++ b/internal/picker/load.go
@@ -31,6 +31,7 @@
 	probedAt atomic.Int64
 	report   atomic.Pointer[report]
 	health   targetHealth
+	notice   targetNotice
 }
 
 type report struct {
--- a/internal/picker/negotiate.go
+++ b/internal/picker/negotiate.go
@@ -42,13 +42,13 @@
 // of their requests, and targets behind a failed path.
 func (p *Picker) negotiate(s *service, r Request, now time.Time) (Choice, error) {
 	queued := s.pickQueue(r, now)
-	if len(r.Refusals) < maxNoWaitAttempts {
+	if r.refusalsForSlots() < maxNoWaitAttempts {
 		if e := p.pickFree(s, r, now); e != nil && (queued == nil || r.transferCost(e.tier)+attemptCost < s.waitCost(queued, r)) {
 			return p.commit(Choice{entry: e}), nil
 		}
 	}
 	if queued == nil {
-		queued = s.pickPresumedFull(r, now)
+		queued = p.pickPresumedFull(s, r, now)
 	}
 	fallback := s.pickFallback(r, now)
 	if queued != nil && !s.fallbackBeatsWait(fallback, queued, r, now) {
@@ -101,13 +101,14 @@
 func (p *Picker) pickFree(s *service, r Request, now time.Time) *entry {
 	var tiers [tierCount][]weightedEntry
 	skipRemote := s.remoteRefusals(r) >= maxRemoteNoWaitAttempts
+	since := now.Sub(p.start)
 	for i := range s.entries {
 		e := &s.entries[i]
 		health := &e.counters.health
 		// Only requests from the same failure domain test whether a sick target has recovered.
 		mayTry := r.Idempotent && e.tier < regionTier
 		if r.excludes(e) || r.refusedBy(e) || !health.pathOpen(now) || !health.mayAdmit(now, mayTry) || !e.hasCapacity(1, now) ||
-			skipRemote && e.tier == remoteTier {
+			e.counters.notice.waits(since) || skipRemote && e.tier == remoteTier {
 			continue
 		}
 		tiers[e.tier] = append(tiers[e.tier], weightedEntry{entry: e, weight: 1})
@@ -136,9 +137,24 @@
 	return best
 }
 
+// refusalsForSlots counts the refusals of agents without a free slot. Refusals for a rate limit say nothing about the load of
+// other targets, so they don't end the search for one with room.
+func (r Request) refusalsForSlots() int {
+	n := 0
+	for _, refusal := range r.Refusals {
+		if !refusal.RateLimited {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *service) remoteRefusals(r Request) int {
 	n := 0
 	for _, refusal := range r.Refusals {
+		if refusal.RateLimited {
+			continue
+		}
 		if e := s.find(refusal.Target); e != nil && e.tier == remoteTier {
 			n++
 		}
@@ -146,17 +162,26 @@
 	return n
 }
 
-// pickPresumedFull returns the nearest target that was not asked because it is presumed to be full.
-func (s *service) pickPresumedFull(r Request, now time.Time) *entry {
+// pickPresumedFull returns the nearest target that was not asked because it is presumed to be full. Targets whose rate limit
+// is used up come last.
+func (p *Picker) pickPresumedFull(s *service, r Request, now time.Time) *entry {
 	var best *entry
+	bestWaits, since := false, now.Sub(p.start)
 	for i := range s.entries {
 		e := &s.entries[i]
 		health := &e.counters.health
 		if r.excludes(e) || r.refusedBy(e) || !health.pathOpen(now) || !health.mayAdmit(now, false) {
 			continue
 		}
+		waits := e.counters.notice.waits(since)
+		if best != nil && waits != bestWaits {
+			if waits {
+				continue
+			}
+			best = nil
+		}
 		if best == nil || e.tier < best.tier || e.tier == best.tier && e.counters.load(now) < best.counters.load(now) {
-			best = e
+			best, bestWaits = e, waits
 		}
 	}
 	return best
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -55,8 +56,9 @@
 	Target model.TargetRef
 	// Wait is the wait that the agent expected.
 	Wait time.Duration
-	// Unhealthy is set if the target is probably sick.
-	Unhealthy bool
+	// Unhealthy is set if the target is probably sick, RateLimited if its rate limit is used up.
+	Unhealthy   bool
+	RateLimited bool
 }
 
 // Choice is a picked target; each choice must be returned by Done.
@@ -84,6 +86,11 @@
 	start       time.Time
 	services    atomic.Pointer[serviceSet]
 	randomState atomic.Uint64
+
+	// noticeMu serializes SetView and changes of kept, so that a view never misses a notice.
+	noticeMu    sync.Mutex
+	kept        map[model.TargetRef]keptCounters
+	noticeCount atomic.Int64
 }
 
 // New returns a picker without candidates.
@@ -91,14 +98,17 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
-	p := &Picker{config: c, start: c.Now()}
+	p := &Picker{config: c, start: c.Now(), kept: make(map[model.TargetRef]keptCounters)}
 	p.services.Store(&serviceSet{})
 	return p
 }
 
 // SetView replaces the candidates and keeps the counters of known targets; it must not run concurrently with itself.
 func (p *Picker) SetView(v *view.View) {
-	p.services.Store(newServiceSet(v, p.services.Load()))
+	p.noticeMu.Lock()
+	defer p.noticeMu.Unlock()
+	p.dropOldNotices()
+	p.services.Store(newServiceSet(v, p.services.Load(), p.kept))
 }
 
 // Pick picks a target; it fails with NoTargetError when no candidate is in service.
@@ -191,7 +201,7 @@
 
 // lessLoaded returns the less loaded of two random entries.
 func (p *Picker) lessLoaded(tier []weightedEntry, r Request, now time.Time) *entry {
-	if len(r.Exclude) > 0 {
+	if len(r.Exclude) > 0 || p.noticeCount.Load() > 0 {
 		tier = slices.DeleteFunc(slices.Clone(tier), func(e weightedEntry) bool { return r.excludes(e.entry) })
 	}
 	if len(tier) == 0 {
--- a/internal/picker/tier.go
+++ b/internal/picker/tier.go
@@ -65,20 +65,21 @@
 }
 
 // newServiceSet reuses the services of the old set whose data in the view is the same value.
-func newServiceSet(v *view.View, old *serviceSet) *serviceSet {
+func newServiceSet(v *view.View, old *serviceSet, kept map[model.TargetRef]keptCounters) *serviceSet {
 	set := &serviceSet{self: v.Self, services: make(map[string]*service, len(v.Services))}
 	for _, s := range v.Services {
 		known := old.services[s.Spec.Name]
 		if known == nil || known.source != s || old.self != v.Self {
-			known = newService(v.Self, s, known)
+			known = newService(v.Self, s, known, kept)
 		}
 		set.services[s.Spec.Name] = known
 	}
 	return set
 }
 
-// newService keeps the counters of the targets that the old service has; old is nil for a new service.
-func newService(self model.Node, source *view.Service, old *service) *service {
+// newService keeps the counters of the targets that the old service has, and those that are kept for their notice; old is
+// nil for a new service.
+func newService(self model.Node, source *view.Service, old *service, kept map[model.TargetRef]keptCounters) *service {
 	s := &service{source: source, entries: make([]entry, 0, len(source.Candidates))}
 	var known []entry
 	if old != nil {
@@ -92,14 +93,17 @@
 		for len(known) > 0 && known[0].candidate.Target.Ref.Compare(c.Target.Ref) < 0 {
 			known = known[1:]
 		}
-		s.entries = append(s.entries, entry{candidate: c, counters: s.countersOf(c.Target.Ref, known), tier: tierOf(self, c.Node)})
+		s.entries = append(s.entries, entry{candidate: c, counters: s.countersOf(c.Target.Ref, known, kept), tier: tierOf(self, c.Node)})
 	}
 	return s
 }
 
-// countersOf returns the counters of the first known entry, or those of the previous entry if two nodes announce the
-// target, or else new ones.
-func (s *service) countersOf(ref model.TargetRef, known []entry) *counters {
+// countersOf returns the kept counters, those of the first known entry, or those of the previous entry if two nodes announce
+// the target, or else new ones.
+func (s *service) countersOf(ref model.TargetRef, known []entry, kept map[model.TargetRef]keptCounters) *counters {
+	if k, found := kept[ref]; found {
+		return k.counters
+	}
 	if len(known) > 0 && known[0].candidate.Target.Ref == ref {
 		return known[0].counters
 	}
--- a/internal/picker/view_test.go
+++ b/internal/picker/view_test.go
@@ -101,7 +101,7 @@
 			}
 			full.SetView(&rebuilt)
 			for _, s := range v.Services {
-				require.Equal(t, tiers(newService(v.Self, s, nil)), tiers(shared.services.Load().services[s.Spec.Name]))
+				require.Equal(t, tiers(newService(v.Self, s, nil, nil)), tiers(shared.services.Load().services[s.Spec.Name]))
 			}
 			require.Len(t, shared.services.Load().services, len(v.Services))
 		}
--- a/internal/relay/header.go
+++ b/internal/relay/header.go
@@ -45,6 +45,8 @@
 	ReasonUnhealthy = "target-sick"
 	// ReasonBudget means that the target has received as many retries as it may.
 	ReasonBudget = "retry-budget"
+	// ReasonRateLimit means that the target would get more requests than the rate limit that it states.
+	ReasonRateLimit = "rate-limit"
 	// ReasonShed means that the target itself refused the request, which reached it.
 	ReasonShed = "target-shed"
 	// ReasonUnconfirmed means that the edge did not send the body after the request was admitted.
