Send nothing to targets whose answers state that they leave

A target that leaves says so in its heartbeats and now in its answers too.

The agent takes the first answer that says so like a heartbeat with the state draining and publishes it, so that its next process knows. An edge that has seen it keeps it in the picker, by incarnation and independent of the view, because a node that restarts without the store publishes and knows nothing.

--- a/internal/agent/notice.go
+++ b/internal/agent/notice.go
@@ -82,6 +82,9 @@
 	if x.local.shared.notice.observe(n, x.local.limiter, a.config.Clock.Now()) {
 		a.logNotice(ref, "target")
 	}
+	if n.Leaving && !x.local.shared.draining.Swap(true) {
+		a.publish()
+	}
 }
 
 // adoptNotice applies the limit that an edge knows, because a node that has restarted has forgotten it.
--- a/internal/picker/notice.go
+++ b/internal/picker/notice.go
@@ -103,6 +103,12 @@
 	return relay.Notice{}
 }
 
+// leaving reports whether the target must get no new requests.
+func (t *targetNotice) leaving() bool {
+	n := t.latest.Load()
+	return n != nil && n.Leaving
+}
+
 // waits reports whether the rate limit of the target is used up; since is the time since the picker's start.
 func (t *targetNotice) waits(since time.Duration) bool {
 	n := t.latest.Load()
--- a/internal/picker/notice_test.go
+++ b/internal/picker/notice_test.go
@@ -9,6 +9,37 @@
 	"github.com/auburnwinch/auburnwinch/internal/relay"
 )
 
+// A target that leaves is absent from the view while its node restarts, and comes back under the same incarnation. Guards
+// against new requests for it, also when all other targets are full or sick.
+func TestLeavingTargetIsNeverPicked(t *testing.T) {
+	for _, negotiate := range []bool{true, false} {
+		r := newNegotiatingFixture()
+		r.Picker.config.Negotiate = negotiate
+		leaving := r.ref(0)
+		r.ObserveAnswer(leaving, relay.Notice{Leaving: true}, 0)
+		r.ObserveAnswer(leaving, relay.Notice{}, 0)
+		without := *r.view
+		services := *without.Services[0]
+		services.Candidates = services.Candidates[1:]
+		without.Services = append(without.Services[:0:0], without.Services...)
+		without.Services[0] = &services
+		r.SetView(&without)
+		r.SetView(r.view)
+		var refused []AgentRefusal
+		for i := 1; i < len(r.view.Services[0].Candidates); i++ {
+			r.MarkUnhealthy(r.ref(i), time.Second, 0.5)
+			refused = append(refused, AgentRefusal{Target: r.ref(i), Unhealthy: true})
+		}
+		for _, request := range []Request{{}, {Idempotent: true}, {Refusals: refused}} {
+			for range 50 {
+				i, c := r.pick(t, request)
+				require.NotZero(t, i)
+				r.Done(c, Load{})
+			}
+		}
+	}
+}
+
 // Guards against asking a target again whose rate limit is used up, and against a restarted agent that seems to tell that the
 // limit has ended because it does not know it.
 func TestTargetWithUsedUpLimitIsAvoided(t *testing.T) {
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -158,6 +158,9 @@
 	for i := range ranked.probation {
 		e := ranked.probation[(first+i)%len(ranked.probation)]
 		c := e.counters
+		if c.notice.leaving() {
+			continue
+		}
 		if last := c.probedAt.Load(); last != 0 && since-last < int64(probationInterval) {
 			continue
 		}
@@ -222,7 +225,7 @@
 }
 
 func (r Request) excludes(e *entry) bool {
-	return slices.Contains(r.Exclude, e.candidate.Target.Ref)
+	return e.counters.notice.leaving() || slices.Contains(r.Exclude, e.candidate.Target.Ref)
 }
 
 func weightOf(tier []weightedEntry, e *entry) float64 {
