Ignore entries that another writer left in the place of a target or node

A heartbeat with a port out of range, an unknown service or a start far ahead was accepted: it replaced the target of the VM, whose own heartbeats were stale from then on, so that the node served nothing (LOST). A row with such values became a member: its address was dialed and its target was asked for slots. Deep nesting and numbers that don't fit did no harm; json and cbor refuse them.

Addresses are checked by model.CheckAddress, in heartbeats and rows; a record with a value that nodes don't publish is ignored whole and logged; a heartbeat of a service that no configuration names can't replace a target that is there.

The rows in feed's tests name a relay address in place of 'r', because records are checked now.

--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 
@@ -19,7 +18,6 @@
 const (
 	maxAnnouncementBytes = 4 << 10
 	maxNameBytes         = 128
-	maxSlots             = 100_000
 )
 
 type announcement struct {
@@ -120,18 +118,15 @@
 }
 
 func (b announcement) validate() error {
-	host, port, err := net.SplitHostPort(b.Address)
 	switch {
 	case !validName(b.Service) || !validName(b.ID):
 		return eris.New("service and id must have 1 to 128 letters, digits or any of - _ . :")
 	case b.Incarnation == 0:
 		return eris.New("incarnation must be above zero and grow with each start of the target")
-	case b.Slots < 1 || b.Slots > maxSlots:
-		return eris.Errorf("slots must be between 1 and %d", maxSlots)
-	case err != nil || host == "" || port == "" || port == "0":
-		return eris.New("address must be host:port on which the target listens")
+	case b.Slots < 1 || b.Slots > model.MaxSlots:
+		return eris.Errorf("slots must be between 1 and %d", model.MaxSlots)
 	}
-	return nil
+	return model.CheckAddress(b.Address)
 }
 
 func validName(name string) bool {
--- a/internal/feed/table_test.go
+++ b/internal/feed/table_test.go
@@ -111,7 +111,7 @@
 	require.NoError(f.t, err)
 	n.server = server
 	record := roster.Record{Node: model.Node{
-		Ref: model.NodeRef{ID: id, Incarnation: 1}, Domain: n.domain, RelayAddress: "r", PeerAddress: server.Address(),
+		Ref: model.NodeRef{ID: id, Incarnation: 1}, Domain: n.domain, RelayAddress: "10.0.0.1:1", PeerAddress: server.Address(),
 	}}
 	f.store.Put("nodes", n.domain, id, record.Encode())
 	n.watcher = roster.NewWatcher(roster.WatcherConfig{Table: n.table, OnRows: n.take, BatchDelay: time.Millisecond})
@@ -259,7 +259,7 @@
 	defer func() { _ = silent.Close() }()
 	for _, id := range []string{"silent-1", "silent-2", "silent-3"} {
 		record := roster.Record{Node: model.Node{
-			Ref: model.NodeRef{ID: id, Incarnation: 1}, Domain: "a", RelayAddress: "r", PeerAddress: silent.Addr().String(),
+			Ref: model.NodeRef{ID: id, Incarnation: 1}, Domain: "a", RelayAddress: "10.0.0.1:1", PeerAddress: silent.Addr().String(),
 		}}
 		f.store.Put("nodes", "a", id, record.Encode())
 	}
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 
 	"github.com/auburnwinch/auburnwinch/internal/agent"
@@ -61,6 +62,8 @@
 	// configurationWait bounds one long poll for the configuration. If the store never responds to a call, a node
 	// without traffic misses a new configuration for at most this long.
 	configurationWait = 8 * time.Second
+	// maxClockSkew is the most by which clocks of VMs and targets are assumed to differ; they jump by seconds.
+	maxClockSkew = 24 * time.Hour
 	// configurationBatchDelay is short because a configuration must be in force on all nodes within two seconds.
 	configurationBatchDelay = 50 * time.Millisecond
 	// retryMargin keeps the retries at one target below its share of the fleet's retry budget, because the count is
@@ -255,9 +258,25 @@
 	if n.stopping.Load() && !h.Draining {
 		return agent.ErrStaleHeartbeat
 	}
+	if err := n.checkAnnouncement(h); err != nil {
+		return err
+	}
 	return n.agent.Announce(h)
 }
 
+// checkAnnouncement fails for a heartbeat that would replace the target of this VM and can't come from a target: its
+// incarnation, which is the time of its start in Unix milliseconds, is far ahead, or no configuration names its service.
+func (n *Node) checkAnnouncement(h agent.Announcement) error {
+	if h.Incarnation > uint64(n.config.Clock.Now().Add(maxClockSkew).UnixMilli()) {
+		return eris.Errorf("the target %q claims to start at %d, far ahead; correct its clock", h.ID, h.Incarnation)
+	}
+	v := n.fleet.view.Load()
+	if v == nil || v.Service(h.Service) != nil || len(n.agent.Targets()) == 0 {
+		return nil
+	}
+	return eris.Errorf("no configuration names the service %q of the target %q; add it, or correct the name", h.Service, h.ID)
+}
+
 // Withdraw removes a target that has deregistered.
 func (n *Node) Withdraw(service, id string) {
 	n.agent.Withdraw(service, id)
--- a/internal/roster/members_test.go
+++ b/internal/roster/members_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 
@@ -28,19 +29,30 @@
 	require.Empty(t, decoded.NodeState().Targets, "targets of a leaving node are not candidates")
 }
 
+// changed returns the encoded record of a node with a change.
+func changed(id string, change func(*Record)) []byte {
+	r := recordOf(id, 1)
+	change(r)
+	return r.Encode()
+}
+
 // Guards against a row that is not a valid record of its node and adds a member, or makes valid rows of the page fail.
 func TestInvalidRowsAreIgnored(t *testing.T) {
 	m := NewMembers()
 	good := recordOf("good", 1)
-	changed, errs := m.Apply(Page{Whole: true, Rows: []Row{
+	records, errs := m.Apply(Page{Whole: true, Rows: []Row{
 		{Key: "good", Value: good.Encode(), Version: 1},
 		{Key: "text", Value: []byte("hello"), Version: 2},
 		{Key: "empty", Version: 3},
 		{Key: "borrowed", Value: good.Encode(), Version: 4},
 		{Key: "bytes", Value: []byte{0xff, 0, 1}, Version: 5},
+		{Key: "port", Value: changed("port", func(r *Record) { r.Node.RelayAddress = "10.0.0.1:65536" }), Version: 6},
+		{Key: "slots", Value: changed("slots", func(r *Record) { r.Targets[0].Slots = 1 << 40 }), Version: 7},
+		{Key: "state", Value: changed("state", func(r *Record) { r.Targets[0].State = 9 }), Version: 8},
+		{Key: "nested", Value: append(bytes.Repeat([]byte{0x81}, 5000), 0), Version: 9},
 	}})
-	require.Len(t, errs, 4)
-	require.Equal(t, []*Record{good}, changed)
+	require.Len(t, errs, 8)
+	require.Equal(t, []*Record{good}, records)
 	require.Len(t, m.NodeStates(), 1)
 	require.Equal(t, "good", m.NodeStates()[0].Node.Ref.ID)
 }
--- a/internal/roster/record.go
+++ b/internal/roster/record.go
@@ -43,9 +43,35 @@
 	if r.Node.Ref.ID != row.Key || r.Node.RelayAddress == "" {
 		return nil, eris.Errorf("row %q names the node %q at %q; ignore it", row.Key, r.Node.Ref.ID, r.Node.RelayAddress)
 	}
+	if err := r.check(); err != nil {
+		return nil, eris.Wrapf(err, "row %q was not written by a node; ignore it", row.Key)
+	}
 	return &r, nil
 }
 
+// check fails if a value of the record is outside the range that nodes publish.
+func (r *Record) check() error {
+	for _, address := range []string{r.Node.RelayAddress, r.Node.CallerAddress, r.Node.PeerAddress} {
+		if address == "" {
+			continue // Not every node serves callers and peers.
+		}
+		if err := model.CheckAddress(address); err != nil {
+			return err
+		}
+	}
+	for i := range r.Targets {
+		switch t := &r.Targets[i]; {
+		case t.Ref.Service == "" || t.Ref.ID == "":
+			return eris.New("a target has no service or no id")
+		case t.Slots < 0 || t.Slots > model.MaxSlots:
+			return eris.Errorf("the target %q has %d slots", t.Ref.ID, t.Slots)
+		case t.State != model.TargetServing && t.State != model.TargetDraining:
+			return eris.Errorf("the target %q has the state %d", t.Ref.ID, t.State)
+		}
+	}
+	return nil
+}
+
 // Draining returns the targets that accept no new requests, in this or an earlier process of the node.
 func (r *Record) Draining() []model.TargetRef {
 	refs := slices.Clone(r.RestoredDraining)
