--- a/internal/agent/notice.go
+++ b/internal/agent/notice.go
@@ -11,7 +11,7 @@
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
-// noticeLogInterval bounds the log lines about a rate limit that changes with every response.
+// noticeLogInterval bounds the log lines about a rate limit that changes or is malformed in every response.
 const noticeLogInterval = time.Second
 
 // noticeState is what a target has stated about itself in its latest response. The zero value knows nothing.
@@ -20,7 +20,8 @@
 	latest relay.Notice
 	// observed is set once this process has seen a response; until then the notice is what edges know.
 	observed bool
-	loggedAt time.Time
+	// loggedAt and malformedAt are the times of the latest log lines about a change and about a malformed notice.
+	loggedAt, malformedAt time.Time
 }
 
 // current returns the latest notice.
@@ -65,6 +66,16 @@
 	return log
 }
 
+// malformed reports whether a malformed notice is due to be logged.
+func (s *noticeState) malformed(now time.Time) (log bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if log = now.Sub(s.malformedAt) >= noticeLogInterval; log {
+		s.malformedAt = now
+	}
+	return log
+}
+
 func setRate(limiter Limiter, n relay.Notice) {
 	if r, ok := limiter.(RateLimited); ok {
 		r.SetRate(n.RateLimit, n.Limited)
@@ -76,7 +87,9 @@
 	a, ref := x.agent, x.local.target.Ref
 	n, err := a.config.Protocol.Notice(response)
 	if err != nil {
-		_ = level.Warn(a.config.Logger).Log("msg", "notice of the target ignored", "service", ref.Service, "target", ref.ID, "err", err)
+		if x.local.shared.notice.malformed(a.config.Clock.Now()) {
+			_ = level.Warn(a.config.Logger).Log("msg", "notice of the target ignored", "service", ref.Service, "target", ref.ID, "err", err)
+		}
 		return
 	}
 	if x.local.shared.notice.observe(n, x.local.limiter, a.config.Clock.Now()) {
--- a/internal/agent/notice_test.go
+++ b/internal/agent/notice_test.go
@@ -63,5 +63,7 @@
 		}
 	}
 	require.LessOrEqual(t, lines, 2)
+	require.True(t, s.malformed(now))
+	require.False(t, s.malformed(now.Add(time.Millisecond)))
 	require.Equal(t, limitOf(99), r.rates[len(r.rates)-1])
 }
--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -230,6 +230,7 @@
 // ServeHTTP handles a request unless the behavior set by the test answers it.
 func (g *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if expected := r.Header.Get("Auburnwinch-Expect-Instance"); expected != g.id {
+		w.Header().Set("Auburnwinch-Request-Id", r.Header.Get("Auburnwinch-Request-Id"))
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -271,7 +272,9 @@
 		return eris.Errorf("the target %q claims to start at %d, far ahead; correct its clock", h.ID, h.Incarnation)
 	}
 	v := n.fleet.view.Load()
-	if v == nil || v.Service(h.Service) != nil || len(n.agent.Targets()) == 0 {
+	targets := n.agent.Targets()
+	isKnown := slices.ContainsFunc(targets, func(t model.Target) bool { return t.Ref.Service == h.Service && t.Ref.ID == h.ID })
+	if v == nil || v.Service(h.Service) != nil || len(targets) == 0 || isKnown {
 		return nil
 	}
 	return eris.Errorf("no configuration names the service %q of the target %q; add it, or correct the name", h.Service, h.ID)
