soak: targets that state rate limits and that they leave

The checks follow the two rules: requests in four seconds from nodes that have passed the limit on, and requests that reach a leaving target through a node that has passed that on; a restart or a pause excuses the node.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -75,6 +75,7 @@
 	r.Header.Set("Auburnwinch-Request-Id", id)
 	r.Header.Set("Auburnwinch-Deadline-Ms", fmt.Sprint(callerTimeout.Milliseconds()))
 	c.harness.ledger.requestSent(service, id, order)
+	c.harness.notices.requestSent(id)
 	response, err := client.Do(r)
 	if err != nil {
 		return false
@@ -85,6 +86,7 @@
 		return false
 	}
 	c.harness.ledger.responseReceived(id, response.StatusCode)
+	c.harness.notices.answerReceived(id, response.Header)
 	if response.StatusCode >= 300 {
 		if response.StatusCode == http.StatusNotFound {
 			c.harness.addViolation("%s rejected %s with status 404 although every configuration has its route", n.name, id)
--- a/internal/soak/harness_test.go
+++ b/internal/soak/harness_test.go
@@ -42,6 +42,7 @@
 	server       *httptest.Server
 	nodes        []*node
 	ledger       *ledger
+	notices      *notices
 	lastTargetID int
 	version      atomic.Int64
 
@@ -68,7 +69,7 @@
 }
 
 func newHarness(seed uint64, program, directory string, nodes int) (*harness, error) {
-	h := &harness{seed: seed, directory: directory, program: program, store: fake.NewStore(fake.Config{}), ledger: newLedger()}
+	h := &harness{seed: seed, directory: directory, program: program, store: fake.NewStore(fake.Config{}), ledger: newLedger(), notices: newNotices()}
 	h.server = httptest.NewServer(h.store)
 	h.writeNextConfiguration()
 	for i := range nodes {
@@ -160,6 +161,7 @@
 		return err
 	}
 	n.process, n.shouldRun = p, true
+	n.harness.notices.disturb(n.name)
 	n.starts++
 	return nil
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -37,7 +37,8 @@
 var ciSeeds = []uint64{1, 724}
 
 // Guards against violated guarantees when faults overlap: wrong responses to callers, non-idempotent requests (orders)
-// that run twice, requests sent to draining targets, a return to an older configuration, and retries beyond the budget.
+// that run twice, requests sent to draining targets, a return to an older configuration, retries beyond the budget, and
+// requests beyond the rate limits that targets state.
 func TestSeeds(t *testing.T) {
 	seeds := ciSeeds
 	if text := os.Getenv("AUBURNWINCH_SOAK_SEEDS"); text != "" {
@@ -98,12 +99,12 @@
 		return true
 	}, 20*time.Second, 50*time.Millisecond, "logs in %s", directory)
 	c := startCallers(h)
-	f := &faultInjector{harness: h, rng: rand.New(rand.NewPCG(seed, 7))}
+	f := &faultInjector{harness: h, rng: rand.New(rand.NewPCG(seed, 7)), limits: rand.New(rand.NewPCG(seed, 8))}
 	f.run(faultsFor)
 	recovered := f.waitRecovered(c)
 	c.close()
 	time.Sleep(callerTimeout) // Requests that timed out at the caller may still reach a target.
-	violations := append(h.violations, h.ledger.check()...)
+	violations := append(append(h.violations, h.ledger.check()...), h.notices.check()...)
 	if !recovered {
 		violations = append(violations, fmt.Sprintf("less than %v of the requests were served within %s after the last fault", recoveredRatio, recoveryTimeout))
 	}
@@ -117,11 +118,14 @@
 	harness  *harness
 	rng      *rand.Rand
 	injected []string
+	// limits draws the rate limits, so that they don't change the other faults of a seed.
+	limits *rand.Rand
 }
 
 func (f *faultInjector) run(total time.Duration) {
 	for end := time.Now().Add(total); time.Now().Before(end); {
 		f.inject()
+		f.limitTarget()
 		time.Sleep(time.Duration(100+f.rng.IntN(500)) * time.Millisecond)
 		f.checkProcesses()
 	}
@@ -136,7 +140,10 @@
 	case 0:
 		name = "pause " + n.name
 		if p, _, shouldRun := n.currentProcess(); shouldRun && p.Pause() == nil {
-			time.AfterFunc(duration, func() { _ = p.Resume() }) // The process may have been killed meanwhile.
+			time.AfterFunc(duration, func() {
+				f.harness.notices.disturb(n.name)
+				_ = p.Resume() // The process may have been killed meanwhile.
+			})
 		}
 	case 1:
 		name = "kill " + n.name
@@ -180,6 +187,16 @@
 	f.injected = append(f.injected, name)
 }
 
+// limitTarget makes a random target state a rate limit in one of three steps.
+func (f *faultInjector) limitTarget() {
+	n, rate := f.harness.nodes[f.limits.IntN(len(f.harness.nodes))], []float64{0, 0.5, 1, 2, 4.5}[f.limits.IntN(5)]
+	duration := time.Duration(5000+f.limits.IntN(5000)) * time.Millisecond
+	if f.limits.IntN(3) == 0 {
+		n.target.limit(rate, duration)
+		f.injected = append(f.injected, fmt.Sprintf("limit %g of %s", rate, n.name))
+	}
+}
+
 // shedLoad makes all targets of a service shed requests, so that nearly every request needs a retry.
 func (f *faultInjector) shedLoad(service string, duration time.Duration) string {
 	for _, n := range f.harness.nodes {
--- a/internal/soak/target_test.go
+++ b/internal/soak/target_test.go
@@ -78,6 +78,13 @@
 	g.behavior = b
 }
 
+// limit makes the target state a rate limit in its answers for some time.
+func (g *target) limit(rate float64, during time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.harness.notices.limit(g.id, rate, during)
+}
+
 // drain announces that the target is draining; a new incarnation follows after the delay.
 func (g *target) drain(delay time.Duration) {
 	g.mu.Lock()
@@ -144,8 +151,9 @@
 func (g *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Auburnwinch-Request-Id")
 	g.mu.Lock()
-	instance, current, ackedAt := g.id, g.behavior, g.drainAckedAt
+	instance, current, ackedAt, draining := g.id, g.behavior, g.drainAckedAt, g.draining
 	g.mu.Unlock()
+	w.Header().Set("Auburnwinch-Request-Id", id)
 	if r.Header.Get("Auburnwinch-Expect-Instance") != instance {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -154,7 +162,7 @@
 	if err != nil {
 		return // An incomplete request is not run.
 	}
-	w.Header().Set("Auburnwinch-Request-Id", id)
+	g.harness.notices.state(w.Header(), instance, id, draining)
 	g.harness.ledger.requestArrived(g.node.service, id)
 	if current == behaviorShedding && rand.IntN(2) == 0 {
 		w.Header().Set("Auburnwinch-Not-Executed", "1")
