hosted: tests of limits and leaving that fail without what edges remember

With the hint of the edges taken out, TestRateLimitSurvivesRestarts passed: a target that answers after 20 ms tells a restarted node its limit too early to see the difference. Both keep their former bounds.

--- a/internal/hosted/notice_test.go
+++ b/internal/hosted/notice_test.go
@@ -22,6 +22,8 @@
 	// shortRun and longRun are how long a target takes for a request.
 	shortRun = 20 * time.Millisecond
 	longRun  = 150 * time.Millisecond
+	// beforeAnswer is a time in which a restarted node has no answer of a slow target yet.
+	beforeAnswer = 600 * time.Millisecond
 )
 
 // arrivalLog records when a target gets requests.
@@ -161,7 +163,8 @@
 	require.Greater(t, served, 30, "two targets that state 3 requests a second, for 7 s")
 }
 
-// Guards against a node that forgets the rate limit of its target when it restarts while the store is away (LIMIT).
+// Guards against a node that forgets the rate limit of its target when it restarts while the store is away, and fills all slots
+// before the first answer states the limit again (LIMIT).
 func TestRateLimitSurvivesRestarts(t *testing.T) {
 	f, caller := withCaller(t, 2)
 	callers := []*testNode{caller, f.add("vitrine", "a")}
@@ -170,19 +173,23 @@
 		n.await("kassa", "/read/x")
 	}
 	const rate = 1
-	var limited arrivalLog
-	limited.states(f.nodes[0].target, "Server-Limit", "1", shortRun)
+	var limited, open arrivalLog
+	limited.states(f.nodes[0].target, "Server-Limit", "1", beforeAnswer+longRun)
+	open.states(f.nodes[1].target, "", "", longRun) // Too slow for all requests, so that they press on the other target.
 	begin := time.Now()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		press(20*time.Millisecond, stableTime+2*limitWindow, callers...)
+		press(20*time.Millisecond, stableTime+3*limitWindow, callers...)
 	}()
 	time.Sleep(stableTime)
 	f.store.SetFault(func(fake.Call) fake.Fault { return fake.Fault{Status: http.StatusServiceUnavailable} })
-	for range 3 {
+	for range 2 {
+		before := limited.count()
 		f.nodes[0].restartUnready("a")
-		time.Sleep(limitWindow / 4)
+		require.Eventually(t, func() bool { return limited.count() > before }, 5*time.Second, 5*time.Millisecond)
+		time.Sleep(beforeAnswer)
+		require.LessOrEqual(t, limited.count()-before, 2, "before the first answer, the limit is known only from the callers' nodes")
 	}
 	<-done
 	require.LessOrEqual(t, limited.busiest(begin.Add(stableTime)), allowed(rate))
@@ -196,12 +203,13 @@
 	for _, n := range f.nodes {
 		n.target.keepAlive()
 	}
+	// The store is away before the target leaves, so that only the answers tell it.
+	f.store.SetFault(func(fake.Call) fake.Fault { return fake.Fault{Status: http.StatusServiceUnavailable} })
 	var leaving arrivalLog
 	leaving.states(f.nodes[0].target, "Server-Leaving", "1", shortRun)
 	begin := time.Now()
 	press(20*time.Millisecond, time.Second, caller)
 	require.Positive(t, leaving.count())
-	f.store.SetFault(func(fake.Call) fake.Fault { return fake.Fault{Status: http.StatusServiceUnavailable} })
 	for range 2 {
 		f.nodes[0].restartUnready("a")
 		for _, a := range press(20*time.Millisecond, drainTime, caller) {
