--- a/internal/hosted/request_log.go
+++ b/internal/hosted/request_log.go
@@ -52,9 +52,11 @@
 	if r.Outcome != model.OutcomeDone || r.Status >= 500 {
 		logger = j.failures
 	}
-	line := []any{"msg", trace.MsgRelayed, "id", r.ID, "service", r.Target.Service, "target", r.Target.ID, "class", r.Class.String(),
+	line := []any{
+		"msg", trace.MsgRelayed, "id", r.ID, "service", r.Target.Service, "target", r.Target.ID, "class", r.Class.String(),
 		"outcome", r.Outcome, "status", r.Status, "reason", r.Reason, "waited", formatDuration(r.Waited), "ran", formatDuration(r.Ran), "load", r.Load.String(),
-		"fingerprint", formatFingerprint(r.Fingerprint)}
+		"fingerprint", formatFingerprint(r.Fingerprint),
+	}
 	if r.Notice.Limited {
 		line = append(line, "rate-limit", r.Notice.RateLimit)
 	}
