--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -85,6 +85,7 @@
 	ip       string
 	service  string
 	instance *instance
+	boots    int
 	process  *exec.Cmd
 	started  time.Time
 	exited   chan struct{}
--- a/review/standin/instance.go
+++ b/review/standin/instance.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,18 +23,21 @@
 	sequence atomic.Int64
 	running  atomic.Int64
 
+	server  *http.Server
 	stopped chan struct{}
 	stop    sync.Once
 }
 
 func newInstance(m *machine) (*instance, error) {
-	i := &instance{machine: m, id: "i-" + m.name, born: time.Now().UnixMilli(), slots: 7, stopped: make(chan struct{})}
+	m.boots++
+	i := &instance{machine: m, id: fmt.Sprintf("i-%s-%d", m.name, m.boots), born: time.Now().UnixMilli(), slots: 7, stopped: make(chan struct{})}
 	i.work.Store(int64(50 * time.Millisecond))
 	listener, err := net.Listen("tcp", m.ip+":8301")
 	if err != nil {
 		return nil, err
 	}
-	go func() { _ = http.Serve(listener, i) }()
+	i.server = &http.Server{Handler: i}
+	go func() { _ = i.server.Serve(listener) }()
 	go i.sendHeartbeats()
 	return i, nil
 }
@@ -57,6 +61,11 @@
 		return
 	}
 	i.machine.fleet.addRun(run{at: time.Now(), id: id, instance: i.id, service: i.machine.service, method: r.Method, path: r.URL.RequestURI(), length: int64(len(body))})
+	if strings.HasSuffix(r.URL.Path, "/poison") {
+		time.Sleep(crashAfter) // It doesn't notice that its connection closes.
+		i.crash()
+		return
+	}
 	load := i.running.Add(1)
 	defer i.running.Add(-1)
 	select {
@@ -113,6 +122,19 @@
 	i.stop.Do(func() { close(i.stopped) })
 }
 
+// crash ends the instance without a word. Another boot of it starts after downTime, with a new id.
+func (i *instance) crash() {
+	i.stopHeartbeats()
+	_ = i.server.Close()
+	m := i.machine
+	m.fleet.record.printf("crash  of %s", i.id)
+	time.AfterFunc(downTime, func() {
+		if _, err := newInstance(m); err != nil {
+			m.fleet.record.printf("the instance of %s can't start again: %v", m.name, err)
+		}
+	})
+}
+
 // deregister tells the node that the instance leaves, until it is acknowledged, and returns the time of the ack.
 func (i *instance) deregister() (acked time.Time, err error) {
 	for range 10 {
--- a/review/standin/late.go
+++ b/review/standin/late.go
@@ -73,7 +73,7 @@
 	stop, traffic := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(traffic)
-		f.sendOrders(stop)
+		f.sendOrders(stop, f.machines[2])
 	}()
 	time.Sleep(2 * stableBound)
 	m := f.machines[0]
@@ -98,9 +98,8 @@
 	return broken, nil
 }
 
-// sendOrders sends some fifteen orders a second through the third machine.
-func (f *fleet) sendOrders(stop chan struct{}) {
-	front := f.machines[2]
+// sendOrders sends some fifteen orders a second through the machine.
+func (f *fleet) sendOrders(stop chan struct{}, front *machine) {
 	for i := 0; ; i++ {
 		select {
 		case <-stop:
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,6 +28,7 @@
 	"unknown-leaver": playUnknownLeaver,
 	"leave-at-stop":  playLeaveAtStop,
 	"lost-answers":   playLostAnswers,
+	"poison":         playPoison,
 }
 
 func main() {
