--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,6 +29,7 @@
 	"leave-at-stop":  playLeaveAtStop,
 	"lost-answers":   playLostAnswers,
 	"poison":         playPoison,
+	"silence":        playSilence,
 	"cut-reply":      playCutReply,
 }
 
