Acknowledge that a target leaves only once the store holds it

Cause: an acknowledgement was given as soon as the agent had changed its memory. The row, which is all that the next process of a node knows, followed later or never: publishChanges ended with the context that SIGTERM cancels, a kill within the 20 ms of publishDelay lost the change, and a deregistration of a target that the process did not know recorded nothing. A heartbeat that arrived late then registered the target again.

Ruled out: that the row was written and not restored (no row was written), and that the flush at the end was too short (nothing was handed to the publisher).

Changes are published until the listeners are closed. An unknown target is withdrawn up to the incarnation that can have started by now.

TestDrainingTargetGetsNoNewRequests asked for an acknowledgement during an outage of the store. Such an acknowledgement ends with the process. The test now asks that there is none, that the target gets no requests all the same, and that the acknowledgement follows within 2 s of the store's return.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -38,7 +38,7 @@
 	// suspectRuns is set while a suspect request runs or asks for its trial; there is at most one at a time.
 	suspectRuns atomic.Bool
 	running     running
-	withdrawals withdrawals
+	departures  departures
 	parents     parents
 	pauses      *pauseDetector
 	publishing  sync.Mutex
@@ -85,7 +85,7 @@
 
 // Drain marks a target as draining, as if the target had requested it.
 func (a *Agent) Drain(service, id string) error {
-	changed, err := a.registry.drain(targetKey{service: service, id: id})
+	changed, err := a.drain(targetKey{service: service, id: id})
 	if changed {
 		a.publish()
 	}
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -78,7 +78,7 @@
 }
 
 func (a *Agent) serveDrain(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	a.serveDeparture(w, r, "target draining", a.registry.drain)
+	a.serveDeparture(w, r, "target draining", a.drain)
 }
 
 func (a *Agent) serveWithdraw(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"slices"
-	"sync"
 
 	"github.com/go-kit/log/level"
 	"github.com/rotisserie/eris"
@@ -11,19 +10,13 @@
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
-// maxWithdrawn bounds the withdrawn targets that are remembered; a VM has one target at a time.
-const maxWithdrawn = 16
-
-// withdrawals are the latest withdrawn targets, so that a delayed heartbeat does not add them again.
-type withdrawals struct {
-	mu   sync.Mutex
-	refs []model.TargetRef
-	// draining are those that an earlier process of this node knew as draining.
-	draining []model.TargetRef
-}
-
-// ErrStaleHeartbeat refuses a heartbeat older than a message that has already arrived; the sender need not act.
-var ErrStaleHeartbeat = eris.New("stale heartbeat: a newer message of this target or of its replacement has arrived")
+// Errors that refuse a heartbeat.
+var (
+	// ErrStaleHeartbeat refuses a heartbeat older than a message that has already arrived; the sender need not act.
+	ErrStaleHeartbeat = eris.New("stale heartbeat: a newer message of this target or of its replacement has arrived")
+	// ErrNotStored refuses to acknowledge that a target leaves, because the next process of the node would not know.
+	ErrNotStored = eris.New("the store has not confirmed that the target leaves; send the message again")
+)
 
 // Announce applies a heartbeat of a target. It fails without changing the targets when the heartbeat is invalid or
 // older than one that arrived before.
@@ -32,14 +25,21 @@
 	if err := body.validate(); err != nil {
 		return err
 	}
+	ref := model.TargetRef{Service: h.Service, ID: h.ID, Incarnation: h.Incarnation}
 	if a.config.SingleTarget && !a.replacePrevious(body) {
+		if h.Draining { // The sender takes the response for an acknowledgement, and the target that replaced it may end.
+			a.departures.addWithdrawn(ref, a.config.Clock.Now())
+		}
 		return ErrStaleHeartbeat
 	}
-	if a.withdrawals.contains(model.TargetRef{Service: h.Service, ID: h.ID, Incarnation: h.Incarnation}) {
+	if a.departures.isWithdrawn(ref) {
 		return ErrStaleHeartbeat
 	}
 	known := a.registry.find(h.Service, h.ID)
 	if known != nil && known.target.Ref.Incarnation == h.Incarnation && h.Sequence < known.shared.sequence.Load() {
+		if h.Draining { // Draining is final, so that the order of the heartbeats does not matter.
+			a.startDraining(known)
+		}
 		return ErrStaleHeartbeat
 	}
 	spec, _ := a.serviceSpec(h.Service)
@@ -63,7 +63,7 @@
 	if !a.config.DisableLivenessConns {
 		l.shared.liveness.start()
 	}
-	if (h.Draining || a.withdrawals.wasDraining(l.target.Ref)) && !l.shared.draining.Swap(true) {
+	if (h.Draining || a.departures.isDraining(l.target.Ref)) && a.markDraining(l) {
 		changed = true
 	}
 	if changed {
@@ -74,51 +74,95 @@
 	return nil
 }
 
-// Withdraw removes a target that has deregistered; an unknown target is not an error.
-func (a *Agent) Withdraw(service, id string) {
+// markDraining marks a target as draining and reports whether that changed its state.
+func (a *Agent) markDraining(l *localTarget) (changed bool) {
+	a.departures.addDraining(l.target.Ref)
+	return !l.shared.draining.Swap(true)
+}
+
+// drain marks a target as draining and reports whether that changed its state; it fails with errUnknown.
+func (a *Agent) drain(key targetKey) (changed bool, err error) {
+	l := a.registry.find(key.service, key.id)
+	if l == nil {
+		return false, errUnknown
+	}
+	return a.markDraining(l), nil
+}
+
+// startDraining marks a target as draining and publishes a change.
+func (a *Agent) startDraining(l *localTarget) {
+	if a.markDraining(l) {
+		a.publish()
+	}
+}
+
+// Withdraw removes a target that has deregistered. It reports whether the target was known; it also is if the
+// deregistration repeats an earlier one.
+func (a *Agent) Withdraw(service, id string) (known bool) {
+	now := a.config.Clock.Now()
+	for _, ref := range a.departures.earlierTargets(service, id) {
+		known = true
+		a.departures.addWithdrawn(ref, now)
+	}
 	for _, l := range a.registry.all() {
 		if l.target.Ref.ID != id || service != "" && l.target.Ref.Service != service {
 			continue
 		}
-		a.withdrawals.add(l.target.Ref)
+		known = true
+		a.departures.addWithdrawn(l.target.Ref, now)
 		if a.registry.withdraw(l.key()) == nil {
 			_ = level.Info(a.config.Logger).Log("msg", "target withdrawn", "service", l.target.Ref.Service, "target", id)
 			a.publish()
 		}
 	}
+	return known || a.departures.withdrawnSince(service, id, now.Add(-withdrawalRepeat))
 }
 
-// Withdrawn returns the latest targets that have been withdrawn.
+// WithdrawUnknown records that a target has deregistered of which this process has had no heartbeat. It applies to the
+// incarnations up to the given one.
+func (a *Agent) WithdrawUnknown(service, id string, incarnation uint64) {
+	a.departures.addWithdrawn(model.TargetRef{Service: service, ID: id, Incarnation: incarnation}, a.config.Clock.Now())
+	_ = level.Info(a.config.Logger).Log("msg", "unknown target withdrawn", "service", service, "target", id, "incarnation", incarnation)
+	for _, l := range a.registry.all() {
+		if a.departures.isWithdrawn(l.target.Ref) { // Its first heartbeat has arrived meanwhile.
+			a.removeTarget(l, "it was withdrawn")
+		}
+	}
+}
+
+// Withdrawn returns the latest targets that have been withdrawn. The service is empty where it was unknown.
 func (a *Agent) Withdrawn() []model.TargetRef {
-	a.withdrawals.mu.Lock()
-	defer a.withdrawals.mu.Unlock()
-	return slices.Clone(a.withdrawals.refs)
+	a.departures.mu.Lock()
+	defer a.departures.mu.Unlock()
+	refs := make([]model.TargetRef, 0, len(a.departures.withdrawn))
+	for _, w := range a.departures.withdrawn {
+		refs = append(refs, w.TargetRef)
+	}
+	return refs
 }
 
-// RestoredDraining returns the targets that were draining under an earlier process of this node.
-func (a *Agent) RestoredDraining() []model.TargetRef {
-	a.withdrawals.mu.Lock()
-	defer a.withdrawals.mu.Unlock()
-	return slices.Clone(a.withdrawals.draining)
+// Draining returns the latest targets that were draining, under this process or an earlier one.
+func (a *Agent) Draining() []model.TargetRef {
+	a.departures.mu.Lock()
+	defer a.departures.mu.Unlock()
+	return slices.Clone(a.departures.draining)
+}
+
+// EarlierTargets is what an earlier process of the node knew about its targets.
+type EarlierTargets struct {
+	Registered, Draining, Withdrawn []model.TargetRef
 }
 
 // Restore restores what an earlier process of this node knew about its targets, so that a delayed heartbeat does not
 // undo it after a restart.
-func (a *Agent) Restore(draining, gone []model.TargetRef) {
-	for _, ref := range gone {
-		if !a.withdrawals.contains(ref) {
-			a.withdrawals.add(ref)
-		}
-	}
-	a.withdrawals.mu.Lock()
-	a.withdrawals.draining = slices.Clone(draining[max(0, len(draining)-maxWithdrawn):])
-	a.withdrawals.mu.Unlock()
+func (a *Agent) Restore(earlier EarlierTargets) {
+	a.departures.restore(earlier, a.config.Clock.Now())
 	for _, l := range a.registry.all() {
 		switch ref := l.target.Ref; {
-		case slices.Contains(gone, ref):
+		case a.departures.isWithdrawn(ref):
 			a.removeTarget(l, "it was withdrawn before the node restarted")
-		case slices.Contains(draining, ref) && !l.shared.draining.Swap(true):
-			a.publish()
+		case a.departures.isDraining(ref):
+			a.startDraining(l)
 		}
 	}
 }
@@ -137,24 +181,3 @@
 	}
 	return true
 }
-
-func (g *withdrawals) add(ref model.TargetRef) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if len(g.refs) == maxWithdrawn {
-		g.refs = slices.Delete(g.refs, 0, 1)
-	}
-	g.refs = append(g.refs, ref)
-}
-
-func (g *withdrawals) wasDraining(ref model.TargetRef) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return slices.Contains(g.draining, ref)
-}
-
-func (g *withdrawals) contains(ref model.TargetRef) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return slices.Contains(g.refs, ref)
-}
--- a/internal/agent/notice.go
+++ b/internal/agent/notice.go
@@ -95,8 +95,8 @@
 	if x.local.shared.notice.observe(n, x.local.limiter, a.config.Clock.Now()) {
 		a.logNotice(x.local, "target")
 	}
-	if n.Leaving && !x.local.shared.draining.Swap(true) {
-		a.publish()
+	if n.Leaving {
+		a.startDraining(x.local)
 	}
 }
 
--- a/internal/agent/registry.go
+++ b/internal/agent/registry.go
@@ -97,15 +97,6 @@
 	return limiter
 }
 
-// drain marks a target as draining and reports whether that changed its state; it fails with errUnknown.
-func (r *registry) drain(key targetKey) (changed bool, err error) {
-	l := r.find(key.service, key.id)
-	if l == nil {
-		return false, errUnknown
-	}
-	return !l.shared.draining.Swap(true), nil
-}
-
 // withdraw removes a target; it fails with errUnknown.
 func (r *registry) withdraw(key targetKey) error {
 	r.mu.Lock()
--- a/internal/hosted/config.go
+++ b/internal/hosted/config.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -68,8 +69,8 @@
 
 // HeartbeatReceiver receives the heartbeats of the target on this VM.
 type HeartbeatReceiver interface {
-	Announce(h agent.Announcement) error
-	Withdraw(service, id string)
+	Announce(ctx context.Context, h agent.Announcement) error
+	Withdraw(ctx context.Context, service, id string) error
 	Refused(id string, err error)
 }
 
--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -329,9 +329,17 @@
 // withdraw deregisters the target from the node.
 func (g *target) withdraw() {
 	g.node.fleet.t.Helper()
+	require.True(g.node.fleet.t, g.deregister())
+}
+
+// deregister deregisters the target once and reports whether the node acknowledged it.
+func (g *target) deregister() bool {
 	response, err := http.Post("http://"+g.node.listeners.Local+"/api/instances/"+g.id+"/deregister", "application/json", nil)
-	require.NoError(g.node.fleet.t, err)
-	require.NoError(g.node.fleet.t, response.Body.Close())
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
 }
 
 // answer is the response that a caller received.
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
-	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 
 	"github.com/auburnwinch/auburnwinch/internal/agent"
@@ -21,7 +19,6 @@
 	"github.com/auburnwinch/auburnwinch/internal/picker"
 	"github.com/auburnwinch/auburnwinch/internal/relay"
 	"github.com/auburnwinch/auburnwinch/internal/roster"
-	"github.com/auburnwinch/auburnwinch/internal/timer"
 	"github.com/auburnwinch/auburnwinch/internal/trace"
 	"github.com/auburnwinch/auburnwinch/internal/view"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
@@ -63,8 +60,6 @@
 	// configurationWait bounds one long poll for the configuration. If the store never responds to a call, a node
 	// without traffic misses a new configuration for at most this long.
 	configurationWait = 8 * time.Second
-	// maxClockSkew is the most by which clocks of VMs and targets are assumed to differ; they jump by seconds.
-	maxClockSkew = 24 * time.Hour
 	// configurationBatchDelay is short because a configuration must be in force on all nodes within two seconds.
 	configurationBatchDelay = 50 * time.Millisecond
 	// retryMargin keeps the retries at one target below its share of the fleet's retry budget, because the count is
@@ -95,18 +90,18 @@
 
 	// publishDue requests a publication of the record.
 	publishDue notify.Signal
-
-	mu     sync.Mutex
-	record roster.Record
-	// restored is set once the row of an earlier process of this node has been read or is known not to exist. The
+	// restored is closed once the row of an earlier process of this node has been read or is known not to exist. The
 	// record is not published before.
-	restored   bool
+	restored chan struct{}
+
+	mu         sync.Mutex
+	record     roster.Record
 	admissions []*admission
 }
 
 // New builds the node and opens its listeners; Run serves.
 func New(c Config) (*Node, error) {
-	n := &Node{config: c.withDefaults(), publishDue: notify.New()}
+	n := &Node{config: c.withDefaults(), publishDue: notify.New(), restored: make(chan struct{})}
 	n.record = roster.Record{Node: n.config.Self}
 	invar.OnViolation(func(v invar.Violation) {
 		_ = level.Error(n.config.FailureLogger).Log("msg", "invariant violated", "module", v.Module, "detail", v.Detail)
@@ -143,7 +138,7 @@
 
 func (n *Node) buildAgent() (err error) {
 	n.agent, err = agent.New(agent.Config{
-		Self: n.config.Self.Ref, NewLimiter: n.newLimiter, OnTargets: n.targetsChanged, Clock: n.config.Clock,
+		Self: n.config.Self.Ref, NewLimiter: n.newLimiter, OnTargets: func([]model.Target) { n.publishDue.Raise() }, Clock: n.config.Clock,
 		Logger: n.config.FailureLogger, Dial: n.config.Dial, InterimInterval: interimInterval, Expiry: targetExpiry,
 		Protocol: n.config.TargetProtocol, RequestLogger: n.requestLogger, PoisonDetector: n.guard, CrashCounter: n.guard, SingleTarget: true, DisableLivenessConns: true, MaxResponseBytes: maxResponseBytes, Configurations: n.fleet,
 	})
@@ -192,104 +187,6 @@
 	return err
 }
 
-func (n *Node) targetsChanged(targets []model.Target) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.record.Targets, n.record.Withdrawn, n.record.RestoredDraining = targets, n.agent.Withdrawn(), n.agent.RestoredDraining()
-	n.publishDue.Raise()
-}
-
-// publishChanges publishes the record publishDelay after a change, together with the changes made meanwhile. A crash of
-// the target changes the record several times in a row, and readers of the table pause between reads, so that a later
-// write would reach them late.
-func (n *Node) publishChanges(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-n.publishDue:
-		}
-		if timer.Sleep(ctx, publishDelay) {
-			n.mu.Lock()
-			n.publish()
-			n.mu.Unlock()
-		}
-	}
-}
-
-// publish hands the record to the publisher. The caller must hold n.mu.
-func (n *Node) publish() {
-	if n.publisher != nil && n.restored {
-		n.record.Crashes = n.guard.localEntries()
-		n.publisher.Publish(n.record.Encode())
-	}
-}
-
-// restore loads what an earlier process of this node published about its targets. The rows must be all those of the
-// failure domain.
-func (n *Node) restore(rows []roster.Row) {
-	n.mu.Lock()
-	restored := n.restored
-	n.mu.Unlock()
-	if restored {
-		return
-	}
-	for _, row := range rows {
-		if row.Key != n.config.Self.Ref.ID || row.Deleted {
-			continue
-		}
-		n.publisher.ObserveRow(row)
-		if earlier, err := roster.DecodeRecord(row); err == nil { // Malformed rows are logged by fleetState.
-			n.agent.Restore(earlier.Draining(), earlier.Withdrawn)
-			n.guard.restore(earlier.Crashes)
-		}
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.restored = true
-	n.record.Withdrawn, n.record.RestoredDraining = n.agent.Withdrawn(), n.agent.RestoredDraining()
-	// A node without a target has nothing to publish; its first record follows the first heartbeat.
-	if len(n.record.Targets) > 0 || n.record.Leaving {
-		n.publish()
-	}
-}
-
-// Announce handles a heartbeat of the target on this VM.
-func (n *Node) Announce(h agent.Announcement) error {
-	if n.stopping.Load() && !h.Draining {
-		return agent.ErrStaleHeartbeat
-	}
-	if err := n.checkAnnouncement(h); err != nil {
-		return err
-	}
-	return n.agent.Announce(h)
-}
-
-// checkAnnouncement fails for a heartbeat that would replace the target of this VM and can't come from a target: its
-// incarnation, which is the time of its start in Unix milliseconds, is far ahead, or no configuration names its service.
-func (n *Node) checkAnnouncement(h agent.Announcement) error {
-	if h.Incarnation > uint64(n.config.Clock.Now().Add(maxClockSkew).UnixMilli()) {
-		return eris.Errorf("the target %q claims to start at %d, far ahead; correct its clock", h.ID, h.Incarnation)
-	}
-	v := n.fleet.view.Load()
-	targets := n.agent.Targets()
-	isKnown := slices.ContainsFunc(targets, func(t model.Target) bool { return t.Ref.Service == h.Service && t.Ref.ID == h.ID })
-	if v == nil || v.Service(h.Service) != nil || len(targets) == 0 || isKnown {
-		return nil
-	}
-	return eris.Errorf("no configuration names the service %q of the target %q; add it, or correct the name", h.Service, h.ID)
-}
-
-// Withdraw removes a target that has deregistered.
-func (n *Node) Withdraw(service, id string) {
-	n.agent.Withdraw(service, id)
-}
-
-// Refused logs a heartbeat that was rejected.
-func (n *Node) Refused(id string, err error) {
-	_ = level.Warn(n.config.FailureLogger).Log("msg", "heartbeat ignored", "target", id, "err", err)
-}
-
 func (n *Node) ready() bool {
 	return n.fleet.ready.Load() && !n.stopping.Load()
 }
--- a/internal/hosted/node_test.go
+++ b/internal/hosted/node_test.go
@@ -236,8 +236,8 @@
 	}, 5*time.Second, 20*time.Millisecond)
 }
 
-// Guards against a draining target that receives new requests, and against a draining heartbeat that is not
-// acknowledged during a store outage.
+// Guards against a draining target that receives new requests during a store outage, against an acknowledgement that the
+// next process of the node could not keep, and against one that does not follow soon after the store's return.
 func TestDrainingTargetGetsNoNewRequests(t *testing.T) {
 	f := newFleet(t)
 	f.configure(1, "kassa")
@@ -249,7 +249,7 @@
 		require.Eventually(t, func() bool { return strings.Contains(node.log.String(), `"nodes":2`) }, 5*time.Second, 10*time.Millisecond)
 	}
 	f.store.SetFault(func(fake.Call) fake.Fault { return fake.Fault{Status: http.StatusServiceUnavailable} })
-	n.target.heartbeat("draining") // Returns once the heartbeat is acknowledged.
+	require.False(t, n.target.sendHeartbeat("draining"), "the store does not hold it")
 	before := n.target.total()
 	for range 20 {
 		a := other.call(http.MethodPost, "kassa", "/order/1")
@@ -258,6 +258,10 @@
 		require.Equal(t, http.StatusOK, a.status, f.logOf(a.id))
 	}
 	require.Equal(t, before, n.target.total())
+	require.False(t, n.target.sendHeartbeat("draining"))
+	f.store.SetFault(nil)
+	require.Eventually(t, func() bool { return n.target.sendHeartbeat("draining") }, 2*time.Second, 10*time.Millisecond)
+	require.Contains(t, n.storedRecord().Draining(), n.target.ref())
 }
 
 // Guards against returning to an older configuration when it is read again, and against applying an invalid one
--- /dev/null
+++ b/internal/hosted/record.go
@@ -0,0 +1,74 @@
+package hosted
+
+import (
+	"context"
+
+	"github.com/auburnwinch/auburnwinch/internal/agent"
+	"github.com/auburnwinch/auburnwinch/internal/roster"
+	"github.com/auburnwinch/auburnwinch/internal/timer"
+)
+
+// publishChanges publishes the record publishDelay after a change, together with the changes made meanwhile. A crash of
+// the target changes the record several times in a row, and readers of the table pause between reads, so that a later
+// write would reach them late. It ends with the context, which must outlast the shutdown: targets deregister and crash
+// while the node stops, and the next process must know.
+func (n *Node) publishChanges(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.publishDue:
+		}
+		if timer.Sleep(ctx, publishDelay) {
+			n.publish()
+		}
+	}
+}
+
+// publish hands the current record to the publisher and returns its revision. Before the record of the earlier process
+// is restored it does nothing and returns 0.
+func (n *Node) publish() (revision uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.publisher == nil || !n.isRestored() {
+		return 0
+	}
+	// A target moves from the targets to the departures, so in this order none is missed.
+	n.record.Targets = n.agent.Targets()
+	n.record.Withdrawn, n.record.KnownDraining = n.agent.Withdrawn(), n.agent.Draining()
+	n.record.Leaving = n.stopping.Load()
+	n.record.Crashes = n.guard.localEntries()
+	return n.publisher.Publish(n.record.Encode())
+}
+
+func (n *Node) isRestored() bool {
+	select {
+	case <-n.restored:
+		return true
+	default:
+		return false
+	}
+}
+
+// restore loads what an earlier process of this node published about its targets. The rows must be all those of the
+// failure domain. It is called by one goroutine.
+func (n *Node) restore(rows []roster.Row) {
+	if n.isRestored() {
+		return
+	}
+	for _, row := range rows {
+		if row.Key != n.config.Self.Ref.ID || row.Deleted {
+			continue
+		}
+		n.publisher.ObserveRow(row)
+		if earlier, err := roster.DecodeRecord(row); err == nil { // Malformed rows are logged by fleetState.
+			n.agent.Restore(agent.EarlierTargets{Registered: earlier.Registered(), Draining: earlier.Draining(), Withdrawn: earlier.Withdrawn})
+			n.guard.restore(earlier.Crashes)
+		}
+	}
+	close(n.restored)
+	// A node without a target has nothing to publish; its first record follows the first heartbeat.
+	if len(n.agent.Targets()) > 0 || n.stopping.Load() {
+		n.publish()
+	}
+}
--- a/internal/hosted/run.go
+++ b/internal/hosted/run.go
@@ -34,12 +34,16 @@
 	n.watch()
 	n.group.Go(func() { n.checkStalls(ctx) })
 	n.group.Go(func() { n.checkPaths(ctx) })
-	n.group.Go(func() { n.publishChanges(ctx) })
+	publishing, stopPublishing := context.WithCancel(context.Background())
+	n.group.Go(func() { n.publishChanges(publishing) })
 	_ = level.Info(n.config.FailureLogger).Log("msg", "node started", "incarnation", n.config.Self.Ref.Incarnation, "version", n.config.Version,
 		"domain", n.config.Self.Domain, "region", n.config.Self.Region, "callers", n.config.Listeners.Callers, "relay", n.config.Listeners.Relay)
 	<-ctx.Done()
 	n.shutDown()
 	n.abortInFlight()
+	n.closeListeners()
+	stopPublishing()
+	n.flush()
 	n.close()
 	return nil
 }
@@ -81,10 +85,7 @@
 	n.agent.SetLeaving(true)
 	n.edge.SetLeaving(true)
 	n.nodes.StopServing()
-	n.mu.Lock()
-	n.record.Leaving = true
 	n.publish()
-	n.mu.Unlock()
 	_ = level.Info(n.config.FailureLogger).Log("msg", "node leaving", "in-flight", n.inFlight())
 }
 
@@ -101,11 +102,17 @@
 	return n.edge.InFlight() + n.agent.InFlight()
 }
 
-func (n *Node) close() {
+// flush writes the last changes of the record. The listeners must be closed, so that no more changes come from them.
+func (n *Node) flush() {
+	n.publish()
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
-	n.publisher.Flush(ctx)
-	cancel()
-	n.closeListeners()
+	defer cancel()
+	if err := n.publisher.Flush(ctx); err != nil {
+		_ = level.Warn(n.config.FailureLogger).Log("msg", "the last record of the node was not stored", "err", err)
+	}
+}
+
+func (n *Node) close() {
 	for _, w := range n.watchers {
 		w.Close()
 	}
--- a/internal/roster/members_test.go
+++ b/internal/roster/members_test.go
@@ -22,7 +22,7 @@
 func TestRecordRoundTrip(t *testing.T) {
 	r := recordOf("n", 3)
 	r.Leaving, r.Crashes = true, []model.CrashEntry{{Fingerprint: 1, Crashes: model.Crashes{Round: 3, Count: 2}}}
-	r.Withdrawn, r.RestoredDraining = []model.TargetRef{{Service: "s", ID: "g", Incarnation: 1}}, []model.TargetRef{{Service: "s", ID: "d", Incarnation: 2}}
+	r.Withdrawn, r.KnownDraining = []model.TargetRef{{Service: "s", ID: "g", Incarnation: 1}}, []model.TargetRef{{Service: "s", ID: "d", Incarnation: 2}}
 	decoded, err := DecodeRecord(Row{Key: "n", Value: r.Encode()})
 	require.NoError(t, err)
 	require.Equal(t, r, decoded)
--- a/internal/roster/owned_row.go
+++ b/internal/roster/owned_row.go
@@ -6,11 +6,13 @@
 type OwnedRow struct {
 	partition, key string
 	desired        []byte
-	hasDesired     bool
-	stored         []byte
-	exists         bool
-	version        uint64
-	writing        bool
+	// revision counts the desired values; it is 0 before the first one. storedRevision is the revision that the row holds,
+	// or 0 if it holds a value of another writer.
+	revision, storedRevision uint64
+	stored                   []byte
+	exists                   bool
+	version                  uint64
+	writing                  bool
 }
 
 // OwnedRowMsg is an input of OwnedRow.Update.
@@ -24,8 +26,9 @@
 
 // WrittenMsg reports that the write took effect.
 type WrittenMsg struct {
-	Value   []byte
-	Version uint64
+	Value    []byte
+	Version  uint64
+	Revision uint64
 }
 
 // ConflictMsg reports that the row has a version other than the expected one.
@@ -44,6 +47,7 @@
 type WriteCmd struct {
 	Row      Row
 	Expected uint64
+	Revision uint64
 	Backoff  bool
 }
 
@@ -52,9 +56,15 @@
 	return &OwnedRow{partition: partition, key: key}
 }
 
+// Revision returns the revision of the desired value; it is 0 before the first one.
+func (o *OwnedRow) Revision() uint64 { return o.revision }
+
+// StoredRevision returns the revision that the row holds; it is 0 if the row holds none of them.
+func (o *OwnedRow) StoredRevision() uint64 { return o.storedRevision }
+
 // Stored reports whether the row holds the desired value.
 func (o *OwnedRow) Stored() bool {
-	return o.hasDesired && o.exists && bytes.Equal(o.stored, o.desired)
+	return o.revision > 0 && o.exists && bytes.Equal(o.stored, o.desired)
 }
 
 // Update applies one message and returns the write to start, or nil. At most one write is in progress at a time.
@@ -62,24 +72,34 @@
 	failed := false
 	switch msg := msg.(type) {
 	case SetValueMsg:
-		o.desired, o.hasDesired = msg.Value, true
+		if o.revision == 0 || !bytes.Equal(o.desired, msg.Value) {
+			o.desired = msg.Value
+			o.revision++
+		}
 	case ObservedMsg:
 		o.observe(msg.Row)
 	case WrittenMsg:
 		o.writing = false
 		o.observe(Row{Value: msg.Value, Version: msg.Version})
+		if msg.Version == o.version {
+			o.storedRevision = msg.Revision
+		}
 	case ConflictMsg:
-		o.writing = false
+		o.writing, o.storedRevision = false, 0
 		o.stored, o.version, o.exists = msg.Current.Value, msg.Current.Version, msg.Current.Version > 0
 	case WriteFailedMsg:
 		// The write may still take effect. The next one expects the same version, so only one of them can succeed.
 		o.writing, failed = false, true
 	}
-	if o.writing || !o.hasDesired || o.Stored() {
+	if o.Stored() {
+		o.storedRevision = o.revision
+		return nil
+	}
+	if o.writing || o.revision == 0 {
 		return nil
 	}
 	o.writing = true
-	return &WriteCmd{Row: Row{Part: o.partition, Key: o.key, Value: o.desired}, Expected: o.version, Backoff: failed}
+	return &WriteCmd{Row: Row{Part: o.partition, Key: o.key, Value: o.desired}, Expected: o.version, Revision: o.revision, Backoff: failed}
 }
 
 // observe records a row unless its version is not newer than the known one.
@@ -87,7 +107,7 @@
 	if row.Version <= o.version {
 		return
 	}
-	o.version, o.stored, o.exists = row.Version, row.Value, !row.Deleted
+	o.version, o.stored, o.exists, o.storedRevision = row.Version, row.Value, !row.Deleted, 0
 	if row.Deleted {
 		o.version = 0
 	}
--- a/internal/roster/owned_row_test.go
+++ b/internal/roster/owned_row_test.go
@@ -22,8 +22,15 @@
 	return true
 }
 
+// valueNumber returns the number in a value of TestLateWritesNeverUndoNewerOnes.
+func valueNumber(t *rapid.T, value string) (number uint64) {
+	_, err := fmt.Sscanf(value, "value-%d", &number)
+	require.NoError(t, err, value)
+	return number
+}
+
 // Guards against a write that takes effect after its call timed out and overwrites a newer one, and against a row that
-// stays outdated after the store has recovered. An earlier process of the node may have writes in progress as well.
+// stays outdated after the store has recovered, or that is reported as stored before it is. An earlier process of the node may have writes in progress as well.
 func TestLateWritesNeverUndoNewerOnes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var store storedRow
@@ -43,7 +50,7 @@
 		}
 		execute := func(cmd *WriteCmd) OwnedRowMsg {
 			if store.apply(*cmd) {
-				return WrittenMsg{Value: cmd.Row.Value, Version: store.version}
+				return WrittenMsg{Value: cmd.Row.Value, Version: store.version, Revision: cmd.Revision}
 			}
 			return ConflictMsg{Current: Row{Value: []byte(store.value), Version: store.version}}
 		}
@@ -72,7 +79,11 @@
 			case 5:
 				start(row.Update(ObservedMsg{Row: Row{Value: []byte(store.value), Version: store.version}}))
 			}
-			require.Equal(t, row.hasDesired && row.Stored(), row.Stored())
+			require.Equal(t, row.Revision() > 0 && row.Stored(), row.Stored())
+			require.EqualValues(t, values, row.Revision())
+			if row.StoredRevision() > 0 {
+				require.GreaterOrEqual(t, valueNumber(t, store.value), row.StoredRevision(), "the row reports a value as stored that the store does not hold")
+			}
 		}
 		if newest == "" {
 			return
--- a/internal/roster/publisher.go
+++ b/internal/roster/publisher.go
@@ -32,10 +32,11 @@
 	group    conc.WaitGroup
 	writeDue notify.Signal
 
-	mu           sync.Mutex
-	row          *OwnedRow
-	pending      *WriteCmd
-	storedSignal chan struct{}
+	mu      sync.Mutex
+	row     *OwnedRow
+	pending *WriteCmd
+	// changed is closed and replaced whenever the row has changed.
+	changed chan struct{}
 }
 
 // NewPublisher starts a publisher; it writes nothing before the first call of Publish.
@@ -43,16 +44,16 @@
 	if c.Logger == nil {
 		c.Logger = log.NewNopLogger()
 	}
-	p := &Publisher{config: c, row: NewOwnedRow(c.Partition, c.Key), writeDue: notify.New(), storedSignal: make(chan struct{}, 1)}
+	p := &Publisher{config: c, row: NewOwnedRow(c.Partition, c.Key), writeDue: notify.New(), changed: make(chan struct{})}
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	p.group.Go(func() { p.run(ctx) })
 	return p
 }
 
-// Publish sets the value that the row should have and returns without waiting for the write.
-func (p *Publisher) Publish(value []byte) {
-	p.update(SetValueMsg{Value: value})
+// Publish sets the value that the row should have and returns its revision without waiting for the write.
+func (p *Publisher) Publish(value []byte) (revision uint64) {
+	return p.update(SetValueMsg{Value: value})
 }
 
 // ObserveRow takes a row that a watch returned; rows of other nodes are ignored.
@@ -62,41 +63,52 @@
 	}
 }
 
-// Flush waits until the row holds the published value or the context ends.
-func (p *Publisher) Flush(ctx context.Context) {
-	for ctx.Err() == nil {
+// Await waits until the row holds the value of the revision or a later one. It fails with the error of the context when
+// that ends first.
+func (p *Publisher) Await(ctx context.Context, revision uint64) error {
+	for {
 		p.mu.Lock()
-		stored := p.row.Stored()
+		stored, changed := p.row.StoredRevision() >= revision, p.changed
 		p.mu.Unlock()
 		if stored {
-			return
+			return nil
 		}
 		select {
 		case <-ctx.Done():
-		case <-p.storedSignal:
+			return ctx.Err()
+		case <-changed:
 		}
 	}
 }
 
+// Flush waits until the row holds the published value or the context ends.
+func (p *Publisher) Flush(ctx context.Context) error {
+	p.mu.Lock()
+	revision := p.row.Revision()
+	p.mu.Unlock()
+	return p.Await(ctx, revision)
+}
+
 // Close stops the publisher and leaves the row in the table.
 func (p *Publisher) Close() {
 	p.cancel()
 	p.group.Wait()
 }
 
-func (p *Publisher) update(msg OwnedRowMsg) {
+// update applies a message and returns the revision of the desired value.
+func (p *Publisher) update(msg OwnedRowMsg) (revision uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	before := p.row.StoredRevision()
 	if cmd := p.row.Update(msg); cmd != nil {
 		p.pending = cmd
 		p.writeDue.Raise()
 	}
-	if p.row.Stored() {
-		select {
-		case p.storedSignal <- struct{}{}:
-		default:
-		}
+	if p.row.StoredRevision() != before {
+		close(p.changed)
+		p.changed = make(chan struct{})
 	}
+	return p.row.Revision()
 }
 
 func (p *Publisher) takePending() *WriteCmd {
@@ -132,7 +144,7 @@
 	case err == nil:
 		p.backoff.reset()
 		_ = level.Info(p.config.Logger).Log("msg", "row written", "key", cmd.Row.Key, "version", version, "bytes", len(cmd.Row.Value))
-		return WrittenMsg{Value: cmd.Row.Value, Version: version}
+		return WrittenMsg{Value: cmd.Row.Value, Version: version, Revision: cmd.Revision}
 	case errors.As(err, &conflict):
 		p.backoff.reset()
 		return ConflictMsg{Current: conflict.Current}
--- a/internal/roster/record.go
+++ b/internal/roster/record.go
@@ -18,11 +18,10 @@
 	Leaving bool `cbor:"3,keyasint,omitempty"`
 	// Crashes lists the requests during which targets of the node crashed, and those that succeeded after such a crash.
 	Crashes []model.CrashEntry `cbor:"7,keyasint,omitempty"`
-	// Withdrawn lists the targets of the node that were withdrawn last; the next process of the node restores them.
-	Withdrawn []model.TargetRef `cbor:"5,keyasint,omitempty"`
-	// RestoredDraining lists the targets that were draining under an earlier process of the node. This process may not yet
-	// have received a heartbeat from them.
-	RestoredDraining []model.TargetRef `cbor:"6,keyasint,omitempty"`
+	// Withdrawn lists the targets of the node that were withdrawn last, and KnownDraining those that were draining, also
+	// under an earlier process of the node. Its next process restores them before it publishes a record.
+	Withdrawn     []model.TargetRef `cbor:"5,keyasint,omitempty"`
+	KnownDraining []model.TargetRef `cbor:"6,keyasint,omitempty"`
 }
 
 // Encode returns the record as the value of the node's row.
@@ -72,9 +71,18 @@
 	return nil
 }
 
+// Registered returns the targets that were serving or draining when the record was published.
+func (r *Record) Registered() []model.TargetRef {
+	refs := make([]model.TargetRef, 0, len(r.Targets))
+	for i := range r.Targets {
+		refs = append(refs, r.Targets[i].Ref)
+	}
+	return refs
+}
+
 // Draining returns the targets that accept no new requests, in this or an earlier process of the node.
 func (r *Record) Draining() []model.TargetRef {
-	refs := slices.Clone(r.RestoredDraining)
+	refs := slices.Clone(r.KnownDraining)
 	for i := range r.Targets {
 		if r.Targets[i].State == model.TargetDraining && !slices.Contains(refs, r.Targets[i].Ref) {
 			refs = append(refs, r.Targets[i].Ref)
