Do not read a refusal of a target to its end

Cause: agent and edge read the body of a refusal to its end before they decide, so that the connection can be used again. The body of a failure that is saved while another target is tried was bounded in size, not in time. Now 64 KiB and 100 ms bound the first, 500 ms the second, and the connection is closed when they are exceeded.

--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -74,11 +73,7 @@
 
 // shed refuses the request on behalf of the target, which did not run it.
 func (x *exchange) shed(conn *relay.Conn, response *http.Response) ResultKind {
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		conn.Close()
-	} else {
-		conn.Release()
-	}
+	conn.Discard(response)
 	x.releaseKey()
 	x.refuse(relay.ReasonShed, model.OutcomeNotRun)
 	return ResultShed
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -253,11 +252,7 @@
 	case relay.ReasonSignature:
 		x.log("agent refused the signature", nil)
 	}
-	if _, err := io.Copy(io.Discard, x.response.Body); err != nil {
-		x.conn.Close()
-		return f
-	}
-	x.conn.Release()
+	x.conn.Discard(x.response)
 	return f
 }
 
--- a/internal/edge/saved.go
+++ b/internal/edge/saved.go
@@ -4,14 +4,19 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/auburnwinch/auburnwinch/internal/relay"
 	"github.com/auburnwinch/auburnwinch/internal/retry"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
-// maxSavedBytes is the largest body of an error response that is saved while another target is tried.
-const maxSavedBytes = 32 << 10
+const (
+	// maxSavedBytes is the largest body of an error response that is saved while another target is tried.
+	maxSavedBytes = 32 << 10
+	// saveTimeout bounds the wait for the body of an error response, which may never end, before another target is tried.
+	saveTimeout = 500 * time.Millisecond
+)
 
 // savedResponse is the error response of a target to an idempotent request. The caller gets it if no other target
 // succeeds.
@@ -29,6 +34,7 @@
 		return nil
 	}
 	var sum relay.Checksum
+	x.conn.SetReadTimeout(saveTimeout)
 	body, err := io.ReadAll(io.LimitReader(x.response.Body, maxSavedBytes+1))
 	sum.Add(body)
 	f := &failure{result: retry.InDoubt, kind: ResultError, reason: "target-error", retryable: true}
--- a/internal/hosted/explain_test.go
+++ b/internal/hosted/explain_test.go
@@ -67,7 +67,7 @@
 	f.store.SetFault(func(fake.Call) fake.Fault { return fake.Fault{Status: http.StatusServiceUnavailable} })
 	f.store.Put("other", "", "row", nil) // Ends the pending long polls.
 	require.Eventually(t, func() bool { return strings.Contains(caller.log.String(), "store lost") }, 5*time.Second, 10*time.Millisecond)
-	gone.target.heartbeat("draining")
+	require.False(t, gone.target.sendHeartbeat("draining"), "the store does not hold it, but the node knows")
 	a := caller.callAs("outage", http.MethodPost, "kassa", "/order/1")
 	require.Equal(t, http.StatusServiceUnavailable, a.status)
 	told := f.explain("outage")
--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -55,6 +55,7 @@
 	node   *testNode
 	id     string
 	born   int64
+	slots  int
 	server *httptest.Server
 
 	mu     sync.Mutex
@@ -222,7 +223,7 @@
 }
 
 func newTarget(n *testNode, id string) *target {
-	g := &target{node: n, id: id, born: time.Now().UnixMilli(), runs: make(map[string]int)}
+	g := &target{node: n, id: id, born: time.Now().UnixMilli(), slots: 3, runs: make(map[string]int)}
 	g.server = httptest.NewServer(g)
 	return g
 }
@@ -289,7 +290,7 @@
 	g.mu.Lock()
 	g.sequence++
 	body, err := json.Marshal(map[string]any{
-		"service": g.node.service, "address": strings.TrimPrefix(g.server.URL, "http://"), "zone": "z", "version": "v1", "slots": 3,
+		"service": g.node.service, "address": strings.TrimPrefix(g.server.URL, "http://"), "zone": "z", "version": "v1", "slots": g.slots,
 		"state": state, "sequence": g.sequence, "born": g.born,
 	})
 	g.mu.Unlock()
--- a/internal/hosted/heartbeat.go
+++ b/internal/hosted/heartbeat.go
@@ -29,6 +29,9 @@
 	if err := n.checkAnnouncement(h); err != nil {
 		return err
 	}
+	if !h.Draining && n.hold(h) {
+		return nil
+	}
 	err := n.agent.Announce(h)
 	if !h.Draining || err != nil && !eris.Is(err, agent.ErrStaleHeartbeat) {
 		return err
@@ -39,6 +42,21 @@
 	return err
 }
 
+// hold keeps a heartbeat back while the process does not know whether its sender has left under the earlier process, and
+// reports whether it did. A heartbeat that arrives later than a delayed one can was sent by a target that has not left, so
+// that a node which starts while the store is away uses its target in the end.
+func (n *Node) hold(h agent.Announcement) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.isRestored() || n.config.Clock.Now().Sub(n.startedAt) >= targetExpiry {
+		return false
+	}
+	if n.heldAnnouncement == nil || h.Incarnation >= n.heldAnnouncement.Incarnation {
+		n.heldAnnouncement = &h
+	}
+	return true
+}
+
 // checkAnnouncement fails for a heartbeat that would replace the target of this VM and can't come from a target: its
 // incarnation, which is the time of its start in Unix milliseconds, is far ahead, or no configuration names its service.
 func (n *Node) checkAnnouncement(h agent.Announcement) error {
--- a/internal/hosted/leave_test.go
+++ b/internal/hosted/leave_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -147,3 +148,32 @@
 	require.Eventually(t, n.target.deregister, 4*time.Second, 10*time.Millisecond)
 	require.Contains(t, n.storedRecord().Withdrawn, n.target.ref())
 }
+
+// Pattern: a target leaves, its node is killed and starts while the store is away, other nodes have not heard of the leaving,
+// and a delayed heartbeat arrives. Guards against using the target because the node can't read what it knew, and against never
+// using a target that has not left.
+func TestUnknownPastHoldsTheTargetBack(t *testing.T) {
+	const maxDelay = 6 * time.Second // A target without heartbeats for this long is gone.
+	f, caller := withCaller(t, 2)
+	f.nodes[1].target.keepAlive()
+	n := f.nodes[0]
+	// The watchers of other nodes hear of nothing from here on.
+	f.store.SetFault(func(c fake.Call) fake.Fault { return fake.Fault{Hang: c.Name == "rows-feed"} })
+	f.store.Put("other", "", "row", nil) // Ends the pending long polls.
+	require.True(t, n.target.deregister())
+	f.store.SetFault(func(fake.Call) fake.Fault { return fake.Fault{Status: http.StatusServiceUnavailable} })
+	n.stop()
+	<-n.done
+	started := time.Now()
+	require.NoError(t, n.start("a"))
+	n.requireUnused(caller)
+	n.target.mu.Lock()
+	n.target.id, n.target.born = "i-next", time.Now().UnixMilli()
+	n.target.mu.Unlock()
+	require.Eventually(t, func() bool {
+		time.Sleep(100 * time.Millisecond)
+		n.target.sendHeartbeat("ready")
+		return strings.Contains(n.log.String(), `"target":"i-next"`)
+	}, maxDelay+2*time.Second, time.Millisecond)
+	require.GreaterOrEqual(t, time.Since(started), maxDelay)
+}
--- a/internal/hosted/node_test.go
+++ b/internal/hosted/node_test.go
@@ -291,7 +291,7 @@
 	n := f.add("kassa", "a")
 	n.await("kassa", "/read/x")
 	earlier := n.target
-	next := &target{node: n, id: "i-next", born: earlier.born + 5000, runs: make(map[string]int)}
+	next := &target{node: n, id: "i-next", born: earlier.born + 5000, slots: 3, runs: make(map[string]int)}
 	earlier.server.Config.Handler = next
 	next.server = earlier.server
 	require.Eventually(t, func() bool {
--- a/internal/hosted/record.go
+++ b/internal/hosted/record.go
@@ -66,7 +66,15 @@
 			n.guard.restore(earlier.Crashes)
 		}
 	}
+	n.mu.Lock()
 	close(n.restored)
+	held := n.heldAnnouncement
+	n.mu.Unlock()
+	if held != nil {
+		if err := n.agent.Announce(*held); err != nil {
+			n.Refused(held.ID, err)
+		}
+	}
 	// A node without a target has nothing to publish; its first record follows the first heartbeat.
 	if len(n.agent.Targets()) > 0 || n.stopping.Load() {
 		n.publish()
--- /dev/null
+++ b/internal/hosted/stop_test.go
@@ -0,0 +1,117 @@
+package hosted_test
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// testGrace is the grace period of the nodes in these tests.
+	testGrace = 6 * time.Second
+	// lateSend is the time after the termination signal until which a request may be taken that is cut at the end.
+	lateSend = 3 * time.Second
+	// lateWork is the time after the termination signal from which a request that is still running may be cut.
+	lateWork = testGrace * 5 / 6
+)
+
+// order is one order of the clients of a stopping node.
+type order struct {
+	answer
+	sent, ended time.Time
+}
+
+// Pattern: a node stops in calm while its callers go on sending orders on open connections until the process is gone, more
+// than the targets have slots. Guards against taking requests late in the grace period that are cut at its end, and against
+// closing a connection without a final answer to a request that was read.
+func TestStopTakesNoOrderThatItMustCut(t *testing.T) {
+	f, _ := withCaller(t, 2)
+	n := f.add("vitrine", "b")
+	n.await("kassa", "/read/x")
+	for _, node := range f.nodes[:2] {
+		node.target.keepAlive()
+		node.target.set(func(http.ResponseWriter, *http.Request) bool {
+			time.Sleep(rand.N(1200 * time.Millisecond))
+			return false
+		})
+	}
+	var (
+		mu     sync.Mutex
+		orders []order
+		group  sync.WaitGroup
+	)
+	gone := make(chan struct{})
+	for client := range 10 {
+		group.Go(func() {
+			transport := &http.Transport{DisableCompression: true}
+			defer transport.CloseIdleConnections()
+			for i := 0; ; i++ {
+				select {
+				case <-gone:
+					return
+				case <-time.After(rand.N(40 * time.Millisecond)):
+				}
+				o := sendOrder(transport, n, fmt.Sprintf("stop-%d-%d", client, i))
+				mu.Lock()
+				orders = append(orders, o)
+				mu.Unlock()
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	stopped := time.Now()
+	n.stop()
+	<-n.done
+	close(gone)
+	group.Wait()
+	require.Less(t, time.Since(stopped), testGrace)
+	served, refused := 0, 0
+	for _, o := range orders {
+		ran := f.nodes[0].target.ran(o.id) + f.nodes[1].target.ran(o.id)
+		sent, ended := o.sent.Sub(stopped), o.ended.Sub(stopped)
+		detail := fmt.Sprintf("%s sent at %v, ended at %v, status %d, err %v, ran %d times:\n%s", o.id, sent, ended, o.status, o.err, ran, f.logOf(o.id))
+		require.LessOrEqual(t, ran, 1, detail)
+		switch {
+		case o.err == nil && o.status == http.StatusOK:
+			served++
+		case o.err == nil && o.status == http.StatusServiceUnavailable:
+			refused++
+			require.Zero(t, ran, detail)
+		case ran > 0:
+			require.True(t, sent <= lateSend && ended >= lateWork, "cut while it ran: %s", detail)
+		case o.err != nil:
+			require.Greater(t, ended, lateWork, "closed without an answer: %s", detail)
+		}
+	}
+	require.Greater(t, served, 20)
+	require.NotZero(t, refused)
+}
+
+// sendOrder sends an order on an open connection of the transport if it has one.
+func sendOrder(transport http.RoundTripper, n *testNode, id string) order {
+	o := order{answer: answer{id: id}, sent: time.Now()}
+	r, err := http.NewRequest(http.MethodPost, "http://"+n.listeners.Callers+"/order/1", strings.NewReader("order "+id))
+	if err != nil {
+		o.err = err
+		return o
+	}
+	r.GetBody = nil // The transport must not send it again.
+	r.Host = "kassa.example"
+	r.Header.Set("Auburnwinch-Request-Id", id)
+	r.Header.Set("Auburnwinch-Deadline-Ms", "3000")
+	response, err := transport.RoundTrip(r)
+	if err == nil {
+		o.status = response.StatusCode
+		_, err = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+	}
+	o.err, o.ended = err, time.Now()
+	return o
+}
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -27,6 +27,10 @@
 	// one: a peer occasionally sends a late duplicate, and one that sends more than that is broken.
 	maxStaleResponses = 8
 	maxStaleBytes     = 4 << 20
+	// maxDiscardBytes and discardTimeout limit the reading of a body that is of no use; the refusals of targets and agents
+	// are short.
+	maxDiscardBytes = 64 << 10
+	discardTimeout  = 100 * time.Millisecond
 )
 
 var readers, writers sync.Pool
@@ -172,6 +176,17 @@
 	c.pool.put(c)
 }
 
+// Discard reads the body of a response that is of no use, so that the connection can carry the next request. A long or
+// slow body is abandoned with its connection, because the request waits for the next decision and the body may never end.
+func (c *Conn) Discard(response *http.Response) {
+	c.SetReadTimeout(discardTimeout)
+	if _, err := io.CopyN(io.Discard, response.Body, maxDiscardBytes+1); !errors.Is(err, io.EOF) {
+		c.Close()
+		return
+	}
+	c.Release()
+}
+
 // Close closes the connection, which abandons the request on it. After it returns, the body of the request is no longer
 // read.
 func (c *Conn) Close() {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -99,8 +100,9 @@
 		return true
 	}, 20*time.Second, 50*time.Millisecond, "logs in %s", directory)
 	c := startCallers(h)
-	f := &faultInjector{harness: h, rng: rand.New(rand.NewPCG(seed, 7)), limits: rand.New(rand.NewPCG(seed, 8))}
+	f := &faultInjector{harness: h, rng: rand.New(rand.NewPCG(seed, 7)), limits: rand.New(rand.NewPCG(seed, 8)), departures: rand.New(rand.NewPCG(seed, 9))}
 	f.run(faultsFor)
+	f.leaving.Wait()
 	recovered := f.waitRecovered(c)
 	c.close()
 	time.Sleep(callerTimeout) // Requests that timed out at the caller may still reach a target.
@@ -120,12 +122,17 @@
 	injected []string
 	// limits draws the rate limits, so that they don't change the other faults of a seed.
 	limits *rand.Rand
+	// departures draws the targets that deregister, for the same reason.
+	departures *rand.Rand
+	// leaving holds the targets that deregister and the restarts of their nodes.
+	leaving sync.WaitGroup
 }
 
 func (f *faultInjector) run(total time.Duration) {
 	for end := time.Now().Add(total); time.Now().Before(end); {
 		f.inject()
 		f.limitTarget()
+		f.deregisterTarget()
 		time.Sleep(time.Duration(100+f.rng.IntN(500)) * time.Millisecond)
 		f.checkProcesses()
 	}
@@ -197,6 +204,41 @@
 	}
 }
 
+// deregisterTarget makes a random target deregister, with delayed heartbeats afterwards. Its node may be killed or terminated
+// before that or as soon as it has acknowledged it.
+func (f *faultInjector) deregisterTarget() {
+	if f.departures.IntN(4) > 0 {
+		return
+	}
+	n, end := f.harness.nodes[f.departures.IntN(len(f.harness.nodes))], f.departures.IntN(5)
+	delays := []time.Duration{f.delay(), f.delay(), f.delay()}
+	kill := func() { n.restart((*procs.Process).Kill, shutdownGrace) }
+	terminate := func() { n.restart((*procs.Process).Terminate, shutdownGrace) }
+	before, acked := func() {}, func() {}
+	switch end {
+	case 0:
+		acked = kill
+	case 1:
+		acked = func() { f.leaving.Go(terminate) }
+	case 2:
+		before = kill
+	case 3:
+		before = func() {
+			f.leaving.Go(terminate)
+			time.Sleep(delays[0])
+		}
+	}
+	f.leaving.Go(func() {
+		before()
+		n.target.leave(acked, delays)
+	})
+	f.injected = append(f.injected, fmt.Sprintf("deregistration %d at %s", end, n.name))
+}
+
+func (f *faultInjector) delay() time.Duration {
+	return time.Duration(f.departures.IntN(1500)) * time.Millisecond
+}
+
 // shedLoad makes all targets of a service shed requests, so that nearly every request needs a retry.
 func (f *faultInjector) shedLoad(service string, duration time.Duration) string {
 	for _, n := range f.harness.nodes {
--- a/internal/soak/target_test.go
+++ b/internal/soak/target_test.go
@@ -42,12 +42,15 @@
 	proxy   *proxy
 	stopped chan struct{}
 
-	mu           sync.Mutex
-	id           string
-	startedAt    int64
-	sequence     int
-	behavior     behavior
-	draining     bool
+	mu        sync.Mutex
+	id        string
+	startedAt int64
+	sequence  int
+	behavior  behavior
+	draining  bool
+	// silent is set when the target has deregistered, so that it sends no more heartbeats.
+	silent bool
+	// drainAckedAt is when a node first acknowledged that this incarnation leaves.
 	drainAckedAt time.Time
 }
 
@@ -69,7 +72,7 @@
 	defer g.mu.Unlock()
 	g.harness.lastTargetID++
 	g.id, g.startedAt = fmt.Sprintf("i-%d", g.harness.lastTargetID), time.Now().UnixMilli()
-	g.sequence, g.behavior, g.draining, g.drainAckedAt = 0, behaviorNormal, false, time.Time{}
+	g.sequence, g.behavior, g.draining, g.silent, g.drainAckedAt = 0, behaviorNormal, false, false, time.Time{}
 }
 
 func (g *target) setBehavior(b behavior) {
@@ -87,13 +90,9 @@
 
 // drain announces that the target is draining; a new incarnation follows after the delay.
 func (g *target) drain(delay time.Duration) {
-	g.mu.Lock()
-	if g.draining {
-		g.mu.Unlock()
+	if !g.startLeaving(false) {
 		return
 	}
-	g.draining = true
-	g.mu.Unlock()
 	time.AfterFunc(delay, func() {
 		g.mu.Lock()
 		id := g.id
@@ -103,6 +102,72 @@
 	})
 }
 
+// startLeaving marks the target as leaving and reports whether it was not before.
+func (g *target) startLeaving(silent bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.draining {
+		return false
+	}
+	g.draining, g.silent = true, silent
+	return true
+}
+
+// leave deregisters the target without draining and calls acked as soon as a node has acknowledged that. The target serves
+// on, heartbeats that it sent before arrive after the delays, and a new incarnation follows after the last one.
+func (g *target) leave(acked func(), delays []time.Duration) {
+	late, id := g.heartbeat("ready")
+	if !g.startLeaving(true) {
+		return
+	}
+	for range 50 {
+		if status, err := g.post("/api/instances/"+id+"/deregister", nil); err == nil && status == http.StatusOK {
+			g.acknowledged(id)
+			acked()
+			break
+		}
+		time.Sleep(heartbeatInterval / 3)
+	}
+	for _, delay := range delays {
+		time.Sleep(delay)
+		_, _ = g.post("/api/instances/"+id+"/heartbeat", late) // The node may be down.
+	}
+	time.Sleep(drainGrace)
+	g.newIncarnation()
+}
+
+// acknowledged records the first acknowledgement that the instance leaves.
+func (g *target) acknowledged(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.id == id && g.drainAckedAt.IsZero() {
+		g.drainAckedAt = time.Now()
+	}
+}
+
+// heartbeat returns the next heartbeat and the instance id; an empty state stands for the current one.
+func (g *target) heartbeat(state string) (body []byte, id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sequence++
+	if state == "" {
+		if state = "ready"; g.draining {
+			state = "draining"
+		}
+	}
+	body, _ = json.Marshal(map[string]any{
+		"service": g.node.service, "address": g.proxy.address(), "zone": g.node.domain, "version": "v", "slots": targetSlots,
+		"state": state, "sequence": g.sequence, "born": g.startedAt,
+	})
+	return body, g.id
+}
+
+func (g *target) isLeaving() (draining, silent bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.draining, g.silent
+}
+
 func (g *target) close() {
 	close(g.stopped)
 	g.proxy.close()
@@ -117,23 +182,14 @@
 			return
 		case <-time.After(heartbeatInterval):
 		}
-		g.mu.Lock()
-		g.sequence++
-		id, state := g.id, "ready"
-		if g.draining {
-			state = "draining"
+		draining, silent := g.isLeaving()
+		if silent {
+			continue
 		}
-		body, _ := json.Marshal(map[string]any{
-			"service": g.node.service, "address": g.proxy.address(), "zone": g.node.domain, "version": "v", "slots": targetSlots,
-			"state": state, "sequence": g.sequence, "born": g.startedAt,
-		})
-		g.mu.Unlock()
-		status, err := g.post("/api/instances/"+id+"/heartbeat", body)
-		g.mu.Lock()
-		if err == nil && status == http.StatusOK && state == "draining" && g.id == id && g.drainAckedAt.IsZero() {
-			g.drainAckedAt = time.Now()
+		body, id := g.heartbeat("")
+		if status, err := g.post("/api/instances/"+id+"/heartbeat", body); err == nil && status == http.StatusOK && draining {
+			g.acknowledged(id)
 		}
-		g.mu.Unlock()
 	}
 }
 
@@ -151,7 +207,7 @@
 func (g *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Auburnwinch-Request-Id")
 	g.mu.Lock()
-	instance, current, ackedAt, draining := g.id, g.behavior, g.drainAckedAt, g.draining
+	instance, current, ackedAt, draining := g.id, g.behavior, g.drainAckedAt, g.draining && !g.silent
 	g.mu.Unlock()
 	w.Header().Set("Auburnwinch-Request-Id", id)
 	if r.Header.Get("Auburnwinch-Expect-Instance") != instance {
