Refuse waiting requests before a stopping node cuts what runs

Cause: until the end of its grace period the node let waiting orders start as slots became free. At the end it canceled all requests at once, and the requests that it cut freed the slots for those that still waited, which were admitted and cut as well. Now orders that have not been admitted are refused as not run one second before the cut, and no new attempt starts after that. What runs has at least that second, and is cut where it was cut before.

--- a/internal/drain/message.go
+++ b/internal/drain/message.go
@@ -29,6 +29,9 @@
 // CloseListenersCmd stops accepting connections from callers.
 type CloseListenersCmd struct{}
 
+// StopAdmittingCmd refuses the requests that wait for a target, because they could no longer complete.
+type StopAdmittingCmd struct{}
+
 // HandOverKeysCmd sends the records of idempotency keys to the successor.
 type HandOverKeysCmd struct{}
 
@@ -41,5 +44,6 @@
 
 func (AnnounceLeavingCmd) isCmd() {}
 func (CloseListenersCmd) isCmd()  {}
+func (StopAdmittingCmd) isCmd()   {}
 func (HandOverKeysCmd) isCmd()    {}
 func (ExitCmd) isCmd()            {}
--- a/internal/drain/shutdown.go
+++ b/internal/drain/shutdown.go
@@ -33,6 +33,8 @@
 	Timeout time.Duration
 	// Linger is how long the listeners accept requests after the announcement, 3 s by default.
 	Linger time.Duration
+	// MinRunTime is the time before the end of Timeout in which no request is started any more; zero means none.
+	MinRunTime time.Duration
 }
 
 // Shutdown is the state machine of a graceful shutdown.
@@ -41,6 +43,8 @@
 	state   State
 	since   time.Time
 	stopped time.Time
+	// refusing is set once requests that wait are refused.
+	refusing bool
 }
 
 // New returns a Shutdown in the serving state.
@@ -85,6 +89,15 @@
 	if s.isRunning() && msg.Now.Sub(s.stopped) >= s.config.Timeout {
 		return s.exit(msg.Now, msg.InFlight)
 	}
+	if s.isRunning() && !s.refusing && s.config.MinRunTime > 0 && msg.Now.Sub(s.stopped) >= s.config.Timeout-s.config.MinRunTime {
+		s.refusing = true
+		return append([]Cmd{StopAdmittingCmd{}}, s.advance(msg)...)
+	}
+	return s.advance(msg)
+}
+
+// advance enters the next phase when it is due.
+func (s *Shutdown) advance(msg TickMsg) []Cmd {
 	switch s.state {
 	case StateLeaving:
 		return s.closeAfterLinger(msg)
--- a/internal/drain/shutdown_test.go
+++ b/internal/drain/shutdown_test.go
@@ -49,3 +49,19 @@
 		return TickMsg{Now: now, InFlight: rapid.IntRange(0, 2).Draw(t, "in-flight")}
 	}
 }
+
+// Guards against a shutdown that starts requests which it must abort soon after, and against refusing them more than once.
+func TestWaitingRequestsAreRefusedBeforeTheEnd(t *testing.T) {
+	start := time.Unix(0, 0)
+	s := New(Config{Timeout: 10 * time.Second, Linger: 3 * time.Second, MinRunTime: 2 * time.Second})
+	s.Update(StopMsg{Now: start})
+	refusedAt := []time.Duration(nil)
+	for after := time.Duration(0); s.State() != StateExited; after += 500 * time.Millisecond {
+		for _, cmd := range s.Update(TickMsg{Now: start.Add(after), InFlight: 1}) {
+			if _, ok := cmd.(StopAdmittingCmd); ok {
+				refusedAt = append(refusedAt, after)
+			}
+		}
+	}
+	require.Equal(t, []time.Duration{8 * time.Second}, refusedAt)
+}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -211,6 +211,7 @@
 	r := &relay.Request{
 		Method: q.r.Method, URI: q.uri, Host: q.r.Host, Header: q.r.Header, Omit: q.omit,
 		ReusedHeaderTimeout: q.edge.config.ReusedHeaderTimeout, HeaderTimeout: q.edge.config.HeaderTimeout,
+		StopAdmission: q.edge.admitting,
 	}
 	if q.edge.config.NegotiateAdmission {
 		fields = q.addAdmissionFields(fields, x.choice)
@@ -271,6 +272,8 @@
 	switch {
 	case errors.Is(err, relay.ErrNotSent), errors.Is(err, relay.ErrNotAdmitted) && ctx.Err() != nil:
 		return &failure{result: retry.NotRun, kind: ResultCanceled, reason: relay.ReasonDeadline}
+	case errors.Is(err, relay.ErrNotAdmitted) && x.request.edge.admitting.Err() != nil:
+		return &failure{result: retry.NotRun, kind: ResultCanceled, reason: relay.ReasonLeaving}
 	case errors.Is(err, relay.ErrNotAdmitted):
 		x.pool.CloseIdle()
 		x.log("agent did not admit the request", err)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -28,6 +28,9 @@
 	pools   sync.Map // relay address to *relay.Pool
 	budgets sync.Map // service name to *retry.Budget
 	leaving atomic.Bool
+	// admitting is canceled when requests that are not admitted yet could no longer complete.
+	admitting     context.Context
+	stopAdmitting context.CancelFunc
 	// aborted is canceled when the process is about to exit, which ends the requests in flight.
 	aborted       context.Context
 	abort         context.CancelFunc
@@ -45,6 +48,7 @@
 func New(c Config) (*Edge, error) {
 	e := &Edge{config: c.withDefaults(), signer: relay.NewSigner(c.Secret, nil), stop: make(chan struct{})}
 	e.startedAt = e.config.Clock.Now()
+	e.admitting, e.stopAdmitting = context.WithCancel(context.Background())
 	e.aborted, e.abort = context.WithCancel(context.Background())
 	ticks := e.config.Clock.Subscribe(poolCheckInterval)
 	e.group.Go(func() { e.watchPools(ticks) })
@@ -61,9 +65,16 @@
 	e.leaving.Store(leaving)
 }
 
+// StopAdmitting refuses the requests that have not run and wait for a target, because the process is about to exit and they
+// could not complete. Those that may be running continue.
+func (e *Edge) StopAdmitting() {
+	e.stopAdmitting()
+}
+
 // AbortInFlight ends the requests in flight because the process is about to exit; their callers get the outcome known
 // so far.
 func (e *Edge) AbortInFlight() {
+	e.stopAdmitting()
 	e.abort()
 }
 
@@ -78,7 +89,7 @@
 		return nil
 	}
 	close(e.stop)
-	e.abort()
+	e.AbortInFlight()
 	e.group.Wait()
 	e.pools.Range(func(_, pool any) bool {
 		pool.(*relay.Pool).Close()
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -216,6 +216,10 @@
 // run sends attempts until one succeeds or no further attempt is permitted.
 func (q *request) run(ctx context.Context) {
 	for {
+		if q.edge.admitting.Err() != nil {
+			q.refuseAttempts(agentRefusal(relay.ReasonLeaving))
+			return
+		}
 		choice, err := q.edge.config.Picker.Pick(PickRequest{
 			Service: q.service, Route: q.match.Route, Idempotent: q.match.Route.Idempotent, Tried: q.tried,
 			Refusals: q.refused, Remaining: time.Until(q.deadline), Bytes: q.expectedBytes(),
--- a/internal/hosted/run.go
+++ b/internal/hosted/run.go
@@ -17,6 +17,9 @@
 	shutdownLinger = 2500 * time.Millisecond
 	// drainShare is the fraction of the grace period in which requests in flight may complete.
 	drainShare = 0.84
+	// minRunTime is the time before the end of drainShare in which requests that have not run are refused instead of started.
+	// Most requests take less.
+	minRunTime = time.Second
 	// finalAnswerWait bounds the wait for the final answers to callers.
 	finalAnswerWait = 200 * time.Millisecond
 	// flushTimeout bounds the last write of the node's record.
@@ -59,7 +62,7 @@
 // shutDown performs the graceful shutdown.
 func (n *Node) shutDown() {
 	drain.Run(drain.RunConfig{
-		Limits: drain.Config{Timeout: time.Duration(drainShare * float64(n.grace())), Linger: shutdownLinger},
+		Limits: drain.Config{Timeout: time.Duration(drainShare * float64(n.grace())), Linger: shutdownLinger, MinRunTime: minRunTime},
 		Clock:  n.config.Clock, Tick: shutdownTick, InFlight: n.inFlight, Step: n.shutdownStep,
 	})
 }
@@ -71,6 +74,9 @@
 	case drain.CloseListenersCmd:
 		// A request accepted now could not be completed. The listeners stay open so that it receives a response.
 		n.refuseCallers.Store(true)
+	case drain.StopAdmittingCmd:
+		_ = level.Info(n.config.FailureLogger).Log("msg", "waiting requests refused", "in-flight", n.inFlight())
+		n.edge.StopAdmitting()
 	case drain.HandOverKeysCmd:
 		return drain.HandedOverMsg{Now: n.config.Clock.Now(), InFlight: n.inFlight()}
 	case drain.ExitCmd:
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -11,6 +11,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -58,6 +59,9 @@
 	NoTimeoutAfterContinue bool
 	// ExpectContinue sends the body only after a 100 response, so that a refusal leaves the body unread.
 	ExpectContinue bool
+	// StopAdmission ends the exchange when it is canceled before a 100 response has arrived; the request has not run then. Nil
+	// never does.
+	StopAdmission context.Context
 	// Accept reports whether a response belongs to the request; others are read to their end and discarded. Nil accepts
 	// all.
 	Accept func(*http.Response) bool
@@ -78,9 +82,8 @@
 	stopCancel func() bool
 	request    *Request
 	bodyDone   chan error
-	// admitted is set once the peer has requested the body, so that the request may run.
-	admitted bool
-	response *http.Response
+	admission  atomic.Uint32
+	response   *http.Response
 	// hasDeadline is set if the connection has a read deadline.
 	hasDeadline bool
 	raw         syscall.RawConn
@@ -88,6 +91,13 @@
 	peerOpen    bool
 }
 
+// The values of Conn.admission. Once the peer has requested the body, the request may run.
+const (
+	admissionPending uint32 = iota
+	admissionGranted
+	admissionStopped
+)
+
 // headerReader limits the bytes read for a header.
 type headerReader struct {
 	conn net.Conn
@@ -149,12 +159,16 @@
 	}
 	c.request = r
 	c.stopCancel = context.AfterFunc(ctx, func() { _ = c.conn.Close() })
+	c.admission.Store(admissionPending)
+	if r.StopAdmission != nil && r.ExpectContinue {
+		defer context.AfterFunc(r.StopAdmission, c.stopAdmission)()
+	}
 	response, err := c.exchange(r)
 	if err == nil {
 		c.response = response
 		return response, nil
 	}
-	notAdmitted := r.ExpectContinue && !c.admitted
+	notAdmitted := r.ExpectContinue && !c.isAdmitted()
 	c.Close()
 	if notAdmitted && !errors.Is(err, ErrNotSent) {
 		return nil, eris.Wrapf(ErrNotAdmitted, "%v", err)
@@ -165,6 +179,17 @@
 	return nil, err
 }
 
+// stopAdmission ends the exchange unless the request is admitted.
+func (c *Conn) stopAdmission() {
+	if c.admission.CompareAndSwap(admissionPending, admissionStopped) {
+		_ = c.conn.Close()
+	}
+}
+
+func (c *Conn) isAdmitted() bool {
+	return c.admission.Load() == admissionGranted
+}
+
 // Release returns the connection to its pool if the whole response was read; otherwise it closes the connection.
 func (c *Conn) Release() {
 	if !c.reusable() {
@@ -227,7 +252,7 @@
 }
 
 func (c *Conn) reusable() bool {
-	unsent := c.request != nil && c.request.ExpectContinue && !c.admitted
+	unsent := c.request != nil && c.request.ExpectContinue && !c.isAdmitted()
 	if c.response == nil || c.response.Close || c.reader.Buffered() > 0 || unsent || !c.stopCancel() {
 		return false
 	}
@@ -256,7 +281,6 @@
 
 func (c *Conn) exchange(r *Request) (*http.Response, error) {
 	c.limit.left = maxHeaderBytes
-	c.admitted = false
 	c.writeHeader(r)
 	if r.ExpectContinue || r.Body == nil || r.ContentLength == 0 {
 		return c.readAfterWrite(r, c.writer.Flush())
@@ -396,11 +420,10 @@
 			continue
 		}
 		timeout = r.HeaderTimeout
-		if response.StatusCode == http.StatusContinue && r.ExpectContinue && !c.admitted {
-			c.admitted = true
+		if response.StatusCode == http.StatusContinue && r.ExpectContinue && c.admission.CompareAndSwap(admissionPending, admissionGranted) {
 			c.startBody(r)
 		}
-		if r.NoTimeoutAfterContinue && c.admitted {
+		if r.NoTimeoutAfterContinue && c.isAdmitted() {
 			timeout = 0
 		}
 	}
