A starting node uses its target from the second heartbeat on while it can't read its row

A target that has left sends no more heartbeats, so a second one, with a higher sequence and at least a second later, shows that it has not.

--- a/internal/hosted/heartbeat.go
+++ b/internal/hosted/heartbeat.go
@@ -15,6 +15,9 @@
 const (
 	// ackTimeout bounds the time until the store holds what an acknowledgement promises. Targets wait for one second.
 	ackTimeout = 800 * time.Millisecond
+	// minHeartbeatSpacing is the least time between two heartbeats that show that a target is alive; targets send one every
+	// 1.5 s.
+	minHeartbeatSpacing = time.Second
 	// maxClockSkew is the most by which clocks of VMs and targets are assumed to differ; they jump by seconds.
 	maxClockSkew = 24 * time.Hour
 )
@@ -42,17 +45,27 @@
 	return err
 }
 
+// heldHeartbeat is a heartbeat that waits until the node knows whether its sender has left.
+type heldHeartbeat struct {
+	agent.Announcement
+	arrived time.Time
+}
+
 // hold keeps a heartbeat back while the process does not know whether its sender has left under the earlier process, and
-// reports whether it did. A heartbeat that arrives later than a delayed one can was sent by a target that has not left, so
-// that a node which starts while the store is away uses its target in the end.
+// reports whether it did. A target that has left sends no more heartbeats, so the next one that is no duplicate shows that it
+// has not, and a node that starts while the store is away uses its target.
 func (n *Node) hold(h agent.Announcement) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.isRestored() || n.config.Clock.Now().Sub(n.startedAt) >= targetExpiry {
+	if n.isRestored() {
 		return false
 	}
-	if n.heldAnnouncement == nil || h.Incarnation >= n.heldAnnouncement.Incarnation {
-		n.heldAnnouncement = &h
+	now, held := n.config.Clock.Now(), n.held
+	if held != nil && held.ID == h.ID && held.Incarnation == h.Incarnation {
+		return h.Sequence <= held.Sequence || now.Sub(held.arrived) < minHeartbeatSpacing
+	}
+	if held == nil || h.Incarnation > held.Incarnation {
+		n.held = &heldHeartbeat{Announcement: h, arrived: now}
 	}
 	return true
 }
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -94,20 +94,17 @@
 	// record is not published before.
 	restored chan struct{}
 
-	// startedAt is when the process could first receive heartbeats.
-	startedAt time.Time
-
 	mu         sync.Mutex
 	record     roster.Record
 	admissions []*admission
-	// heldAnnouncement is the latest heartbeat that waits until the earlier record is restored.
-	heldAnnouncement *agent.Announcement
+	// held is the heartbeat that waits until the earlier record is restored, or nil.
+	held *heldHeartbeat
 }
 
 // New builds the node and opens its listeners; Run serves.
 func New(c Config) (*Node, error) {
 	n := &Node{config: c.withDefaults(), publishDue: notify.New(), restored: make(chan struct{})}
-	n.record, n.startedAt = roster.Record{Node: n.config.Self}, n.config.Clock.Now()
+	n.record = roster.Record{Node: n.config.Self}
 	invar.OnViolation(func(v invar.Violation) {
 		_ = level.Error(n.config.FailureLogger).Log("msg", "invariant violated", "module", v.Module, "detail", v.Detail)
 	})
--- a/internal/hosted/record.go
+++ b/internal/hosted/record.go
@@ -68,10 +68,10 @@
 	}
 	n.mu.Lock()
 	close(n.restored)
-	held := n.heldAnnouncement
+	held := n.held
 	n.mu.Unlock()
 	if held != nil {
-		if err := n.agent.Announce(*held); err != nil {
+		if err := n.agent.Announce(held.Announcement); err != nil {
 			n.Refused(held.ID, err)
 		}
 	}
