--- a/internal/agent/departures.go
+++ b/internal/agent/departures.go
@@ -68,7 +68,9 @@
 	defer d.mu.Unlock()
 	for i := range d.withdrawn {
 		if w := &d.withdrawn[i]; w.TargetRef == ref {
-			w.at = latest(w.at, at)
+			if at.After(w.at) {
+				w.at = at
+			}
 			return
 		}
 	}
@@ -83,7 +85,7 @@
 	}
 }
 
-// isWithdrawn reports whether this or a later incarnation of the target was withdrawn.
+// isWithdrawn reports whether this or a later incarnation of the target was withdrawn, under its service or an unknown one.
 func (d *departures) isWithdrawn(ref model.TargetRef) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -111,10 +113,3 @@
 func latestOf[T any](entries []T) []T {
 	return entries[max(0, len(entries)+1-maxDepartures):]
 }
-
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -91,13 +91,6 @@
 	peerOpen    bool
 }
 
-// The values of Conn.admission. Once the peer has requested the body, the request may run.
-const (
-	admissionPending uint32 = iota
-	admissionGranted
-	admissionStopped
-)
-
 // headerReader limits the bytes read for a header.
 type headerReader struct {
 	conn net.Conn
@@ -179,17 +172,6 @@
 	return nil, err
 }
 
-// stopAdmission ends the exchange unless the request is admitted.
-func (c *Conn) stopAdmission() {
-	if c.admission.CompareAndSwap(admissionPending, admissionStopped) {
-		_ = c.conn.Close()
-	}
-}
-
-func (c *Conn) isAdmitted() bool {
-	return c.admission.Load() == admissionGranted
-}
-
 // Release returns the connection to its pool if the whole response was read; otherwise it closes the connection.
 func (c *Conn) Release() {
 	if !c.reusable() {
