Do not take a reset under the writer for the end of a response

Cause: the kernel reports a reset once. The agent writes a long request body in a goroutine of its own; if the write gets ECONNRESET, the read after it gets end of file, as after an orderly end, and that ends a body without a length. Nobody looked at the result of the writer. Length and checksum are added behind it, so the edge cannot notice.

Now the body of a response that ends with its connection (relay.unframedBody) asks the writer before it reports its end: the writer is stopped, and if a write had failed, the response is broken. This holds for HTTP/1.0, for "close" and for a response without any header, for uploads with a length and in chunks, and for everyone who reads the body. An orderly end while the peer has not read the rest of the request stays an end, and is not held back.

Beside it: a failed write after the last read of the body was classified as a broken sender (ErrBody), because the reader had returned io.EOF. It would have hidden the reset.

Ruled out: paths between nodes (a body without its trailer fails the check), HTTP/1.0 callers (an aborted response resets the connection), responses to other requests and refusals (a body that ends with the connection is not used).

--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -357,21 +357,23 @@
 	return n, w.Flush()
 }
 
-// errorReader records whether reading failed, to distinguish it from a failed write.
+// errorReader records why reading ended, to distinguish a failed read from a failed write.
 type errorReader struct {
 	reader io.Reader
-	failed bool
+	err    error
 }
 
 // Read reads from the body.
 func (e *errorReader) Read(p []byte) (int, error) {
 	n, err := e.reader.Read(p)
-	e.failed = err != nil
+	e.err = err
 	return n, err
 }
 
+// classify marks the error of a copy as ErrBody if it is that of the reader. A write may fail after the last read, which
+// has returned io.EOF then.
 func (e *errorReader) classify(err error) error {
-	if e.failed {
+	if e.err != nil && errors.Is(err, e.err) {
 		return eris.Wrapf(ErrBody, "%v", err)
 	}
 	return err
@@ -394,6 +396,9 @@
 		if response.StatusCode >= http.StatusOK {
 			c.limit.left = 1 << 62
 			if r.Accept == nil || r.Accept(response) {
+				if endsWithConn(response) {
+					response.Body = &unframedBody{ReadCloser: response.Body, conn: c}
+				}
 				return response, nil
 			}
 			if err := c.discardStale(response, &stale); err != nil {
@@ -419,7 +424,7 @@
 
 // discardStale reads a response to another request to its end, so that the next one on the connection can be read.
 func (c *Conn) discardStale(response *http.Response, stale *staleResponses) error {
-	if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+	if response.Close || endsWithConn(response) {
 		return eris.Wrapf(ErrBroken, "%s: the connection ends with the response to another request", c.pool.config.Address)
 	}
 	stale.count++
