Tell a target that pauses within its answer from a silent path

Cause: once the agent has sent the head of a response, it sends nothing more until the target does, as HTTP has no interim responses within a body. The edge ends a body after two seconds without bytes, because the path may be dead, and could not tell the two apart. Before the head, interim responses do that.

Now the agent sends the body in frames and an empty frame whenever it has had nothing to send for the interim interval (relay.FrameWriter, relay.FrameReader). The bound of the edge is unchanged: it holds for the agent now, so that a dead path is found after two seconds as before, while the target may take its time until the deadline. Frames are used only if the edge offers them (Auburnwinch-Frames), so that nodes of the version before go on working, and only if the body is not complete when its head is sent. Edges of resumable routes do not offer them: there a pause of the target is a reason to resume the download elsewhere.

Ruled out: a longer constant (a dead path would be found later); holding the head back (long answers pause within their body, too); a second connection that asks whether the exchange is alive (the path of the first one may be dead alone).

--- a/internal/agent/response.go
+++ b/internal/agent/response.go
@@ -24,7 +24,8 @@
 // respond streams the response of the target with its length and checksum.
 func (x *exchange) respond(ctx context.Context, conn *relay.Conn, response *http.Response) ResultKind {
 	x.interim.end()
-	x.writeHeader(response)
+	framed := x.mustFrame(conn, response)
+	x.writeHeader(response, framed)
 	if response.ContentLength < 0 || response.ContentLength > relay.BlockBytes {
 		// An edge that stops reading must not hold the slot forever.
 		control := http.NewResponseController(x.w)
@@ -32,7 +33,9 @@
 		defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 	}
 	var sum relay.Checksum
-	stored, err := x.copyBody(ctx, conn, response, &sum)
+	w, stop := x.bodyWriter(framed)
+	stored, err := x.copyBody(ctx, conn, response, w, &sum)
+	stop()
 	if err != nil {
 		conn.Close()
 		x.failKey()
@@ -72,7 +75,21 @@
 	return ResultReset
 }
 
-func (x *exchange) writeHeader(response *http.Response) {
+// mustFrame reports whether the body is sent in frames, because the target may pause within it.
+func (x *exchange) mustFrame(conn *relay.Conn, response *http.Response) bool {
+	return x.r.Header.Get(model.HeaderFrames) != "" && relay.BodyAllowed(x.r.Method, response.StatusCode) && !conn.BufferedAll(response)
+}
+
+// bodyWriter returns the writer of the response body, and a function that ends its empty frames.
+func (x *exchange) bodyWriter(framed bool) (w io.Writer, stop func()) {
+	if !framed {
+		return x.w, func() {}
+	}
+	frames := relay.NewFrameWriter(x.w, x.agent.config.InterimInterval)
+	return frames, frames.Close
+}
+
+func (x *exchange) writeHeader(response *http.Response, framed bool) {
 	h := x.w.Header()
 	x.record.Status = response.StatusCode
 	relay.CopyHeader(h, response.Header)
@@ -86,6 +103,9 @@
 	if x.closesConn() {
 		h["Connection"] = []string{"close"}
 	}
+	if framed {
+		h[model.HeaderFrames] = []string{"1"}
+	}
 	if response.ContentLength >= 0 {
 		h[model.HeaderLength] = []string{strconv.FormatInt(response.ContentLength, 10)}
 	}
@@ -108,13 +128,13 @@
 	errTooLarge = eris.New("the response of the target exceeds the size limit; restart the target")
 )
 
-// copyBody flushes only when it has to wait for more of the body, so that a short response and its trailer leave in one
-// packet.
-func (x *exchange) copyBody(ctx context.Context, conn *relay.Conn, response *http.Response, sum *relay.Checksum) (*storedBody, error) {
+// copyBody copies the body to w. It flushes only when it has to wait for more of the body, so that a short response and
+// its trailer leave in one packet.
+func (x *exchange) copyBody(ctx context.Context, conn *relay.Conn, response *http.Response, w io.Writer, sum *relay.Checksum) (*storedBody, error) {
 	block := relay.GetBlock()
 	defer relay.PutBlock(block)
 	stored := &storedBody{wanted: x.tracksKey()}
-	flusher, _ := x.w.(http.Flusher)
+	flusher, _ := w.(http.Flusher)
 	body, maxBytes := response.Body, x.agent.config.MaxResponseBytes
 	// While the target keeps sending, the reader never notices that the connection was closed at the deadline, so check
 	// the context.
@@ -127,7 +147,7 @@
 			x.progress()
 			sum.Add(block[:n])
 			stored.add(block[:n])
-			if _, err := x.w.Write(block[:n]); err != nil {
+			if _, err := w.Write(block[:n]); err != nil {
 				return nil, errWrite
 			}
 			if flusher != nil && !conn.Buffered() && sum.Length != response.ContentLength {
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -161,6 +161,9 @@
 	x.observeNotice(answered)
 	if answered {
 		x.load.IncludesRequest = true
+		if x.response.Header.Get(model.HeaderFrames) != "" {
+			x.response.Body = relay.NewFrameReader(x.response.Body)
+		}
 		return nil
 	}
 	return x.readRefusal()
@@ -213,6 +216,10 @@
 		ReusedHeaderTimeout: q.edge.config.ReusedHeaderTimeout, HeaderTimeout: q.edge.config.HeaderTimeout,
 		StopAdmission: q.edge.admitting,
 	}
+	if !q.match.Route.Resumable {
+		// A download is resumed from another target when its own pauses, so its edge needs to see the pause.
+		fields = append(fields, relay.Field{Name: model.HeaderFrames, Value: "1"})
+	}
 	if q.edge.config.NegotiateAdmission {
 		fields = q.addAdmissionFields(fields, x.choice)
 	}
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -41,8 +41,8 @@
 	// between bytes on any connection until the response starts; default 500 ms and 3 s.
 	ReusedHeaderTimeout time.Duration
 	HeaderTimeout       time.Duration
-	// BodyIdleTimeout is the idle timeout within a response body, and ResumableIdleTimeout that on resumable routes;
-	// default 10 s and 3 s.
+	// BodyIdleTimeout is the time without bytes of the agent within a response body after which the path to it counts as
+	// dead; default 10 s. ResumableIdleTimeout is the time without bytes of the target on resumable routes; default 3 s.
 	BodyIdleTimeout      time.Duration
 	ResumableIdleTimeout time.Duration
 	// DefaultTimeout applies to routes without a timeout; default 30 s.
--- a/internal/edge/deliver.go
+++ b/internal/edge/deliver.go
@@ -44,6 +44,9 @@
 		x.conn.Release()
 		return d, nil
 	}
+	if frames, ok := x.response.Body.(*relay.FrameReader); ok {
+		frames.OnIdle = func() { x.conn.SetReadTimeout(d.idle) } // The target pauses, but the path to its agent works.
+	}
 	err := d.copy(ctx)
 	if err == nil {
 		d.checkDelivered()
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -34,7 +34,8 @@
 	interimInterval = 400 * time.Millisecond
 	// relayDialTimeout is more than ten round trips between regions.
 	relayDialTimeout = 400 * time.Millisecond
-	// bodyIdleTimeout bounds the silence within a response body, which targets send in one piece.
+	// bodyIdleTimeout bounds the silence of an agent within a response body, in which it sends an empty frame every
+	// interimInterval.
 	bodyIdleTimeout = 2 * time.Second
 	// bufferBytes is the largest response body that is buffered until it is complete; the largest downloads have half a
 	// megabyte.
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -216,6 +216,11 @@
 	return c.reader.Buffered() > 0
 }
 
+// BufferedAll reports whether the whole body of the response can be read without waiting.
+func (c *Conn) BufferedAll(response *http.Response) bool {
+	return response.ContentLength >= 0 && int64(c.reader.Buffered()) >= response.ContentLength
+}
+
 // ReleaseUnused returns a connection that was not used to its pool.
 func (c *Conn) ReleaseUnused() {
 	c.pool.put(c)
--- a/pkg/model/header.go
+++ b/pkg/model/header.go
@@ -41,6 +41,8 @@
 	HeaderRateLimit = "Auburnwinch-Rate-Limit"
 	// HeaderTargetLeaving is sent with each response of a target that has stated that it shuts down.
 	HeaderTargetLeaving = "Auburnwinch-Target-Leaving"
+	// HeaderFrames is sent by edges that accept response bodies in frames, and by agents whose response body is framed.
+	HeaderFrames = "Auburnwinch-Frames"
 	// HeaderWait is how long a refused request would have had to wait, as a Go duration.
 	HeaderWait = "Auburnwinch-Wait"
 )
