Count a crash against requests whose callers have left, whether or not they may be repeated

Cause: a request whose caller has left is no longer in flight when its target dies. The agent remembers it for the next crash only if it is idempotent, since one observed crash quarantines any other. That holds for the detector of the product's own node, which knows trials; the hosted node counts three crashes in a row.

Now the agent reports all of them, marked as abandoned, and the detector decides: the counter of the hosted node counts them, the other detector ignores non-idempotent ones, which may have ended before. Requests whose caller leaves within the answer are among them. A target that another one replaces without having said that it leaves has crashed, even if no request reached its node in between; before, that crash was counted for nobody.

So that no sound request is suspected for long, a heartbeat of the target clears the abandoned requests whose deadline has passed; before, each of them stayed suspect for ten seconds.

Ruled out: keeping the connection open for departed callers (it holds a slot of the target; most targets drop the request when its connection closes).

--- a/internal/agent/abandon.go
+++ b/internal/agent/abandon.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -17,20 +18,29 @@
 type abandonedRequest struct {
 	suspect Suspect
 	at      time.Time
+	// deadline is when the target stops to work on it.
+	deadline time.Time
 }
 
-// abandon records an idempotent request whose caller gave up: the target may still run it and crash. Other requests are
-// not recorded, because they are quarantined after the first observed crash.
-func (s *sharedState) abandon(now time.Time, suspect Suspect) {
-	if suspect.Fingerprint == 0 || !suspect.Idempotent {
+// abandon records a request whose caller gave up: the target may still run it and crash.
+func (s *sharedState) abandon(r abandonedRequest) {
+	if r.suspect.Fingerprint == 0 {
 		return
 	}
+	r.suspect.Abandoned = true
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.abandoned) == maxAbandoned {
 		s.abandoned = append(s.abandoned[:0], s.abandoned[1:]...)
 	}
-	s.abandoned = append(s.abandoned, abandonedRequest{suspect: suspect, at: now})
+	s.abandoned = append(s.abandoned, r)
+}
+
+// dropOverdue removes the abandoned requests whose deadline has passed, because the target is alive.
+func (s *sharedState) dropOverdue(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.abandoned = slices.DeleteFunc(s.abandoned, func(r abandonedRequest) bool { return now.After(r.deadline.Add(deadlineSlack)) })
 }
 
 // takeAbandoned removes all abandoned requests and returns those that may still have been running.
@@ -61,3 +71,11 @@
 	}
 	reports.Wait()
 }
+
+// reportReplaced reports the crash of a target that another one has replaced although it never stated that it leaves: no
+// request may have reached its node between the crash and the restart.
+func (a *Agent) reportReplaced(l *localTarget) {
+	if !l.shared.draining.Load() {
+		a.reportCrash(l)
+	}
+}
--- a/internal/agent/abandon_test.go
+++ b/internal/agent/abandon_test.go
@@ -14,7 +14,8 @@
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
-// Guards against a request that crashes targets undetected because its caller gave up before the target died.
+// Guards against a request that crashes targets undetected because its caller gave up before the target died, whether or
+// not it is idempotent.
 func TestAbandonedRequestsAreSuspect(t *testing.T) {
 	cell := &view.Holder{}
 	cell.Store(view.New(view.Config{Configuration: &model.Configuration{Number: 1, Services: []model.ServiceSpec{{
@@ -45,5 +46,7 @@
 	target.Close()
 	response, _ := b.do(b.relayed(t.Context(), ""))
 	require.Equal(t, relay.ReasonUnreachable, response.Header.Get(model.HeaderReason))
-	require.Equal(t, []agent.Suspect{{Service: "shop", Fingerprint: 1, Idempotent: true}}, f.suspects)
+	require.ElementsMatch(t, []agent.Suspect{
+		{Service: "shop", Fingerprint: 1, Idempotent: true, Abandoned: true}, {Service: "shop", Fingerprint: 2, Abandoned: true},
+	}, f.suspects)
 }
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -227,13 +227,15 @@
 	Release(key string)
 }
 
-// Suspect is a request that was in flight when its target died.
+// Suspect is a request that was running when its target died.
 type Suspect struct {
 	Service     string
 	Fingerprint uint64
 	Idempotent  bool
 	// KnownCrashes are the crashes under the request that the edge knew of when it sent it.
 	KnownCrashes model.Crashes
+	// Abandoned means that its caller had given up, so that the request may have ended before the crash.
+	Abandoned bool
 }
 
 // PoisonVerdict tells whether a request may run.
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -51,10 +51,14 @@
 
 // applyAnnouncement updates an announced target and publishes changes.
 func (a *Agent) applyAnnouncement(body announcement, spec model.ServiceSpec, h Announcement) error {
+	previous := a.registry.find(body.Service, body.ID)
 	changed, err := a.registry.announce(a.newLocalTarget(body, spec), a.config.Clock.Now())
 	if err != nil {
 		return err
 	}
+	if previous != nil && previous.target.Ref.Incarnation < body.Incarnation {
+		a.reportReplaced(previous)
+	}
 	l := a.registry.find(body.Service, body.ID)
 	if l == nil {
 		return errUnknown // It was withdrawn meanwhile.
@@ -177,6 +181,7 @@
 		if ref.Incarnation > body.Incarnation {
 			return false
 		}
+		a.reportReplaced(l)
 		a.removeTarget(l, "a newer target runs on this VM")
 	}
 	return true
--- a/internal/agent/registry.go
+++ b/internal/agent/registry.go
@@ -73,6 +73,7 @@
 		return false, errStale
 	}
 	known.shared.announced.Store(now.UnixNano())
+	known.shared.dropOverdue(now)
 	if known.equal(next) {
 		return false, nil
 	}
--- a/internal/agent/response.go
+++ b/internal/agent/response.go
@@ -63,8 +63,10 @@
 	x.abort = true
 	switch {
 	case x.timedOut(ctx):
+		x.abandon()
 		return ResultTimeout
 	case ctx.Err() != nil || errors.Is(err, errWrite):
+		x.abandon()
 		return ResultCanceled
 	}
 	_ = level.Warn(x.agent.config.Logger).Log("msg", "target broke off its answer", "service",
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -359,7 +359,7 @@
 }
 
 func (x *exchange) abandon() {
-	x.local.shared.abandon(x.agent.config.Clock.Now(), x.suspect)
+	x.local.shared.abandon(abandonedRequest{suspect: x.suspect, at: x.agent.config.Clock.Now(), deadline: x.deadline})
 }
 
 func (x *exchange) failKey() {
--- a/internal/hosted/poison_guard.go
+++ b/internal/hosted/poison_guard.go
@@ -74,7 +74,7 @@
 func (g *poisonGuard) Crashed(target model.TargetRef, s agent.Suspect) {
 	g.inFlightAtCrash.Add(1)
 	_ = level.Warn(g.logger).Log("msg", "request in flight at a crash", "service", target.Service, "target", target.ID,
-		"fingerprint", formatFingerprint(s.Fingerprint), "idempotent", s.Idempotent, "crashes-before", s.KnownCrashes.Count, "round", s.KnownCrashes.Round)
+		"fingerprint", formatFingerprint(s.Fingerprint), "idempotent", s.Idempotent, "abandoned", s.Abandoned, "crashes-before", s.KnownCrashes.Count, "round", s.KnownCrashes.Round)
 	g.update(poison.TargetCrashedMsg{Now: g.clock.Now(), Fingerprint: s.Fingerprint, Known: s.KnownCrashes})
 }
 
--- a/internal/node/poison.go
+++ b/internal/node/poison.go
@@ -119,6 +119,9 @@
 
 // Crashed records a crash and returns when the agents of the service have been informed or the timeout has passed.
 func (s *poisonDetector) Crashed(target model.TargetRef, suspect agent.Suspect) {
+	if suspect.Abandoned && !suspect.Idempotent {
+		return // One crash quarantines a non-idempotent request, and this one may have ended before.
+	}
 	_ = level.Warn(s.logger).Log("msg", "request in flight at a crash is suspect", "service", target.Service, "target", target.ID,
 		"fingerprint", suspect.Fingerprint, "idempotent", suspect.Idempotent)
 	s.broadcastAll(s.update(poison.CrashMsg{
--- a/internal/node/rebroadcast_test.go
+++ b/internal/node/rebroadcast_test.go
@@ -121,3 +121,23 @@
 	time.Sleep(20 * time.Millisecond)
 	require.Equal(t, calls, peers.callsTo("a"), "agents that received the report do not get it again")
 }
+
+// Pattern: a target crashes after callers of non-idempotent and idempotent requests have left. Guards against quarantining
+// a non-idempotent request that may have ended before: one crash suffices for that here.
+func TestAbandonedOrderIsNotQuarantinedByOneCrash(t *testing.T) {
+	f := &fleet{}
+	f.members.Store(agentsOf("shop", "self"))
+	s := newPoisonDetector(&poisonDetector{
+		self: model.NodeRef{ID: "self", Incarnation: 1}, peers: &fakeAgents{calls: make(map[string]int)}, fleet: f,
+		clock: timer.NewManual(time.Unix(1000, 0)), logger: log.NewNopLogger(), publish: func([]model.PoisonEntry) {},
+		isRunning: func(uint64) bool { return false },
+	})
+	defer s.close()
+	target := model.TargetRef{Service: "shop", ID: "t"}
+	s.Crashed(target, agent.Suspect{Service: "shop", Fingerprint: 1, Abandoned: true})
+	s.Crashed(target, agent.Suspect{Service: "shop", Fingerprint: 2, Abandoned: true, Idempotent: true})
+	s.Crashed(target, agent.Suspect{Service: "shop", Fingerprint: 3})
+	require.Equal(t, agent.PoisonClear, s.Verdict("shop", 1))
+	require.Equal(t, agent.PoisonSuspect, s.Verdict("shop", 2))
+	require.Equal(t, agent.PoisonQuarantined, s.Verdict("shop", 3))
+}
