Bound the time for which a lost response of the store hides a configuration

Cause: each node waits for the configuration with one long poll of 8 s and 1 s more. If the store loses the response, the node learns nothing until that call ends, unless a request to or from a better informed node tells it.

A poll of every node that is short enough costs too many calls as the fleet grows. So a node that reads the store itself, two in each failure domain, polls for 1.25 s, and the feed ends the call of a follower as soon as a configuration is in force at its reader that the follower has not heard of; the follower then asks the store at once. A node that nobody provides with rows polls like a reader, from the moment on at which it stops following. Polls after such a hint are short and repeated with the usual backoff until one is answered. Reads of the whole table, which follow a lost history, end after 1.5 s instead of 5 s. The own poll of a follower backs this up and may therefore take 12 s.

--- a/internal/feed/cache.go
+++ b/internal/feed/cache.go
@@ -93,14 +93,21 @@
 	c.changed = make(chan struct{})
 }
 
-// wait returns the rows that changed after the version as soon as there are any, or an empty page after the timeout. It
-// fails with ErrNotReading as soon as this node does not read the store.
-func (c *rowCache) wait(ctx context.Context, after uint64, timeout time.Duration) (roster.Page, error) {
+// wake makes the followers check again whether there is news for them.
+func (c *rowCache) wake() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.notify()
+}
+
+// wait returns the rows that changed after the version as soon as there are any, or an empty page after the timeout or as
+// soon as there is other news. It fails with ErrNotReading as soon as this node does not read the store.
+func (c *rowCache) wait(ctx context.Context, after uint64, timeout time.Duration, news func() bool) (roster.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	for {
 		page, changed, err := c.since(after)
-		if err != nil || page.Whole || len(page.Rows) > 0 {
+		if err != nil || page.Whole || len(page.Rows) > 0 || news() {
 			return page, err
 		}
 		select {
--- a/internal/feed/rpc.go
+++ b/internal/feed/rpc.go
@@ -31,7 +31,7 @@
 type WatchArgs struct {
 	After uint64
 	Wait  time.Duration
-	// Number is the number of the configuration in force at the caller.
+	// Number is the highest number of a configuration that the caller knows of, in force there or not.
 	Number uint64
 }
 
@@ -65,10 +65,12 @@
 	rpc     *rpc.Client
 }
 
-// Watch returns the rows that changed after the version, or none if none changed within the wait.
+// Watch returns the rows that changed after the version, or none if none changed within the wait or a configuration newer
+// than the caller knows of is in force.
 func (f *Feed) Watch(args WatchArgs, reply *WatchReply) error {
 	f.table.observeNumber(args.Number)
-	page, err := f.table.cache.wait(context.Background(), args.After, min(args.Wait, maxWait))
+	newer := func() bool { return f.table.number() > args.Number }
+	page, err := f.table.cache.wait(context.Background(), args.After, min(args.Wait, maxWait), newer)
 	if err != nil {
 		return err
 	}
--- a/internal/feed/table.go
+++ b/internal/feed/table.go
@@ -58,6 +58,8 @@
 	Domain string
 	// OnDomainRows is called with the rows of the failure domain that a starting node first reads directly from the store.
 	OnDomainRows func(rows []roster.Row)
+	// OnUnfollow is called when the node stops following another node, which would have told it of a new configuration.
+	OnUnfollow func()
 	// BatchDelay is the time between two calls to the store when the first one returned changes; default 1 s.
 	BatchDelay     time.Duration
 	Configurations Configurations
@@ -75,6 +77,8 @@
 	// storeCalls and peerCalls count the calls to the store and to other nodes.
 	storeCalls atomic.Int64
 	peerCalls  atomic.Int64
+	// heard is the highest number of a configuration that another node had in force.
+	heard atomic.Uint64
 
 	mu       sync.Mutex
 	selector *SourceSelector
@@ -82,6 +86,8 @@
 	nextStoreCall time.Time
 	// source is where the last rows came from.
 	source Source
+	// follows is true while another node provides the rows.
+	follows bool
 }
 
 // NewTable returns a table that does not know any other node yet.
@@ -130,6 +136,27 @@
 	})
 }
 
+// Follows reports whether another node provides the rows.
+func (t *Table) Follows() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.follows
+}
+
+// setFollows records whether another node provides the rows.
+func (t *Table) setFollows(follows bool) {
+	t.mu.Lock()
+	before := t.follows
+	t.follows = follows
+	t.mu.Unlock()
+	if before && !follows && t.config.OnUnfollow != nil {
+		t.config.OnUnfollow()
+	}
+}
+
+// NumberChanged tells the followers that a newer configuration is in force.
+func (t *Table) NumberChanged() { t.cache.wake() }
+
 // Write stores the row.
 func (t *Table) Write(ctx context.Context, row roster.Row, expected uint64) (uint64, error) {
 	t.storeCalls.Add(1)
@@ -177,10 +204,13 @@
 	// While this node follows another one, no node should follow it.
 	t.cache.stopReading()
 	t.peerCalls.Add(1)
-	reply, err := t.client.watch(ctx, t.config.Dial, p.Address, WatchArgs{After: after, Wait: wait, Number: t.number()})
+	reply, err := t.client.watch(ctx, t.config.Dial, p.Address, WatchArgs{After: after, Wait: wait, Number: max(t.number(), t.heard.Load())})
 	if err != nil {
 		return roster.Page{}, err
 	}
+	if reply.Number > t.heard.Load() { // Only one call at a time is in flight.
+		t.heard.Store(reply.Number)
+	}
 	t.observeNumber(reply.Number)
 	return reply.Page, nil
 }
@@ -209,6 +239,7 @@
 
 func (t *Table) sourceSucceeded(source Source, page roster.Page) {
 	t.cache.merge(page, source.Store)
+	t.setFollows(!source.Store)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.selector.Update(SucceededMsg{Source: source})
@@ -229,6 +260,7 @@
 	if source.Store {
 		t.cache.stopReading()
 	}
+	t.setFollows(false)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.selector.Update(FailedMsg{Now: t.config.Clock.Now(), Source: source, NotReading: errors.Is(err, ErrNotReading)})
--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -86,6 +87,17 @@
 	return l.b.String()
 }
 
+// contains reports whether one line holds all the parts.
+func (l *logBuffer) contains(parts ...string) bool {
+	for line := range strings.Lines(l.String()) {
+		missing := func(part string) bool { return !strings.Contains(line, part) }
+		if !slices.ContainsFunc(parts, missing) {
+			return true
+		}
+	}
+	return false
+}
+
 // logOf returns the log lines of all nodes that mention the request.
 func (f *fleet) logOf(id string) string {
 	var about []string
@@ -181,7 +193,7 @@
 		Decode: platform.DecodeConfiguration, CallerProtocol: platform.CallerProtocol{Service: n.service}, TargetProtocol: platform.TargetProtocol{},
 		LocalHandler: func(h hosted.HeartbeatReceiver) http.Handler { return platform.Heartbeats(h) }, ReadyHandler: platform.Readiness,
 		Grace: 6 * time.Second, RetryBudget: hosted.RetryBudget{Ratio: 0.2, Extra: 1000, Window: 10 * time.Second}, // A new agent may use only a small part of Extra.
-		Logger: log.With(log.NewJSONLogger(n.log), "node", n.id),
+		Logger: log.With(log.NewJSONLogger(n.log), "ts", log.DefaultTimestampUTC, "node", n.id),
 	})
 	if err != nil {
 		return err
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -58,9 +58,13 @@
 	// peerBatchDelay is the batching delay of a node that reads the rows from another node, which has already batched
 	// them.
 	peerBatchDelay = 20 * time.Millisecond
-	// configurationWait bounds one long poll for the configuration. If the store never responds to a call, a node
-	// without traffic misses a new configuration for at most this long.
-	configurationWait = 8 * time.Second
+	// configurationWait bounds one long poll for the configuration of a node that follows another one. The others poll with
+	// readerConfigurationWait and tell their followers of a newer configuration, so that a response that the store has lost
+	// hides one for less than three seconds.
+	configurationWait       = 12 * time.Second
+	readerConfigurationWait = 1250 * time.Millisecond
+	// configurationReadTimeout bounds one read of the operator's table, whose response may be lost too.
+	configurationReadTimeout = 1500 * time.Millisecond
 	// configurationBatchDelay is short because a configuration must be in force on all nodes within two seconds.
 	configurationBatchDelay = 50 * time.Millisecond
 	// retryMargin keeps the retries at one target below its share of the fleet's retry budget, because the count is
@@ -89,6 +93,7 @@
 	// refuseCallers is set during shutdown once new requests could no longer be completed.
 	refuseCallers atomic.Bool
 
+	startedAt time.Time
 	// publishDue requests a publication of the record.
 	publishDue notify.Signal
 	// restored is closed once the row of an earlier process of this node has been read or is known not to exist. The
@@ -105,6 +110,7 @@
 // New builds the node and opens its listeners; Run serves.
 func New(c Config) (*Node, error) {
 	n := &Node{config: c.withDefaults(), publishDue: notify.New(), restored: make(chan struct{})}
+	n.startedAt = n.config.Clock.Now()
 	n.record = roster.Record{Node: n.config.Self}
 	invar.OnViolation(func(v invar.Violation) {
 		_ = level.Error(n.config.FailureLogger).Log("msg", "invariant violated", "module", v.Module, "detail", v.Detail)
@@ -132,9 +138,10 @@
 		builder: view.NewBuilder(n.config.Self), members: roster.NewMembers(), guard: n.guard,
 	}
 	n.nodes = feed.NewTable(feed.Config{
-		Store: n.config.Nodes, Self: n.config.Self.Ref.ID, Domain: n.config.Self.Domain, BatchDelay: membersBatchDelay, OnDomainRows: n.restore,
+		Store: n.config.Nodes, Self: n.config.Self.Ref.ID, Domain: n.config.Self.Domain, BatchDelay: membersBatchDelay, OnDomainRows: n.restore, OnUnfollow: n.unfollowed,
 		Configurations: n.fleet, Clock: n.config.Clock, Dial: n.config.Dial, Logger: n.config.FailureLogger,
 	})
+	n.fleet.numberChanged = n.nodes.NumberChanged
 	n.requestLogger = &requestLogger{ordinary: n.config.Logger, failures: n.config.FailureLogger, fleet: n.fleet, metrics: n.metrics}
 	return nil
 }
@@ -224,8 +231,9 @@
 func (n *Node) watch() {
 	n.watchers = append(n.watchers,
 		roster.NewWatcher(roster.WatcherConfig{
-			Table: n.config.Configurations, Name: "configuration", OnRows: n.fleet.applyConfiguration,
-			BatchDelay: configurationBatchDelay, Wait: configurationWait, Logger: n.config.FailureLogger,
+			Table: configurationTable{Table: n.config.Configurations, maxWait: n.configurationWait}, Name: "configuration",
+			OnRows: n.fleet.applyConfiguration, BatchDelay: configurationBatchDelay, Wait: configurationWait,
+			ReadTimeout: configurationReadTimeout, Logger: n.config.FailureLogger,
 		}),
 		roster.NewWatcher(roster.WatcherConfig{
 			Table: n.nodes, Name: "nodes", OnRows: n.membersChanged, BatchDelay: peerBatchDelay, Logger: n.config.FailureLogger,
@@ -234,6 +242,31 @@
 	n.fleet.refresh.Store(&refresh)
 }
 
+// configurationWait bounds the next long poll for the configuration.
+func (n *Node) configurationWait() time.Duration {
+	switch left := n.startupLeft(); {
+	case left > 0:
+		return max(readerConfigurationWait, left)
+	case n.nodes.Follows():
+		return configurationWait
+	default:
+		return readerConfigurationWait
+	}
+}
+
+// unfollowed queries the configuration, of which no other node would tell this one. Nodes that start together follow each
+// other by turns until all know the same rows; they poll once for that time.
+func (n *Node) unfollowed() {
+	if n.startupLeft() <= 0 {
+		n.fleet.refreshConfiguration()
+	}
+}
+
+// startupLeft returns the rest of startupPeriod; it is negative later.
+func (n *Node) startupLeft() time.Duration {
+	return startupPeriod - n.config.Clock.Now().Sub(n.startedAt)
+}
+
 func (n *Node) membersChanged(p roster.Page) {
 	for _, row := range p.Rows {
 		n.publisher.ObserveRow(row)
--- a/internal/hosted/refresh.go
+++ b/internal/hosted/refresh.go
@@ -1,14 +1,17 @@
 package hosted
 
 import (
+	"context"
 	"sync"
 	"time"
+
+	"github.com/auburnwinch/auburnwinch/internal/roster"
 )
 
 const (
 	// refreshDelay is the initial delay before a refresh. Regular propagation is faster, so a change that is already on
 	// its way causes no extra call.
-	refreshDelay = 300 * time.Millisecond
+	refreshDelay = 150 * time.Millisecond
 	// maxRefreshDelay bounds the delay, which doubles with each refresh that returns nothing newer. A store that
 	// refuses this node does so for seconds, and a refused call costs as much as any other.
 	maxRefreshDelay = 5 * time.Second
@@ -22,20 +25,31 @@
 	delay  time.Duration
 }
 
-// allow reports whether a refresh for the configuration number may run now. The first one is delayed, so that regular
-// propagation can deliver the configuration.
-func (l *refreshBackoff) allow(now time.Time, number uint64) bool {
+// schedule reports whether a refresh for the configuration number is due, and after which delay. The first one is delayed,
+// so that regular propagation can deliver the configuration.
+func (l *refreshBackoff) schedule(now time.Time, number uint64) (delay time.Duration, due bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
 	case number > l.number:
 		l.number, l.delay = number, refreshDelay
-		l.next = now.Add(l.delay)
-		return false
+		l.next = now.Add(2 * l.delay)
+		return l.delay, true
 	case now.Before(l.next):
-		return false
+		return 0, false
 	}
 	l.delay = min(2*l.delay, maxRefreshDelay)
 	l.next = now.Add(l.delay)
-	return true
+	return 0, true
+}
+
+// configurationTable is the operator's table with a bound on each long poll.
+type configurationTable struct {
+	roster.Table
+	maxWait func() time.Duration
+}
+
+// Watch waits for rows that changed after the version.
+func (t configurationTable) Watch(ctx context.Context, after uint64, wait time.Duration) (roster.Page, error) {
+	return t.Table.Watch(ctx, after, min(wait, t.maxWait()))
 }
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -31,6 +31,8 @@
 	view   view.Holder
 	limits atomic.Pointer[Limits]
 	number atomic.Uint64
+	// numberChanged is called when a newer configuration is in force.
+	numberChanged func()
 	// refresh makes the configuration watcher query the store again, rate-limited by backoff.
 	refresh atomic.Pointer[func()]
 	backoff refreshBackoff
@@ -93,6 +95,7 @@
 	b.limits.Store(&config.Limits)
 	b.publishView()
 	b.edge.SetRoutes(table)
+	b.numberChanged()
 	_ = level.Info(b.logger).Log("msg", "configuration in force", "number", config.Configuration.Number, "before", before,
 		"row-version", rowVersion, "services", len(config.Configuration.Services), "routes", table.Len())
 }
@@ -120,10 +123,20 @@
 	if number <= b.number.Load() {
 		return
 	}
-	if !b.backoff.allow(b.clock.Now(), number) {
-		return
+	if delay, due := b.backoff.schedule(b.clock.Now(), number); due {
+		time.AfterFunc(delay, func() { b.refreshUnless(number) })
+	}
+}
+
+// refreshUnless queries the store again unless the configuration has arrived meanwhile.
+func (b *fleetState) refreshUnless(number uint64) {
+	if known := b.number.Load(); known < number {
+		_ = level.Info(b.logger).Log("msg", "another node has a newer configuration", "number", known, "heard", number)
+		b.refreshConfiguration()
 	}
-	_ = level.Info(b.logger).Log("msg", "another node has a newer configuration", "number", b.number.Load(), "heard", number)
+}
+
+func (b *fleetState) refreshConfiguration() {
 	if refresh := b.refresh.Load(); refresh != nil {
 		(*refresh)()
 	}
--- a/internal/roster/watcher.go
+++ b/internal/roster/watcher.go
@@ -13,14 +13,15 @@
 )
 
 const (
-	// readTimeout bounds one read of the whole table.
-	readTimeout = 5 * time.Second
+	// defaultReadTimeout bounds one read of the whole table.
+	defaultReadTimeout = 5 * time.Second
 	// defaultBatchDelay groups changes that follow each other closely into one response.
 	defaultBatchDelay = 250 * time.Millisecond
 	// defaultWait is how long one call waits for changes.
 	defaultWait = 30 * time.Second
-	// waitAfterFailure bounds the wait after a failure. A store that accepts calls without responding must not hold one
-	// for long, since it does not respond to that call after it has recovered either.
+	// waitAfterFailure bounds the wait after a failure and while a change is known to be missing. A store that accepts
+	// calls without responding must not hold one for long, since it does not respond to that call after it has recovered
+	// either.
 	waitAfterFailure = 500 * time.Millisecond
 )
 
@@ -34,8 +35,10 @@
 	// BatchDelay is the time between a response with rows and the next call; the default is 250 ms.
 	BatchDelay time.Duration
 	// Wait is how long one call waits for changes; the default is 30 s.
-	Wait   time.Duration
-	Logger log.Logger
+	Wait time.Duration
+	// ReadTimeout bounds one read of the whole table; the default is 5 s.
+	ReadTimeout time.Duration
+	Logger      log.Logger
 }
 
 // Watcher reports the rows of a table and their changes until it is closed.
@@ -50,6 +53,8 @@
 	cancelCall context.CancelFunc
 	// refreshRequested is true when Refresh has canceled a call.
 	refreshRequested bool
+	// behind is true from a call of Refresh to the next response.
+	behind bool
 }
 
 // NewWatcher starts to watch the table.
@@ -60,6 +65,9 @@
 	if c.Wait <= 0 {
 		c.Wait = defaultWait
 	}
+	if c.ReadTimeout <= 0 {
+		c.ReadTimeout = defaultReadTimeout
+	}
 	if c.Logger == nil {
 		c.Logger = log.NewNopLogger()
 	}
@@ -74,6 +82,7 @@
 func (w *Watcher) Refresh() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.behind = true
 	if w.cancelCall != nil {
 		w.refreshRequested = true
 		w.cancelCall()
@@ -110,7 +119,7 @@
 func (w *Watcher) next(ctx context.Context, version uint64, known bool) (Page, error) {
 	if known {
 		wait := w.config.Wait
-		if w.backoff.failures > 0 {
+		if w.backoff.failures > 0 || w.isBehind() {
 			wait = min(wait, waitAfterFailure)
 		}
 		ctx, cancel := context.WithCancel(ctx)
@@ -119,7 +128,7 @@
 		defer cancel()
 		return w.config.Table.Watch(ctx, version, wait)
 	}
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	ctx, cancel := context.WithTimeout(ctx, w.config.ReadTimeout)
 	defer cancel()
 	return w.config.Table.Read(ctx)
 }
@@ -130,6 +139,12 @@
 	w.cancelCall = cancel
 }
 
+func (w *Watcher) isBehind() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.behind
+}
+
 // takeRefreshRequest reports whether Refresh has canceled the call, and clears the request.
 func (w *Watcher) takeRefreshRequest() bool {
 	w.mu.Lock()
@@ -150,6 +165,9 @@
 }
 
 func (w *Watcher) callSucceeded() {
+	w.mu.Lock()
+	w.behind = false
+	w.mu.Unlock()
 	if failures := w.backoff.reset(); failures > 0 {
 		_ = level.Info(w.config.Logger).Log("msg", "store regained", "table", w.config.Name, "failures", failures)
 	}
