Keep a node whose name another writer uses in another partition

Suspected by the review, without a case: a row of another writer in the table of the nodes, in another partition, whose key is the name of a node. The members were kept by key alone, so that the row replaced the record of the node, or removed it, and the node, which looks at its own partition only, never wrote again.

Members are now kept by partition and key. If two rows name the same node, the one in the partition of its failure domain counts.

TestRowOfAnotherPartitionDoesNotHideANode fails on the code before, for text and for a copied record.

--- a/internal/roster/members.go
+++ b/internal/roster/members.go
@@ -9,9 +9,12 @@
 
 // Members holds the records of all nodes. It is not safe for concurrent use.
 type Members struct {
-	records map[string]member
+	records map[memberKey]member
 }
 
+// memberKey identifies a row: one in another partition must not replace or remove that of a node.
+type memberKey struct{ partition, key string }
+
 type member struct {
 	record  *Record
 	version uint64
@@ -19,29 +22,30 @@
 
 // NewMembers returns an empty set.
 func NewMembers() *Members {
-	return &Members{records: make(map[string]member)}
+	return &Members{records: make(map[memberKey]member)}
 }
 
 // Apply adds a page of rows and returns the records that changed, and an error for each row that is not a valid record.
 // A row that is not a valid record removes its node; a row older than the known one is ignored.
 func (m *Members) Apply(p Page) (changed []*Record, errs []error) {
-	seen := make(map[string]bool, len(p.Rows))
+	seen := make(map[memberKey]bool, len(p.Rows))
 	for _, row := range p.Rows {
-		seen[row.Key] = true
-		if known, ok := m.records[row.Key]; ok && row.Version <= known.version {
+		key := memberKey{partition: row.Part, key: row.Key}
+		seen[key] = true
+		if known, ok := m.records[key]; ok && row.Version <= known.version {
 			continue
 		}
 		if row.Deleted {
-			delete(m.records, row.Key)
+			delete(m.records, key)
 			continue
 		}
 		record, err := DecodeRecord(row)
 		if err != nil {
 			errs = append(errs, err)
-			delete(m.records, row.Key)
+			delete(m.records, key)
 			continue
 		}
-		m.records[row.Key] = member{record: record, version: row.Version}
+		m.records[key] = member{record: record, version: row.Version}
 		changed = append(changed, record)
 	}
 	if p.Whole {
@@ -61,10 +65,26 @@
 
 // NodeStates returns the states of the nodes for the view, sorted by node ID.
 func (m *Members) NodeStates() []view.NodeState {
-	states := make([]view.NodeState, 0, len(m.records))
-	for _, known := range m.records {
-		states = append(states, known.record.NodeState())
+	own := make(map[string]memberKey, len(m.records))
+	for key := range m.records {
+		if other, found := own[key.key]; !found || m.precedes(key, other) {
+			own[key.key] = key
+		}
+	}
+	states := make([]view.NodeState, 0, len(own))
+	for _, key := range own {
+		states = append(states, m.records[key].record.NodeState())
 	}
 	slices.SortFunc(states, func(a, b view.NodeState) int { return strings.Compare(a.Node.Ref.ID, b.Node.Ref.ID) })
 	return states
 }
+
+// precedes reports whether the row at key a rather than the one at b holds the state of their node: a node writes only to
+// the partition of its failure domain.
+func (m *Members) precedes(a, b memberKey) bool {
+	x, y := m.records[a], m.records[b]
+	if inOwnX, inOwnY := a.partition == x.record.Node.Domain, b.partition == y.record.Node.Domain; inOwnX != inOwnY {
+		return inOwnX
+	}
+	return x.version > y.version
+}
--- a/internal/roster/members_test.go
+++ b/internal/roster/members_test.go
@@ -86,3 +86,28 @@
 	_, errs := m.Apply(p)
 	require.Empty(t, errs)
 }
+
+// Pattern: another writer puts a row under the name of a node into another partition. Guards against a sound node that
+// disappears, also when the row looks like its record or is deleted later.
+func TestRowOfAnotherPartitionDoesNotHideANode(t *testing.T) {
+	own := recordOf("n", 1)
+	for name, value := range map[string][]byte{"text": []byte("hello"), "record": recordOf("n", 9).Encode()} {
+		t.Run(name, func(t *testing.T) {
+			m := NewMembers()
+			m.Apply(Page{Whole: true, Version: 1, Rows: []Row{{Part: "d", Key: "n", Value: own.Encode(), Version: 1}}})
+			check := func(when string) {
+				states := m.NodeStates()
+				require.Len(t, states, 1, when)
+				require.Equal(t, own.Targets, states[0].Targets, when)
+			}
+			m.Apply(Page{Version: 2, Rows: []Row{{Part: "other", Key: "n", Value: value, Version: 2}}})
+			check("after the row was written")
+			m.Apply(Page{Version: 3, Rows: []Row{{Part: "other", Key: "n", Version: 3, Deleted: true}}})
+			check("after the row was deleted")
+			m.Apply(Page{Whole: true, Version: 4, Rows: []Row{
+				{Part: "d", Key: "n", Value: own.Encode(), Version: 1}, {Part: "other", Key: "n", Value: value, Version: 4},
+			}})
+			check("after all rows were read again")
+		})
+	}
+}
