Stop refusing requests when the clock is set back

Suspected by the review, without a case: the wall clock jumps ahead, which looks like a pause, and back. The time of the last tick and of the end of the pause stayed in the future, and every request was refused until the clock reached them.

The detector now takes over a time that lies before its last tick.

--- a/internal/agent/pause.go
+++ b/internal/agent/pause.go
@@ -47,12 +47,16 @@
 }
 
 // observe uses wall-clock time, because the monotonic clock may stand still while a VM is suspended. A step of the wall
-// clock looks like a pause and only causes refusals during the grace period.
+// clock looks like a pause and only causes refusals during the grace period, also if the clock is set back later.
 func (w *pauseDetector) observe() int64 {
 	now := w.clock.Now().UnixNano()
-	if now-w.last.Load() > int64(minPause) {
+	switch last := w.last.Load(); {
+	case now-last > int64(minPause):
 		w.resumed.Store(now)
 		w.last.Store(now)
+	case now < last:
+		w.resumed.Store(min(now, w.resumed.Load()))
+		w.last.Store(now)
 	}
 	return now
 }
