Refuse a body that comes slowly at the deadline, as not run

Suspected by the review, without a case: a body of up to 32 KiB that comes slowly got its 400 a second after the deadline. The read of the first block had the deadline of a forwarded body, which leaves the deadline itself to the exchange; here there is none yet.

The first block now ends with the deadline, and the answer is 408, which says that the request has not run; a 400 tells callers not to come back. TestSlowBodyIsRefusedAtTheDeadline fails on the code before.

--- a/internal/edge/body.go
+++ b/internal/edge/body.go
@@ -23,7 +23,7 @@
 	reading bool
 }
 
-// read reads the first block; it fails if the caller sends less than the stated length.
+// read reads the first block; it fails if the caller sends less than the stated length, or not before the deadline.
 func (b *body) read(w http.ResponseWriter, r *http.Request, deadline time.Time) error {
 	b.length = r.ContentLength
 	if r.ContentLength == 0 {
@@ -34,7 +34,7 @@
 	// request.
 	control := http.NewResponseController(w)
 	_ = control.EnableFullDuplex()
-	_ = control.SetReadDeadline(deadline.Add(relay.DeadlineSlack))
+	_ = control.SetReadDeadline(deadline)
 	b.reading = true
 	b.block = relay.GetBlock()
 	n, err := io.ReadFull(r.Body, b.block[:])
@@ -54,6 +54,7 @@
 		_ = control.SetReadDeadline(time.Time{})
 		return nil
 	}
+	_ = control.SetReadDeadline(deadline.Add(relay.DeadlineSlack))
 	b.source = relay.NewInboundBody(w, r.Body)
 	return nil
 }
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -97,7 +98,11 @@
 			q.refuseEarly(BodyTooLarge())
 			return
 		}
-		q.refuseEarly(notRunRefusal(http.StatusBadRequest, "the request body is shorter than announced, malformed or too slow", remedyFix))
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			q.refuseEarly(notRunRefusal(http.StatusRequestTimeout, "the request body did not arrive within the time of the request", remedyFix))
+			return
+		}
+		q.refuseEarly(notRunRefusal(http.StatusBadRequest, "the request body is shorter than announced or malformed", remedyFix))
 		return
 	}
 	defer q.watchDisconnect(cancel)()
--- a/internal/hosted/upload_test.go
+++ b/internal/hosted/upload_test.go
@@ -1,6 +1,7 @@
 package hosted_test
 
 import (
+	"bufio"
 	"bytes"
 	"crypto/sha256"
 	"fmt"
@@ -142,3 +143,32 @@
 		n.await(service, path)
 	}
 }
+
+// Pattern: the body of a request comes slowly, until after its deadline. Guards against an answer that comes late, and
+// against one that does not promise that the request has not run (CONFIG).
+func TestSlowBodyIsRefusedAtTheDeadline(t *testing.T) {
+	f, caller := withCaller(t, 1)
+	conn, err := net.Dial("tcp", caller.listeners.Callers)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	begin := time.Now()
+	const deadline = 800 * time.Millisecond
+	_, err = fmt.Fprintf(conn, "POST /order/1 HTTP/1.1\r\nHost: kassa.example\r\nAuburnwinch-Request-Id: slow\r\n"+
+		"Auburnwinch-Deadline-Ms: %d\r\nContent-Length: 1000\r\n\r\n", deadline.Milliseconds())
+	require.NoError(t, err)
+	go func() {
+		for range 30 {
+			if _, err := conn.Write([]byte("x")); err != nil {
+				return
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	_ = response.Body.Close()
+	require.Equal(t, http.StatusRequestTimeout, response.StatusCode)
+	require.Less(t, time.Since(begin), deadline+500*time.Millisecond)
+	runs, _ := f.runsOf("slow")
+	require.Zero(t, runs)
+}
