Call the store again at once after a call that it never answered

Two seconds are the bound, and the same time counts for a lost response of the configuration.

After a failure the call now asks for an immediate response, which a sound store gives, and the longest pause is 0.9 s.

--- a/internal/roster/backoff.go
+++ b/internal/roster/backoff.go
@@ -9,7 +9,7 @@
 	// initialBackoff and maxBackoff bound the delay between two calls after failures. A node must reconnect within two
 	// seconds after the store recovers, and a refused call costs as much as any other.
 	initialBackoff = 150 * time.Millisecond
-	maxBackoff     = time.Second
+	maxBackoff     = 900 * time.Millisecond
 )
 
 // backoff computes the delays between calls to a failing store.
--- a/internal/roster/watch_test.go
+++ b/internal/roster/watch_test.go
@@ -142,3 +142,33 @@
 	other.Refresh()
 	require.Eventually(t, func() bool { return slow.value("a") == "4" }, recoveryBound, time.Millisecond)
 }
+
+// Pattern: the store is unresponsive for so long that the delays between calls have grown to their bound. Guards against
+// watchers that hear of its return later than the bound, which depends on the moment of their last call.
+func TestManyWatchersLeaveForgottenCalls(t *testing.T) {
+	store, table := startStore(t)
+	store.Put("nodes", "p", "a", []byte("1"))
+	observers := make([]*observer, 40)
+	for i := range observers {
+		observers[i] = &observer{}
+		w := roster.NewWatcher(roster.WatcherConfig{Table: table, OnRows: observers[i].onRows, BatchDelay: time.Millisecond, Wait: time.Second})
+		defer w.Close()
+	}
+	awaitAll := func(value string) {
+		t.Helper()
+		for end, i := time.Now().Add(recoveryBound), 0; i < len(observers); {
+			if observers[i].value("a") == value {
+				i++
+				continue
+			}
+			require.True(t, time.Now().Before(end), "watcher %d has %q instead of %q", i, observers[i].value("a"), value)
+			time.Sleep(time.Millisecond)
+		}
+	}
+	awaitAll("1")
+	store.SetFault(func(fake.Call) fake.Fault { return fake.Fault{Hang: true} })
+	time.Sleep(9 * time.Second)
+	store.Put("nodes", "p", "a", []byte("2"))
+	store.SetFault(nil)
+	awaitAll("2")
+}
--- a/internal/roster/watcher.go
+++ b/internal/roster/watcher.go
@@ -19,10 +19,10 @@
 	defaultBatchDelay = 250 * time.Millisecond
 	// defaultWait is how long one call waits for changes.
 	defaultWait = 30 * time.Second
-	// waitAfterFailure bounds the wait after a failure and while a change is known to be missing. A store that accepts
-	// calls without responding must not hold one for long, since it does not respond to that call after it has recovered
-	// either.
-	waitAfterFailure = 500 * time.Millisecond
+	// waitAfterFailure is the wait after a failure and while a change is known to be missing. A store that accepts calls
+	// without responding does not respond to them after it has recovered either, so that one which does not respond at
+	// once is to be called again.
+	waitAfterFailure = 0
 )
 
 // WatcherConfig configures a Watcher; Table and OnRows are required.
@@ -120,7 +120,7 @@
 	if known {
 		wait := w.config.Wait
 		if w.backoff.failures > 0 || w.isBehind() {
-			wait = min(wait, waitAfterFailure)
+			wait = waitAfterFailure
 		}
 		ctx, cancel := context.WithCancel(ctx)
 		w.setCancelCall(cancel)
