Soak: lost responses of the store, reset uploads, pauses within answers, crashes after callers have left

New at random, beside the other faults: responses of the store are lost, targets answer long uploads early and reset the connection, targets crash. New after the last fault, in calm and without callers, as the guarantees hold only then: every node has a configuration within 3 s after the store had lost all responses; orders at targets that pause for 2.3 s within their answers are served across the termination of the node that took them; no reset upload is a success; a request that crashes its targets after its caller has left is quarantined.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -66,6 +66,9 @@
 	if order {
 		method, uri, body = http.MethodPost, "/order/"+id, strings.Repeat("item ", 20)
 	}
+	if order && c.uploads(id) {
+		body = upload
+	}
 	r, err := http.NewRequest(method, "http://"+n.address(portCallers)+uri, strings.NewReader(body))
 	if err != nil {
 		panic(err) // Only the id varies, so the request is always valid.
--- a/internal/soak/harness_test.go
+++ b/internal/soak/harness_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -43,6 +44,7 @@
 	nodes        []*node
 	ledger       *ledger
 	notices      *notices
+	poison       poison
 	lastTargetID int
 	version      atomic.Int64
 
@@ -108,13 +110,15 @@
 // writeConfiguration writes a configuration that has the routes of all services and one route unique to its version.
 func (h *harness) writeConfiguration(version int64) {
 	var resources []string
+	timeouts := map[string]int{pausePath: 5000}
 	route := func(name, host, prefix, kind, service string) {
 		resources = append(resources, fmt.Sprintf(`{"resourceType":"routes","metadata":{"name":"%s"},"spec":{"host":"%s","prefix":"%s",`+
-			`"kind":"%s","timeoutMs":2000,"targetLatencyMs":500,"priority":1,"service":"%s","maxAttempts":2}}`, name, host, prefix, kind, service))
+			`"kind":"%s","timeoutMs":%d,"targetLatencyMs":500,"priority":1,"service":"%s","maxAttempts":2}}`, name, host, prefix, kind, cmp.Or(timeouts[prefix], 2000), service))
 	}
 	for _, s := range services {
 		route(s+"-read", s+".example", "/read/", "idempotent", s)
 		route(s+"-order", s+".example", "/order/", "non_idempotent", s)
+		route(s+"-pause", s+".example", pausePath, "non_idempotent", s)
 		resources = append(resources, fmt.Sprintf(`{"resourceType":"services","metadata":{"name":"%s"},"spec":{}}`, s))
 	}
 	route("only", "only.example", fmt.Sprintf("/only-%d/", version), "idempotent", services[0])
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -34,6 +34,8 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
+	// clients are the connections of clients by the local address of the upstream connection.
+	clients map[string]net.Conn
 }
 
 func newProxy(upstream string) (*proxy, error) {
@@ -41,7 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, upstream: upstream, conns: make(map[net.Conn]struct{})}
+	p := &proxy{listener: l, upstream: upstream, conns: make(map[net.Conn]struct{}), clients: make(map[string]net.Conn)}
 	go p.serve()
 	return p, nil
 }
@@ -61,6 +63,16 @@
 	}
 }
 
+// reset resets the connection of the client whose bytes arrive upstream from the address.
+func (p *proxy) reset(from net.Addr) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if client, ok := p.clients[from.String()].(*net.TCPConn); ok {
+		_ = client.SetLinger(0)
+		_ = client.Close()
+	}
+}
+
 func (p *proxy) close() {
 	_ = p.listener.Close()
 	p.setMode(pathReset)
@@ -84,6 +96,7 @@
 		}
 		p.mu.Lock()
 		p.conns[client], p.conns[server] = struct{}{}, struct{}{}
+		p.clients[server.LocalAddr().String()] = client
 		p.mu.Unlock()
 		go p.forward(server, client, false)
 		go p.forward(client, server, true)
@@ -99,6 +112,8 @@
 		p.mu.Lock()
 		delete(p.conns, to)
 		delete(p.conns, from)
+		delete(p.clients, to.LocalAddr().String())
+		delete(p.clients, from.LocalAddr().String())
 		p.mu.Unlock()
 	}()
 	buffer := make([]byte, 16<<10)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -100,12 +100,15 @@
 		return true
 	}, 20*time.Second, 50*time.Millisecond, "logs in %s", directory)
 	c := startCallers(h)
-	f := &faultInjector{harness: h, rng: rand.New(rand.NewPCG(seed, 7)), limits: rand.New(rand.NewPCG(seed, 8)), departures: rand.New(rand.NewPCG(seed, 9))}
+	f := &faultInjector{harness: h, rng: rand.New(rand.NewPCG(seed, 7)), limits: rand.New(rand.NewPCG(seed, 8)), departures: rand.New(rand.NewPCG(seed, 9)), upsets: rand.New(rand.NewPCG(seed, 10))}
 	f.run(faultsFor)
 	f.leaving.Wait()
 	recovered := f.waitRecovered(c)
 	c.close()
 	time.Sleep(callerTimeout) // Requests that timed out at the caller may still reach a target.
+	if recovered {
+		checkCalm(h)
+	}
 	violations := append(append(h.violations, h.ledger.check()...), h.notices.check()...)
 	if !recovered {
 		violations = append(violations, fmt.Sprintf("less than %v of the requests were served within %s after the last fault", recoveredRatio, recoveryTimeout))
@@ -124,6 +127,8 @@
 	limits *rand.Rand
 	// departures draws the targets that deregister, for the same reason.
 	departures *rand.Rand
+	// upsets draws the lost responses of the store, the uploads that are reset and the crashes of targets.
+	upsets *rand.Rand
 	// leaving holds the targets that deregister and the restarts of their nodes.
 	leaving sync.WaitGroup
 }
@@ -133,6 +138,7 @@
 		f.inject()
 		f.limitTarget()
 		f.deregisterTarget()
+		f.upset()
 		time.Sleep(time.Duration(100+f.rng.IntN(500)) * time.Millisecond)
 		f.checkProcesses()
 	}
@@ -171,8 +177,8 @@
 	case 5:
 		mode := pathMode(1 + f.rng.IntN(int(pathModeCount)-1))
 		name = fmt.Sprintf("target path %d of %s", mode, n.name)
-		n.target.proxy.setMode(mode)
-		time.AfterFunc(duration, func() { n.target.proxy.setMode(pathOpen) })
+		n.target.path().setMode(mode)
+		time.AfterFunc(duration, func() { n.target.path().setMode(pathOpen) })
 	case 6, 7:
 		b := behavior(1 + f.rng.IntN(int(behaviorCount)-1))
 		name = fmt.Sprintf("behavior %d of %s", b, n.name)
--- a/internal/soak/target_test.go
+++ b/internal/soak/target_test.go
@@ -39,10 +39,11 @@
 	harness *harness
 	node    *node
 	server  *httptest.Server
-	proxy   *proxy
 	stopped chan struct{}
 
 	mu        sync.Mutex
+	proxy     *proxy
+	crashed   bool
 	id        string
 	startedAt int64
 	sequence  int
@@ -52,6 +53,8 @@
 	silent bool
 	// drainAckedAt is when a node first acknowledged that this incarnation leaves.
 	drainAckedAt time.Time
+	// resetsUploads makes the target answer long requests early and reset their connections.
+	resetsUploads bool
 }
 
 func newTarget(h *harness, n *node) (*target, error) {
@@ -170,7 +173,7 @@
 
 func (g *target) close() {
 	close(g.stopped)
-	g.proxy.close()
+	g.path().close()
 	g.server.CloseClientConnections()
 	g.server.Close()
 }
@@ -183,7 +186,7 @@
 		case <-time.After(heartbeatInterval):
 		}
 		draining, silent := g.isLeaving()
-		if silent {
+		if silent || g.isDown() {
 			continue
 		}
 		body, id := g.heartbeat("")
@@ -208,12 +211,17 @@
 	id := r.Header.Get("Auburnwinch-Request-Id")
 	g.mu.Lock()
 	instance, current, ackedAt, draining := g.id, g.behavior, g.drainAckedAt, g.draining && !g.silent
+	resetsUploads := g.resetsUploads
 	g.mu.Unlock()
 	w.Header().Set("Auburnwinch-Request-Id", id)
 	if r.Header.Get("Auburnwinch-Expect-Instance") != instance {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if resetsUploads && r.ContentLength == uploadBytes {
+		g.resetUpload(w, r, id)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // An incomplete request is not run.
@@ -229,6 +237,12 @@
 		g.harness.addViolation("request %s reached the draining target %s %s after the drain was acknowledged", id, instance, time.Since(ackedAt))
 	}
 	g.harness.ledger.requestRan(id)
+	if strings.HasPrefix(r.RequestURI, poisonPath) {
+		g.harness.poison.arrived()
+		time.AfterFunc(crashDelay, g.crash)
+		<-r.Context().Done()
+		return
+	}
 	time.Sleep(time.Duration(5+rand.IntN(40)) * time.Millisecond)
 	g.respond(w, r, current, id, body)
 }
@@ -239,6 +253,13 @@
 	}
 	w.Header().Set("Auburnwinch-Server-Seal", "seal-"+id)
 	full := expectedBody(r.Method, r.RequestURI, id, string(body))
+	if strings.HasPrefix(r.RequestURI, pausePath) {
+		_, _ = io.WriteString(w, full[:len(full)/2])
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(answerPause)
+		_, _ = io.WriteString(w, full[len(full)/2:])
+		return
+	}
 	switch b {
 	case behaviorFailing:
 		w.WriteHeader(http.StatusInternalServerError)
@@ -271,5 +292,9 @@
 
 // expectedBody returns the response body for a request; it is long enough to arrive in several reads.
 func expectedBody(method, uri, id, body string) string {
+	if len(body) == uploadBytes {
+		// Its reader is still busy when the connection is reset.
+		return strings.Repeat(method+" "+uri+" "+id+" an upload\n", 6000)
+	}
 	return strings.Repeat(method+" "+uri+" "+id+" "+body+"\n", 200)
 }
