--- a/internal/feed/rpc.go
+++ b/internal/feed/rpc.go
@@ -31,8 +31,11 @@
 type WatchArgs struct {
 	After uint64
 	Wait  time.Duration
-	// Number is the highest number of a configuration that the caller knows of, in force there or not.
+	// Number is the number of the configuration in force at the caller.
 	Number uint64
+	// Known is the highest number that the caller knows of, in force there or not. It is zero if the caller can't use an
+	// early response that only tells it of a newer one.
+	Known uint64
 }
 
 // WatchReply holds the changed rows.
@@ -69,7 +72,7 @@
 // than the caller knows of is in force.
 func (f *Feed) Watch(args WatchArgs, reply *WatchReply) error {
 	f.table.observeNumber(args.Number)
-	newer := func() bool { return f.table.number() > args.Number }
+	newer := func() bool { return args.Known > 0 && f.table.number() > args.Known }
 	page, err := f.table.cache.wait(context.Background(), args.After, min(args.Wait, maxWait), newer)
 	if err != nil {
 		return err
--- a/internal/feed/table.go
+++ b/internal/feed/table.go
@@ -204,7 +204,9 @@
 	// While this node follows another one, no node should follow it.
 	t.cache.stopReading()
 	t.peerCalls.Add(1)
-	reply, err := t.client.watch(ctx, t.config.Dial, p.Address, WatchArgs{After: after, Wait: wait, Number: max(t.number(), t.heard.Load())})
+	reply, err := t.client.watch(ctx, t.config.Dial, p.Address, WatchArgs{
+		After: after, Wait: wait, Number: t.number(), Known: max(t.number(), t.heard.Load()),
+	})
 	if err != nil {
 		return roster.Page{}, err
 	}
--- a/internal/feed/table_test.go
+++ b/internal/feed/table_test.go
@@ -38,8 +38,9 @@
 	watcher      *roster.Watcher
 	disconnected atomic.Bool
 
-	mu     sync.Mutex
-	values map[string]string
+	mu      sync.Mutex
+	values  map[string]string
+	numbers numbers
 }
 
 // disconnectableStore forwards calls to the store unless the node is disconnected from it.
@@ -106,6 +107,7 @@
 	store := platform.NewStore(platform.StoreConfig{Address: f.address})
 	n.table = feed.NewTable(feed.Config{
 		Store: disconnectableStore{Store: store.Table("nodes"), disconnected: &n.disconnected}, Self: id, Domain: n.domain, BatchDelay: 10 * time.Millisecond,
+		Configurations: &n.numbers,
 	})
 	server, err := feed.NewServer("127.0.0.1:0", n.table)
 	require.NoError(f.t, err)
