--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -70,6 +70,26 @@
 	Parents Parents
 	// Notices remembers what targets state about themselves.
 	Notices Notices
+	// Accounts identifies the client account of a request; without it there are none.
+	Accounts Accounts
+	// Quotas bounds the requests of client accounts; without it they are not bounded.
+	Quotas Quotas
+}
+
+// Accounts identifies client accounts by their keys.
+type Accounts interface {
+	// Identify returns the client account that holds the key. Required is false while the configuration in force has no
+	// client accounts; account is nil if none of them holds the key.
+	Identify(key string) (account *model.ClientAccount, required bool)
+}
+
+// Quotas bounds the requests of client accounts over the whole fleet.
+type Quotas interface {
+	// Take takes one request out of the quota of the account, and may wait shortly for other nodes. Unless ok, the request
+	// exceeds the quota, and retryAfter tells when one would not.
+	Take(ctx context.Context, account *model.ClientAccount) (retryAfter time.Duration, ok bool)
+	// GiveBack returns a request that reached no target.
+	GiveBack(account *model.ClientAccount)
 }
 
 // Notices remembers what targets state about themselves, beyond restarts of the nodes beside them.
--- a/internal/hosted/config.go
+++ b/internal/hosted/config.go
@@ -58,6 +58,7 @@
 // OperatorConfig is a complete configuration with the limits on caller requests.
 type OperatorConfig struct {
 	Configuration model.Configuration
+	Accounts      []model.ClientAccount
 	Limits        Limits
 }
 
--- a/pkg/model/spec.go
+++ b/pkg/model/spec.go
@@ -54,6 +54,8 @@
 	Split []SplitPart `cbor:"12,keyasint,omitempty" json:"split,omitempty" yaml:"split,omitempty"`
 	// Literal matches PathPrefix against the path byte by byte, including its trailing slash and any dot segments.
 	Literal bool `cbor:"13,keyasint,omitempty" json:"literal,omitempty" yaml:"literal,omitempty"`
+	// Public accepts requests without the key of a client account.
+	Public bool `cbor:"14,keyasint,omitempty" json:"public,omitempty" yaml:"public,omitempty"`
 }
 
 // SplitPart is the weight of one service in the split of a route.
