--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -14,7 +14,7 @@
 func (x *exchange) admitRequest() AdmitRequest {
 	h := x.r.Header
 	r := AdmitRequest{
-		Account: h.Get(model.HeaderAccount), Deadline: x.deadline, Route: x.route, Class: x.class,
+		Account: x.account(), Deadline: x.deadline, Route: x.route, Class: x.class,
 		HasPatience: x.negotiated,
 	}
 	if patience, err := time.ParseDuration(h.Get(model.HeaderPatience)); err == nil {
@@ -26,6 +26,14 @@
 	return r
 }
 
+// account returns the client account with whose requests this one takes turns, or "".
+func (x *exchange) account() string {
+	if account := x.r.Header.Get(model.HeaderAccount); account != "" {
+		return account
+	}
+	return x.r.Header.Get(model.HeaderParentAccount)
+}
+
 // waitError is an error of the limiter that tells how long the request would wait.
 type waitError interface {
 	ExpectedWait() time.Duration
--- a/internal/agent/parents.go
+++ b/internal/agent/parents.go
@@ -39,7 +39,7 @@
 	a.parents.running[id] = p
 }
 
-func (p *parents) begin(id string, class relay.Class) {
+func (p *parents) begin(id, account string, class relay.Class) {
 	if id == "" {
 		return
 	}
@@ -48,7 +48,7 @@
 	if p.running == nil {
 		p.running = make(map[string]parent)
 	}
-	p.running[id] = parent{Parent: relay.Parent{Rank: class.Rank, Retry: class.Retry}}
+	p.running[id] = parent{Parent: relay.Parent{Rank: class.Rank, Retry: class.Retry, Account: account}}
 }
 
 // end removes the request and reports whether one of its calls was not served.
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -232,7 +232,7 @@
 	x.sendContinue()
 	begin := x.agent.config.Clock.Now()
 	id := x.agent.config.Protocol.ID(x.r)
-	x.agent.parents.begin(id, x.class)
+	x.agent.parents.begin(id, x.account(), x.class)
 	kind := x.forward(ctx, conn)
 	if x.agent.parents.end(id) && (kind == ResultError || kind == ResultOverdue) {
 		kind = ResultCallFailed
--- a/internal/edge/calls_test.go
+++ b/internal/edge/calls_test.go
@@ -21,6 +21,7 @@
 func (nestedCalls) ID(*http.Request) string                                 { return "" }
 func (nestedCalls) Timeout(*http.Request) (time.Duration, error)            { return 0, nil }
 func (c nestedCalls) Parent(*http.Request) string                           { return c.running }
+func (nestedCalls) AccountKey(*http.Request) (key, header string)           { return "", "" }
 func (nestedCalls) Header(*http.Request) (add []relay.Field, omit []string) { return nil, nil }
 func (nestedCalls) Refuse(w http.ResponseWriter, r relay.Refusal)           { w.WriteHeader(r.Status) }
 
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -76,13 +76,6 @@
 	Quotas Quotas
 }
 
-// Accounts identifies client accounts by their keys.
-type Accounts interface {
-	// Identify returns the client account that holds the key. Required is false while the configuration in force has no
-	// client accounts; account is nil if none of them holds the key.
-	Identify(key string) (account *model.ClientAccount, required bool)
-}
-
 // Quotas bounds the requests of client accounts over the whole fleet.
 type Quotas interface {
 	// Take takes one request out of the quota of the account, and may wait shortly for other nodes. Unless ok, the request
@@ -108,6 +101,8 @@
 	Number() uint64
 	// Observe receives the current number of another node.
 	Observe(number uint64)
+	// Behind reports whether another node has a higher number.
+	Behind() bool
 }
 
 // Parents looks up the requests that run at the target on this VM and may send requests of their own.
@@ -127,6 +122,8 @@
 	// Parent returns the id of the request that the target on this VM was running when it sent this one, or "" if the
 	// request is not a nested call.
 	Parent(r *http.Request) string
+	// AccountKey returns the key of a client account that the request carries, or "", and the name of the header for keys.
+	AccountKey(r *http.Request) (key, header string)
 	// Header returns headers to add for the target, and headers of the caller to omit.
 	Header(r *http.Request) (add []relay.Field, omit []string)
 	// Refuse writes a response that comes from the fleet rather than a target.
--- a/internal/edge/protocol.go
+++ b/internal/edge/protocol.go
@@ -35,6 +35,9 @@
 // Parent returns "" because targets send no nested calls through the edge on their VM.
 func (defaultProtocol) Parent(*http.Request) string { return "" }
 
+// AccountKey returns "" because callers state their account.
+func (defaultProtocol) AccountKey(*http.Request) (key, header string) { return "", "" }
+
 // Header adds nothing.
 func (defaultProtocol) Header(*http.Request) ([]relay.Field, []string) { return nil, nil }
 
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -63,7 +63,14 @@
 	parent      string
 	parentRetry bool
 	hasProgress bool
-	// rank is the rank of the route, or of the parent request.
+	// parentRuns tells whether the parent runs at the target on this VM, and parentAccount holds its client account.
+	parentRuns    bool
+	parentAccount string
+	// account is the client account whose key the request carries; it is nil if there is none.
+	account *model.ClientAccount
+	// keyHeader is the name of the header that is not forwarded because it may hold a key.
+	keyHeader string
+	// rank is the rank of the client account, of the route, or of the parent request.
 	rank int
 	// refused lists the refusals of agents that may admit the request later; refusalCount counts all of them.
 	refused        []AgentRefusal
@@ -88,6 +95,10 @@
 		q.refuseEarly(refusal)
 		return
 	}
+	if refusal, ok := q.identify(); !ok {
+		q.refuseEarly(refusal)
+		return
+	}
 	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
 	defer cancel()
 	defer context.AfterFunc(q.edge.aborted, cancel)()
@@ -163,6 +174,7 @@
 	if parents := q.edge.config.Parents; parents != nil && q.parent != "" {
 		if parent, ok := parents.Parent(q.parent); ok {
 			q.rank, q.parentRetry, q.hasProgress = parent.Rank, parent.Retry, parent.HasProgress
+			q.parentRuns, q.parentAccount = true, parent.Account
 		}
 	}
 	return relay.Refusal{}, true
@@ -188,6 +200,8 @@
 		return notRunRefusal(http.StatusMethodNotAllowed, "the route does not accept this method", remedyFix)
 	case errors.Is(err, router.ErrPath):
 		return notRunRefusal(http.StatusBadRequest, "the path holds dot segments", remedyFix)
+	case q.edge.isBehind():
+		return behindRefusal("a newer configuration, which may have this route, is on its way")
 	default:
 		return notRunRefusal(http.StatusNotFound, "no route matches host and path", remedyFix)
 	}
@@ -199,9 +213,7 @@
 	q.addField(model.HeaderRoute, q.match.Route.Name)
 	add, omit := q.edge.config.Protocol.Header(q.r)
 	q.fields, q.omit = append(q.fields, add...), omit
-	if account := q.r.Header[model.HeaderAccount]; len(account) > 0 {
-		q.addField(model.HeaderAccount, account[0])
-	}
+	q.addAccountFields()
 	if p := q.edge.config.PoisonDetector; p != nil {
 		q.fingerprint = p.Fingerprint(PoisonRequest{
 			Host: q.r.Host, Service: q.match.Service, Method: q.r.Method, Path: q.r.URL.Path, Query: q.r.URL.RawQuery,
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -31,6 +31,8 @@
 	view   view.Holder
 	limits atomic.Pointer[Limits]
 	number atomic.Uint64
+	// heard is the highest configuration number of another node.
+	heard atomic.Uint64
 	// numberChanged is called when a newer configuration is in force.
 	numberChanged func()
 	// refresh makes the configuration watcher query the store again, rate-limited by backoff.
@@ -123,11 +125,18 @@
 	if number <= b.number.Load() {
 		return
 	}
+	for heard := b.heard.Load(); number > heard && !b.heard.CompareAndSwap(heard, number); heard = b.heard.Load() {
+	}
 	if delay, due := b.backoff.schedule(b.clock.Now(), number); due {
 		time.AfterFunc(delay, func() { b.refreshUnless(number) })
 	}
 }
 
+// Behind reports whether another node has a newer configuration.
+func (b *fleetState) Behind() bool {
+	return b.heard.Load() > b.number.Load()
+}
+
 // refreshUnless queries the store again unless the configuration has arrived meanwhile.
 func (b *fleetState) refreshUnless(number uint64) {
 	if known := b.number.Load(); known < number {
--- a/internal/relay/class.go
+++ b/internal/relay/class.go
@@ -38,6 +38,8 @@
 	Retry bool
 	// HasProgress is set if one of its calls was served.
 	HasProgress bool
+	// Account is the client account that it belongs to, or "".
+	Account string
 }
 
 // String formats the class for the header.
--- a/internal/relay/header.go
+++ b/internal/relay/header.go
@@ -18,7 +18,7 @@
 	model.HeaderRoute: {}, model.HeaderFingerprint: {}, model.HeaderClass: {}, model.HeaderPatience: {},
 	model.HeaderWait: {}, model.HeaderChance: {}, model.HeaderCrashes: {},
 	model.HeaderConfiguration: {}, model.HeaderObjective: {}, model.HeaderRateLimit: {}, model.HeaderTargetLeaving: {},
-	model.HeaderFrames: {},
+	model.HeaderFrames: {}, model.HeaderParentAccount: {},
 }
 
 // Reasons for which an agent refuses a request; the request certainly did not run unless the reason says otherwise.
--- a/pkg/model/header.go
+++ b/pkg/model/header.go
@@ -27,6 +27,8 @@
 	HeaderCrashes = "Auburnwinch-Crashes"
 	// HeaderClass is what the agent needs to know about the request to decide on its admission, see relay.Class.
 	HeaderClass = "Auburnwinch-Class"
+	// HeaderParentAccount is the client account of the request that waits for a nested call.
+	HeaderParentAccount = "Auburnwinch-Parent-Account"
 	// HeaderPatience is how long the request may wait for a slot, as a Go duration.
 	HeaderPatience = "Auburnwinch-Patience"
 	// HeaderObjective is the time after which the answer has lost most of its value, as a Go duration.
