--- /dev/null
+++ b/internal/hosted/accounts_test.go
@@ -0,0 +1,156 @@
+package hosted_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/auburnwinch/auburnwinch/platform/fake"
+)
+
+// accountEntry returns the configuration entry of a client account.
+func accountEntry(name string, keys ...string) string {
+	return fmt.Sprintf(`{"resourceType":"tenants","metadata":{"name":"%s"},"spec":{"apiKeys":["%s"]}}`, name, strings.Join(keys, `","`))
+}
+
+// callWith sends a request with the headers, given as name and value by turns, and returns the status.
+func (n *testNode) callWith(id, path string, header ...string) int {
+	r, err := http.NewRequest(http.MethodGet, "http://"+n.listeners.Callers+path, nil)
+	require.NoError(n.fleet.t, err)
+	r.Host = "kassa.example"
+	r.Header.Set("Auburnwinch-Request-Id", id)
+	r.Header.Set("Auburnwinch-Deadline-Ms", "3000")
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Add(header[i], header[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, _ = io.Copy(io.Discard, response.Body) // Only the status matters.
+	return response.StatusCode
+}
+
+func (n *testNode) callWithKey(id, key string) int {
+	return n.callWith(id, "/read/1", "Authorization", "Bearer "+key)
+}
+
+// noKeyIn fails if a log, the state dump or the metrics of a node hold one of the keys.
+func (f *fleet) noKeyIn(keys ...string) {
+	f.t.Helper()
+	for _, n := range f.nodes {
+		texts := []string{n.log.String()}
+		for _, path := range []string{"/state", "/metrics"} {
+			response, err := http.Get("http://" + n.listeners.Metrics + path)
+			require.NoError(f.t, err)
+			body, err := io.ReadAll(response.Body)
+			_ = response.Body.Close()
+			require.NoError(f.t, err)
+			texts = append(texts, string(body))
+		}
+		for _, key := range keys {
+			for _, text := range texts {
+				require.NotContains(f.t, text, key)
+			}
+		}
+	}
+}
+
+// Guards against requests that run without a key or with a withdrawn one, against keys and forged accounts that reach a
+// target, and against keys in logs, the state dump and metrics.
+func TestClientAccounts(t *testing.T) {
+	f := newFleet(t)
+	f.accounts = []string{accountEntry("maker", "key-maker-1", "key-maker-2"), accountEntry("buyer", "key-buyer-1")}
+	f.configure(7, "kassa")
+	served, caller := f.add("kassa", "a"), f.add("werk", "a")
+	seen := make(chan http.Header, 100)
+	served.target.set(func(_ http.ResponseWriter, r *http.Request) bool {
+		seen <- r.Header.Clone()
+		return false
+	})
+	require.Eventually(t, func() bool { return caller.callWithKey("warm", "key-maker-1") == http.StatusOK }, 5*time.Second, 20*time.Millisecond)
+	for len(seen) > 0 {
+		<-seen
+	}
+	for i, c := range []struct {
+		key, account string
+		status       int
+	}{
+		{"key-maker-1", "maker", 200},
+		{"key-maker-2", "maker", 200},
+		{"key-buyer-1", "buyer", 200},
+		{"key-of-nobody", "", 401},
+		{"", "", 401},
+	} {
+		id := fmt.Sprintf("keyed-%d", i)
+		status := caller.callWith(id, "/read/1", "Authorization", "Bearer "+c.key, "Auburnwinch-Tenant", "forged", "Auburnwinch-Account", "forged")
+		require.Equal(t, c.status, status, c.key)
+		if c.status != http.StatusOK {
+			require.Zero(t, served.target.ran(id))
+			continue
+		}
+		h := <-seen
+		require.Empty(t, h.Values("Authorization"))
+		require.Equal(t, []string{c.account}, h.Values("Auburnwinch-Tenant"))
+		require.Empty(t, h.Values("Auburnwinch-Account"))
+	}
+	f.accounts = []string{accountEntry("maker", "key-maker-2"), accountEntry("buyer", "key-buyer-1", "key-maker-2")}
+	f.configure(8, "kassa")
+	require.Eventually(t, func() bool { return caller.log.contains("configuration rejected", "share a key") }, 5*time.Second, 20*time.Millisecond)
+	f.accounts = []string{`{"resourceType":"tenants","metadata":{"name":"maker"},"spec":{"apiKeys":["key-maker-1",17],"ratePerS":"key-maker-2"}}`}
+	f.configure(9, "kassa")
+	require.Eventually(t, func() bool { return caller.log.contains("configuration rejected", "apiKeys must be") }, 5*time.Second, 20*time.Millisecond)
+	require.Equal(t, http.StatusOK, caller.callWithKey("still", "key-maker-1"), "the configuration before stays in force")
+	f.accounts = []string{accountEntry("maker", "key-maker-2")}
+	f.configure(10, "kassa")
+	require.Eventually(t, func() bool { return caller.callWithKey("withdrawn", "key-maker-1") == http.StatusUnauthorized }, 5*time.Second, 20*time.Millisecond)
+	f.noKeyIn("key-maker-1", "key-maker-2", "key-buyer-1", "key-of-nobody")
+}
+
+// Guards against calls of targets that are refused for want of a key although the request that makes them runs, also after
+// a restart of the node beside their target, and against an account that is shown to the target of such a call.
+func TestCallsNeedNoKey(t *testing.T) {
+	f := newFleet(t)
+	f.accounts = []string{accountEntry("maker", "key-maker-1")}
+	f.configure(7, "kassa")
+	served := f.add("kassa", "a")
+	require.Eventually(t, func() bool { return served.callWithKey("warm", "key-maker-1") == http.StatusOK }, 5*time.Second, 20*time.Millisecond)
+	accounts := make(chan string, 100)
+	nested := make(chan int, 100)
+	served.target.set(func(_ http.ResponseWriter, r *http.Request) bool {
+		accounts <- r.Header.Get("Auburnwinch-Tenant")
+		if r.Header.Get("Auburnwinch-Request-Id") == "parent" {
+			nested <- served.callWith("parent.1", "/read/2")
+		}
+		return false
+	})
+	require.Equal(t, http.StatusOK, served.callWithKey("parent", "key-maker-1"))
+	require.Equal(t, http.StatusOK, <-nested)
+	require.Equal(t, "maker", <-accounts)
+	require.Empty(t, <-accounts)
+	served.restart("a")
+	served.target.heartbeat("ready")
+	require.Eventually(t, func() bool { return served.callWith("parent.2", "/read/2") == http.StatusOK }, 5*time.Second, 20*time.Millisecond)
+	require.Equal(t, http.StatusUnauthorized, served.callWith("plain", "/read/2"))
+}
+
+// Guards against keys that are refused as unknown by a node that knows no configuration.
+func TestNoConfigurationIsNoUnknownKey(t *testing.T) {
+	f := newFleet(t)
+	f.store.SetFault(func(c fake.Call) fake.Fault {
+		if c.Table == "op" {
+			return fake.Fault{Status: http.StatusServiceUnavailable}
+		}
+		return fake.Fault{}
+	})
+	f.accounts = []string{accountEntry("maker", "key-maker-1")}
+	f.configure(7, "kassa")
+	require.Equal(t, http.StatusServiceUnavailable, f.add("kassa", "a").callWithKey("early", "key-maker-1"))
+}
--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -36,6 +36,8 @@
 	ids     int
 	// bodyLimit is the body limit in the configurations; zero omits it.
 	bodyLimit int
+	// accounts holds the entries for client accounts in the configurations.
+	accounts []string
 }
 
 // testNode is one node with its local target.
@@ -141,6 +143,7 @@
 			`"prefix":"/long/","kind":"non_idempotent","timeoutMs":20000,"targetLatencyMs":9000,"priority":1,"service":"%s","maxAttempts":2}}`, s, s, s))
 		resources = append(resources, fmt.Sprintf(`{"resourceType":"services","metadata":{"name":"%s"},"spec":{}}`, s))
 	}
+	resources = append(resources, f.accounts...)
 	if f.bodyLimit > 0 {
 		resources = append(resources, fmt.Sprintf(`{"resourceType":"limits","metadata":{},"spec":{"maxBodyBytes":%d}}`, f.bodyLimit))
 	}
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -191,7 +191,7 @@
 		Logger: n.config.FailureLogger, Dial: n.config.Dial, DialTimeout: relayDialTimeout, ReusedHeaderTimeout: reusedHeaderTimeout,
 		HeaderTimeout: headerTimeout, BodyIdleTimeout: bodyIdleTimeout, StartupWait: startupWait, StartupPeriod: startupPeriod, Protocol: n.config.CallerProtocol, NegotiateAdmission: true, BufferBytes: bufferBytes,
 		RequestLogger: n.requestLogger, PoisonDetector: n.guard, CrashCounter: n.guard, Parents: n.agent, Configurations: n.fleet,
-		Notices: n.picker,
+		Notices: n.picker, Accounts: n.fleet,
 	})
 	n.fleet.edge = n.edge
 	return err
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/auburnwinch/auburnwinch/internal/access"
 	"github.com/auburnwinch/auburnwinch/internal/edge"
 	"github.com/auburnwinch/auburnwinch/internal/invar"
 	"github.com/auburnwinch/auburnwinch/internal/picker"
@@ -29,8 +30,10 @@
 	guard  *poisonGuard
 	edge   *edge.Edge
 	view   view.Holder
-	limits atomic.Pointer[Limits]
-	number atomic.Uint64
+	// accounts holds the client accounts.
+	accounts access.Holder
+	limits   atomic.Pointer[Limits]
+	number   atomic.Uint64
 	// heard is the highest configuration number of another node.
 	heard atomic.Uint64
 	// numberChanged is called when a newer configuration is in force.
@@ -91,15 +94,21 @@
 		_ = level.Error(b.logger).Log("msg", "configuration rejected", "number", config.Configuration.Number, "err", err)
 		return
 	}
+	accounts, err := access.NewTable(config.Accounts)
+	if err != nil {
+		_ = level.Error(b.logger).Log("msg", "configuration rejected", "number", config.Configuration.Number, "err", err)
+		return
+	}
 	before := b.number.Swap(config.Configuration.Number)
 	invar.Check(before < config.Configuration.Number, "hosted", "configuration went from %d to %d", before, config.Configuration.Number)
 	b.config, b.configuredAt = config, b.clock.Now()
 	b.limits.Store(&config.Limits)
 	b.publishView()
+	b.accounts.Store(accounts) // Before the routes, so that a new route finds the keys that came with it.
 	b.edge.SetRoutes(table)
 	b.numberChanged()
 	_ = level.Info(b.logger).Log("msg", "configuration in force", "number", config.Configuration.Number, "before", before,
-		"row-version", rowVersion, "services", len(config.Configuration.Services), "routes", table.Len())
+		"row-version", rowVersion, "services", len(config.Configuration.Services), "routes", table.Len(), "accounts", accounts.Accounts())
 }
 
 func (b *fleetState) publishView() {
@@ -137,6 +146,14 @@
 	return b.heard.Load() > b.number.Load()
 }
 
+// Identify returns the client account that holds the key.
+func (b *fleetState) Identify(key string) (account *model.ClientAccount, required bool) {
+	return b.accounts.Identify(key)
+}
+
+// Confirmed reports whether the keys are recent enough to be relied on.
+func (b *fleetState) Confirmed() bool { return true }
+
 // refreshUnless queries the store again unless the configuration has arrived meanwhile.
 func (b *fleetState) refreshUnless(number uint64) {
 	if known := b.number.Load(); known < number {
