--- a/cmd/auburnwinch/reload.go
+++ b/cmd/auburnwinch/reload.go
@@ -6,6 +6,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/auburnwinch/auburnwinch/internal/access"
 	"github.com/auburnwinch/auburnwinch/internal/hosted"
 	"github.com/auburnwinch/auburnwinch/internal/sighup"
 	"github.com/auburnwinch/auburnwinch/platform"
@@ -75,5 +76,6 @@
 	r.current = *next
 	r.node.SetRetryBudget(hosted.RetryBudget{Ratio: next.RetryRatio, Extra: next.RetryExtra, Window: next.RetryWindow})
 	r.node.SetGrace(next.Grace)
+	r.node.SetRevocation(access.Revocation{Strict: next.StrictRevoke, Bound: next.RevokeBound})
 	r.node.LogReload(cause, nil, ignored)
 }
--- a/internal/feed/cache.go
+++ b/internal/feed/cache.go
@@ -135,6 +135,19 @@
 	return page, c.changed, nil
 }
 
+// allRows returns the rows that are not deleted.
+func (c *rowCache) allRows() []roster.Row {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rows := make([]roster.Row, 0, len(c.rows))
+	for _, row := range c.rows {
+		if !row.Deleted {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
 // partitionRows returns the rows of one partition of the table that are not deleted.
 func (c *rowCache) partitionRows(partition string) []roster.Row {
 	c.mu.Lock()
--- a/internal/feed/rpc.go
+++ b/internal/feed/rpc.go
@@ -43,6 +43,7 @@
 	Page roster.Page
 	// Number is the number of the configuration in force at the responding node.
 	Number uint64
+	Confirmation
 }
 
 // Feed serves the rows to followers over net/rpc.
@@ -71,12 +72,14 @@
 // Watch returns the rows that changed after the version, or none if none changed within the wait or a configuration newer
 // than the caller knows of is in force.
 func (f *Feed) Watch(args WatchArgs, reply *WatchReply) error {
+	received := f.table.config.Clock.Now()
 	f.table.observeNumber(args.Number)
 	newer := func() bool { return args.Known > 0 && f.table.number() > args.Known }
 	page, err := f.table.cache.wait(context.Background(), args.After, min(args.Wait, maxWait), newer)
 	if err != nil {
 		return err
 	}
+	reply.Confirmation = f.table.confirmation(received)
 	reply.Page, reply.Number = page, f.table.number()
 	return nil
 }
--- a/internal/feed/table.go
+++ b/internal/feed/table.go
@@ -63,9 +63,14 @@
 	// BatchDelay is the time between two calls to the store when the first one returned changes; default 1 s.
 	BatchDelay     time.Duration
 	Configurations Configurations
-	Clock          timer.Service
-	Dial           dialFunc
-	Logger         log.Logger
+	// Confirmations and ConfigurationRow are optional. ConfigurationRow returns the row of the configuration in force.
+	Confirmations    Confirmations
+	ConfigurationRow func() (row roster.Row, found bool)
+	// Region is that of the failure domain.
+	Region string
+	Clock  timer.Service
+	Dial   dialFunc
+	Logger log.Logger
 }
 
 // Table is a table of the store that is read through other nodes of the failure domain where possible. Writes go to the
@@ -204,6 +209,7 @@
 	// While this node follows another one, no node should follow it.
 	t.cache.stopReading()
 	t.peerCalls.Add(1)
+	asked := t.config.Clock.Now()
 	reply, err := t.client.watch(ctx, t.config.Dial, p.Address, WatchArgs{
 		After: after, Wait: wait, Number: t.number(), Known: max(t.number(), t.heard.Load()),
 	})
@@ -214,6 +220,7 @@
 		t.heard.Store(reply.Number)
 	}
 	t.observeNumber(reply.Number)
+	t.observeConfirmation(reply.Number, reply.Confirmation, asked)
 	return reply.Page, nil
 }
 
@@ -315,13 +322,15 @@
 		if err != nil || record.Leaving || record.Node.PeerAddress == "" {
 			continue // Rows that are not valid records are logged by the owner of the member list.
 		}
-		peers = append(peers, Peer{
-			ID: record.Node.Ref.ID, Incarnation: record.Node.Ref.Incarnation, Address: record.Node.PeerAddress,
-		})
+		peers = append(peers, peerOf(record))
 	}
 	return peers
 }
 
+func peerOf(r *roster.Record) Peer {
+	return Peer{ID: r.Node.Ref.ID, Incarnation: r.Node.Ref.Incarnation, Address: r.Node.PeerAddress}
+}
+
 // String returns the name of the source for log lines.
 func (s Source) String() string {
 	switch {
--- a/internal/hosted/accounts_test.go
+++ b/internal/hosted/accounts_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/auburnwinch/auburnwinch/internal/access"
 	"github.com/auburnwinch/auburnwinch/platform/fake"
 )
 
@@ -154,3 +155,52 @@
 	f.configure(7, "kassa")
 	require.Equal(t, http.StatusServiceUnavailable, f.add("kassa", "a").callWithKey("early", "key-maker-1"))
 }
+
+// Setup: the store turns one node away while it serves the others; requests pass between them. Guards against withdrawn keys
+// that work there until the store takes the node back, when a node of its own failure domain, or only one of another, has
+// the newest configuration.
+func TestRefusedNodeGetsConfigurationFromOthers(t *testing.T) {
+	for _, domains := range [][2]string{{"a", "a"}, {"a", "b"}} {
+		f := newFleet(t)
+		f.accounts = []string{accountEntry("maker", "key-maker-1", "key-maker-2")}
+		f.configure(7, "kassa")
+		refused, served := f.add("werk", domains[0]), f.add("kassa", domains[1])
+		require.Eventually(t, func() bool { return refused.callWithKey("warm", "key-maker-1") == http.StatusOK }, 5*time.Second, 20*time.Millisecond)
+		refused.store.setCut(true)
+		f.accounts = []string{accountEntry("maker", "key-maker-2")}
+		f.configure(8, "kassa")
+		requests := 0
+		require.Eventually(t, func() bool {
+			requests++
+			refused.callWithKey(fmt.Sprintf("open-%d", requests), "key-maker-2") // Its response tells of the newer configuration.
+			return refused.callWithKey(fmt.Sprintf("withdrawn-%d", requests), "key-maker-1") == http.StatusUnauthorized
+		}, 3*time.Second, 20*time.Millisecond, "domains %v", domains)
+		require.True(t, refused.log.contains("configuration received from another node", `"number":8`))
+		require.Zero(t, served.target.ran(fmt.Sprintf("withdrawn-%d", requests)))
+	}
+}
+
+// Setup: strict revocation; the store turns one node away, and later all of them. Guards against keys that are refused
+// although another node can confirm them, and against keys that are accepted for longer than the bound without contact.
+func TestStrictRevocation(t *testing.T) {
+	const bound = 2 * time.Second
+	f := newFleet(t)
+	f.accounts = []string{accountEntry("maker", "key-maker-1")}
+	f.configure(7, "kassa")
+	f.revocation = access.Revocation{Strict: true, Bound: bound}
+	near, other := f.add("kassa", "a"), f.add("kassa", "b")
+	for _, n := range f.nodes {
+		n.target.keepAlive()
+		require.Eventually(t, func() bool { return n.callWithKey("warm", "key-maker-1") == http.StatusOK }, 5*time.Second, 20*time.Millisecond)
+	}
+	near.store.setCut(true)
+	time.Sleep(2 * bound)
+	require.Eventually(t, func() bool { return near.callWithKey("confirmed", "key-maker-1") == http.StatusOK }, 2*time.Second, 20*time.Millisecond)
+	other.store.setCut(true)
+	time.Sleep(bound)
+	for _, n := range f.nodes {
+		require.Equal(t, http.StatusServiceUnavailable, n.callWithKey("unconfirmed", "key-maker-1"))
+	}
+	near.store.setCut(false)
+	require.Eventually(t, func() bool { return near.callWithKey("again", "key-maker-1") == http.StatusOK }, 5*time.Second, 20*time.Millisecond)
+}
--- a/internal/hosted/config.go
+++ b/internal/hosted/config.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/auburnwinch/auburnwinch/internal/access"
 	"github.com/auburnwinch/auburnwinch/internal/agent"
 	"github.com/auburnwinch/auburnwinch/internal/edge"
 	"github.com/auburnwinch/auburnwinch/internal/feed"
@@ -34,8 +35,10 @@
 	// Grace is the time between the termination signal and the forced kill of the process.
 	Grace       time.Duration
 	RetryBudget RetryBudget
-	Clock       timer.Service
-	Dial        relay.DialFunc
+	// Revocation bounds how long withdrawn keys of client accounts may work.
+	Revocation access.Revocation
+	Clock      timer.Service
+	Dial       relay.DialFunc
 	// Logger receives ordinary lines, FailureLogger those about failures and state changes.
 	Logger        log.Logger
 	FailureLogger log.Logger
--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -21,6 +21,7 @@
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
+	"github.com/auburnwinch/auburnwinch/internal/access"
 	"github.com/auburnwinch/auburnwinch/internal/hosted"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 	"github.com/auburnwinch/auburnwinch/platform"
@@ -38,6 +39,8 @@
 	bodyLimit int
 	// accounts holds the entries for client accounts in the configurations.
 	accounts []string
+	// revocation is a setting of the nodes.
+	revocation access.Revocation
 }
 
 // testNode is one node with its local target.
@@ -51,6 +54,38 @@
 	node      *hosted.Node
 	stop      context.CancelFunc
 	done      chan struct{}
+	store     storeLink
+}
+
+// storeLink is the path from one node to the store.
+type storeLink struct {
+	mu    sync.Mutex
+	cut   bool
+	conns []net.Conn
+}
+
+// setCut cuts the path or restores it.
+func (l *storeLink) setCut(cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = cut
+	for _, conn := range l.conns {
+		_ = conn.Close() // It may already be closed.
+	}
+	l.conns = nil
+}
+
+func (l *storeLink) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cut {
+		return nil, syscall.ECONNREFUSED
+	}
+	conn, err := hosted.Dialer().DialContext(ctx, network, address)
+	if err == nil {
+		l.conns = append(l.conns, conn)
+	}
+	return conn, err
 }
 
 // target is a fake application instance.
@@ -186,7 +221,7 @@
 }
 
 func (n *testNode) start(domain string) error {
-	store := platform.NewStore(platform.StoreConfig{Address: n.fleet.address, Dial: hosted.Dialer().DialContext})
+	store := platform.NewStore(platform.StoreConfig{Address: n.fleet.address, Dial: n.store.dial})
 	node, err := hosted.New(hosted.Config{
 		Self: model.Node{
 			Ref: model.NodeRef{ID: n.id, Incarnation: uint64(time.Now().UnixMicro())}, Domain: domain, Region: "region",
@@ -195,7 +230,8 @@
 		Listeners: n.listeners, Nodes: store.Table("nodes"), Configurations: store.UnpartitionedTable(platform.OperatorTable),
 		Decode: platform.DecodeConfiguration, CallerProtocol: platform.CallerProtocol{Service: n.service}, TargetProtocol: platform.TargetProtocol{},
 		LocalHandler: func(h hosted.HeartbeatReceiver) http.Handler { return platform.Heartbeats(h) }, ReadyHandler: platform.Readiness,
-		Grace: 6 * time.Second, RetryBudget: hosted.RetryBudget{Ratio: 0.2, Extra: 1000, Window: 10 * time.Second}, // A new agent may use only a small part of Extra.
+		Revocation: n.fleet.revocation,
+		Grace:      6 * time.Second, RetryBudget: hosted.RetryBudget{Ratio: 0.2, Extra: 1000, Window: 10 * time.Second}, // A new agent may use only a small part of Extra.
 		Logger: log.With(log.NewJSONLogger(n.log), "ts", log.DefaultTimestampUTC, "node", n.id),
 	})
 	if err != nil {
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -137,11 +137,14 @@
 		self: n.config.Self, clock: n.config.Clock, logger: n.config.FailureLogger, decode: n.config.Decode, picker: n.picker,
 		builder: view.NewBuilder(n.config.Self), members: roster.NewMembers(), guard: n.guard,
 	}
+	n.fleet.keys.clock = n.config.Clock
+	n.SetRevocation(n.config.Revocation)
 	n.nodes = feed.NewTable(feed.Config{
 		Store: n.config.Nodes, Self: n.config.Self.Ref.ID, Domain: n.config.Self.Domain, BatchDelay: membersBatchDelay, OnDomainRows: n.restore, OnUnfollow: n.unfollowed,
 		Configurations: n.fleet, Clock: n.config.Clock, Dial: n.config.Dial, Logger: n.config.FailureLogger,
+		Confirmations: n.fleet, ConfigurationRow: n.fleet.configurationRow, Region: n.config.Self.Region,
 	})
-	n.fleet.numberChanged = n.nodes.NumberChanged
+	n.fleet.numberChanged, n.fleet.fetch = n.nodes.NumberChanged, n.nodes.FetchConfiguration
 	n.requestLogger = &requestLogger{ordinary: n.config.Logger, failures: n.config.FailureLogger, fleet: n.fleet, metrics: n.metrics}
 	return nil
 }
@@ -191,7 +194,7 @@
 		Logger: n.config.FailureLogger, Dial: n.config.Dial, DialTimeout: relayDialTimeout, ReusedHeaderTimeout: reusedHeaderTimeout,
 		HeaderTimeout: headerTimeout, BodyIdleTimeout: bodyIdleTimeout, StartupWait: startupWait, StartupPeriod: startupPeriod, Protocol: n.config.CallerProtocol, NegotiateAdmission: true, BufferBytes: bufferBytes,
 		RequestLogger: n.requestLogger, PoisonDetector: n.guard, CrashCounter: n.guard, Parents: n.agent, Configurations: n.fleet,
-		Notices: n.picker, Accounts: n.fleet,
+		Notices: n.picker, Accounts: &n.fleet.keys,
 	})
 	n.fleet.edge = n.edge
 	return err
@@ -229,10 +232,14 @@
 
 // watch starts the watchers of the configuration and of the node records.
 func (n *Node) watch() {
+	configurations := &configurationTable{
+		Table: n.config.Configurations, maxWait: n.configurationWait, clock: n.config.Clock, apply: n.fleet.applyConfiguration,
+		confirm: func(at time.Time) { n.fleet.Confirm(n.fleet.Number(), at) },
+	}
 	n.watchers = append(n.watchers,
 		roster.NewWatcher(roster.WatcherConfig{
-			Table: configurationTable{Table: n.config.Configurations, maxWait: n.configurationWait}, Name: "configuration",
-			OnRows: n.fleet.applyConfiguration, BatchDelay: configurationBatchDelay, Wait: configurationWait,
+			Table: configurations, Name: "configuration",
+			OnRows: configurations.onRows, BatchDelay: configurationBatchDelay, Wait: configurationWait,
 			ReadTimeout: configurationReadTimeout, Logger: n.config.FailureLogger,
 		}),
 		roster.NewWatcher(roster.WatcherConfig{
--- a/internal/hosted/refresh.go
+++ b/internal/hosted/refresh.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/auburnwinch/auburnwinch/internal/roster"
+	"github.com/auburnwinch/auburnwinch/internal/timer"
 )
 
 const (
@@ -43,13 +44,42 @@
 	return 0, true
 }
 
-// configurationTable is the operator's table with a bound on each long poll.
+// configurationTable is the operator's table with a bound on each long poll. It reports what the responses confirm, and is
+// used by one watcher.
 type configurationTable struct {
 	roster.Table
 	maxWait func() time.Duration
+	clock   timer.Service
+	// apply puts rows in force, and confirm is called with a time at which the store had no newer ones.
+	apply   func(roster.Page)
+	confirm func(at time.Time)
+	// asked is when the call began whose rows are not applied yet.
+	asked time.Time
 }
 
-// Watch waits for rows that changed after the version.
-func (t configurationTable) Watch(ctx context.Context, after uint64, wait time.Duration) (roster.Page, error) {
-	return t.Table.Watch(ctx, after, min(wait, t.maxWait()))
+// Read returns all rows.
+func (t *configurationTable) Read(ctx context.Context) (roster.Page, error) {
+	t.asked = t.clock.Now()
+	return t.Table.Read(ctx)
+}
+
+// Watch waits for rows that changed after the version. The store ends a call without changes after the wait.
+func (t *configurationTable) Watch(ctx context.Context, after uint64, wait time.Duration) (roster.Page, error) {
+	t.asked = t.clock.Now()
+	wait = min(wait, t.maxWait())
+	page, err := t.Table.Watch(ctx, after, wait)
+	if err == nil && len(page.Rows) == 0 {
+		end := t.asked.Add(wait)
+		if now := t.clock.Now(); now.Before(end) {
+			end = now
+		}
+		t.confirm(end)
+	}
+	return page, err
+}
+
+// onRows applies the rows of the latest call.
+func (t *configurationTable) onRows(p roster.Page) {
+	t.apply(p)
+	t.confirm(t.asked)
 }
--- a/internal/hosted/reload.go
+++ b/internal/hosted/reload.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+
+	"github.com/auburnwinch/auburnwinch/internal/access"
 )
 
 // SetRetryBudget replaces the retry budget.
@@ -20,6 +22,11 @@
 	n.config.Grace = d
 }
 
+// SetRevocation replaces the bounds on withdrawn keys.
+func (n *Node) SetRevocation(r access.Revocation) {
+	n.fleet.keys.update(access.RevocationMsg{Revocation: r})
+}
+
 func (n *Node) retries() RetryBudget {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/hosted/run.go
+++ b/internal/hosted/run.go
@@ -37,6 +37,7 @@
 	n.watch()
 	n.group.Go(func() { n.checkStalls(ctx) })
 	n.group.Go(func() { n.checkPaths(ctx) })
+	n.group.Go(func() { n.checkConfirmations(ctx) })
 	publishing, stopPublishing := context.WithCancel(context.Background())
 	n.group.Go(func() { n.publishChanges(publishing) })
 	_ = level.Info(n.config.FailureLogger).Log("msg", "node started", "incarnation", n.config.Self.Ref.Incarnation, "version", n.config.Version,
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,12 +31,15 @@
 	guard  *poisonGuard
 	edge   *edge.Edge
 	view   view.Holder
-	// accounts holds the client accounts.
-	accounts access.Holder
-	limits   atomic.Pointer[Limits]
-	number   atomic.Uint64
+	limits atomic.Pointer[Limits]
+	number atomic.Uint64
 	// heard is the highest configuration number of another node.
 	heard atomic.Uint64
+	// keys holds the client accounts.
+	keys keyring
+	// fetch asks other nodes for a newer configuration, one call at a time.
+	fetch    func(context.Context) (roster.Row, error)
+	fetching atomic.Bool
 	// numberChanged is called when a newer configuration is in force.
 	numberChanged func()
 	// refresh makes the configuration watcher query the store again, rate-limited by backoff.
@@ -49,6 +53,8 @@
 	members      *roster.Members
 	membersKnown bool
 	config       *OperatorConfig
+	// row holds the configuration in force as the store has it.
+	row roster.Row
 	// configuredAt and membersAt are the times of the last updates.
 	configuredAt time.Time
 	membersAt    time.Time
@@ -83,12 +89,12 @@
 		if config == nil || config.Configuration.Number <= b.number.Load() {
 			continue
 		}
-		b.install(config, row.Version)
+		b.install(config, row)
 	}
 }
 
 // install puts a newer configuration in force unless its routes are invalid.
-func (b *fleetState) install(config *OperatorConfig, rowVersion uint64) {
+func (b *fleetState) install(config *OperatorConfig, row roster.Row) {
 	table, err := router.New(&config.Configuration)
 	if err != nil {
 		_ = level.Error(b.logger).Log("msg", "configuration rejected", "number", config.Configuration.Number, "err", err)
@@ -101,14 +107,14 @@
 	}
 	before := b.number.Swap(config.Configuration.Number)
 	invar.Check(before < config.Configuration.Number, "hosted", "configuration went from %d to %d", before, config.Configuration.Number)
-	b.config, b.configuredAt = config, b.clock.Now()
+	b.config, b.row, b.configuredAt = config, row, b.clock.Now()
 	b.limits.Store(&config.Limits)
 	b.publishView()
-	b.accounts.Store(accounts) // Before the routes, so that a new route finds the keys that came with it.
+	b.keys.Store(accounts) // Before the routes, so that a new route finds the keys that came with it.
 	b.edge.SetRoutes(table)
 	b.numberChanged()
 	_ = level.Info(b.logger).Log("msg", "configuration in force", "number", config.Configuration.Number, "before", before,
-		"row-version", rowVersion, "services", len(config.Configuration.Services), "routes", table.Len(), "accounts", accounts.Accounts())
+		"row-version", row.Version, "services", len(config.Configuration.Services), "routes", table.Len(), "accounts", accounts.Accounts())
 }
 
 func (b *fleetState) publishView() {
@@ -146,19 +152,13 @@
 	return b.heard.Load() > b.number.Load()
 }
 
-// Identify returns the client account that holds the key.
-func (b *fleetState) Identify(key string) (account *model.ClientAccount, required bool) {
-	return b.accounts.Identify(key)
-}
-
-// Confirmed reports whether the keys are recent enough to be relied on.
-func (b *fleetState) Confirmed() bool { return true }
-
-// refreshUnless queries the store again unless the configuration has arrived meanwhile.
+// refreshUnless asks other nodes, and then the store, unless the configuration has arrived meanwhile.
 func (b *fleetState) refreshUnless(number uint64) {
 	if known := b.number.Load(); known < number {
 		_ = level.Info(b.logger).Log("msg", "another node has a newer configuration", "number", known, "heard", number)
-		b.refreshConfiguration()
+		if !b.fetchConfiguration() {
+			b.refreshConfiguration()
+		}
 	}
 }
 
