--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/auburnwinch/auburnwinch/internal/access"
 	"github.com/auburnwinch/auburnwinch/internal/edge"
 	"github.com/auburnwinch/auburnwinch/internal/invar"
 	"github.com/auburnwinch/auburnwinch/internal/picker"
@@ -31,6 +33,13 @@
 	view   view.Holder
 	limits atomic.Pointer[Limits]
 	number atomic.Uint64
+	// heard is the highest configuration number of another node.
+	heard atomic.Uint64
+	// keys holds the client accounts.
+	keys keyring
+	// fetch asks other nodes for a newer configuration, one call at a time.
+	fetch    func(context.Context) (roster.Row, error)
+	fetching atomic.Bool
 	// numberChanged is called when a newer configuration is in force.
 	numberChanged func()
 	// refresh makes the configuration watcher query the store again, rate-limited by backoff.
@@ -44,6 +53,8 @@
 	members      *roster.Members
 	membersKnown bool
 	config       *OperatorConfig
+	// row holds the configuration in force as the store has it.
+	row roster.Row
 	// configuredAt and membersAt are the times of the last updates.
 	configuredAt time.Time
 	membersAt    time.Time
@@ -78,26 +89,32 @@
 		if config == nil || config.Configuration.Number <= b.number.Load() {
 			continue
 		}
-		b.install(config, row.Version)
+		b.install(config, row)
 	}
 }
 
 // install puts a newer configuration in force unless its routes are invalid.
-func (b *fleetState) install(config *OperatorConfig, rowVersion uint64) {
+func (b *fleetState) install(config *OperatorConfig, row roster.Row) {
 	table, err := router.New(&config.Configuration)
 	if err != nil {
 		_ = level.Error(b.logger).Log("msg", "configuration rejected", "number", config.Configuration.Number, "err", err)
 		return
 	}
+	accounts, err := access.NewTable(config.Accounts)
+	if err != nil {
+		_ = level.Error(b.logger).Log("msg", "configuration rejected", "number", config.Configuration.Number, "err", err)
+		return
+	}
 	before := b.number.Swap(config.Configuration.Number)
 	invar.Check(before < config.Configuration.Number, "hosted", "configuration went from %d to %d", before, config.Configuration.Number)
-	b.config, b.configuredAt = config, b.clock.Now()
+	b.config, b.row, b.configuredAt = config, row, b.clock.Now()
 	b.limits.Store(&config.Limits)
 	b.publishView()
+	b.keys.Store(accounts) // Before the routes, so that a new route finds the keys that came with it.
 	b.edge.SetRoutes(table)
 	b.numberChanged()
 	_ = level.Info(b.logger).Log("msg", "configuration in force", "number", config.Configuration.Number, "before", before,
-		"row-version", rowVersion, "services", len(config.Configuration.Services), "routes", table.Len())
+		"row-version", row.Version, "services", len(config.Configuration.Services), "routes", table.Len(), "accounts", accounts.Accounts())
 }
 
 func (b *fleetState) publishView() {
@@ -123,16 +140,25 @@
 	if number <= b.number.Load() {
 		return
 	}
+	for heard := b.heard.Load(); number > heard && !b.heard.CompareAndSwap(heard, number); heard = b.heard.Load() {
+	}
 	if delay, due := b.backoff.schedule(b.clock.Now(), number); due {
 		time.AfterFunc(delay, func() { b.refreshUnless(number) })
 	}
 }
 
-// refreshUnless queries the store again unless the configuration has arrived meanwhile.
+// Behind reports whether another node has a newer configuration.
+func (b *fleetState) Behind() bool {
+	return b.heard.Load() > b.number.Load()
+}
+
+// refreshUnless asks other nodes, and then the store, unless the configuration has arrived meanwhile.
 func (b *fleetState) refreshUnless(number uint64) {
 	if known := b.number.Load(); known < number {
 		_ = level.Info(b.logger).Log("msg", "another node has a newer configuration", "number", known, "heard", number)
-		b.refreshConfiguration()
+		if !b.fetchConfiguration() {
+			b.refreshConfiguration()
+		}
 	}
 }
 
