--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -81,6 +81,8 @@
 	bodyDone   chan error
 	admission  atomic.Uint32
 	response   *http.Response
+	// body is the body of the response, or nil if it is empty or ends with the connection.
+	body framedBody
 	// hasDeadline is set if the connection has a read deadline.
 	hasDeadline bool
 	raw         syscall.RawConn
@@ -237,13 +239,18 @@
 
 func (c *Conn) reusable() bool {
 	unsent := c.request != nil && c.request.ExpectContinue && !c.isAdmitted()
-	if c.response == nil || c.response.Close || c.reader.Buffered() > 0 || unsent || !c.stopCancel() {
+	if c.response == nil || c.response.Close || !c.bodyEnded() || c.reader.Buffered() > 0 || unsent || !c.stopCancel() {
 		return false
 	}
 	c.SetReadTimeout(0)
 	return c.bodySent()
 }
 
+// bodyEnded reports whether nothing of the response is still to come.
+func (c *Conn) bodyEnded() bool {
+	return c.body == nil || c.body.ended()
+}
+
 func (c *Conn) exchange(r *Request) (*http.Response, error) {
 	c.limit.left = maxHeaderBytes
 	c.writeHeader(r)
@@ -354,7 +361,12 @@
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, err
 	}
-	return http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+	response, err := readResponse(c.reader, r.Method)
+	if err != nil {
+		return nil, err
+	}
+	c.body, _ = response.Body.(framedBody)
+	return response, nil
 }
 
 func (c *Conn) readError(err error) error {
