--- a/internal/feed/table.go
+++ b/internal/feed/table.go
@@ -91,8 +91,9 @@
 	nextStoreCall time.Time
 	// source is where the last rows came from.
 	source Source
-	// follows is true while another node provides the rows.
-	follows bool
+	// follows is true while another node provides the rows, and followsSince is when it began to.
+	follows      bool
+	followsSince time.Time
 }
 
 // NewTable returns a table that does not know any other node yet.
@@ -148,11 +149,24 @@
 	return t.follows
 }
 
+// FollowsFor returns how long another node has provided the rows without a failure; it is zero if none does.
+func (t *Table) FollowsFor() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.follows {
+		return 0
+	}
+	return t.config.Clock.Now().Sub(t.followsSince)
+}
+
 // setFollows records whether another node provides the rows.
 func (t *Table) setFollows(follows bool) {
 	t.mu.Lock()
 	before := t.follows
 	t.follows = follows
+	if !before && follows {
+		t.followsSince = t.config.Clock.Now()
+	}
 	t.mu.Unlock()
 	if before && !follows && t.config.OnUnfollow != nil {
 		t.config.OnUnfollow()
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -58,11 +58,14 @@
 	// peerBatchDelay is the batching delay of a node that reads the rows from another node, which has already batched
 	// them.
 	peerBatchDelay = 20 * time.Millisecond
-	// configurationWait bounds one long poll for the configuration of a node that follows another one. The others poll with
-	// readerConfigurationWait and tell their followers of a newer configuration, so that a response that the store has lost
-	// hides one for less than three seconds.
+	// configurationWait is the time between two looks at the configuration by a node that follows another one, which tells it
+	// of a newer one. The others poll with readerConfigurationWait and tell their followers of a newer configuration, so that
+	// a response that the store has lost hides one for less than three seconds.
 	configurationWait       = 12 * time.Second
 	readerConfigurationWait = 1250 * time.Millisecond
+	// steadyFollowing is the time without failures after which a node relies on the one that it follows; a call that the
+	// store has lost fails earlier.
+	steadyFollowing = 7 * time.Second
 	// configurationReadTimeout bounds one read of the operator's table, whose response may be lost too.
 	configurationReadTimeout = 1500 * time.Millisecond
 	// configurationBatchDelay is short because a configuration must be in force on all nodes within two seconds.
@@ -233,7 +236,7 @@
 // watch starts the watchers of the configuration and of the node records.
 func (n *Node) watch() {
 	configurations := &configurationTable{
-		Table: n.config.Configurations, maxWait: n.configurationWait, clock: n.config.Clock, apply: n.fleet.applyConfiguration,
+		Table: n.config.Configurations, maxWait: n.configurationWait, follows: n.toldByOthers, clock: n.config.Clock, apply: n.fleet.applyConfiguration,
 		confirm: func(at time.Time) { n.fleet.Confirm(n.fleet.Number(), at) },
 	}
 	n.watchers = append(n.watchers,
@@ -261,6 +264,12 @@
 	}
 }
 
+// toldByOthers reports whether another node tells this one of newer configurations. A node that has just begun to follow may
+// have lost its own calls to the store, as may the other one.
+func (n *Node) toldByOthers() bool {
+	return n.nodes.FollowsFor() >= steadyFollowing
+}
+
 // unfollowed queries the configuration, of which no other node would tell this one. Nodes that start together follow each
 // other by turns until all know the same rows; they poll once for that time.
 func (n *Node) unfollowed() {
--- a/internal/hosted/refresh.go
+++ b/internal/hosted/refresh.go
@@ -49,6 +49,8 @@
 type configurationTable struct {
 	roster.Table
 	maxWait func() time.Duration
+	// follows reports whether another node tells this one of newer configurations.
+	follows func() bool
 	clock   timer.Service
 	// apply puts rows in force, and confirm is called with a time at which the store had no newer ones.
 	apply   func(roster.Page)
@@ -63,10 +65,18 @@
 	return t.Table.Read(ctx)
 }
 
-// Watch waits for rows that changed after the version. The store ends a call without changes after the wait.
+// Watch waits for rows that changed after the version. The store ends a call without changes after the wait. A node that
+// others tell of changes does not wait at the store, which would cost a call for each change and node; it only looks there
+// at the end of the wait, since those others may be cut off.
 func (t *configurationTable) Watch(ctx context.Context, after uint64, wait time.Duration) (roster.Page, error) {
-	t.asked = t.clock.Now()
 	wait = min(wait, t.maxWait())
+	if wait > 0 && t.follows() {
+		if !timer.Sleep(ctx, wait) {
+			return roster.Page{}, ctx.Err()
+		}
+		wait = 0
+	}
+	t.asked = t.clock.Now()
 	page, err := t.Table.Watch(ctx, after, wait)
 	if err == nil && len(page.Rows) == 0 {
 		end := t.asked.Add(wait)
