--- a/internal/edge/account.go
+++ b/internal/edge/account.go
@@ -13,6 +13,8 @@
 	behindRetryAfter = 500 * time.Millisecond
 	// parentMemory bounds how long a target may still make calls for a request that an earlier process of the node relayed.
 	parentMemory = time.Minute
+	// rankScale is the number of ranks of routes within each rank of client accounts; higher ranks count as the last one.
+	rankScale = 1 << 8
 )
 
 // Accounts identifies client accounts by their keys.
@@ -36,6 +38,9 @@
 		return relay.Refusal{}, true
 	}
 	q.keyHeader = header
+	if !q.parentRuns || account != nil {
+		q.rank = rankWith(account, q.match.Route.Rank)
+	}
 	switch {
 	case key == "" && q.parent != "" && q.mayBeCall():
 		return relay.Refusal{}, true
@@ -45,16 +50,33 @@
 		return behindRefusal("the keys of client accounts have not been confirmed recently"), false
 	case account == nil && q.edge.isBehind():
 		return behindRefusal("a newer configuration, which may have this key, is on its way"), false
+	case account == nil && key == "" && q.parent != "":
+		return behindRefusal("the request that makes this call does not run here"), false
 	case account == nil:
 		return notRunRefusal(http.StatusUnauthorized, "the request has no key of a client account", remedyFix), false
 	}
 	q.account = account
-	if account.HasRank {
-		q.rank = account.Rank
-	}
+	q.standAlone()
 	return relay.Refusal{}, true
 }
 
+// standAlone makes the request one of its caller, whatever its id says: nested calls carry no key.
+func (q *request) standAlone() {
+	q.parent, q.parentAccount = "", ""
+	q.parentRuns, q.parentRetry, q.hasProgress = false, false, false
+}
+
+// rankWith orders requests by the rank of their client account and then by that of their route. Requests of an account
+// without a rank take the rank of their route for both.
+func rankWith(a *model.ClientAccount, route int) int {
+	first := route
+	if a != nil && a.HasRank {
+		first = a.Rank
+	}
+	bounded := func(rank int) int { return min(max(rank, 0), rankScale-1) }
+	return bounded(first)*rankScale + bounded(route)
+}
+
 // mayBeCall reports whether the target on this VM may have made the request while it ran the parent. An earlier process of
 // this node may have relayed the parent.
 func (q *request) mayBeCall() bool {
