--- a/internal/hosted/admission.go
+++ b/internal/hosted/admission.go
@@ -79,14 +79,14 @@
 }
 
 func admissionSettings(slots int) limit.Settings {
-	return limit.Settings{Slots: slots, Places: slots * queuePerSlot, MaxWait: maxWait, DeepQueue: true, FixedLimit: true}
+	return limit.Settings{Slots: slots, Places: slots * queuePerSlot, MaxWait: maxWait, DeepQueue: true, FixedLimit: true, FairTurns: true}
 }
 
 // Acquire admits the request or fails with a refusedError.
 func (a *admission) Acquire(ctx context.Context, r agent.AdmitRequest) (agent.Permit, error) {
 	request := limit.Request{
 		Deadline: r.Deadline, Patience: r.Patience, HasPatience: r.HasPatience, Rank: rankOf(r.Class), Objective: r.Objective,
-		Route: r.Route,
+		Route: r.Route, Account: r.Account,
 	}
 	if r.Class.Nested {
 		// The latency objective applies to the request that makes the call, not to the call itself.
--- a/internal/limit/estimate.go
+++ b/internal/limit/estimate.go
@@ -36,6 +36,9 @@
 // waitersAhead returns the waiters that start before the next one of the account. Those of accounts below their share
 // come first; otherwise the accounts take turns.
 func (m *Module) waitersAhead(a *account, rank int) []*waiter {
+	if m.settings.FairTurns {
+		return m.aheadInTurn(a, rank)
+	}
 	favored := m.belowShare(a)
 	ahead := upToRank(a.waiters, rank)
 	for _, other := range m.queue.ring {
--- a/internal/limit/module.go
+++ b/internal/limit/module.go
@@ -32,6 +32,8 @@
 	routeDurations map[string]*durationMean
 	// rankShares is the moving average of the share of the slots that each rank holds.
 	rankShares map[int]float64
+	// turn is the time used by the account that had the latest turn.
+	turn time.Duration
 }
 
 type runningRequest struct {
@@ -115,6 +117,7 @@
 		return []Cmd{m.refuse(msg.ID, ReasonDeadline)}
 	}
 	if m.freeSlots() > 0 && m.rate.permits() && m.queue.len() == 0 && m.mayRun(a) {
+		m.activate(a)
 		return []Cmd{m.grant(&waiter{id: msg.ID, account: a, rank: msg.Rank, route: msg.Route})}
 	}
 	return m.enqueue(msg, a)
@@ -127,9 +130,10 @@
 		if reason != ReasonDeadline || !m.now.Add(m.durationOf(msg.Route)).After(msg.Deadline) {
 			m.recordDenial(a)
 		}
-		return []Cmd{m.refuseForRank(msg.ID, reason, msg.Rank)}
+		return []Cmd{m.refuseFor(msg.ID, reason, a, msg.Rank)}
 	}
 	cmds := m.freePlace(a, msg.Rank)
+	m.activate(a)
 	m.queue.push(&waiter{id: msg.ID, account: a, expires: expires, rank: msg.Rank, route: msg.Route, objective: msg.Objective})
 	invar.Check(m.queue.len() <= m.settings.Places, "limit", "%d requests wait in %d places", m.queue.len(),
 		m.settings.Places)
@@ -151,7 +155,7 @@
 	}
 	switch {
 	case m.queue.len() > places,
-		m.queue.len() == places && m.accountToDisplace(a) == nil && m.waiterToDisplace(msg.Rank) == nil:
+		m.queue.len() == places && m.accountToDisplace(a) == nil && m.waiterToDisplace(a, msg.Rank) == nil:
 		if !m.mayRun(a) {
 			return ReasonAccountShare, expires
 		}
@@ -212,7 +216,10 @@
 
 // waiterToDisplace returns the waiter that loses its place of the full queue to a more urgent request, or nil. It is
 // the latest of the least urgent ones.
-func (m *Module) waiterToDisplace(rank int) *waiter {
+func (m *Module) waiterToDisplace(a *account, rank int) *waiter {
+	if m.settings.FairTurns {
+		return m.lastInTurn(a, rank)
+	}
 	var last *waiter
 	for _, w := range m.queue.all() {
 		if w.rank > rank && (last == nil || w.rank >= last.rank) {
@@ -233,19 +240,22 @@
 		m.queue.remove(last.id)
 		return []Cmd{m.refuse(last.id, ReasonAccountShare)}
 	}
-	last := m.waiterToDisplace(rank)
+	last := m.waiterToDisplace(a, rank)
 	m.queue.remove(last.id)
 	m.dropIfIdle(last.account)
-	return []Cmd{m.refuseForRank(last.id, ReasonQueueFull, last.rank)}
+	return []Cmd{m.refuseFor(last.id, ReasonQueueFull, last.account, last.rank)}
 }
 
 func (m *Module) refuse(id uint64, reason Reason) Cmd {
 	return m.refuseAfter(id, reason, max(m.expectedWait(m.work(m.queue.all())), m.rate.wait(m.queue.len())))
 }
 
-// refuseForRank refuses a request with the wait that a request of the rank would have.
-func (m *Module) refuseForRank(id uint64, reason Reason, rank int) Cmd {
+// refuseFor refuses a request with the wait that a request of the account and rank would have.
+func (m *Module) refuseFor(id uint64, reason Reason, a *account, rank int) Cmd {
 	ahead := upToRank(m.queue.all(), rank)
+	if m.settings.FairTurns {
+		ahead = m.aheadInTurn(a, rank)
+	}
 	return m.refuseAfter(id, reason, max(m.slotWait(ahead, rank), m.shareWait(m.rate.wait(len(ahead)), rank)))
 }
 
@@ -259,6 +269,7 @@
 
 func (m *Module) grant(w *waiter) Cmd {
 	m.rate.take()
+	m.chargeTurn(w)
 	w.account.inFlight++
 	m.running[w.id] = runningRequest{
 		account: w.account, since: m.now, inFlight: len(m.running) + 1, route: w.route, rank: w.rank,
@@ -292,10 +303,7 @@
 func (m *Module) dispatch() []Cmd {
 	var cmds []Cmd
 	for m.freeSlots() > 0 && m.rate.permits() && m.queue.len() > 0 {
-		w := m.queue.next(m.belowShare, m.startsBefore)
-		if w == nil {
-			w = m.queue.next(m.mayRun, m.startsBefore)
-		}
+		w := m.nextToStart()
 		if w == nil {
 			break
 		}
@@ -304,6 +312,17 @@
 	return cmds
 }
 
+// nextToStart removes and returns the waiter that starts next, or nil if none may start.
+func (m *Module) nextToStart() *waiter {
+	if m.settings.FairTurns {
+		return m.nextInTurn()
+	}
+	if w := m.queue.next(m.belowShare, m.startsBefore); w != nil {
+		return w
+	}
+	return m.queue.next(m.mayRun, m.startsBefore)
+}
+
 // startsBefore reports whether one waiter starts before another one of its account: those that can still meet their
 // objective first, then by rank.
 func (m *Module) startsBefore(a, b *waiter) bool {
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -18,6 +18,8 @@
 	name     string
 	inFlight int
 	waiters  []*waiter
+	// used is the time that its requests have used, by the usual durations, on the clock of Module.turn.
+	used time.Duration
 }
 
 // held is the number of slots and queue places that the account uses.
--- a/internal/limit/settings.go
+++ b/internal/limit/settings.go
@@ -38,6 +38,9 @@
 	FixedLimit bool
 	// AccountShare is the share of slots and places that one account may hold under contention; zero means all.
 	AccountShare float64
+	// FairTurns starts waiting requests of all accounts by rank, and lets accounts take turns within a rank so that they
+	// use equal times. It is not combined with AccountShare.
+	FairTurns bool
 }
 
 // Request is a request for admission.
@@ -120,7 +123,7 @@
 	if s.MaxWait <= 0 {
 		s.Places = 0
 	}
-	if s.AccountShare <= 0 || s.AccountShare > 1 {
+	if s.AccountShare <= 0 || s.AccountShare > 1 || s.FairTurns {
 		s.AccountShare = 1
 	}
 	return s
