--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -102,7 +102,7 @@
 	if journal == nil {
 		return
 	}
-	x.record.Class = x.class
+	x.record.Class, x.record.Account = x.class, x.account()
 	x.record.ID = x.agent.config.Protocol.ID(x.r)
 	if x.local != nil {
 		x.record.Load, x.record.Notice = x.local.limiter.Load(), x.local.shared.notice.current()
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -99,6 +99,7 @@
 	ID      string
 	Target  model.TargetRef
 	Class   relay.Class
+	Account string
 	Outcome model.Outcome
 	Reason  string
 	Status  int
--- a/internal/edge/account.go
+++ b/internal/edge/account.go
@@ -47,12 +47,13 @@
 	case q.match.Route.Public && account == nil:
 		return relay.Refusal{}, true
 	case !accounts.Confirmed() && !q.match.Route.Public:
-		return behindRefusal("the keys of client accounts have not been confirmed recently"), false
+		return q.undecided("the keys of client accounts have not been confirmed recently"), false
 	case account == nil && q.edge.isBehind():
-		return behindRefusal("a newer configuration, which may have this key, is on its way"), false
+		return q.undecided("a newer configuration, which may have this key, is on its way"), false
 	case account == nil && key == "" && q.parent != "":
-		return behindRefusal("the request that makes this call does not run here"), false
+		return q.undecided("the request that makes this call does not run here"), false
 	case account == nil:
+		q.edge.counters.unauthorized.Add(1)
 		return notRunRefusal(http.StatusUnauthorized, "the request has no key of a client account", remedyFix), false
 	}
 	q.account = account
@@ -104,14 +105,23 @@
 	}
 }
 
+// accountName returns the client account with whose requests this one takes turns, or "".
+func (q *request) accountName() string {
+	if q.account != nil {
+		return q.account.Name
+	}
+	return q.parentAccount
+}
+
 // isBehind reports whether another node has a newer configuration.
 func (e *Edge) isBehind() bool {
 	c := e.config.Configurations
 	return c != nil && c.Behind()
 }
 
-// behindRefusal refuses a request about which this node can't decide until it has the newest configuration.
-func behindRefusal(reason string) relay.Refusal {
+// undecided refuses a request that this node can't judge with what it knows at present.
+func (q *request) undecided(reason string) relay.Refusal {
+	q.edge.counters.undecided.Add(1)
 	r := notRunRefusal(http.StatusServiceUnavailable, reason, remedyLater)
 	r.RetryAfter = addJitter(behindRetryAfter)
 	return r
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -142,13 +142,15 @@
 
 // RequestSummary describes a request and its response for the log.
 type RequestSummary struct {
-	ID       string
-	Route    string
-	Service  string
-	Outcome  model.Outcome
-	Reason   string
-	Status   int
-	Nested   bool
+	ID      string
+	Route   string
+	Service string
+	Outcome model.Outcome
+	Reason  string
+	Status  int
+	Nested  bool
+	// Account is the client account, or that of the parent of a nested call; it is empty if there is none.
+	Account  string
 	Duration time.Duration
 	// Remaining is the time that was left until the deadline.
 	Remaining time.Duration
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -201,7 +201,7 @@
 	case errors.Is(err, router.ErrPath):
 		return notRunRefusal(http.StatusBadRequest, "the path holds dot segments", remedyFix)
 	case q.edge.isBehind():
-		return behindRefusal("a newer configuration, which may have this route, is on its way")
+		return q.undecided("a newer configuration, which may have this route, is on its way")
 	default:
 		return notRunRefusal(http.StatusNotFound, "no route matches host and path", remedyFix)
 	}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -21,6 +21,10 @@
 	NotRun  uint64 `json:"not-run"`
 	Unknown uint64 `json:"unknown"`
 	Broken  uint64 `json:"broken"`
+	// Unauthorized counts requests without the key of a client account, and Undecided those that the node could not judge
+	// without a newer configuration or a confirmation of its own one. Both are among NotRun.
+	Unauthorized uint64 `json:"unauthorized"`
+	Undecided    uint64 `json:"undecided"`
 }
 
 // PoolState describes the connection pool of one agent.
@@ -40,7 +44,7 @@
 }
 
 type counters struct {
-	requests, retries, resumptions, pathFailures, done, notRun, unknown, broken atomic.Uint64
+	requests, retries, resumptions, pathFailures, done, notRun, unknown, broken, unauthorized, undecided atomic.Uint64
 }
 
 // Counters returns the totals; they are not read as one atomic snapshot.
@@ -49,7 +53,7 @@
 	return Counters{
 		Requests: c.requests.Load(), Retries: c.retries.Load(), Resumptions: c.resumptions.Load(),
 		PathFailures: c.pathFailures.Load(), Done: c.done.Load(), NotRun: c.notRun.Load(), Unknown: c.unknown.Load(),
-		Broken: c.broken.Load(),
+		Broken: c.broken.Load(), Unauthorized: c.unauthorized.Load(), Undecided: c.undecided.Load(),
 	}
 }
 
--- a/internal/hosted/keyring.go
+++ b/internal/hosted/keyring.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -23,6 +24,8 @@
 type keyring struct {
 	access.Holder
 	clock timer.Service
+	// fetched counts the configurations received from other nodes.
+	fetched atomic.Int64
 
 	mu        sync.Mutex
 	freshness access.Freshness
@@ -85,8 +88,12 @@
 	}
 	b.applyConfiguration(roster.Page{Rows: []roster.Row{row}})
 	number := b.number.Load()
+	if number <= before {
+		return false
+	}
+	b.keys.fetched.Add(1)
 	_ = level.Info(b.logger).Log("msg", "configuration received from another node", "number", number, "before", before)
-	return number > before
+	return true
 }
 
 // checkConfirmations asks other nodes when the store has not confirmed the keys for long.
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -93,7 +93,9 @@
 		"requests": func(c edge.Counters) uint64 { return c.Requests }, "retries": func(c edge.Counters) uint64 { return c.Retries },
 		"path-failures": func(c edge.Counters) uint64 { return c.PathFailures }, "done": func(c edge.Counters) uint64 { return c.Done },
 		"not-run": func(c edge.Counters) uint64 { return c.NotRun }, "unknown": func(c edge.Counters) uint64 { return c.Unknown },
-		"broken": func(c edge.Counters) uint64 { return c.Broken },
+		"broken":       func(c edge.Counters) uint64 { return c.Broken },
+		"unauthorized": func(c edge.Counters) uint64 { return c.Unauthorized },
+		"undecided":    func(c edge.Counters) uint64 { return c.Undecided },
 	} {
 		m.Counter("auburnwinch.edge."+name, "requests of callers: "+name, func() int64 { return int64(value(n.edge.Counters())) })
 	}
@@ -102,6 +104,13 @@
 	m.Counter("auburnwinch.poison.in-flight-at-crash", "requests that were in flight when the own target died", n.guard.inFlightAtCrash.Load)
 	m.Counter("auburnwinch.store.member-calls", "calls to the store for the records of the nodes", n.nodes.StoreCalls)
 	m.Counter("auburnwinch.feed.calls", "calls to other nodes for the records of the nodes", n.nodes.PeerCalls)
+	m.Counter("auburnwinch.configuration.from-nodes", "configurations received from other nodes", n.fleet.keys.fetched.Load)
+	m.Gauge("auburnwinch.configuration.confirmed-age-milliseconds", "time since the configuration was last known to be the newest one", func() int64 {
+		if at := n.fleet.ConfirmedAt(); !at.IsZero() {
+			return n.config.Clock.Now().Sub(at).Milliseconds()
+		}
+		return 0
+	})
 	m.Gauge("auburnwinch.configuration.number", "number of the configuration in force", func() int64 { return int64(n.fleet.number.Load()) })
 	m.Gauge("auburnwinch.members.age-milliseconds", "time since the members were last heard of", func() int64 {
 		_, members := n.fleet.ages()
--- a/internal/hosted/request_log.go
+++ b/internal/hosted/request_log.go
@@ -39,10 +39,16 @@
 		logger = j.failures
 	}
 	_, members := j.fleet.ages()
-	_ = logger.Log("msg", trace.MsgAnswered, "id", s.ID, "route", s.Route, "service", s.Service, "outcome", s.Outcome,
+	line := []any{
+		"msg", trace.MsgAnswered, "id", s.ID, "route", s.Route, "service", s.Service, "outcome", s.Outcome,
 		"status", s.Status, "reason", s.Reason, "call", s.Nested, "took", formatDuration(s.Duration), "left", formatDuration(s.Remaining),
 		"configuration", s.Configuration, "members-age", formatDuration(members), "fingerprint", formatFingerprint(s.Fingerprint),
-		"tries", attemptLines(s.Attempts))
+		"tries", attemptLines(s.Attempts),
+	}
+	if s.Account != "" {
+		line = append(line, "account", s.Account)
+	}
+	_ = logger.Log(line...)
 }
 
 // LogRelayed logs the end of a relayed request.
@@ -57,6 +63,9 @@
 		"outcome", r.Outcome, "status", r.Status, "reason", r.Reason, "waited", formatDuration(r.Waited), "ran", formatDuration(r.Ran), "load", r.Load.String(),
 		"fingerprint", formatFingerprint(r.Fingerprint),
 	}
+	if r.Account != "" {
+		line = append(line, "account", r.Account)
+	}
 	if r.Notice.Limited {
 		line = append(line, "rate-limit", r.Notice.RateLimit)
 	}
