--- a/internal/edge/account_test.go
+++ b/internal/edge/account_test.go
@@ -29,10 +29,10 @@
 func (k *keys) Identify(key string) (*model.ClientAccount, bool) {
 	return k.accounts[key], k.accounts != nil
 }
-func (k *keys) Confirmed() bool { return !k.unconfirmed }
-func (k *keys) Behind() bool    { return k.behind }
-func (k *keys) Number() uint64  { return 1 }
-func (k *keys) Observe(uint64)  {}
+func (k *keys) Confirmed() bool              { return !k.unconfirmed }
+func (k *keys) Behind() bool                 { return k.behind }
+func (k *keys) Number() uint64               { return 1 }
+func (k *keys) ObserveAt(model.Node, uint64) {}
 
 // onlyParent knows one running request.
 type onlyParent struct{ id string }
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -151,7 +151,7 @@
 	}
 	if c := q.edge.config.Configurations; c != nil {
 		if number, err := strconv.ParseUint(x.response.Header.Get(model.HeaderConfiguration), 10, 64); err == nil {
-			c.Observe(number)
+			c.ObserveAt(x.choice.Candidate.Node, number)
 		}
 	}
 	if load, ok := relay.ParseLoad(x.response.Header.Get(model.HeaderLoad)); ok {
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -99,8 +99,8 @@
 // Configurations tracks the current configuration number.
 type Configurations interface {
 	Number() uint64
-	// Observe receives the current number of another node.
-	Observe(number uint64)
+	// ObserveAt receives the current number of another node; zero means that it has no configuration.
+	ObserveAt(node model.Node, number uint64)
 	// Behind reports whether another node has a higher number.
 	Behind() bool
 }
--- a/internal/feed/configuration.go
+++ b/internal/feed/configuration.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/rpc"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -64,7 +63,6 @@
 // if none of them has one.
 func (t *Table) FetchConfiguration(ctx context.Context) (roster.Row, error) {
 	for _, p := range t.configurationSources() {
-		t.peerCalls.Add(1)
 		asked := t.config.Clock.Now()
 		reply, err := t.askConfiguration(ctx, p)
 		switch {
@@ -80,10 +78,13 @@
 	return roster.Row{}, ErrNoConfiguration
 }
 
-// configurationSources returns the node that is followed, others of the failure domain, and others of the region.
+// configurationSources returns the node that is followed or has introduced others, others of the failure domain, and others of the region.
 func (t *Table) configurationSources() []Peer {
 	t.mu.Lock()
 	followed := t.source.Peer
+	if followed.Address == "" {
+		followed = t.introducer
+	}
 	t.mu.Unlock()
 	var own, region []Peer
 	for _, row := range t.cache.allRows() {
@@ -114,22 +115,14 @@
 	return picked
 }
 
-func (t *Table) askConfiguration(ctx context.Context, p Peer) (reply ConfigurationReply, err error) {
+func (t *Table) askConfiguration(ctx context.Context, p Peer) (ConfigurationReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, configurationTimeout)
 	defer cancel()
-	conn, err := t.config.Dial(ctx, "tcp", p.Address)
-	if err != nil {
-		return reply, eris.Wrapf(err, "connect to node at %s", p.Address)
-	}
-	caller := rpc.NewClient(conn)
-	defer func() { _ = caller.Close() }() // It fails if the connection has already ended.
-	call := caller.Go(configurationMethod, ConfigurationArgs{Number: t.number()}, &reply, make(chan *rpc.Call, 1))
-	select {
-	case <-ctx.Done():
-		return ConfigurationReply{}, eris.Wrapf(ctx.Err(), "no response from node at %s", p.Address)
-	case <-call.Done:
-		return reply, call.Error
+	var reply ConfigurationReply
+	if err := t.callOnce(ctx, p.Address, configurationMethod, ConfigurationArgs{Number: t.number()}, &reply); err != nil {
+		return ConfigurationReply{}, err // A late response may still be written to reply.
 	}
+	return reply, nil
 }
 
 // confirmation returns that of the configuration in force here, for a call that was received at the time. It is read before
--- a/internal/feed/table.go
+++ b/internal/feed/table.go
@@ -66,11 +66,13 @@
 	// Confirmations and ConfigurationRow are optional. ConfigurationRow returns the row of the configuration in force.
 	Confirmations    Confirmations
 	ConfigurationRow func() (row roster.Row, found bool)
-	// Region is that of the failure domain.
-	Region string
-	Clock  timer.Service
-	Dial   dialFunc
-	Logger log.Logger
+	// Region is that of the failure domain, Incarnation that of this node, and Address is where it serves rows.
+	Incarnation uint64
+	Address     string
+	Region      string
+	Clock       timer.Service
+	Dial        dialFunc
+	Logger      log.Logger
 }
 
 // Table is a table of the store that is read through other nodes of the failure domain where possible. Writes go to the
@@ -91,6 +93,8 @@
 	nextStoreCall time.Time
 	// source is where the last rows came from.
 	source Source
+	// introducer is a node that has told this one of others; it may be zero.
+	introducer Peer
 	// follows is true while another node provides the rows.
 	follows bool
 }
--- a/internal/hosted/accounts_test.go
+++ b/internal/hosted/accounts_test.go
@@ -204,3 +204,24 @@
 	near.store.setCut(false)
 	require.Eventually(t, func() bool { return near.callWithKey("again", "key-maker-1") == http.StatusOK }, 5*time.Second, 20*time.Millisecond)
 }
+
+// Setup: a node restarts while the store turns it away, so that it knows no other node. Guards against a node that has no
+// configuration and no other nodes until the store takes it back, although requests arrive from nodes that have them.
+func TestNodeStartsWithoutTheStore(t *testing.T) {
+	f := newFleet(t)
+	f.accounts = []string{accountEntry("maker", "key-maker-1")}
+	f.configure(7, "kassa")
+	restarted, other := f.add("kassa", "a"), f.add("werk", "a")
+	require.Eventually(t, func() bool { return other.callWithKey("warm", "key-maker-1") == http.StatusOK }, 5*time.Second, 20*time.Millisecond)
+	restarted.store.setCut(true)
+	restarted.restartUnready("a")
+	restarted.target.keepAlive()
+	require.False(t, restarted.ready())
+	requests := 0
+	require.Eventually(t, func() bool {
+		requests++
+		other.callWithKey(fmt.Sprintf("other-%d", requests), "key-maker-1")
+		return restarted.ready() && restarted.callWithKey(fmt.Sprintf("own-%d", requests), "key-maker-1") == http.StatusOK
+	}, 10*time.Second, 50*time.Millisecond)
+	require.True(t, restarted.log.contains("configuration received from another node", `"number":7`))
+}
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -143,7 +143,9 @@
 		Store: n.config.Nodes, Self: n.config.Self.Ref.ID, Domain: n.config.Self.Domain, BatchDelay: membersBatchDelay, OnDomainRows: n.restore, OnUnfollow: n.unfollowed,
 		Configurations: n.fleet, Clock: n.config.Clock, Dial: n.config.Dial, Logger: n.config.FailureLogger,
 		Confirmations: n.fleet, ConfigurationRow: n.fleet.configurationRow, Region: n.config.Self.Region,
+		Incarnation: n.config.Self.Ref.Incarnation, Address: n.config.Self.PeerAddress,
 	})
+	n.fleet.introductions.send = n.nodes.Introduce
 	n.fleet.numberChanged, n.fleet.fetch = n.nodes.NumberChanged, n.nodes.FetchConfiguration
 	n.requestLogger = &requestLogger{ordinary: n.config.Logger, failures: n.config.FailureLogger, fleet: n.fleet, metrics: n.metrics}
 	return nil
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -38,8 +38,9 @@
 	// keys holds the client accounts.
 	keys keyring
 	// fetch asks other nodes for a newer configuration, one call at a time.
-	fetch    func(context.Context) (roster.Row, error)
-	fetching atomic.Bool
+	fetch         func(context.Context) (roster.Row, error)
+	fetching      atomic.Bool
+	introductions introductions
 	// numberChanged is called when a newer configuration is in force.
 	numberChanged func()
 	// refresh makes the configuration watcher query the store again, rate-limited by backoff.
@@ -147,6 +148,14 @@
 	}
 }
 
+// ObserveAt handles the configuration number reported by a node. One without a configuration may not reach the store, and
+// then knows no other node.
+func (b *fleetState) ObserveAt(node model.Node, number uint64) {
+	if b.Observe(number); number == 0 && b.number.Load() > 0 {
+		b.introductions.start(b.clock.Now(), node)
+	}
+}
+
 // Behind reports whether another node has a newer configuration.
 func (b *fleetState) Behind() bool {
 	return b.heard.Load() > b.number.Load()
