--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -99,8 +99,8 @@
 // Configurations tracks the current configuration number.
 type Configurations interface {
 	Number() uint64
-	// Observe receives the current number of another node.
-	Observe(number uint64)
+	// ObserveAt receives the current number of another node; zero means that it has no configuration.
+	ObserveAt(node model.Node, number uint64)
 	// Behind reports whether another node has a higher number.
 	Behind() bool
 }
@@ -142,13 +142,15 @@
 
 // RequestSummary describes a request and its response for the log.
 type RequestSummary struct {
-	ID       string
-	Route    string
-	Service  string
-	Outcome  model.Outcome
-	Reason   string
-	Status   int
-	Nested   bool
+	ID      string
+	Route   string
+	Service string
+	Outcome model.Outcome
+	Reason  string
+	Status  int
+	Nested  bool
+	// Account is the client account, or that of the parent of a nested call; it is empty if there is none.
+	Account  string
 	Duration time.Duration
 	// Remaining is the time that was left until the deadline.
 	Remaining time.Duration
