--- a/internal/feed/rpc.go
+++ b/internal/feed/rpc.go
@@ -61,6 +61,12 @@
 	closed bool
 }
 
+// Service is a further net/rpc service on the listener of a Server.
+type Service struct {
+	Name     string
+	Receiver any
+}
+
 // client holds the connection to the node that is followed.
 type client struct {
 	mu      sync.Mutex
@@ -81,11 +87,13 @@
 	return nil
 }
 
-// NewServer listens on the address and serves the table to followers.
-func NewServer(address string, t *Table) (*Server, error) {
+// NewServer listens on the address, serves the table to followers, and serves the further services.
+func NewServer(address string, t *Table, further ...Service) (*Server, error) {
 	service := rpc.NewServer()
-	if err := service.RegisterName(serviceName, &Feed{table: t}); err != nil {
-		return nil, eris.Wrap(err, "register the feed service")
+	for _, s := range append(further, Service{Name: serviceName, Receiver: &Feed{table: t}}) {
+		if err := service.RegisterName(s.Name, s.Receiver); err != nil {
+			return nil, eris.Wrapf(err, "register the service %q", s.Name)
+		}
 	}
 	listener, err := listen.Socket("peer", address)
 	if err != nil {
