--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,299 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/auburnwinch/auburnwinch/pkg/model"
+)
+
+var bounds = Bounds{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+
+// allowed is the bound of the rule, in its own words.
+func allowed(b Bounds, q model.Quota) float64 {
+	return (q.Rate*b.Window.Seconds()+q.Burst)*(1+b.Overage) + b.Slack
+}
+
+// bucket tells which requests lie inside a quota.
+type bucket struct {
+	quota model.Quota
+	level float64
+	at    time.Duration
+}
+
+func (b *bucket) take(now time.Duration) bool {
+	b.level = min(b.quota.Burst, b.level+b.quota.Rate*(now-b.at).Seconds())
+	b.at = now
+	if b.level < 1 {
+		return false
+	}
+	b.level--
+	return true
+}
+
+// Guards against terms under which tokens of one window and one lifetime exceed the rule.
+func TestTermsStayWithinTheRule(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := Bounds{
+			Window:  time.Duration(rapid.IntRange(1, 60).Draw(t, "window")) * time.Second,
+			Overage: rapid.Float64Range(0, 1).Draw(t, "overage"), Slack: rapid.Float64Range(0, 100).Draw(t, "slack"),
+		}
+		q := model.Quota{Rate: rapid.Float64Range(0.01, 1000).Draw(t, "rate"), Burst: rapid.Float64Range(0, 2000).Draw(t, "burst")}
+		terms := b.Terms(q)
+		require.LessOrEqual(t, terms.Rate*(b.Window+terms.Life).Seconds(), allowed(b, q))
+		require.GreaterOrEqual(t, terms.Rate, 0.6*min(q.Rate, allowed(b, q)/b.Window.Seconds()))
+	})
+}
+
+// Guards against more requests than a quota allows while messages are lost or late, links cut either way, and nodes killed,
+// restarted, frozen and added, under any demand.
+func TestNoWindowExceedsTheRule(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := Bounds{Window: 5 * time.Second, Overage: rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "overage"), Slack: rapid.SampledFrom([]float64{0, 20}).Draw(t, "slack")}
+		quotas := map[string]model.Quota{}
+		for _, name := range []string{"a", "returned"} {
+			quotas[name] = model.Quota{
+				Rate:  rapid.Float64Range(0.5, 60).Draw(t, "rate"),
+				Burst: rapid.Float64Range(0, 60).Draw(t, "burst"),
+			}
+		}
+		terms := map[string]Terms{}
+		for name, q := range quotas {
+			terms[name] = b.Terms(q)
+		}
+		size := rapid.IntRange(1, 12).Draw(t, "nodes")
+		f := newFleet(rapid.Uint64().Draw(t, "seed"), size, rapid.IntRange(1, 3).Draw(t, "domains"), terms)
+		f.loss = rapid.SampledFrom([]float64{0, 0.02, 0.3}).Draw(t, "loss")
+		f.delay = rapid.SampledFrom([]time.Duration{0, 100 * time.Millisecond, 10 * time.Second}).Draw(t, "delay")
+		cuts := map[[2]int]bool{}
+		f.cut = func(from, to int) bool { return cuts[[2]int{from, to}] }
+		only := rapid.SampledFrom([]int{size, (size + 2) / 3}).Draw(t, "callers")
+		// Tokens are saved up and spent by turns.
+		for phase := range rapid.IntRange(2, 12).Draw(t, "phases") {
+			f.upset(t, cuts)
+			pressure := rapid.SampledFrom([]float64{0, 0.5}).Draw(t, "little")
+			if phase%2 == 1 {
+				pressure = rapid.SampledFrom([]float64{2, 10, 100}).Draw(t, "much")
+			}
+			for end := f.now + time.Duration(rapid.IntRange(100, 8000).Draw(t, "phase"))*time.Millisecond; f.now < end; {
+				f.step()
+				for name, q := range quotas {
+					for p := pressure * q.Rate / 1000; p > 0; p-- {
+						if f.random.Float64() < p {
+							f.request(f.nodes[f.random.IntN(only)], name, nil)
+						}
+					}
+				}
+			}
+		}
+		for name, q := range quotas {
+			require.LessOrEqual(t, float64(f.most(name, b.Window, 0)), allowed(b, q), "account %s", name)
+		}
+	})
+}
+
+// upset brings one failure about, or ends the cuts.
+func (f *fleet) upset(t *rapid.T, cuts map[[2]int]bool) {
+	n := f.nodes[rapid.IntRange(0, len(f.nodes)-1).Draw(t, "node")]
+	other := rapid.IntRange(0, len(f.nodes)-1).Draw(t, "other")
+	switch rapid.SampledFrom([]string{"calm", "kill", "restart", "freeze", "cut", "one-way", "isolate", "heal", "add", "herd"}).Draw(t, "upset") {
+	case "kill":
+		f.kill(n)
+	case "restart":
+		for _, n := range f.nodes {
+			if !n.up {
+				f.start(n)
+			}
+		}
+	case "freeze":
+		n.frozenUntil = f.now + time.Duration(rapid.IntRange(100, 9000).Draw(t, "freeze"))*time.Millisecond
+	case "cut":
+		cuts[[2]int{n.index, other}], cuts[[2]int{other, n.index}] = true, true
+	case "one-way":
+		cuts[[2]int{n.index, other}] = true
+	case "isolate":
+		for i := range f.nodes {
+			cuts[[2]int{n.index, i}], cuts[[2]int{i, n.index}] = i != n.index, i != n.index
+		}
+	case "heal":
+		clear(cuts)
+	case "add":
+		f.add(joinDelay)
+	case "herd":
+		for _, n := range f.nodes {
+			f.kill(n)
+			f.start(n)
+		}
+	}
+}
+
+// Guards against refusals inside the quota where few nodes, or one failure domain, send all requests of a small account
+// unevenly.
+func TestSmallUnevenAccountIsServed(t *testing.T) {
+	quota := model.Quota{Rate: 1.6, Burst: 1.6}
+	for name, sends := range map[string]func(f *fleet) *node{
+		"all nodes":        func(f *fleet) *node { return f.nodes[f.random.IntN(74)] },
+		"tenth of nodes":   func(f *fleet) *node { return f.nodes[f.random.IntN(7)*10] },
+		"one domain":       func(f *fleet) *node { return f.nodes[f.random.IntN(12)*6] },
+		"one node at once": func(f *fleet) *node { return f.nodes[int(f.now/(7*time.Second))%74] },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(1, 74, 6, map[string]Terms{"a": bounds.Terms(quota)})
+			inside := bucket{quota: quota}
+			total, refused := 0, 0
+			for f.now < 300*time.Second {
+				f.step()
+				// Ten seconds of three times the mean follow twenty of none.
+				if f.now%(30*time.Second) > 10*time.Second || f.random.Float64() > 0.003 || !inside.take(f.now) || f.now < 40*time.Second {
+					continue
+				}
+				total++
+				f.request(sends(f), "a", func(ok bool) {
+					if !ok {
+						refused++
+					}
+				})
+			}
+			t.Logf("%d of %d refused", refused, total)
+			require.Less(t, float64(refused), 0.01*float64(total))
+		})
+	}
+}
+
+// Guards against a hot account that takes tokens of others, and against one that gets less than its quota, evenly spread or in
+// one failure domain.
+func TestHotAccountGetsItsQuotaAndOthersLoseNothing(t *testing.T) {
+	for name, sends := range map[string]func(f *fleet) *node{
+		"all nodes":  func(f *fleet) *node { return f.nodes[f.random.IntN(74)] },
+		"one domain": func(f *fleet) *node { return f.nodes[f.random.IntN(12)*6] },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			usual := map[string]float64{"hot": 30, "large": 60, "middle": 5, "small": 0.7}
+			terms, inside := map[string]Terms{}, map[string]*bucket{}
+			for name, rate := range usual {
+				q := model.Quota{Rate: 1.6 * rate, Burst: 1.6 * rate}
+				terms[name], inside[name] = bounds.Terms(q), &bucket{quota: q}
+			}
+			f := newFleet(1, 74, 6, terms)
+			total, refused := map[string]int{}, map[string]int{}
+			var hotFrom, hotUntil time.Duration = 20 * time.Second, 60 * time.Second
+			for f.now < hotUntil {
+				f.step()
+				for account, rate := range usual {
+					if account == "hot" && f.now >= hotFrom {
+						rate *= 8
+					}
+					if f.random.Float64() > rate/1000 {
+						continue
+					}
+					ok := inside[account].take(f.now)
+					counted := ok && f.now > 15*time.Second && (account != "hot" || f.now < hotFrom)
+					if counted {
+						total[account]++
+					}
+					from := f.nodes[f.random.IntN(74)]
+					if account == "hot" {
+						from = sends(f)
+					}
+					f.request(from, account, func(ok bool) {
+						if counted && !ok {
+							refused[account]++
+						}
+					})
+				}
+			}
+			got := 0
+			for _, at := range f.granted["hot"] {
+				if at >= hotFrom {
+					got++
+				}
+			}
+			limit := 1.6 * usual["hot"] * (hotUntil - hotFrom).Seconds()
+			t.Logf("hot: %d of %.0f; refused inside the quota %v of %v; calls in domains and to the fleet %v", got, limit, refused, total, f.messaged)
+			require.GreaterOrEqual(t, float64(got), 0.9*limit)
+			for account := range usual {
+				require.LessOrEqual(t, float64(refused[account]), 0.01*float64(total[account]), account)
+			}
+		})
+	}
+}
+
+// Guards against tokens of a higher quota that are used after a lower one is in force on all nodes.
+func TestLoweredQuotaHoldsAfterOneWindow(t *testing.T) {
+	before, after := model.Quota{Rate: 50, Burst: 50}, model.Quota{Rate: 5, Burst: 5}
+	f := newFleet(1, 12, 3, map[string]Terms{"a": bounds.Terms(before)})
+	press := func(until time.Duration) {
+		for f.now < until {
+			f.step()
+			if f.random.IntN(5) == 0 {
+				f.request(f.nodes[f.random.IntN(12)], "a", nil)
+			}
+		}
+	}
+	press(10 * time.Second)
+	for _, n := range f.nodes {
+		f.setTerms(n, map[string]Terms{"a": bounds.Terms(after)})
+	}
+	press(25 * time.Second)
+	require.LessOrEqual(t, float64(f.most("a", bounds.Window, 10*time.Second)), allowed(bounds, after))
+	require.GreaterOrEqual(t, f.most("a", bounds.Window, 10*time.Second), 20)
+}
+
+// Guards against a fresh burst after all processes were killed at once.
+func TestRestartGrantsNoBurst(t *testing.T) {
+	quota := model.Quota{Rate: 20, Burst: 40}
+	f := newFleet(1, 24, 4, map[string]Terms{"a": bounds.Terms(quota)})
+	for f.now < 40*time.Second {
+		f.step()
+		if f.now%(9*time.Second) == 0 {
+			for _, n := range f.nodes {
+				f.kill(n)
+				f.start(n)
+			}
+		}
+		f.request(f.nodes[f.random.IntN(24)], "a", nil)
+	}
+	require.LessOrEqual(t, float64(f.most("a", bounds.Window, 0)), allowed(bounds, quota))
+	require.GreaterOrEqual(t, len(f.granted["a"]), 500)
+}
+
+// Measures the messages of the fleet with the load of 73 accounts.
+func BenchmarkFleetMessages(b *testing.B) {
+	for _, size := range []int{74, 300, 936} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			for range b.N {
+				f, rates := newFleet(1, size, 6, nil), map[string]float64{}
+				f.terms = map[string]Terms{}
+				for i := range 73 {
+					rate := 116 / float64(1+i) * float64(size) / 74
+					name := fmt.Sprint("account-", i)
+					rates[name], f.terms[name] = rate, bounds.Terms(model.Quota{Rate: 1.6 * rate, Burst: 1.6 * rate})
+				}
+				for _, n := range f.nodes {
+					f.setTerms(n, f.terms)
+				}
+				for f.now < 20*time.Second {
+					if f.now == 10*time.Second {
+						f.messaged = [2]int{}
+					}
+					f.step()
+					for name, rate := range rates {
+						for p := rate / 1000; p > 0; p-- {
+							if f.random.Float64() < p {
+								f.request(f.nodes[f.random.IntN(size)], name, nil)
+							}
+						}
+					}
+				}
+				b.ReportMetric(float64(f.messaged[0])/10/float64(size), "domain-calls/s/node")
+				b.ReportMetric(float64(f.messaged[1])/10, "fleet-calls/s")
+			}
+		})
+	}
+}
