--- a/cmd/auburnwinch/hosted.go
+++ b/cmd/auburnwinch/hosted.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/auburnwinch/auburnwinch/internal/hosted"
+	"github.com/auburnwinch/auburnwinch/internal/quota"
 	"github.com/auburnwinch/auburnwinch/internal/spool"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 	"github.com/auburnwinch/auburnwinch/platform"
@@ -66,6 +67,7 @@
 		},
 		LocalHandler: func(h hosted.HeartbeatReceiver) http.Handler { return platform.Heartbeats(h) }, ReadyHandler: platform.Readiness,
 		Grace: s.Grace, RetryBudget: hosted.RetryBudget{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow},
+		Quotas:        quota.Bounds{Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: s.QuotaSlack},
 		Logger:        log.With(log.NewJSONLogger(lines.Ordinary()), "node", s.Node, "ts", log.DefaultTimestampUTC),
 		FailureLogger: log.With(log.NewJSONLogger(lines.Important()), "node", s.Node, "ts", log.DefaultTimestampUTC),
 		Version:       version(),
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -83,15 +83,6 @@
 	Identify(key string) (account *model.ClientAccount, required bool)
 }
 
-// Quotas bounds the requests of client accounts over the whole fleet.
-type Quotas interface {
-	// Take takes one request out of the quota of the account, and may wait shortly for other nodes. Unless ok, the request
-	// exceeds the quota, and retryAfter tells when one would not.
-	Take(ctx context.Context, account *model.ClientAccount) (retryAfter time.Duration, ok bool)
-	// GiveBack returns a request that reached no target.
-	GiveBack(account *model.ClientAccount)
-}
-
 // Notices remembers what targets state about themselves, beyond restarts of the nodes beside them.
 type Notices interface {
 	// ObserveAnswer records what a response of the target states, and how long its rate limit would make the next request
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -81,6 +81,10 @@
 	status    int
 	// abort makes the server close the connection before the response is complete.
 	abort bool
+	// account is the client account of the request, or nil; quotaTaken tells that it holds a token of the account's quota.
+	account    *model.ClientAccount
+	quotaToken QuotaToken
+	quotaTaken bool
 }
 
 func (q *request) serve() {
@@ -117,6 +121,10 @@
 		q.refuseAttempts(poisonRefusal())
 		return
 	}
+	if !q.takeQuota(ctx) {
+		return
+	}
+	defer q.returnQuota()
 	q.edge.counters.requests.Add(1)
 	q.edge.budget(q.match.Service).Deposit()
 	q.run(ctx)
--- a/internal/hosted/config.go
+++ b/internal/hosted/config.go
@@ -10,6 +10,7 @@
 	"github.com/auburnwinch/auburnwinch/internal/agent"
 	"github.com/auburnwinch/auburnwinch/internal/edge"
 	"github.com/auburnwinch/auburnwinch/internal/feed"
+	"github.com/auburnwinch/auburnwinch/internal/quota"
 	"github.com/auburnwinch/auburnwinch/internal/relay"
 	"github.com/auburnwinch/auburnwinch/internal/roster"
 	"github.com/auburnwinch/auburnwinch/internal/timer"
@@ -34,8 +35,10 @@
 	// Grace is the time between the termination signal and the forced kill of the process.
 	Grace       time.Duration
 	RetryBudget RetryBudget
-	Clock       timer.Service
-	Dial        relay.DialFunc
+	// Quotas holds the tolerances for the quotas of client accounts.
+	Quotas quota.Bounds
+	Clock  timer.Service
+	Dial   relay.DialFunc
 	// Logger receives ordinary lines, FailureLogger those about failures and state changes.
 	Logger        log.Logger
 	FailureLogger log.Logger
--- a/internal/hosted/listen.go
+++ b/internal/hosted/listen.go
@@ -46,7 +46,8 @@
 		return nil
 	}
 	var err error
-	n.feed, err = feed.NewServer(n.config.Listeners.Peer, n.nodes)
+	name, receiver := n.quotas.Service()
+	n.feed, err = feed.NewServer(n.config.Listeners.Peer, n.nodes, feed.Service{Name: name, Receiver: receiver})
 	return err
 }
 
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -17,6 +17,7 @@
 	"github.com/auburnwinch/auburnwinch/internal/listen"
 	"github.com/auburnwinch/auburnwinch/internal/notify"
 	"github.com/auburnwinch/auburnwinch/internal/picker"
+	"github.com/auburnwinch/auburnwinch/internal/quota"
 	"github.com/auburnwinch/auburnwinch/internal/relay"
 	"github.com/auburnwinch/auburnwinch/internal/roster"
 	"github.com/auburnwinch/auburnwinch/internal/trace"
@@ -83,6 +84,7 @@
 	agent         *agent.Agent
 	picker        *picker.Picker
 	nodes         *feed.Table
+	quotas        *quota.Client
 	feed          *feed.Server
 	publisher     *roster.Publisher
 	watchers      []*roster.Watcher
@@ -118,6 +120,9 @@
 	for _, build := range []func() error{n.buildState, n.buildAgent, n.buildEdge, n.registerMetrics, n.openListeners} {
 		if err := build(); err != nil {
 			n.closeListeners()
+			if n.quotas != nil {
+				n.quotas.Close()
+			}
 			return nil, err
 		}
 	}
@@ -133,9 +138,13 @@
 		CheckPaths: true,
 	})
 	n.guard = newPoisonGuard(n.config.Clock, n.config.FailureLogger, n.publishDue)
+	n.quotas = quota.New(quota.Config{
+		Self: n.config.Self, Bounds: n.config.Quotas, Dial: quota.DialFunc(n.config.Dial), Logger: n.config.FailureLogger,
+	})
 	n.fleet = &fleetState{
 		self: n.config.Self, clock: n.config.Clock, logger: n.config.FailureLogger, decode: n.config.Decode, picker: n.picker,
 		builder: view.NewBuilder(n.config.Self), members: roster.NewMembers(), guard: n.guard,
+		quotas: n.quotas,
 	}
 	n.nodes = feed.NewTable(feed.Config{
 		Store: n.config.Nodes, Self: n.config.Self.Ref.ID, Domain: n.config.Self.Domain, BatchDelay: membersBatchDelay, OnDomainRows: n.restore, OnUnfollow: n.unfollowed,
@@ -191,7 +200,7 @@
 		Logger: n.config.FailureLogger, Dial: n.config.Dial, DialTimeout: relayDialTimeout, ReusedHeaderTimeout: reusedHeaderTimeout,
 		HeaderTimeout: headerTimeout, BodyIdleTimeout: bodyIdleTimeout, StartupWait: startupWait, StartupPeriod: startupPeriod, Protocol: n.config.CallerProtocol, NegotiateAdmission: true, BufferBytes: bufferBytes,
 		RequestLogger: n.requestLogger, PoisonDetector: n.guard, CrashCounter: n.guard, Parents: n.agent, Configurations: n.fleet,
-		Notices: n.picker,
+		Notices: n.picker, Quotas: quotaTaker{n.quotas},
 	})
 	n.fleet.edge = n.edge
 	return err
--- a/internal/hosted/run.go
+++ b/internal/hosted/run.go
@@ -91,6 +91,7 @@
 	n.agent.SetLeaving(true)
 	n.edge.SetLeaving(true)
 	n.nodes.StopServing()
+	n.quotas.Leave()
 	n.publish()
 	_ = level.Info(n.config.FailureLogger).Log("msg", "node leaving", "in-flight", n.inFlight())
 }
@@ -124,6 +125,7 @@
 	}
 	n.publisher.Close()
 	n.nodes.Close()
+	n.quotas.Close()
 	_ = n.edge.Close()  // Only closes idle connections.
 	_ = n.agent.Close() // Only closes idle connections.
 	n.group.Wait()
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -11,6 +11,7 @@
 	"github.com/auburnwinch/auburnwinch/internal/edge"
 	"github.com/auburnwinch/auburnwinch/internal/invar"
 	"github.com/auburnwinch/auburnwinch/internal/picker"
+	"github.com/auburnwinch/auburnwinch/internal/quota"
 	"github.com/auburnwinch/auburnwinch/internal/roster"
 	"github.com/auburnwinch/auburnwinch/internal/router"
 	"github.com/auburnwinch/auburnwinch/internal/timer"
@@ -28,6 +29,7 @@
 	picker *picker.Picker
 	guard  *poisonGuard
 	edge   *edge.Edge
+	quotas *quota.Client
 	view   view.Holder
 	limits atomic.Pointer[Limits]
 	number atomic.Uint64
@@ -63,6 +65,15 @@
 	b.membersKnown, b.membersAt = true, b.clock.Now()
 	_ = level.Info(b.logger).Log("msg", "members changed", "version", p.Version, "rows", len(p.Rows), "whole", p.Whole, "nodes", b.members.Len())
 	b.publishView()
+	b.quotas.SetNodes(nodesOf(b.members.NodeStates()))
+}
+
+func nodesOf(states []view.NodeState) []model.Node {
+	nodes := make([]model.Node, 0, len(states))
+	for i := range states {
+		nodes = append(nodes, states[i].Node)
+	}
+	return nodes
 }
 
 // applyConfiguration applies rows of the operator's table and ignores a configuration that is not newer.
@@ -93,6 +104,7 @@
 	invar.Check(before < config.Configuration.Number, "hosted", "configuration went from %d to %d", before, config.Configuration.Number)
 	b.config, b.configuredAt = config, b.clock.Now()
 	b.limits.Store(&config.Limits)
+	b.quotas.SetAccounts(config.Accounts)
 	b.publishView()
 	b.edge.SetRoutes(table)
 	b.numberChanged()
