--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -182,7 +182,7 @@
 			}
 			f := newFleet(1, 74, 6, terms)
 			total, refused := map[string]int{}, map[string]int{}
-			var hotFrom, hotUntil time.Duration = 20 * time.Second, 60 * time.Second
+			hotFrom, hotUntil := 20*time.Second, 60*time.Second
 			for f.now < hotUntil {
 				f.step()
 				for account, rate := range usual {
