--- a/internal/edge/quota.go
+++ b/internal/edge/quota.go
@@ -24,10 +24,10 @@
 }
 
 // takeQuota takes the request out of the quota of its account; it refuses the request and returns false if it exceeds the
-// quota. Requests of targets belong to the request that caused them.
+// quota. Nested calls have no account of their own.
 func (q *request) takeQuota(ctx context.Context) bool {
 	quotas := q.edge.config.Quotas
-	if quotas == nil || q.account == nil || q.account.Quota.Rate <= 0 || q.parent != "" {
+	if quotas == nil || q.account == nil || q.account.Quota.Rate <= 0 {
 		return true
 	}
 	token, retryAfter, ok := quotas.Take(ctx, q.account)
--- a/internal/hosted/config.go
+++ b/internal/hosted/config.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/auburnwinch/auburnwinch/internal/access"
 	"github.com/auburnwinch/auburnwinch/internal/agent"
 	"github.com/auburnwinch/auburnwinch/internal/edge"
 	"github.com/auburnwinch/auburnwinch/internal/feed"
@@ -37,8 +38,10 @@
 	RetryBudget RetryBudget
 	// Quotas holds the tolerances for the quotas of client accounts.
 	Quotas quota.Bounds
-	Clock  timer.Service
-	Dial   relay.DialFunc
+	// Revocation bounds how long withdrawn keys of client accounts may work.
+	Revocation access.Revocation
+	Clock      timer.Service
+	Dial       relay.DialFunc
 	// Logger receives ordinary lines, FailureLogger those about failures and state changes.
 	Logger        log.Logger
 	FailureLogger log.Logger
