--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/auburnwinch/auburnwinch/internal/edge"
 	"github.com/auburnwinch/auburnwinch/internal/invar"
 	"github.com/auburnwinch/auburnwinch/internal/meter"
+	"github.com/auburnwinch/auburnwinch/internal/quota"
 	"github.com/auburnwinch/auburnwinch/internal/relay"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
@@ -100,6 +101,7 @@
 	m.Gauge("auburnwinch.agent.limited", "targets of this VM that state a rate limit", func() int64 { return int64(n.agent.Limited()) })
 	m.Gauge("auburnwinch.agent.target-leaving", "targets of this VM that have stated that they shut down", func() int64 { return int64(n.agent.TargetsLeaving()) })
 	m.Counter("auburnwinch.poison.in-flight-at-crash", "requests that were in flight when the own target died", n.guard.inFlightAtCrash.Load)
+	n.registerQuotaMetrics()
 	m.Counter("auburnwinch.store.member-calls", "calls to the store for the records of the nodes", n.nodes.StoreCalls)
 	m.Counter("auburnwinch.feed.calls", "calls to other nodes for the records of the nodes", n.nodes.PeerCalls)
 	m.Gauge("auburnwinch.configuration.number", "number of the configuration in force", func() int64 { return int64(n.fleet.number.Load()) })
@@ -119,6 +121,7 @@
 	View  any         `json:"view"`
 	// Crashes are the crash counts of requests that crashed targets of the fleet.
 	Crashes []model.CrashEntry `json:"crashes"`
+	Quotas  quota.State        `json:"quotas"`
 }
 
 // metricsHandler serves the metrics and the state dump.
@@ -129,7 +132,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(stateDump{ // Errors are ignored: the client disconnected.
 			Self: n.config.Self, Ready: n.ready(), Edge: n.edge.State(), Agent: n.agent.State(), View: n.fleet.view.Load(),
-			Crashes: n.guard.counter.Counts().Entries(),
+			Crashes: n.guard.counter.Counts().Entries(), Quotas: n.quotas.State(),
 		})
 	})
 	return mux
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -44,7 +44,8 @@
 
 // Counters counts the decisions of a node.
 type Counters struct {
-	Granted, Waited, Refused, GivenBack, Calls, FailedCalls atomic.Int64
+	// Refused counts requests beyond a quota, Late those for which no pool replied in time.
+	Granted, Waited, Refused, Late, GivenBack, Calls, FailedCalls atomic.Int64
 }
 
 // Client takes tokens for the requests of this node, and holds pools for other nodes. It is safe for concurrent use.
@@ -159,7 +160,11 @@
 			c.Granted.Add(1)
 			return Token(cmd), 0, true
 		case RefuseCmd:
-			c.Refused.Add(1)
+			if cmd.Late {
+				c.Late.Add(1)
+			} else {
+				c.Refused.Add(1)
+			}
 			return Token{}, cmd.RetryAfter, false
 		}
 		if !msg.Waiting {
@@ -170,7 +175,7 @@
 			c.mu.Lock()
 			c.share.Update(LeaveMsg{Account: account})
 			c.mu.Unlock()
-			c.Refused.Add(1)
+			c.Late.Add(1)
 			return Token{}, minWait, false
 		}
 		msg.Now, msg.Waiting = c.config.Now(), true
--- a/internal/quota/message.go
+++ b/internal/quota/message.go
@@ -81,8 +81,11 @@
 // TokenCmd lets the request run.
 type TokenCmd struct{ Expires time.Duration }
 
-// RefuseCmd refuses the request.
-type RefuseCmd struct{ RetryAfter time.Duration }
+// RefuseCmd refuses the request; Late tells that no pool replied in time, so that the quota need not be used up.
+type RefuseCmd struct {
+	RetryAfter time.Duration
+	Late       bool
+}
 
 // WaitCmd makes the request wait for the next GrantedMsg.
 type WaitCmd struct{}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -81,7 +84,8 @@
 			}
 			for end := f.now + time.Duration(rapid.IntRange(100, 8000).Draw(t, "phase"))*time.Millisecond; f.now < end; {
 				f.step()
-				for name, q := range quotas {
+				for _, name := range []string{"a", "returned"} {
+					q := quotas[name]
 					for p := pressure * q.Rate / 1000; p > 0; p-- {
 						if f.random.Float64() < p {
 							f.request(f.nodes[f.random.IntN(only)], name, nil)
@@ -185,7 +189,8 @@
 			hotFrom, hotUntil := 20*time.Second, 60*time.Second
 			for f.now < hotUntil {
 				f.step()
-				for account, rate := range usual {
+				for _, account := range slices.Sorted(maps.Keys(usual)) {
+					rate := usual[account]
 					if account == "hot" && f.now >= hotFrom {
 						rate *= 8
 					}
@@ -263,6 +268,67 @@
 	require.GreaterOrEqual(t, len(f.granted["a"]), 500)
 }
 
+// Guards against a saved-up quota that is refused in part, or granted in excess, when all nodes use it at once.
+func TestSavedQuotaIsGrantedOnce(t *testing.T) {
+	for _, b := range []Bounds{{Window: 5 * time.Second}, bounds} {
+		for _, quota := range []model.Quota{{Rate: 180, Burst: 180}, {Rate: 20, Burst: 60}, {Rate: 1.1, Burst: 10}} {
+			f := newFleet(1, 12, 3, map[string]Terms{"a": b.Terms(quota)})
+			for f.now < 50*time.Second {
+				f.step()
+				for i := 0; i < 4 && f.now > 40*time.Second; i++ {
+					f.request(f.nodes[f.random.IntN(12)], "a", nil)
+				}
+			}
+			most := float64(f.most("a", b.Window, 0))
+			t.Logf("%+v under %+v: %.0f of %.1f tolerated", quota, b, most, allowed(b, quota))
+			require.LessOrEqual(t, most, allowed(b, quota))
+			// Each failure domain may be left with less than a whole token.
+			require.GreaterOrEqual(t, most, 0.9*(quota.Rate*b.Window.Seconds()+quota.Burst)-float64(f.domains))
+		}
+	}
+}
+
+// Guards against calls that arrive late, or come from before a restart of the pool, and add fresh tokens.
+func TestDelayedHandoverAddsNothing(t *testing.T) {
+	terms := Terms{Rate: 100, Life: time.Second}
+	for name, delay := range map[string]time.Duration{"in time": 0, "late": 2 * time.Second} {
+		p := NewPool(PoolConfig{Self: "pool", Epoch: 7})
+		p.Update(TermsMsg{Terms: map[string]Terms{"a": terms}})
+		first := p.Update(AskMsg{Now: time.Minute, Ask: Ask{From: "node"}}).(GrantCmd).Grant
+		late := Ask{
+			From: "node", Epoch: first.Epoch, Stamp: first.Stamp, Since: 200 * time.Millisecond, Minted: 0.2, Span: 200 * time.Millisecond,
+			Offers: []Parcel{{Account: "a", Amount: 5, Life: time.Second}}, Wants: []Want{{Account: "a", Amount: 50, Waiting: 50}},
+		}
+		got := 0.0
+		for _, part := range p.Update(AskMsg{Now: time.Minute + 200*time.Millisecond + delay, Ask: late}).(GrantCmd).Grant.Parcels {
+			got += part.Amount
+		}
+		require.Equal(t, map[string]float64{"in time": 25, "late": 0}[name], math.Round(got), name)
+		late.Epoch, got = 6, 0
+		for _, part := range p.Update(AskMsg{Now: time.Minute + 200*time.Millisecond, Ask: late}).(GrantCmd).Grant.Parcels {
+			got += part.Amount
+		}
+		require.Zero(t, got, "stamp of another process")
+	}
+}
+
+// Guards against lent tokens that a slow reply, or a pause of the process that holds them, keeps alive.
+func TestLentTokensExpireWithTheirCreation(t *testing.T) {
+	s := NewShare("node")
+	s.Update(TermsMsg{Terms: map[string]Terms{"a": {Rate: 100, Life: time.Second}}})
+	s.Update(SendMsg{Now: time.Minute, Pool: "pool"})
+	parcels := []Parcel{{Account: "a", Amount: 2, Life: 300 * time.Millisecond}}
+	s.Update(GrantedMsg{Now: time.Minute + 200*time.Millisecond, Grant: Grant{Epoch: 1, Stamp: 1, Parcels: parcels}})
+	take := func(after time.Duration) Cmd {
+		return s.Update(TakeMsg{Now: time.Minute + after, Account: "a", Until: time.Hour})
+	}
+	token, ok := take(200 * time.Millisecond).(TokenCmd)
+	require.True(t, ok)
+	require.LessOrEqual(t, token.Expires, time.Minute+300*time.Millisecond)
+	s.Update(GiveBackMsg{Now: time.Minute + 250*time.Millisecond, Account: "a", Expires: token.Expires})
+	require.IsType(t, WaitCmd{}, take(300*time.Millisecond))
+}
+
 // Measures the messages of the fleet with the load of 73 accounts.
 func BenchmarkFleetMessages(b *testing.B) {
 	for _, size := range []int{74, 300, 936} {
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -155,7 +155,7 @@
 		return TokenCmd{Expires: expires}
 	case msg.Now < a.exhaustedUntil || msg.Now >= msg.Until:
 		s.leaveIf(a, msg.Waiting)
-		return RefuseCmd{RetryAfter: max(minWait, a.retryAt-msg.Now)}
+		return RefuseCmd{RetryAfter: max(minWait, a.retryAt-msg.Now), Late: msg.Now >= a.exhaustedUntil}
 	case !msg.Waiting:
 		a.waiting++
 		s.waiting++
