--- a/cmd/auburnwinch/hosted.go
+++ b/cmd/auburnwinch/hosted.go
@@ -15,6 +15,7 @@
 
 	"github.com/auburnwinch/auburnwinch/internal/access"
 	"github.com/auburnwinch/auburnwinch/internal/hosted"
+	"github.com/auburnwinch/auburnwinch/internal/quota"
 	"github.com/auburnwinch/auburnwinch/internal/spool"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 	"github.com/auburnwinch/auburnwinch/platform"
@@ -67,6 +68,7 @@
 		},
 		LocalHandler: func(h hosted.HeartbeatReceiver) http.Handler { return platform.Heartbeats(h) }, ReadyHandler: platform.Readiness,
 		Grace: s.Grace, RetryBudget: hosted.RetryBudget{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow},
+		Quotas:        quota.Bounds{Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: s.QuotaSlack},
 		Revocation:    access.Revocation{Strict: s.StrictRevoke, Bound: s.RevokeBound},
 		Logger:        log.With(log.NewJSONLogger(lines.Ordinary()), "node", s.Node, "ts", log.DefaultTimestampUTC),
 		FailureLogger: log.With(log.NewJSONLogger(lines.Important()), "node", s.Node, "ts", log.DefaultTimestampUTC),
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -88,6 +88,9 @@
 	status    int
 	// abort makes the server close the connection before the response is complete.
 	abort bool
+	// quotaTaken tells that the request holds quotaToken of the quota of its account.
+	quotaToken QuotaToken
+	quotaTaken bool
 }
 
 func (q *request) serve() {
@@ -128,6 +131,10 @@
 		q.refuseAttempts(poisonRefusal())
 		return
 	}
+	if !q.takeQuota(ctx) {
+		return
+	}
+	defer q.returnQuota()
 	q.edge.counters.requests.Add(1)
 	q.edge.budget(q.match.Service).Deposit()
 	q.run(ctx)
--- a/internal/hosted/config.go
+++ b/internal/hosted/config.go
@@ -11,6 +11,7 @@
 	"github.com/auburnwinch/auburnwinch/internal/agent"
 	"github.com/auburnwinch/auburnwinch/internal/edge"
 	"github.com/auburnwinch/auburnwinch/internal/feed"
+	"github.com/auburnwinch/auburnwinch/internal/quota"
 	"github.com/auburnwinch/auburnwinch/internal/relay"
 	"github.com/auburnwinch/auburnwinch/internal/roster"
 	"github.com/auburnwinch/auburnwinch/internal/timer"
@@ -35,6 +36,8 @@
 	// Grace is the time between the termination signal and the forced kill of the process.
 	Grace       time.Duration
 	RetryBudget RetryBudget
+	// Quotas holds the tolerances for the quotas of client accounts.
+	Quotas quota.Bounds
 	// Revocation bounds how long withdrawn keys of client accounts may work.
 	Revocation access.Revocation
 	Clock      timer.Service
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -13,6 +13,7 @@
 	"github.com/auburnwinch/auburnwinch/internal/edge"
 	"github.com/auburnwinch/auburnwinch/internal/invar"
 	"github.com/auburnwinch/auburnwinch/internal/picker"
+	"github.com/auburnwinch/auburnwinch/internal/quota"
 	"github.com/auburnwinch/auburnwinch/internal/roster"
 	"github.com/auburnwinch/auburnwinch/internal/router"
 	"github.com/auburnwinch/auburnwinch/internal/timer"
@@ -30,6 +31,7 @@
 	picker *picker.Picker
 	guard  *poisonGuard
 	edge   *edge.Edge
+	quotas *quota.Client
 	view   view.Holder
 	limits atomic.Pointer[Limits]
 	number atomic.Uint64
@@ -75,6 +77,15 @@
 	b.membersKnown, b.membersAt = true, b.clock.Now()
 	_ = level.Info(b.logger).Log("msg", "members changed", "version", p.Version, "rows", len(p.Rows), "whole", p.Whole, "nodes", b.members.Len())
 	b.publishView()
+	b.quotas.SetNodes(nodesOf(b.members.NodeStates()))
+}
+
+func nodesOf(states []view.NodeState) []model.Node {
+	nodes := make([]model.Node, 0, len(states))
+	for i := range states {
+		nodes = append(nodes, states[i].Node)
+	}
+	return nodes
 }
 
 // applyConfiguration applies rows of the operator's table and ignores a configuration that is not newer.
@@ -110,6 +121,7 @@
 	invar.Check(before < config.Configuration.Number, "hosted", "configuration went from %d to %d", before, config.Configuration.Number)
 	b.config, b.row, b.configuredAt = config, row, b.clock.Now()
 	b.limits.Store(&config.Limits)
+	b.quotas.SetAccounts(config.Accounts)
 	b.publishView()
 	b.keys.Store(accounts) // Before the routes, so that a new route finds the keys that came with it.
 	b.edge.SetRoutes(table)
