--- a/internal/relay/head.go
+++ b/internal/relay/head.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/auburnwinch/auburnwinch/internal/strict"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
@@ -24,17 +25,6 @@
 	minStatusLine = len("HTTP/1.1 200")
 )
 
-// errGrammar means that the peer sent bytes that no HTTP/1.1 server may send. What they state proves nothing.
-var errGrammar = eris.New("the peer sent bytes that are no HTTP/1.1 response; correct it")
-
-// tokenBytes marks the bytes of which field names consist.
-var tokenBytes = func() (is [256]bool) {
-	for _, c := range []byte("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ") {
-		is[c] = true
-	}
-	return is
-}()
-
 // commonNames holds the names that are read without an allocation.
 var commonNames = func() map[string]string {
 	names := make(map[string]string)
@@ -74,19 +64,19 @@
 // parseStatusLine returns a response with the version and the status of the line.
 func parseStatusLine(line []byte) (*http.Response, error) {
 	if len(line) < minStatusLine || !bytes.HasPrefix(line, []byte("HTTP/1.")) || line[7] != '0' && line[7] != '1' || line[8] != ' ' {
-		return nil, eris.Wrapf(errGrammar, "status line %.40q", line)
+		return nil, eris.Wrapf(strict.ErrGrammar, "status line %.40q", line)
 	}
 	status := 0
 	for _, c := range line[9:12] {
 		if c < '0' || c > '9' {
-			return nil, eris.Wrapf(errGrammar, "status line %.40q", line)
+			return nil, eris.Wrapf(strict.ErrGrammar, "status line %.40q", line)
 		}
 		status = status*10 + int(c-'0')
 	}
-	if status < 100 || status > 599 || len(line) > minStatusLine && line[minStatusLine] != ' ' || !validText(line[minStatusLine:]) {
-		return nil, eris.Wrapf(errGrammar, "status line %.40q", line)
+	if status < strict.MinStatus || status > strict.MaxStatus || len(line) > minStatusLine && line[minStatusLine] != ' ' || !strict.IsValue(line[minStatusLine:]) {
+		return nil, eris.Wrapf(strict.ErrGrammar, "status line %.40q", line)
 	}
-	response := &http.Response{StatusCode: status, ProtoMajor: 1, ProtoMinor: int(line[7] - '0'), Proto: "HTTP/1.1"}
+	response := &http.Response{Status: string(line[9:]), StatusCode: status, ProtoMajor: 1, ProtoMinor: int(line[7] - '0'), Proto: "HTTP/1.1"}
 	if response.ProtoMinor == 0 {
 		response.Proto = "HTTP/1.0"
 	}
@@ -106,7 +96,7 @@
 			return header, nil
 		}
 		if limit -= len(line); limit <= 0 {
-			return nil, eris.Wrap(errGrammar, "too many fields")
+			return nil, eris.Wrap(strict.ErrGrammar, "too many fields")
 		}
 		name, value, err := parseField(line)
 		if err != nil {
@@ -132,17 +122,12 @@
 
 func parseField(line []byte) (name, value string, err error) {
 	colon := bytes.IndexByte(line, ':')
-	if colon <= 0 {
-		return "", "", eris.Wrapf(errGrammar, "field line %.40q", line)
-	}
-	for _, c := range line[:colon] {
-		if !tokenBytes[c] {
-			return "", "", eris.Wrapf(errGrammar, "field line %.40q", line)
-		}
+	if colon < 0 || !strict.IsName(line[:colon]) {
+		return "", "", eris.Wrapf(strict.ErrGrammar, "field line %.40q", line)
 	}
 	text := bytes.Trim(line[colon+1:], " \t")
-	if !validText(text) {
-		return "", "", eris.Wrapf(errGrammar, "field line %.40q", line)
+	if !strict.IsValue(text) {
+		return "", "", eris.Wrapf(strict.ErrGrammar, "field line %.40q", line)
 	}
 	name, found := commonNames[string(line[:colon])]
 	if !found {
@@ -151,16 +136,6 @@
 	return name, string(text), nil
 }
 
-// validText reports whether the bytes may stand in a field value or a reason.
-func validText(text []byte) bool {
-	for _, c := range text {
-		if c < ' ' && c != '\t' || c == 0x7f {
-			return false
-		}
-	}
-	return true
-}
-
 // readLine returns the next line without its CRLF, which is valid until the next read. It reads little more than the limit.
 func readLine(r *bufio.Reader, limit int) ([]byte, error) {
 	line, err := r.ReadSlice('\n')
@@ -174,11 +149,11 @@
 	}
 	switch {
 	case errors.Is(err, bufio.ErrBufferFull) || err == nil && len(line) > limit+len("\r\n"):
-		return nil, eris.Wrap(errGrammar, "a line is too long")
+		return nil, eris.Wrap(strict.ErrGrammar, "a line is too long")
 	case err != nil:
 		return nil, unexpected(err)
 	case !bytes.HasSuffix(line, []byte("\r\n")):
-		return nil, eris.Wrapf(errGrammar, "line %.40q does not end in CRLF", line)
+		return nil, eris.Wrapf(strict.ErrGrammar, "line %.40q does not end in CRLF", line)
 	}
 	return line[:len(line)-len("\r\n")], nil
 }
@@ -194,11 +169,11 @@
 	bodiless := response.StatusCode < http.StatusOK || response.StatusCode == http.StatusNoContent
 	switch {
 	case chunked && (len(codings) > 1 || !strings.EqualFold(codings[0], "chunked")):
-		return eris.Wrapf(errGrammar, "transfer coding %.40q", codings)
+		return eris.Wrapf(strict.ErrGrammar, "transfer coding %.40q", codings)
 	case chunked && (length >= 0 || response.ProtoMinor == 0):
-		return eris.Wrap(errGrammar, "a transfer coding with a length or in HTTP/1.0")
+		return eris.Wrap(strict.ErrGrammar, "a transfer coding with a length or in HTTP/1.0")
 	case bodiless && (chunked || length > 0):
-		return eris.Wrapf(errGrammar, "a body of a response with the status %d", response.StatusCode)
+		return eris.Wrapf(strict.ErrGrammar, "a body of a response with the status %d", response.StatusCode)
 	}
 	delete(response.Header, "Transfer-Encoding")
 	if chunked {
@@ -232,5 +207,5 @@
 			return int64(n), nil
 		}
 	}
-	return 0, eris.Wrapf(errGrammar, "content length %.40q", values)
+	return 0, eris.Wrapf(strict.ErrGrammar, "content length %.40q", values)
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/auburnwinch/auburnwinch/internal/config"
+	"github.com/auburnwinch/auburnwinch/internal/strict"
 	"github.com/auburnwinch/auburnwinch/internal/timer"
 )
 
@@ -102,13 +103,13 @@
 func (c *Config) newHTTPClient() *http.Client {
 	return &http.Client{
 		Timeout: c.Timeout,
-		Transport: &http.Transport{
+		Transport: strict.Transport{RoundTripper: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: c.Timeout}).DialContext,
 			TLSHandshakeTimeout: c.Timeout,
 			MaxConnsPerHost:     maxConnections,
 			MaxIdleConnsPerHost: maxConnections,
 			IdleConnTimeout:     idleTimeout,
-		},
+		}},
 	}
 }
 
--- a/internal/strict/doc.go
+++ b/internal/strict/doc.go
@@ -1,13 +1,5 @@
-// Package strict decodes YAML files and reports every problem with file, line, field and remedy.
+// Package strict holds the grammar of HTTP fields and a transport that refuses responses which break it.
 //
-// Usage:
-//
-//	var settings Settings
-//	document, err := strict.Decode("node.yaml", data, &settings)
-//	if err != nil {
-//		return err
-//	}
-//	if problems := settings.problems(); len(problems) > 0 {
-//		return document.Locate(problems)
-//	}
+// What a server may not send proves nothing, neither a success nor that a request has not run: the peer is in trouble, or
+// has lost its place in the stream.
 package strict
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/auburnwinch/auburnwinch/internal/retry"
+	"github.com/auburnwinch/auburnwinch/internal/strict"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
@@ -118,6 +119,10 @@
 		c.Reserve = defaultReserve
 	}
 	client := &Client{config: c, http: *c.HTTP, budget: retry.NewBudget(retry.Config{Reserve: c.Reserve})}
+	if client.http.Transport == nil {
+		client.http.Transport = http.DefaultTransport
+	}
+	client.http.Transport = strict.Transport{RoundTripper: client.http.Transport}
 	// A redirect is the response of the target to this request; following it would be another request.
 	client.http.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return client, nil
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -213,3 +214,26 @@
 	require.ErrorContains(t, err, "Config.Edges")
 	require.Equal(t, []string{"", ""}, e.sentKeys(), "a query carries no key header")
 }
+
+// Guards against believing a refusal whose head no server may send, and against taking one for a response.
+func TestOddHeadProvesNothing(t *testing.T) {
+	edge := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == model.PathOwner {
+			w.Header().Set(model.HeaderOwner, token)
+			return
+		}
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\nOdd Name: x\r\n"+model.HeaderOutcome+": not-run\r\nContent-Length: 0\r\n\r\n")
+	}))
+	defer edge.Close()
+	c, err := New(Config{Edges: []string{edge.URL}, MaxSends: 1})
+	require.NoError(t, err)
+	_, err = c.Do(t.Context(), Request{Method: http.MethodPost, Path: "/"})
+	var failure *Error
+	require.ErrorAs(t, err, &failure)
+	require.Equal(t, model.OutcomeUnknown, failure.Outcome)
+}
