--- a/internal/edge/account.go
+++ b/internal/edge/account.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"net/http"
 	"time"
 
@@ -90,14 +91,9 @@
 // addAccountFields tells the agent the client account, which callers can't state themselves where accounts have keys. A
 // nested call takes turns with the requests of its parent's account, but does not belong to it.
 func (q *request) addAccountFields() {
-	switch {
-	case q.edge.config.Accounts == nil:
-		if account := q.r.Header[model.HeaderAccount]; len(account) > 0 {
-			q.addField(model.HeaderAccount, account[0])
-		}
-	case q.account != nil:
-		q.addField(model.HeaderAccount, q.account.Name)
-	case q.parentAccount != "":
+	if account := q.ownAccount(); account != "" {
+		q.addField(model.HeaderAccount, account)
+	} else if q.parentAccount != "" {
 		q.addField(model.HeaderParentAccount, q.parentAccount)
 	}
 	if q.keyHeader != "" {
@@ -105,12 +101,21 @@
 	}
 }
 
-// accountName returns the client account with whose requests this one takes turns, or "".
-func (q *request) accountName() string {
-	if q.account != nil {
+// ownAccount returns the client account to which the request belongs, or "". Without keys the caller states it.
+func (q *request) ownAccount() string {
+	switch {
+	case q.edge.config.Accounts == nil:
+		return q.r.Header.Get(model.HeaderAccount)
+	case q.account != nil:
 		return q.account.Name
+	default:
+		return ""
 	}
-	return q.parentAccount
+}
+
+// accountName returns the client account with whose requests this one takes turns, or "".
+func (q *request) accountName() string {
+	return cmp.Or(q.ownAccount(), q.parentAccount)
 }
 
 // isBehind reports whether another node has a newer configuration.
--- a/internal/edge/keys.go
+++ b/internal/edge/keys.go
@@ -23,7 +23,7 @@
 		return true
 	}
 	d := q.edge.config.KeyOwner.Begin(ctx, KeyRequest{
-		Key: own, Account: q.r.Header.Get(model.HeaderAccount), Service: q.match.Service, Method: q.r.Method,
+		Key: own, Account: q.ownAccount(), Service: q.match.Service, Method: q.r.Method,
 		Path: q.r.URL.Path, Query: q.r.URL.RawQuery, Body: q.body.data,
 	})
 	if d.Kind == DecisionRun {
--- a/internal/edge/negotiate.go
+++ b/internal/edge/negotiate.go
@@ -166,7 +166,8 @@
 	s := RequestSummary{
 		ID: q.edge.config.Protocol.ID(q.r), Service: q.match.Service, Outcome: q.refusal.Answer.Outcome,
 		Reason: q.refusal.Answer.Reason, Status: q.status, Nested: q.parent != "", Duration: q.edge.config.Clock.Now().Sub(q.startedAt),
-		Account: q.accountName(), Remaining: time.Until(q.deadline), Attempts: q.tries, Configuration: q.number, Fingerprint: q.fingerprint,
+		Account: q.accountName(), Remaining: time.Until(q.deadline), Attempts: q.tries,
+		Configuration: q.number, Fingerprint: q.fingerprint,
 	}
 	if q.match.Route != nil {
 		s.Route, s.Idempotent = q.match.Route.Name, q.match.Route.Idempotent
--- a/internal/feed/configuration.go
+++ b/internal/feed/configuration.go
@@ -78,7 +78,8 @@
 	return roster.Row{}, ErrNoConfiguration
 }
 
-// configurationSources returns the node that is followed or has introduced others, others of the failure domain, and others of the region.
+// configurationSources returns the node that is followed or has introduced others, some of the failure domain, and some others
+// of the region.
 func (t *Table) configurationSources() []Peer {
 	t.mu.Lock()
 	followed := t.source.Peer
