--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -14,6 +14,9 @@
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
+// ResultAnswered is the result of an attempt whose target answered.
+const ResultAnswered = "answered"
+
 // failure describes an attempt without a complete response.
 type failure struct {
 	result retry.Result
@@ -246,8 +249,12 @@
 		if chance, err := strconv.ParseFloat(h.Get(model.HeaderChance), 64); err == nil {
 			x.load.SuccessRatio = chance
 		}
-	case relay.ReasonUnknownTarget, relay.ReasonLeaving, relay.ReasonDraining:
-		x.load.UnhealthyFor = goneTargetPause
+	case relay.ReasonUnknownTarget:
+		x.load.Gone = true
+	case relay.ReasonLeaving, relay.ReasonDraining:
+		x.load.UnhealthyFor = leavingTargetPause
+	case relay.ReasonNoSlot, relay.ReasonDeadline:
+		x.load.NoSlot, x.load.ExpectedWait = f.wait > 0, f.wait
 	}
 	if model.Outcome(h.Get(model.HeaderOutcome)) == model.OutcomeNotRun {
 		f.result, f.kind = retry.NotRun, ResultRefused
@@ -304,8 +311,12 @@
 		return
 	}
 	try := AttemptRecord{
-		Target: x.choice.Candidate.Target.Ref.ID, Node: x.choice.Candidate.Node.Ref.ID, Result: "answered",
+		Target: x.choice.Candidate.Target.Ref.ID, Node: x.choice.Candidate.Node.Ref.ID, Result: ResultAnswered,
 		Patience: x.choice.Patience, Forced: x.choice.Forced, Duration: time.Since(x.started),
+		Left: x.choice.Left, Tier: x.choice.Tier,
+	}
+	if try.Left != "" {
+		try.Bytes = x.request.expectedBytes()
 	}
 	if f != nil {
 		try.Result = f.reason
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -141,6 +141,11 @@
 	Patience time.Duration `json:"patience"`
 	Forced   bool          `json:"forced"`
 	Duration time.Duration `json:"took"`
+	// Left is why the request left the failure domain, Tier how far it went and Bytes the expected size of the request and
+	// its response.
+	Left  string `json:"left-because"`
+	Tier  string `json:"tier"`
+	Bytes int64  `json:"bytes"`
 }
 
 // RequestSummary describes a request and its response for the log.
@@ -182,6 +187,11 @@
 	Remaining time.Duration
 	// Bytes is the expected size of the request and its response.
 	Bytes int64
+	// Rank is the rank of the route or of the parent request; Nested tells whether a target sent the request as a call.
+	Rank   int
+	Nested bool
+	// HasProgress tells whether another call of the parent request was served.
+	HasProgress bool
 }
 
 // AgentRefusal describes a refusal by an agent without a free slot or with an unhealthy target.
@@ -203,6 +213,11 @@
 	Patience time.Duration
 	// Forced asks the agent to admit the request even if it considers the target unhealthy.
 	Forced bool
+	// Brief tells that Patience is short, so that the request may queue at this target later.
+	Brief bool
+	// Left is why the request leaves the failure domain, or empty; Tier names how far the target is.
+	Left string
+	Tier string
 }
 
 // Load is the load that the agent reported with a response; Reported is false if it sent none.
@@ -215,6 +230,10 @@
 	IncludesRequest bool
 	// UnhealthyFor is how long the agent expects the target to stay unhealthy; zero means healthy.
 	UnhealthyFor time.Duration
+	// NoSlot is set if the agent has no slot within ExpectedWait, Gone if it does not serve the target any more.
+	NoSlot       bool
+	ExpectedWait time.Duration
+	Gone         bool
 }
 
 // Picker chooses among candidates.
--- a/internal/edge/negotiate.go
+++ b/internal/edge/negotiate.go
@@ -16,9 +16,9 @@
 	maxRefusals = 16
 	// maxBudgetRefusals limits the refusals of a retry by agents whose retry budget is exhausted.
 	maxBudgetRefusals = 3
-	// goneTargetPause is how long a target is avoided after its agent stopped serving it; by then the node's row has
-	// been updated.
-	goneTargetPause = time.Second
+	// leavingTargetPause is how long a target is avoided after it or its node began to leave; by then the node's row has been
+	// updated.
+	leavingTargetPause = time.Second
 	// minRetryWait and maxRetryWait limit the expected wait from which Retry-After is calculated; jitter is added to
 	// it.
 	minRetryWait = 200 * time.Millisecond
@@ -45,7 +45,7 @@
 		q.rateWait = f.wait
 	}
 	switch {
-	case c.Patience > 0 || c.Forced:
+	case c.Patience > 0 && !c.Brief || c.Forced:
 		// The request has already queued there or asked for forced admission; asking again would not help.
 		q.tried = append(q.tried, c.Candidate.Target.Ref)
 	case f.reason == relay.ReasonNoSlot || f.reason == relay.ReasonUnhealthy || f.reason == relay.ReasonRateLimit:
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -228,6 +228,7 @@
 		choice, err := q.edge.config.Picker.Pick(PickRequest{
 			Service: q.service, Route: q.match.Route, Idempotent: q.match.Route.Idempotent, Tried: q.tried,
 			Refusals: q.refused, Remaining: time.Until(q.deadline), Bytes: q.expectedBytes(),
+			Rank: q.rank, Nested: q.parent != "", HasProgress: q.hasProgress,
 		})
 		if err != nil {
 			q.refuseAttempts(q.noTargetRefusal())
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -27,6 +27,7 @@
 	waits           *meter.DurationHistogram
 	runs            *meter.DurationHistogram
 	refusals        map[string]*atomic.Int64
+	left, leftBytes *meter.LabelledCounter
 	attempts        atomic.Int64
 	turnedUnhealthy atomic.Int64
 }
@@ -41,8 +42,11 @@
 		outcomes: m.LabelledCounter("auburnwinch.edge.answers", "answers to callers by service, kind of request and outcome",
 			"service", "kind", "outcome"),
 		answers: m.Histogram("auburnwinch.edge.answer", "time from a caller's request to its answer"),
-		waits:   m.Histogram("auburnwinch.agent.wait", "time that relayed requests waited for a slot"),
-		runs:    m.Histogram("auburnwinch.agent.run", "time that targets took for relayed requests"),
+		left:    m.LabelledCounter("auburnwinch.edge.left", "attempts sent out of the failure domain by tier and reason", "tier", "reason"),
+		leftBytes: m.LabelledCounter("auburnwinch.edge.left-bytes",
+			"expected bytes of requests and responses that were served outside of the failure domain, by tier and reason", "tier", "reason"),
+		waits: m.Histogram("auburnwinch.agent.wait", "time that relayed requests waited for a slot"),
+		runs:  m.Histogram("auburnwinch.agent.run", "time that targets took for relayed requests"),
 	}
 	for _, reason := range refusalReasons {
 		counter := &atomic.Int64{}
@@ -59,6 +63,15 @@
 	t.answers.Record(s.Duration)
 	t.outcomes.Add(s.Service, kindOf(s), string(s.Outcome))
 	t.attempts.Add(int64(len(s.Attempts)))
+	for _, a := range s.Attempts {
+		if a.Left == "" {
+			continue
+		}
+		t.left.Add(a.Tier, a.Left)
+		if a.Result == edge.ResultAnswered {
+			t.leftBytes.AddN(a.Bytes, a.Tier, a.Left)
+		}
+	}
 }
 
 // kindOf returns the value of the `kind` label for a request.
--- a/internal/hosted/picker.go
+++ b/internal/hosted/picker.go
@@ -6,6 +6,7 @@
 	"github.com/auburnwinch/auburnwinch/internal/edge"
 	"github.com/auburnwinch/auburnwinch/internal/eject"
 	"github.com/auburnwinch/auburnwinch/internal/picker"
+	"github.com/auburnwinch/auburnwinch/internal/relay"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
@@ -34,7 +35,8 @@
 func (p pickerAdapter) Pick(r edge.PickRequest) (edge.Choice, error) {
 	request := picker.Request{
 		Service: r.Service.Spec.Name, Idempotent: r.Idempotent, Exclude: r.Tried, Remaining: r.Remaining, Objective: time.Duration(r.Route.Objective),
-		Bytes:    r.Bytes,
+		Bytes: r.Bytes,
+		Rank:  rankOf(relay.Class{Nested: r.Nested, HasProgress: r.HasProgress, Rank: r.Rank}), Nested: r.Nested,
 		Refusals: make([]picker.AgentRefusal, 0, len(r.Refusals)),
 	}
 	for _, refused := range r.Refusals {
@@ -44,7 +46,7 @@
 	if err != nil {
 		return edge.Choice{}, err
 	}
-	return edge.Choice{Candidate: choice.Candidate, Token: choice, Patience: choice.Patience, Forced: choice.Forced}, nil
+	return edge.Choice{Candidate: choice.Candidate, Token: choice, Patience: choice.Patience, Forced: choice.Forced, Brief: choice.Brief, Left: string(choice.Left), Tier: choice.Tier.String()}, nil
 }
 
 // Done releases the choice and passes on the load that the agent reported.
@@ -58,6 +60,12 @@
 		load = picker.Load{InFlight: l.InFlight, Limit: l.Limit, IncludesRequest: l.IncludesRequest}
 	}
 	p.Picker.Done(choice, load)
+	if l.NoSlot {
+		p.Picker.TurnedDown(choice, l.ExpectedWait)
+	}
+	if l.Gone {
+		p.Picker.MarkGone(c.Candidate.Target.Ref)
+	}
 	if l.UnhealthyFor > 0 {
 		p.Picker.MarkUnhealthy(c.Candidate.Target.Ref, l.UnhealthyFor, l.SuccessRatio)
 	}
--- a/internal/hosted/request_log.go
+++ b/internal/hosted/request_log.go
@@ -29,6 +29,9 @@
 	Patience string `json:"patience,omitempty"`
 	Forced   bool   `json:"forced,omitempty"`
 	Took     string `json:"took"`
+	// Left is why the request left the failure domain, Tier how far it went.
+	Left string `json:"left-because,omitempty"`
+	Tier string `json:"tier,omitempty"`
 }
 
 // LogRequest logs the answer to a caller.
@@ -70,6 +73,9 @@
 		if t.Patience > 0 {
 			line.Patience = formatDuration(t.Patience)
 		}
+		if t.Left != "" {
+			line.Left, line.Tier = t.Left, t.Tier
+		}
 		lines = append(lines, line)
 	}
 	return lines
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -92,11 +92,16 @@
 
 // Add counts one event; the values are in the order of the labels.
 func (c *LabelledCounter) Add(values ...string) {
+	c.AddN(1, values...)
+}
+
+// AddN counts n events or units; the values are in the order of the labels.
+func (c *LabelledCounter) AddN(n int64, values ...string) {
 	attributes := make([]attribute.KeyValue, 0, len(c.labels))
 	for i, label := range c.labels {
 		attributes = append(attributes, attribute.String(label, values[i]))
 	}
-	c.counter.Add(context.Background(), 1, metric.WithAttributes(attributes...))
+	c.counter.Add(context.Background(), n, metric.WithAttributes(attributes...))
 }
 
 // Record adds one duration.
--- a/internal/picker/load.go
+++ b/internal/picker/load.go
@@ -30,6 +30,7 @@
 	// probedAt is when the last probation request was picked, in nanoseconds since the picker's start.
 	probedAt atomic.Int64
 	report   atomic.Pointer[report]
+	turndown atomic.Pointer[turndown]
 	health   targetHealth
 	notice   targetNotice
 }
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/auburnwinch/auburnwinch/internal/eject"
+	"github.com/auburnwinch/auburnwinch/internal/spill"
 	"github.com/auburnwinch/auburnwinch/internal/view"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
@@ -49,6 +50,9 @@
 	Objective time.Duration
 	// Bytes is the expected size of the request and its response.
 	Bytes int64
+	// Rank is the rank with which agents order the request; Nested tells whether a target sent it as a call.
+	Rank   int
+	Nested bool
 }
 
 // AgentRefusal is a refusal by an agent that may accept the request later.
@@ -69,7 +73,14 @@
 	// Patience is how long the request may wait for a slot. Forced requests one at a target that is probably sick.
 	Patience time.Duration
 	Forced   bool
+	// Brief is set if Patience is only what going farther would cost, so that the request may come back.
+	Brief bool
+	// Tier is how far the target is, and Left why the request leaves the failure domain for it.
+	Tier     spill.Tier
+	Left     spill.Reason
 	entry    *entry
+	rank     int
+	pickedAt time.Time
 }
 
 // NoTargetError reports that no candidate is in service; the request did not run.
@@ -91,6 +102,9 @@
 	noticeMu    sync.Mutex
 	kept        map[model.TargetRef]keptCounters
 	noticeCount atomic.Int64
+
+	// spills holds a *spillGuard for each service.
+	spills sync.Map
 }
 
 // New returns a picker without candidates.
@@ -142,7 +156,15 @@
 		return
 	}
 	c.entry.counters.inFlight.Add(-1)
-	c.entry.counters.storeReport(l, p.config.Now())
+	now := p.config.Now()
+	c.entry.counters.storeReport(l, now)
+	if l.Limit > 0 && p.config.Negotiate {
+		p.observeReply(c, l.IncludesRequest, now)
+	}
+	if l.IncludesRequest {
+		c.entry.counters.forget(l)
+		c.entry.counters.health.markServed()
+	}
 	if c.Probation {
 		c.entry.counters.probing.Store(false)
 	}
--- a/internal/trace/line.go
+++ b/internal/trace/line.go
@@ -48,6 +48,8 @@
 	Patience string `json:"patience"`
 	Forced   bool   `json:"forced"`
 	Duration string `json:"took"`
+	Left     string `json:"left-because"`
+	Tier     string `json:"tier"`
 }
 
 // Read returns the lines with a request ID and the number of lines that are not JSON objects. It skips text before the
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -84,6 +84,9 @@
 	if attempt.Forced {
 		b.WriteString(", although the target is probably unhealthy")
 	}
+	if attempt.Left != "" {
+		fmt.Fprintf(b, ", left for the tier %s because of %s", attempt.Tier, attempt.Left)
+	}
 	b.WriteByte('\n')
 }
 
