--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -43,3 +43,14 @@
 	unknown := Collect("zz", lines)
 	require.False(t, unknown.Found())
 }
+
+// Guards against an explanation that does not tell why a request went to another failure domain.
+func TestTraceTellsWhyRequestsLeft(t *testing.T) {
+	const log = `{"msg":"request answered","id":"ab","node":"node-a","status":200,"tries":[{"target":"i-2","node":"node-c","result":"answered","took":"40ms","left-because":"no-room","tier":"region"}]}`
+	lines, _, err := Read(strings.NewReader(log))
+	require.NoError(t, err)
+	s := Collect("ab", lines)
+	var b strings.Builder
+	require.NoError(t, s.Write(&b))
+	require.Contains(t, b.String(), "answered after 40ms, left for the tier region because of no-room\n")
+}
