--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -304,6 +304,7 @@
 		case <-ticks.C:
 			n.mu.Lock()
 			admissions := n.admissions
+			n.shareQuotas()
 			n.mu.Unlock()
 			for _, a := range admissions {
 				a.checkStalls()
--- a/internal/hosted/quota.go
+++ b/internal/hosted/quota.go
@@ -25,6 +25,13 @@
 	q.client.GiveBack(a.Name, quota.Token(token))
 }
 
+// shareQuotas lets this node create its share of the quotas once its row says that it serves. The caller must hold mu.
+func (n *Node) shareQuotas() {
+	if n.publisher != nil && n.record.Serving() && n.publisher.Stored() {
+		n.quotas.SetCounted(true)
+	}
+}
+
 // registerQuotaMetrics adds the instruments of the quotas.
 func (n *Node) registerQuotaMetrics() {
 	m, q := n.metrics, n.quotas
--- a/internal/hosted/record.go
+++ b/internal/hosted/record.go
@@ -38,6 +38,9 @@
 	n.record.Withdrawn, n.record.KnownDraining = n.agent.Withdrawn(), n.agent.Draining()
 	n.record.Leaving = n.stopping.Load()
 	n.record.Crashes = n.guard.localEntries()
+	if !n.record.Serving() {
+		n.quotas.SetCounted(false) // Before the other nodes divide the quotas without this one.
+	}
 	return n.publisher.Publish(n.record.Encode())
 }
 
@@ -64,6 +67,9 @@
 		if earlier, err := roster.DecodeRecord(row); err == nil { // Malformed rows are logged by fleetState.
 			n.agent.Restore(agent.EarlierTargets{Registered: earlier.Registered(), Draining: earlier.Draining(), Withdrawn: earlier.Withdrawn})
 			n.guard.restore(earlier.Crashes)
+			if earlier.Serving() {
+				n.quotas.Resume()
+			}
 		}
 	}
 	n.mu.Lock()
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -76,15 +76,7 @@
 	b.membersKnown, b.membersAt = true, b.clock.Now()
 	_ = level.Info(b.logger).Log("msg", "members changed", "version", p.Version, "rows", len(p.Rows), "whole", p.Whole, "nodes", b.members.Len())
 	b.publishView()
-	b.quotas.SetNodes(nodesOf(b.members.NodeStates()))
-}
-
-func nodesOf(states []view.NodeState) []model.Node {
-	nodes := make([]model.Node, 0, len(states))
-	for i := range states {
-		nodes = append(nodes, states[i].Node)
-	}
-	return nodes
+	b.quotas.SetNodes(b.members.Serving())
 }
 
 // applyConfiguration applies rows of the operator's table and ignores a configuration that is not newer.
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -22,7 +22,7 @@
 	// patienceParts is the fraction of the time left that a request waits at most.
 	patienceParts = 10
 	// joinDelay is the time after which all nodes in touch count a new node. It creates no tokens before.
-	joinDelay = 5 * time.Second
+	joinDelay = 3 * time.Second
 	// maxSleep bounds the sleep of a node without need.
 	maxSleep = time.Minute
 )
@@ -63,9 +63,9 @@
 	domain, fleet *Pool
 	domainRanking *Ranking
 	fleetRanking  *Ranking
-	nodesKnown    bool
 	fraction      float64
-	// createsFrom is the time from which this node creates tokens; zero means that its row is not known yet.
+	// counted tells that the other nodes count this one, which creates tokens from createsFrom.
+	counted     bool
 	createsFrom time.Duration
 	// replied is closed and replaced at each reply to the share.
 	replied chan struct{}
@@ -104,29 +104,22 @@
 	c.wakeLocked()
 }
 
-// SetNodes applies the records of all nodes. A node whose record is new creates tokens only once the others count it.
+// SetNodes applies the nodes among which the quotas are divided.
 func (c *Client) SetNodes(nodes []model.Node) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.config.Now()
 	var domain, fleet []Peer
 	for _, n := range nodes {
-		peer := Peer{ID: n.Ref.ID, Incarnation: n.Ref.Incarnation, Address: n.PeerAddress}
-		if n.Ref.ID == c.config.Self.Ref.ID && c.createsFrom == 0 {
-			c.createsFrom = now
-			if c.nodesKnown || n.Ref.Incarnation == c.config.Self.Ref.Incarnation {
-				c.createsFrom += joinDelay
-			}
-		}
 		if n.PeerAddress == "" {
 			continue
 		}
+		peer := Peer{ID: n.Ref.ID, Incarnation: n.Ref.Incarnation, Address: n.PeerAddress}
 		fleet = append(fleet, peer)
 		if n.Domain == c.config.Self.Domain {
 			domain = append(domain, peer)
 		}
 	}
-	c.nodesKnown = true
 	if len(nodes) > 0 {
 		c.fraction = 1 / float64(len(nodes))
 	}
@@ -135,10 +128,33 @@
 	c.createLocked(now)
 }
 
+// SetCounted tells whether the stored record makes the other nodes count this one. It creates tokens once all of them do, and
+// must be told before the record says otherwise.
+func (c *Client) SetCounted(counted bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if counted == c.counted {
+		return
+	}
+	now := c.config.Now()
+	c.counted, c.createsFrom = counted, now+joinDelay
+	c.createLocked(now)
+}
+
+// Resume tells that the record of an earlier process of this node makes the others count it. It must be told before the first
+// record of this process is stored.
+func (c *Client) Resume() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.config.Now()
+	c.counted, c.createsFrom = true, now
+	c.createLocked(now)
+}
+
 // createLocked applies the fraction of the tokens that this node may create now.
 func (c *Client) createLocked(now time.Duration) {
 	fraction := c.fraction
-	if c.createsFrom == 0 || now < c.createsFrom {
+	if !c.counted || now < c.createsFrom {
 		fraction = 0
 	}
 	c.share.Update(FractionMsg{Now: now, Fraction: fraction})
--- a/internal/quota/client_test.go
+++ b/internal/quota/client_test.go
@@ -31,12 +31,13 @@
 	var clients []*Client
 	for i := range size {
 		self := nodes[i]
-		self.Ref.Incarnation = 2 // The rows are those of earlier processes.
+		self.Ref.Incarnation = 2
 		c := New(Config{Self: self, Bounds: Bounds{Window: 5 * time.Second, Slack: 6}})
 		server := rpc.NewServer()
 		require.NoError(t, server.RegisterName(c.Service()))
 		go server.Accept(listeners[i])
 		c.SetNodes(nodes)
+		c.Resume()
 		c.SetAccounts([]model.ClientAccount{{Name: "a", Quota: quota}})
 		clients = append(clients, c)
 		defer c.Close()
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -270,6 +270,9 @@
 			fill := max(0, 1+requests*highWater.Seconds()-a.stock.total)
 			ask.Wants = append(ask.Wants, Want{Account: name, Amount: math.Ceil(a.need + fill), Waiting: a.need, Requests: a.fresh})
 			a.need, a.low, a.fresh = 0, false, 0
+			if rest := a.stock.after(msg.Now + lendMargin); knows && rest < 1 {
+				p.hand(&ask, name, a, rest, msg.Now+lendMargin, msg.Now) // Fractions of several domains make whole tokens.
+			}
 		case (a.wanted || a.reserving) && knows:
 			p.offer(&ask, name, a, msg.Now)
 		}
@@ -289,10 +292,18 @@
 		spare = min(spare, reservePart)
 	}
 	if spare > minSurplus {
-		a.stock.take(spare, from, func(part parcel) {
-			ask.Offers = append(ask.Offers, Parcel{Account: name, Amount: part.amount, Life: part.expires - now})
-		})
+		p.hand(ask, name, a, spare, from, now)
+	}
+}
+
+// hand moves tokens that expire later than the time into the call.
+func (p *Pool) hand(ask *Ask, name string, a *poolAccount, amount float64, from, now time.Duration) {
+	if amount <= 0 {
+		return
 	}
+	a.stock.take(amount, from, func(part parcel) {
+		ask.Offers = append(ask.Offers, Parcel{Account: name, Amount: part.amount, Life: part.expires - now})
+	})
 }
 
 func (p *Pool) receive(msg GrantedMsg) {
--- a/internal/roster/members.go
+++ b/internal/roster/members.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"github.com/auburnwinch/auburnwinch/internal/view"
+	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
 // Members holds the records of all nodes. It is not safe for concurrent use.
@@ -63,14 +64,39 @@
 	return len(m.records)
 }
 
-// NodeStates returns the states of the nodes for the view, sorted by node ID.
-func (m *Members) NodeStates() []view.NodeState {
+// Serving returns the nodes that have targets and have not announced that they shut down. Of several at one address only the
+// newest is left: the VMs of the others are gone.
+func (m *Members) Serving() []model.Node {
+	newest := make(map[string]member)
+	for _, key := range m.ownRows() {
+		row := m.records[key]
+		if address := row.record.Node.RelayAddress; row.version > newest[address].version {
+			newest[address] = row
+		}
+	}
+	nodes := make([]model.Node, 0, len(newest))
+	for _, row := range newest {
+		if row.record.Serving() {
+			nodes = append(nodes, row.record.Node)
+		}
+	}
+	return nodes
+}
+
+// ownRows returns the row of each node, by node ID.
+func (m *Members) ownRows() map[string]memberKey {
 	own := make(map[string]memberKey, len(m.records))
 	for key := range m.records {
 		if other, found := own[key.key]; !found || m.precedes(key, other) {
 			own[key.key] = key
 		}
 	}
+	return own
+}
+
+// NodeStates returns the states of the nodes for the view, sorted by node ID.
+func (m *Members) NodeStates() []view.NodeState {
+	own := m.ownRows()
 	states := make([]view.NodeState, 0, len(own))
 	for _, key := range own {
 		states = append(states, m.records[key].record.NodeState())
--- a/internal/roster/publisher.go
+++ b/internal/roster/publisher.go
@@ -81,6 +81,13 @@
 	}
 }
 
+// Stored reports whether the row holds the published value.
+func (p *Publisher) Stored() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.row.Revision() > 0 && p.row.StoredRevision() >= p.row.Revision()
+}
+
 // Flush waits until the row holds the published value or the context ends.
 func (p *Publisher) Flush(ctx context.Context) error {
 	p.mu.Lock()
--- a/internal/roster/record.go
+++ b/internal/roster/record.go
@@ -91,6 +91,9 @@
 	return refs
 }
 
+// Serving reports whether the node has targets and does not shut down.
+func (r *Record) Serving() bool { return len(r.Targets) > 0 && !r.Leaving }
+
 // NodeState returns the state of the node for the view; targets of a leaving node are not candidates and left out.
 func (r *Record) NodeState() view.NodeState {
 	state := view.NodeState{Node: r.Node}
