--- a/internal/edge/account.go
+++ b/internal/edge/account.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"net/http"
 	"time"
 
@@ -13,6 +14,8 @@
 	behindRetryAfter = 500 * time.Millisecond
 	// parentMemory bounds how long a target may still make calls for a request that an earlier process of the node relayed.
 	parentMemory = time.Minute
+	// rankScale is the number of ranks of routes within each rank of client accounts; higher ranks count as the last one.
+	rankScale = 1 << 8
 )
 
 // Accounts identifies client accounts by their keys.
@@ -36,25 +39,46 @@
 		return relay.Refusal{}, true
 	}
 	q.keyHeader = header
+	if !q.parentRuns || account != nil {
+		q.rank = rankWith(account, q.match.Route.Rank)
+	}
 	switch {
 	case key == "" && q.parent != "" && q.mayBeCall():
 		return relay.Refusal{}, true
 	case q.match.Route.Public && account == nil:
 		return relay.Refusal{}, true
 	case !accounts.Confirmed() && !q.match.Route.Public:
-		return behindRefusal("the keys of client accounts have not been confirmed recently"), false
+		return q.undecided("the keys of client accounts have not been confirmed recently"), false
 	case account == nil && q.edge.isBehind():
-		return behindRefusal("a newer configuration, which may have this key, is on its way"), false
+		return q.undecided("a newer configuration, which may have this key, is on its way"), false
+	case account == nil && key == "" && q.parent != "":
+		return q.undecided("the request that makes this call does not run here"), false
 	case account == nil:
+		q.edge.counters.unauthorized.Add(1)
 		return notRunRefusal(http.StatusUnauthorized, "the request has no key of a client account", remedyFix), false
 	}
 	q.account = account
-	if account.HasRank {
-		q.rank = account.Rank
-	}
+	q.standAlone()
 	return relay.Refusal{}, true
 }
 
+// standAlone makes the request one of its caller, whatever its id says: nested calls carry no key.
+func (q *request) standAlone() {
+	q.parent, q.parentAccount = "", ""
+	q.parentRuns, q.parentRetry, q.hasProgress = false, false, false
+}
+
+// rankWith orders requests by the rank of their client account and then by that of their route. Requests of an account
+// without a rank take the rank of their route for both.
+func rankWith(a *model.ClientAccount, route int) int {
+	first := route
+	if a != nil && a.HasRank {
+		first = a.Rank
+	}
+	bounded := func(rank int) int { return min(max(rank, 0), rankScale-1) }
+	return bounded(first)*rankScale + bounded(route)
+}
+
 // mayBeCall reports whether the target on this VM may have made the request while it ran the parent. An earlier process of
 // this node may have relayed the parent.
 func (q *request) mayBeCall() bool {
@@ -67,14 +91,9 @@
 // addAccountFields tells the agent the client account, which callers can't state themselves where accounts have keys. A
 // nested call takes turns with the requests of its parent's account, but does not belong to it.
 func (q *request) addAccountFields() {
-	switch {
-	case q.edge.config.Accounts == nil:
-		if account := q.r.Header[model.HeaderAccount]; len(account) > 0 {
-			q.addField(model.HeaderAccount, account[0])
-		}
-	case q.account != nil:
-		q.addField(model.HeaderAccount, q.account.Name)
-	case q.parentAccount != "":
+	if account := q.ownAccount(); account != "" {
+		q.addField(model.HeaderAccount, account)
+	} else if q.parentAccount != "" {
 		q.addField(model.HeaderParentAccount, q.parentAccount)
 	}
 	if q.keyHeader != "" {
@@ -82,14 +101,32 @@
 	}
 }
 
+// ownAccount returns the client account to which the request belongs, or "". Without keys the caller states it.
+func (q *request) ownAccount() string {
+	switch {
+	case q.edge.config.Accounts == nil:
+		return q.r.Header.Get(model.HeaderAccount)
+	case q.account != nil:
+		return q.account.Name
+	default:
+		return ""
+	}
+}
+
+// accountName returns the client account with whose requests this one takes turns, or "".
+func (q *request) accountName() string {
+	return cmp.Or(q.ownAccount(), q.parentAccount)
+}
+
 // isBehind reports whether another node has a newer configuration.
 func (e *Edge) isBehind() bool {
 	c := e.config.Configurations
 	return c != nil && c.Behind()
 }
 
-// behindRefusal refuses a request about which this node can't decide until it has the newest configuration.
-func behindRefusal(reason string) relay.Refusal {
+// undecided refuses a request that this node can't judge with what it knows at present.
+func (q *request) undecided(reason string) relay.Refusal {
+	q.edge.counters.undecided.Add(1)
 	r := notRunRefusal(http.StatusServiceUnavailable, reason, remedyLater)
 	r.RetryAfter = addJitter(behindRetryAfter)
 	return r
