--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// maxPatience bounds the wait of a request for a token; it is more than one call that times out.
-	maxPatience = 400 * time.Millisecond
+	// maxPatience bounds the wait of a request for a token; it is more than calls to two pools that do not reply.
+	maxPatience = time.Second
 	// patienceParts is the fraction of the time left that a request waits at most.
 	patienceParts = 10
 	// joinDelay is the time after which all nodes in touch count a new node. It creates no tokens before.
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -39,6 +39,8 @@
 	// minDenied and maxDenied limit the time for which a domain believes that the quota is used up in the fleet.
 	minDenied = 50 * time.Millisecond
 	maxDenied = 250 * time.Millisecond
+	// fillTime is the time in which a pool without tokens fills from its members.
+	fillTime = 2 * time.Second
 	// minWait and maxWait limit the expected time until a token.
 	minWait = 20 * time.Millisecond
 	maxWait = 5 * time.Second
@@ -64,6 +66,8 @@
 	config   PoolConfig
 	accounts map[string]*poolAccount
 	members  map[string]time.Duration
+	// usedAt is the time of the last call of another node, and usedSince the start of the calls without a long gap.
+	usedAt, usedSince time.Duration
 	// askedAt is the time of the last call of a member; urgent tells that requests wait for tokens of the pool above.
 	askedAt   time.Duration
 	urgent    bool
@@ -146,6 +150,12 @@
 }
 
 func (p *Pool) answer(msg AskMsg) Cmd {
+	if msg.Ask.From != p.config.Self || p.usedSince == 0 {
+		if p.usedSince == 0 || msg.Now-p.usedAt > activeTime {
+			p.usedSince = msg.Now
+		}
+		p.usedAt = msg.Now
+	}
 	p.askedAt = msg.Now
 	p.members[msg.Ask.From] = msg.Now
 	p.credit(msg)
@@ -231,7 +241,7 @@
 	if missing <= 0 {
 		return
 	}
-	d := Denial{Account: w.Account, Wait: a.expectedWait(now), Exhausted: !allowed}
+	d := Denial{Account: w.Account, Wait: a.expectedWait(now), Exhausted: !allowed && now-p.usedSince > fillTime}
 	if allowed {
 		a.need += missing
 		p.urgent = true
