--- a/internal/hosted/record.go
+++ b/internal/hosted/record.go
@@ -39,6 +39,9 @@
 	n.record.Leaving = n.stopping.Load()
 	n.record.Crashes = n.guard.localEntries()
 	n.record.Era, n.published = n.nodes.Era(), true
+	if !n.record.Serving() {
+		n.quotas.SetCounted(false) // Before the other nodes divide the quotas without this one.
+	}
 	return n.publisher.Publish(n.record.Encode())
 }
 
@@ -67,6 +70,9 @@
 		if earlier, err := roster.DecodeRecord(row); err == nil { // Malformed rows are logged by fleetState.
 			n.agent.Restore(agent.EarlierTargets{Registered: earlier.Registered(), Draining: earlier.Draining(), Withdrawn: earlier.Withdrawn})
 			n.guard.restore(earlier.Crashes)
+			if earlier.Serving() {
+				n.quotas.Resume()
+			}
 		}
 	}
 	n.mu.Lock()
