--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -58,6 +58,7 @@
 			c.served.Add(1)
 		}
 		c.total.Add(1)
+		c.sendStranger(client, n, id)
 	}
 }
 
@@ -77,6 +78,7 @@
 	r.Host = service + ".example"
 	r.Header.Set("Auburnwinch-Request-Id", id)
 	r.Header.Set("Auburnwinch-Deadline-Ms", fmt.Sprint(callerTimeout.Milliseconds()))
+	authorize(r, accountKey)
 	c.harness.ledger.requestSent(service, id, order)
 	c.harness.notices.requestSent(id)
 	response, err := client.Do(r)
@@ -91,8 +93,8 @@
 	c.harness.ledger.responseReceived(id, response.StatusCode)
 	c.harness.notices.answerReceived(id, response.Header)
 	if response.StatusCode >= 300 {
-		if response.StatusCode == http.StatusNotFound {
-			c.harness.addViolation("%s rejected %s with status 404 although every configuration has its route", n.name, id)
+		if response.StatusCode == http.StatusNotFound || response.StatusCode == http.StatusUnauthorized {
+			c.harness.addViolation("%s rejected %s with status %d although every configuration has its route and key", n.name, id, response.StatusCode)
 		}
 		return false
 	}
@@ -132,7 +134,7 @@
 
 // inForce reports whether the node uses the configuration of the version.
 func (c *callers) inForce(client *http.Client, n *node, version int64, i int) bool {
-	r, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/only-%d/x", n.address(portCallers), version), nil)
+	r, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s%s%d/x", n.address(portCallers), onlyPrefix, version), nil)
 	if err != nil {
 		panic(err) // Only the version varies, so the request is always valid.
 	}
--- a/internal/soak/calm_test.go
+++ b/internal/soak/calm_test.go
@@ -29,6 +29,7 @@
 // node of a configuration.
 func checkCalm(h *harness) {
 	checkLostResponses(h)
+	checkWithdrawnKeys(h)
 	checkPauses(h)
 	checkResets(h)
 	time.Sleep(healthTime)
@@ -121,6 +122,7 @@
 	r.Host = service + ".example"
 	r.Header.Set("Auburnwinch-Request-Id", id)
 	r.Header.Set("Auburnwinch-Deadline-Ms", fmt.Sprint(callerTimeout.Milliseconds()+answerPause.Milliseconds()))
+	authorize(r, accountKey)
 	h.ledger.requestSent(service, id, true)
 	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
 	if err != nil {
--- a/internal/soak/harness_test.go
+++ b/internal/soak/harness_test.go
@@ -112,8 +112,9 @@
 	var resources []string
 	timeouts := map[string]int{pausePath: 5000}
 	route := func(name, host, prefix, kind, service string) {
-		resources = append(resources, fmt.Sprintf(`{"resourceType":"routes","metadata":{"name":"%s"},"spec":{"host":"%s","prefix":"%s",`+
-			`"kind":"%s","timeoutMs":%d,"targetLatencyMs":500,"priority":1,"service":"%s","maxAttempts":2}}`, name, host, prefix, kind, cmp.Or(timeouts[prefix], 2000), service))
+		resources = append(resources, fmt.Sprintf(`{"resourceType":"routes","metadata":{"name":"%s"},"spec":{"host":"%s","prefix":"%s","kind":"%s",`+
+			`"timeoutMs":%d,"targetLatencyMs":500,"priority":1,"service":"%s","maxAttempts":2,"public":%t}}`,
+			name, host, prefix, kind, cmp.Or(timeouts[prefix], 2000), service, strings.HasPrefix(prefix, onlyPrefix)))
 	}
 	for _, s := range services {
 		route(s+"-read", s+".example", "/read/", "idempotent", s)
@@ -121,7 +122,8 @@
 		route(s+"-pause", s+".example", pausePath, "non_idempotent", s)
 		resources = append(resources, fmt.Sprintf(`{"resourceType":"services","metadata":{"name":"%s"},"spec":{}}`, s))
 	}
-	route("only", "only.example", fmt.Sprintf("/only-%d/", version), "idempotent", services[0])
+	route("only", "only.example", fmt.Sprintf(onlyPrefix+"%d/", version), "idempotent", services[0])
+	resources = append(resources, accountResource(version))
 	h.store.Put("op", "", "config", fmt.Appendf(nil, `{"version":"r%d","resources":[%s]}`, version, strings.Join(resources, ",")))
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -39,7 +39,7 @@
 
 // Guards against violated guarantees when faults overlap: wrong responses to callers, non-idempotent requests (orders)
 // that run twice, requests sent to draining targets, a return to an older configuration, retries beyond the budget, and
-// requests beyond the rate limits that targets state.
+// requests beyond the rate limits that targets state, and requests with wrong accounts or without a valid key.
 func TestSeeds(t *testing.T) {
 	seeds := ciSeeds
 	if text := os.Getenv("AUBURNWINCH_SOAK_SEEDS"); text != "" {
--- a/internal/soak/target_test.go
+++ b/internal/soak/target_test.go
@@ -218,6 +218,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	g.checkAccount(r, id)
 	if resetsUploads && r.ContentLength == uploadBytes {
 		g.resetUpload(w, r, id)
 		return
