--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"encoding/gob"
 	"fmt"
 	"math/rand/v2"
 	"sort"
@@ -27,6 +28,26 @@
 	granted  map[string][]time.Duration
 	refused  map[string]int
 	messaged [2]int
+	// encoders count the bytes of calls and replies by level, if set.
+	encoders [2]*gob.Encoder
+	bytes    [2]byteCounter
+}
+
+type byteCounter int
+
+func (c *byteCounter) Write(p []byte) (int, error) {
+	*c += byteCounter(len(p))
+	return len(p), nil
+}
+
+// countBytes encodes messages as on connections that are in use.
+func (f *fleet) countBytes() {
+	for level := range f.encoders {
+		f.encoders[level] = gob.NewEncoder(&f.bytes[level])
+		_ = f.encoders[level].Encode(Ask{})   // Writing to a counter never fails.
+		_ = f.encoders[level].Encode(Grant{}) // The same.
+		f.bytes[level] = 0
+	}
 }
 
 // node is one VM: the modules of its process and the calls that are in flight.
@@ -234,6 +255,13 @@
 	if f.cut(m.from, m.to) || f.random.Float64() < f.loss {
 		return
 	}
+	if e := f.encoders[m.level]; e != nil && m.from != m.to {
+		if m.ask != nil {
+			_ = e.Encode(m.ask) // Writing to a counter never fails.
+		} else {
+			_ = e.Encode(m.grant) // The same.
+		}
+	}
 	m.at = f.now + inDomain
 	if m.from != m.to && f.nodes[m.from].domain != f.nodes[m.to].domain {
 		m.at = f.now + betweenRTT/2
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -14,6 +14,8 @@
 	maxPieces = 8
 	// minExchangeGap is the least time between two calls of a domain to the pool of the fleet.
 	minExchangeGap = 20 * time.Millisecond
+	// fillGap is the least time between two calls that only fill stocks.
+	fillGap = 200 * time.Millisecond
 	// bareExchange is the time between calls of a domain without need, and activeTime that without calls of nodes after
 	// which it makes none.
 	bareExchange = time.Second
@@ -22,7 +24,7 @@
 	// life of a wanted account after which one is due.
 	minSurplusGap = 100 * time.Millisecond
 	surplusParts  = 8
-	// wantedTime is the time after a request for tokens for which the surplus of other domains is accepted.
+	// wantedTime is the time after a request for tokens that were missing for which the surplus of other domains is accepted.
 	wantedTime = time.Minute
 	// reserve is the number of tokens that the pool of the fleet keeps of an account that nobody lacks, reservePart what one
 	// domain adds at a time, and reserveLife the least life of tokens for which that pays.
@@ -30,15 +32,17 @@
 	reservePart = 0.5
 	reserveLife = 2 * time.Second
 	// minSurplus is the smallest amount worth handing in.
-	minSurplus = 0.05
+	minSurplus = 0.25
+	// handParts is the number of expiries into which tokens are gathered that are handed in.
+	handParts = 4
 	// lowWater and highWater are the times for which a domain that needs more than it creates keeps tokens at hand.
 	lowWater  = 300 * time.Millisecond
 	highWater = 800 * time.Millisecond
-	// keepTime is the time for which a domain keeps tokens of its own before they are surplus.
+	// keepTime is the time for which a domain keeps tokens of its own, besides some for uneven requests.
 	keepTime = time.Second
 	// minDenied and maxDenied limit the time for which a domain believes that the quota is used up in the fleet.
 	minDenied = 50 * time.Millisecond
-	maxDenied = 250 * time.Millisecond
+	maxDenied = 500 * time.Millisecond
 	// fillTime is the time in which a pool without tokens fills from its members.
 	fillTime = 2 * time.Second
 	// minWait and maxWait limit the expected time until a token.
@@ -69,8 +73,10 @@
 	// usedAt is the time of the last call of another node, and usedSince the start of the calls without a long gap.
 	usedAt, usedSince time.Duration
 	// askedAt is the time of the last call of a member; urgent tells that requests wait for tokens of the pool above.
-	askedAt   time.Duration
-	urgent    bool
+	askedAt time.Duration
+	urgent  bool
+	// low tells that stocks are to be filled.
+	low       bool
 	surplus   time.Duration
 	roundTrip time.Duration
 }
@@ -80,7 +86,9 @@
 	stock    stock
 	requests rate
 	created  rate
-	fresh    float64
+	// lent is the rate of the tokens that members got.
+	lent  rate
+	fresh float64
 	// need is the number of tokens that members waited for and did not get since the last call to the pool above.
 	need float64
 	// low tells that the stock is to be filled before requests wait.
@@ -127,6 +135,8 @@
 		return Never
 	case p.urgent:
 		return p.sentAt + minExchangeGap
+	case p.low:
+		return p.sentAt + min(fillGap, p.surplus)
 	default:
 		return p.sentAt + min(bareExchange, p.surplus)
 	}
@@ -179,7 +189,9 @@
 		a.stock.expire(now)
 		switch {
 		case now < a.wantedUntil:
-			g.Wanted = append(g.Wanted, name)
+			if a.stock.total < 2*reserve+a.lent.value(now)*rateWindow.Seconds() {
+				g.Wanted = append(g.Wanted, name)
+			}
 		case a.terms.Life >= reserveLife && a.stock.total < reserve:
 			g.Reserve = append(g.Reserve, name)
 		}
@@ -223,7 +235,6 @@
 	a.stock.expire(now)
 	a.requests.add(now, w.Requests)
 	a.fresh += w.Requests
-	a.wantedUntil = now + wantedTime
 	amount := min(w.Amount, a.stock.after(now+lendMargin))
 	if amount < w.Amount {
 		amount = math.Floor(amount + epsilon)
@@ -234,9 +245,13 @@
 		})
 	}
 	missing := math.Ceil(w.Waiting - amount - epsilon)
+	a.lent.add(now, amount)
+	if missing > 0 {
+		a.wantedUntil = now + wantedTime
+	}
 	allowed := !p.config.Top && now >= a.deniedUntil
 	if allowed && a.runsLow(now) {
-		a.low, p.urgent = true, true
+		a.low, p.low = true, true
 	}
 	if missing <= 0 {
 		return
@@ -271,7 +286,7 @@
 // send makes the call to the pool above, for missing tokens and with surplus ones.
 func (p *Pool) send(msg SendMsg) Cmd {
 	ask, knows := p.begin(msg.Now, msg.Pool)
-	p.urgent = false
+	p.urgent, p.low = false, false
 	for name, a := range p.accounts {
 		a.stock.expire(msg.Now)
 		requests := a.requests.value(msg.Now)
@@ -297,7 +312,7 @@
 		from = now + a.terms.Life/2 // Old tokens make no reserve.
 	}
 	requests := a.requests.value(now)
-	spare := a.stock.after(from) - requests*keepTime.Seconds() - min(1, requests*rateWindow.Seconds())
+	spare := a.stock.after(from) - requests*keepTime.Seconds() - 2*math.Sqrt(requests*rateWindow.Seconds())
 	if !a.wanted {
 		spare = min(spare, reservePart)
 	}
@@ -311,8 +326,14 @@
 	if amount <= 0 {
 		return
 	}
+	first := len(ask.Offers)
 	a.stock.take(amount, from, func(part parcel) {
-		ask.Offers = append(ask.Offers, Parcel{Account: name, Amount: part.amount, Life: part.expires - now})
+		life := part.expires - now
+		if last := len(ask.Offers) - 1; last >= first && life-ask.Offers[last].Life < a.terms.Life/handParts {
+			ask.Offers[last].Amount += part.amount
+			return
+		}
+		ask.Offers = append(ask.Offers, Parcel{Account: name, Amount: part.amount, Life: life})
 	})
 }
 
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -329,37 +329,74 @@
 	require.IsType(t, WaitCmd{}, take(300*time.Millisecond))
 }
 
-// Measures the messages of the fleet with the load of 73 accounts.
+// Measures the calls and bytes of the fleet with 73 accounts that use five eighths of their quotas.
 func BenchmarkFleetMessages(b *testing.B) {
 	for _, size := range []int{74, 300, 936} {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			for range b.N {
-				f, rates := newFleet(1, size, 6, nil), map[string]float64{}
+				f, rates := newFleet(1, size, max(6, size/50), nil), make([]float64, 73)
 				f.terms = map[string]Terms{}
-				for i := range 73 {
-					rate := 116 / float64(1+i) * float64(size) / 74
-					name := fmt.Sprint("account-", i)
-					rates[name], f.terms[name] = rate, bounds.Terms(model.Quota{Rate: 1.6 * rate, Burst: 1.6 * rate})
+				for i := range rates {
+					rates[i] = 116 / float64(1+i) * float64(size) / 74
+					f.terms[fmt.Sprint("account-", i)] = bounds.Terms(model.Quota{Rate: 1.6 * rates[i], Burst: 1.6 * rates[i]})
 				}
 				for _, n := range f.nodes {
 					f.setTerms(n, f.terms)
 				}
-				for f.now < 20*time.Second {
-					if f.now == 10*time.Second {
-						f.messaged = [2]int{}
+				asked := 0
+				for f.now < 25*time.Second {
+					if f.now == 15*time.Second {
+						f.messaged, f.refused, asked = [2]int{}, map[string]int{}, 0
+						f.countBytes()
 					}
 					f.step()
-					for name, rate := range rates {
+					for i, rate := range rates {
 						for p := rate / 1000; p > 0; p-- {
 							if f.random.Float64() < p {
-								f.request(f.nodes[f.random.IntN(size)], name, nil)
+								asked++
+								f.request(f.nodes[f.random.IntN(size)], fmt.Sprint("account-", i), nil)
 							}
 						}
 					}
 				}
+				refused := 0
+				for _, n := range f.refused {
+					refused += n
+				}
 				b.ReportMetric(float64(f.messaged[0])/10/float64(size), "domain-calls/s/node")
+				b.ReportMetric(float64(f.bytes[0])/10/float64(size), "domain-bytes/s/node")
 				b.ReportMetric(float64(f.messaged[1])/10, "fleet-calls/s")
+				b.ReportMetric(float64(f.bytes[1])/10, "fleet-bytes/s")
+				b.ReportMetric(float64(refused)/float64(asked), "refused")
 			}
 		})
 	}
 }
+
+// Measures the decision about one request with a token at hand, and one call to a pool with 73 accounts.
+func BenchmarkDecisions(b *testing.B) {
+	terms := map[string]Terms{}
+	for i := range 73 {
+		terms[fmt.Sprint("account-", i)] = bounds.Terms(model.Quota{Rate: float64(1 + i), Burst: float64(1 + i)})
+	}
+	b.Run("take", func(b *testing.B) {
+		s := NewShare("node")
+		s.Update(TermsMsg{Terms: terms})
+		for i := range b.N {
+			now := time.Minute + time.Duration(i)*time.Microsecond
+			s.Update(GiveBackMsg{Now: now, Account: "account-9", Expires: now + time.Second})
+			s.Update(TakeMsg{Now: now, Account: "account-9", Until: now})
+		}
+	})
+	b.Run("ask", func(b *testing.B) {
+		p := NewPool(PoolConfig{Self: "pool", Epoch: 1})
+		p.Update(TermsMsg{Terms: terms})
+		for i := range b.N {
+			now := time.Minute + time.Duration(i)*10*time.Millisecond
+			p.Update(AskMsg{Now: now, Ask: Ask{
+				From: "node", Epoch: 1, Stamp: now, Minted: 0.01, Span: 400 * time.Millisecond,
+				Wants: []Want{{Account: "account-9", Amount: 1, Waiting: 1, Requests: 1}},
+			}})
+		}
+	})
+}
