--- a/internal/feed/rpc.go
+++ b/internal/feed/rpc.go
@@ -18,6 +18,8 @@
 const (
 	serviceName = "Feed"
 	watchMethod = serviceName + ".Watch"
+	// forgottenMethod is unknown to older builds, which refuse the call.
+	forgottenMethod = serviceName + ".Forgotten"
 	// maxWait bounds how long a follower may ask a node to wait.
 	maxWait = 10 * time.Second
 	// dialTimeout is many times the round-trip time within a failure domain.
@@ -36,6 +38,10 @@
 	// Known is the highest number that the caller knows of, in force there or not. It is zero if the caller can't use an
 	// early response that only tells it of a newer one.
 	Known uint64
+	// Era is the era of the store from which the caller's rows are; it counts only if KnowsEra is set, which older builds
+	// don't.
+	Era      uint64
+	KnowsEra bool
 }
 
 // WatchReply holds the changed rows.
@@ -73,7 +79,11 @@
 func (f *Feed) Watch(args WatchArgs, reply *WatchReply) error {
 	f.table.observeNumber(args.Number)
 	newer := func() bool { return args.Known > 0 && f.table.number() > args.Known }
-	page, err := f.table.cache.wait(context.Background(), args.After, min(args.Wait, maxWait), newer)
+	after := position{era: args.Era, version: args.After}
+	if !args.KnowsEra {
+		after.era = f.table.cache.eraOf()
+	}
+	page, err := f.table.cache.wait(context.Background(), after, min(args.Wait, maxWait), newer)
 	if err != nil {
 		return err
 	}
@@ -81,6 +91,12 @@
 	return nil
 }
 
+// Forgotten returns the rows that the store has lost when it came back from a copy.
+func (f *Feed) Forgotten(_ int, rows *[]roster.Row) error {
+	*rows = f.table.cache.forgottenRows()
+	return nil
+}
+
 // NewServer listens on the address and serves the table to followers.
 func NewServer(address string, t *Table) (*Server, error) {
 	service := rpc.NewServer()
@@ -153,21 +169,47 @@
 		return WatchReply{}, err
 	}
 	var reply WatchReply
-	call := connected.Go(watchMethod, args, &reply, make(chan *rpc.Call, 1))
+	if err := c.call(ctx, connected, watchMethod, args, &reply); err != nil {
+		return WatchReply{}, err
+	}
+	return reply, nil
+}
+
+// forgotten asks the node at the address for the rows that the store has lost.
+func (c *client) forgotten(ctx context.Context, dial dialFunc, address string) (rows []roster.Row, err error) {
+	ctx, cancel := context.WithTimeout(ctx, responseSlack)
+	defer cancel()
+	connected, err := c.connect(ctx, dial, address)
+	if err != nil {
+		return nil, err
+	}
+	err = c.call(ctx, connected, forgottenMethod, 0, &rows)
+	return rows, err
+}
+
+// call calls a method; it fails with ErrNotReading if the node refuses. A connection without a response in time is closed.
+func (c *client) call(ctx context.Context, connected *rpc.Client, method string, args, reply any) error {
+	call := connected.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-ctx.Done():
 		c.close()
-		return WatchReply{}, eris.Wrapf(ctx.Err(), "no response from node at %s", address)
+		return eris.Wrapf(ctx.Err(), "no response from node at %s", c.addressOf())
 	case <-call.Done:
 	}
 	var refused rpc.ServerError
 	switch {
 	case errors.As(call.Error, &refused):
-		return WatchReply{}, eris.Wrap(ErrNotReading, address)
+		return eris.Wrap(ErrNotReading, c.addressOf())
 	case call.Error != nil:
 		c.close()
 	}
-	return reply, call.Error
+	return call.Error
+}
+
+func (c *client) addressOf() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.address
 }
 
 func (c *client) connect(ctx context.Context, dial dialFunc, address string) (*rpc.Client, error) {
--- a/internal/feed/selector.go
+++ b/internal/feed/selector.go
@@ -107,6 +107,11 @@
 	}
 }
 
+// Others returns the known nodes of the failure domain but this one.
+func (s *SourceSelector) Others() []Peer {
+	return slices.DeleteFunc(slices.Clone(s.ranked), func(p Peer) bool { return p.ID == s.self })
+}
+
 // readers returns the peers that should read the store, and whether this node should. A peer that does not respond to
 // this node is replaced by the next one; one that responds but does not read is not, since the next one does not read
 // either.
--- a/internal/feed/table.go
+++ b/internal/feed/table.go
@@ -27,6 +27,10 @@
 	// startupPause is the time between two attempts.
 	startupWait  = 700 * time.Millisecond
 	startupPause = 100 * time.Millisecond
+	// recallPeers is the number of nodes that must tell which rows the store has lost, at most maxRecalls times.
+	recallPeers = 2
+	maxRecalls  = 4
+	recallPause = 2500 * time.Millisecond
 	// defaultBatchDelay batches the changes of nodes that start or stop together into one response of the store.
 	defaultBatchDelay = time.Second
 )
@@ -88,6 +92,10 @@
 	source Source
 	// follows is true while another node provides the rows.
 	follows bool
+	// recalls counts how often other nodes have been asked for rows that the store has lost, and nextRecall is the earliest
+	// time of the next call.
+	recalls    int
+	nextRecall time.Time
 }
 
 // NewTable returns a table that does not know any other node yet.
@@ -118,12 +126,15 @@
 			return t.readPeer(ctx, s.Peer, retryUntil)
 		}
 		t.storeCalls.Add(1)
-		return t.config.Store.Read(ctx)
+		return t.checkEra(t.config.Store.Read(ctx))
 	})
 }
 
 // Watch waits for rows that changed after the version.
 func (t *Table) Watch(ctx context.Context, after uint64, wait time.Duration) (roster.Page, error) {
+	if rows := t.recall(ctx); len(rows) > 0 {
+		return roster.Page{Rows: rows, Version: after, Era: t.cache.eraOf()}, nil
+	}
 	return t.fetch(ctx, func(s Source) (roster.Page, error) {
 		if !s.Store {
 			return t.watchPeer(ctx, s.Peer, after, min(wait, peerWait))
@@ -132,10 +143,64 @@
 			return roster.Page{}, err
 		}
 		t.storeCalls.Add(1)
-		return t.config.Store.Watch(ctx, after, min(wait, storeWait))
+		page, err := t.config.Store.Watch(ctx, after, min(wait, storeWait))
+		if known := t.cache.eraOf(); err == nil && page.Era > known {
+			return roster.Page{}, eris.Wrapf(roster.ErrHistoryLost, "the store is in era %d instead of %d", page.Era, known)
+		}
+		return t.checkEra(page, err)
 	})
 }
 
+// recall returns the rows that the store has lost and other nodes of the failure domain remember. It asks a few times after the
+// first rows have been read: the others may hear of the era later than a node that starts.
+func (t *Table) recall(ctx context.Context) []roster.Row {
+	if t.cache.eraOf() == 0 {
+		return nil
+	}
+	t.mu.Lock()
+	now := t.config.Clock.Now()
+	due := t.recalls < maxRecalls && !now.Before(t.nextRecall)
+	if due {
+		t.recalls++
+		t.nextRecall = now.Add(recallPause)
+	}
+	peers := t.selector.Others()
+	t.mu.Unlock()
+	if !due {
+		return nil
+	}
+	asked := 0
+	for _, p := range peers {
+		t.peerCalls.Add(1)
+		rows, err := t.client.forgotten(ctx, t.config.Dial, p.Address)
+		if err != nil {
+			continue // Another node may remember the same rows.
+		}
+		t.cache.merge(roster.Page{Rows: rows, Era: t.cache.eraOf()}, t.cache.isReading())
+		if asked++; asked == recallPeers {
+			break
+		}
+	}
+	return t.cache.forgottenRows()
+}
+
+// checkEra fails for a page that the store returned before it came back from a copy.
+func (t *Table) checkEra(page roster.Page, err error) (roster.Page, error) {
+	if err == nil && page.Era < t.cache.eraOf() {
+		return roster.Page{}, roster.ErrStaleEra
+	}
+	return page, err
+}
+
+// Era returns the latest era of the store that this node has heard of.
+func (t *Table) Era() uint64 {
+	era := t.cache.eraOf()
+	if store, tells := t.config.Store.(interface{ Era() uint64 }); tells {
+		era = max(era, store.Era())
+	}
+	return era
+}
+
 // Follows reports whether another node provides the rows.
 func (t *Table) Follows() bool {
 	t.mu.Lock()
@@ -205,7 +270,7 @@
 	t.cache.stopReading()
 	t.peerCalls.Add(1)
 	reply, err := t.client.watch(ctx, t.config.Dial, p.Address, WatchArgs{
-		After: after, Wait: wait, Number: t.number(), Known: max(t.number(), t.heard.Load()),
+		After: after, Wait: wait, Number: t.number(), Known: max(t.number(), t.heard.Load()), Era: t.cache.eraOf(), KnowsEra: true,
 	})
 	if err != nil {
 		return roster.Page{}, err
@@ -214,7 +279,7 @@
 		t.heard.Store(reply.Number)
 	}
 	t.observeNumber(reply.Number)
-	return reply.Page, nil
+	return t.checkEra(reply.Page, nil)
 }
 
 // readPeer reads all rows of a node; until retryUntil it calls again if the node does not read the store yet.
--- a/internal/feed/table_test.go
+++ b/internal/feed/table_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http/httptest"
 	"net/rpc"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -41,6 +42,8 @@
 	mu      sync.Mutex
 	values  map[string]string
 	numbers numbers
+	// forgotten holds the keys of rows that the store has lost.
+	forgotten []string
 }
 
 // disconnectableStore forwards calls to the store unless the node is disconnected from it.
@@ -128,6 +131,10 @@
 		clear(n.values)
 	}
 	for _, row := range p.Rows {
+		if row.Forgotten {
+			n.forgotten = append(n.forgotten, row.Key)
+			continue
+		}
 		if delete(n.values, row.Key); !row.Deleted {
 			n.values[row.Key] = string(row.Value)
 		}
@@ -140,6 +147,13 @@
 	return n.values[key]
 }
 
+// recalled reports whether the node has heard of a row that the store has lost.
+func (n *node) recalled(key string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Contains(n.forgotten, key)
+}
+
 func (n *node) close() {
 	if n.watcher == nil {
 		return
--- a/internal/feed/wire_test.go
+++ b/internal/feed/wire_test.go
@@ -47,7 +47,9 @@
 	}
 	row := roster.Row{Part: "a", Key: "k", Value: []byte("v"), Version: 7, Deleted: true}
 	reply := feed.WatchReply{Page: roster.Page{Rows: []roster.Row{row}, Version: 8, Whole: true}, Number: 9}
-	wire := wireReply{Page: wirePage{Rows: []wireRow{wireRow(row)}, Version: 8, Whole: true}, Number: 9}
+	wire := wireReply{Page: wirePage{Rows: []wireRow{
+		{Part: "a", Key: "k", Value: []byte("v"), Version: 7, Deleted: true},
+	}, Version: 8, Whole: true}, Number: 9}
 	var sent wireReply
 	recode(reply, &sent)
 	require.Equal(t, wire, sent)
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -105,6 +105,8 @@
 	admissions []*admission
 	// held is the heartbeat that waits until the earlier record is restored, or nil.
 	held *heldHeartbeat
+	// published is set once the record has been handed to the publisher.
+	published bool
 }
 
 // New builds the node and opens its listeners; Run serves.
@@ -268,7 +270,12 @@
 }
 
 func (n *Node) membersChanged(p roster.Page) {
+	n.observeEra(p)
 	for _, row := range p.Rows {
+		if row.Forgotten {
+			n.recall(row)
+			continue
+		}
 		n.publisher.ObserveRow(row)
 	}
 	if p.Whole {
--- a/internal/hosted/record.go
+++ b/internal/hosted/record.go
@@ -38,6 +38,7 @@
 	n.record.Withdrawn, n.record.KnownDraining = n.agent.Withdrawn(), n.agent.Draining()
 	n.record.Leaving = n.stopping.Load()
 	n.record.Crashes = n.guard.localEntries()
+	n.record.Era, n.published = n.nodes.Era(), true
 	return n.publisher.Publish(n.record.Encode())
 }
 
@@ -60,7 +61,9 @@
 		if row.Key != n.config.Self.Ref.ID || row.Deleted {
 			continue
 		}
-		n.publisher.ObserveRow(row)
+		if !row.Forgotten {
+			n.publisher.ObserveRow(row)
+		}
 		if earlier, err := roster.DecodeRecord(row); err == nil { // Malformed rows are logged by fleetState.
 			n.agent.Restore(agent.EarlierTargets{Registered: earlier.Registered(), Draining: earlier.Draining(), Withdrawn: earlier.Withdrawn})
 			n.guard.restore(earlier.Crashes)
--- a/internal/roster/members.go
+++ b/internal/roster/members.go
@@ -18,6 +18,10 @@
 type member struct {
 	record  *Record
 	version uint64
+	// era is the one in which the row was read.
+	era uint64
+	// forgotten is true once the store came back without this state of the row; only a later record of the node replaces it.
+	forgotten bool
 }
 
 // NewMembers returns an empty set.
@@ -26,13 +30,15 @@
 }
 
 // Apply adds a page of rows and returns the records that changed, and an error for each row that is not a valid record.
-// A row that is not a valid record removes its node; a row older than the known one is ignored.
+// A row that is not a valid record removes its node; a row older than the known one is ignored. What a store that came back
+// from a copy has lost is kept.
 func (m *Members) Apply(p Page) (changed []*Record, errs []error) {
 	seen := make(map[memberKey]bool, len(p.Rows))
 	for _, row := range p.Rows {
 		key := memberKey{partition: row.Part, key: row.Key}
 		seen[key] = true
-		if known, ok := m.records[key]; ok && row.Version <= known.version {
+		known, ok := m.records[key]
+		if ok && !row.Forgotten && (row.Era < known.era || row.Era == known.era && row.Version <= known.version) {
 			continue
 		}
 		if row.Deleted {
@@ -40,24 +46,51 @@
 			continue
 		}
 		record, err := DecodeRecord(row)
+		if err != nil && row.Forgotten {
+			continue
+		}
 		if err != nil {
 			errs = append(errs, err)
 			delete(m.records, key)
 			continue
 		}
-		m.records[key] = member{record: record, version: row.Version}
+		read := member{record: record, version: row.Version, era: row.Era, forgotten: row.Forgotten}
+		switch {
+		case ok && row.Forgotten && !read.writtenAfter(known):
+			continue
+		case ok && row.Era > known.era && known.writtenAfter(read):
+			known.forgotten = true
+			m.records[key] = known
+			continue
+		}
+		m.records[key] = read
 		changed = append(changed, record)
 	}
 	if p.Whole {
-		for key := range m.records {
-			if !seen[key] {
-				delete(m.records, key)
-			}
-		}
+		m.removeMissing(seen, p.Era)
 	}
 	return changed, errs
 }
 
+// removeMissing removes the nodes that a whole page does not contain, unless their rows were lost with an earlier era.
+func (m *Members) removeMissing(seen map[memberKey]bool, era uint64) {
+	for key, known := range m.records {
+		switch {
+		case seen[key] || known.forgotten:
+		case known.era < era:
+			known.forgotten = true
+			m.records[key] = known
+		default:
+			delete(m.records, key)
+		}
+	}
+}
+
+// writtenAfter reports whether the node wrote the record after the other one, whatever eras they were read in.
+func (m member) writtenAfter(other member) bool {
+	return m.record.Era > other.record.Era || m.record.Era == other.record.Era && m.version > other.version
+}
+
 // Len returns the number of nodes.
 func (m *Members) Len() int {
 	return len(m.records)
--- a/internal/roster/publisher.go
+++ b/internal/roster/publisher.go
@@ -17,6 +17,9 @@
 // writeTimeout bounds one write; a store that takes longer is slow or unreachable.
 const writeTimeout = 2 * time.Second
 
+// eraTable is a table that knows the latest era of its store.
+type eraTable interface{ Era() uint64 }
+
 // PublisherConfig configures a Publisher; Table and Key are required.
 type PublisherConfig struct {
 	Table          Table
@@ -63,6 +66,12 @@
 	}
 }
 
+// BeginEra takes the row as the store holds it in an era, with version 0 if it does not exist. A published value that the
+// store has lost is written again with the next call of Publish.
+func (p *Publisher) BeginEra(era uint64, row Row) {
+	p.update(EraMsg{Era: era, Row: row})
+}
+
 // Await waits until the row holds the value of the revision or a later one. It fails with the error of the context when
 // that ends first.
 func (p *Publisher) Await(ctx context.Context, revision uint64) error {
@@ -138,13 +147,17 @@
 func (p *Publisher) write(ctx context.Context, cmd *WriteCmd) OwnedRowMsg {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
+	era := uint64(0)
+	if table, tells := p.config.Table.(eraTable); tells {
+		era = table.Era()
+	}
 	version, err := p.config.Table.Write(ctx, cmd.Row, cmd.Expected)
 	var conflict *ConflictError
 	switch {
 	case err == nil:
 		p.backoff.reset()
 		_ = level.Info(p.config.Logger).Log("msg", "row written", "key", cmd.Row.Key, "version", version, "bytes", len(cmd.Row.Value))
-		return WrittenMsg{Value: cmd.Row.Value, Version: version, Revision: cmd.Revision}
+		return WrittenMsg{Value: cmd.Row.Value, Version: version, Revision: cmd.Revision, Era: era}
 	case errors.As(err, &conflict):
 		p.backoff.reset()
 		return ConflictMsg{Current: conflict.Current}
--- a/internal/roster/record.go
+++ b/internal/roster/record.go
@@ -22,6 +22,8 @@
 	// under an earlier process of the node. Its next process restores them before it publishes a record.
 	Withdrawn     []model.TargetRef `cbor:"5,keyasint,omitempty"`
 	KnownDraining []model.TargetRef `cbor:"6,keyasint,omitempty"`
+	// Era is the era of the store, as known to the node, in which it wrote the record.
+	Era uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Encode returns the record as the value of the node's row.
--- a/internal/roster/watcher.go
+++ b/internal/roster/watcher.go
@@ -96,13 +96,20 @@
 }
 
 func (w *Watcher) run(ctx context.Context) {
-	version, known := uint64(0), false
+	version, era, known, begun := uint64(0), uint64(0), false, false
 	for ctx.Err() == nil {
 		page, err := w.next(ctx, version, known)
 		switch {
+		case err == nil && page.Era < era:
+			w.callFailed(ctx, ErrStaleEra)
+		case err == nil && page.Era > era && known && !page.Whole:
+			known = false // The table is read anew, since changes may be missing.
 		case err == nil:
 			w.callSucceeded()
-			version, known = page.Version, true
+			if begun && page.Era > era {
+				_ = level.Warn(w.config.Logger).Log("msg", "store came back from a copy", "table", w.config.Name, "era", page.Era, "before", era)
+			}
+			version, era, known, begun = page.Version, page.Era, true, true
 			if page.Whole || len(page.Rows) > 0 {
 				w.config.OnRows(page)
 				timer.Sleep(ctx, w.config.BatchDelay)
