--- a/cmd/standin/caller_send.go
+++ b/cmd/standin/caller_send.go
@@ -16,7 +16,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/auburnwinch/auburnwinch/internal/strict"
+	"github.com/auburnwinch/auburnwinch/internal/syntax"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
@@ -64,7 +64,7 @@
 func newCaller(c *callerCmd) *caller {
 	transport := &http.Transport{MaxIdleConnsPerHost: c.MaxPending, DisableCompression: true}
 	return &caller{
-		config: c, client: &http.Client{Transport: strict.Transport{RoundTripper: transport}, Timeout: c.Timeout + time.Second},
+		config: c, client: &http.Client{Transport: syntax.Transport{RoundTripper: transport}, Timeout: c.Timeout + time.Second},
 		prefix:   fmt.Sprintf("%x", time.Now().UnixNano()),
 		latency:  hdrhistogram.New(int64(time.Microsecond), int64(10*time.Minute), 3),
 		outcomes: make(map[string]string), counts: make(map[string]int), statuses: make(map[int]int),
--- a/internal/load/open_load.go
+++ b/internal/load/open_load.go
@@ -15,7 +15,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/auburnwinch/auburnwinch/internal/procs"
-	"github.com/auburnwinch/auburnwinch/internal/strict"
+	"github.com/auburnwinch/auburnwinch/internal/syntax"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
@@ -78,7 +78,7 @@
 // NewOpenLoad returns a load generator; it fails if the service has no suitable route.
 func NewOpenLoad(c OpenConfig) (*OpenLoad, error) {
 	o := &OpenLoad{config: c, random: rand.New(rand.NewPCG(c.Seed, c.Seed)), client: &http.Client{
-		Timeout: c.Deadline + lateResponseGrace, Transport: strict.Transport{RoundTripper: &http.Transport{MaxIdleConnsPerHost: maxIdleConnections}},
+		Timeout: c.Deadline + lateResponseGrace, Transport: syntax.Transport{RoundTripper: &http.Transport{MaxIdleConnsPerHost: maxIdleConnections}},
 	}}
 	for _, service := range c.Fleet.Plan.Ticket.Services {
 		for _, route := range service.Routes {
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -16,7 +16,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/auburnwinch/auburnwinch/internal/procs"
-	"github.com/auburnwinch/auburnwinch/internal/strict"
+	"github.com/auburnwinch/auburnwinch/internal/syntax"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
@@ -87,7 +87,7 @@
 	}
 	r := &Runner{
 		config: c,
-		client: &http.Client{Timeout: c.SendTimeout, Transport: strict.Transport{RoundTripper: &http.Transport{MaxIdleConnsPerHost: c.Callers}}},
+		client: &http.Client{Timeout: c.SendTimeout, Transport: syntax.Transport{RoundTripper: &http.Transport{MaxIdleConnsPerHost: c.Callers}}},
 	}
 	r.routes = routesOf(c)
 	return r
--- a/internal/relay/framed.go
+++ b/internal/relay/framed.go
@@ -9,7 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/auburnwinch/auburnwinch/internal/strict"
+	"github.com/auburnwinch/auburnwinch/internal/syntax"
 )
 
 const (
@@ -117,10 +117,10 @@
 	extension := bytes.TrimLeft(line[digits:], " \t")
 	b.extensions += len(line) - digits
 	switch {
-	case digits == 0 || digits > maxChunkDigits || digits < len(line) && !bytes.HasPrefix(extension, []byte(";")) || !strict.IsValue(extension):
-		return eris.Wrapf(strict.ErrGrammar, "chunk line %.40q", line)
+	case digits == 0 || digits > maxChunkDigits || digits < len(line) && !bytes.HasPrefix(extension, []byte(";")) || !syntax.IsValue(extension):
+		return eris.Wrapf(syntax.ErrGrammar, "chunk line %.40q", line)
 	case b.extensions > maxExtensionBytes:
-		return eris.Wrap(strict.ErrGrammar, "too many chunk extensions")
+		return eris.Wrap(syntax.ErrGrammar, "too many chunk extensions")
 	case b.left > 0:
 		return nil
 	}
@@ -129,7 +129,7 @@
 		return err
 	}
 	if trailer["Content-Length"] != nil || trailer["Transfer-Encoding"] != nil {
-		return eris.Wrap(strict.ErrGrammar, "a trailer that states where the body ends")
+		return eris.Wrap(syntax.ErrGrammar, "a trailer that states where the body ends")
 	}
 	b.response.Trailer = trailer
 	return io.EOF
@@ -147,7 +147,7 @@
 			return unexpected(err)
 		}
 		if c != want {
-			return eris.Wrap(strict.ErrGrammar, "a chunk that does not end where it should")
+			return eris.Wrap(syntax.ErrGrammar, "a chunk that does not end where it should")
 		}
 	}
 	return nil
--- a/internal/relay/head.go
+++ b/internal/relay/head.go
@@ -12,7 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/auburnwinch/auburnwinch/internal/strict"
+	"github.com/auburnwinch/auburnwinch/internal/syntax"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
@@ -64,17 +64,17 @@
 // parseStatusLine returns a response with the version and the status of the line.
 func parseStatusLine(line []byte) (*http.Response, error) {
 	if len(line) < minStatusLine || !bytes.HasPrefix(line, []byte("HTTP/1.")) || line[7] != '0' && line[7] != '1' || line[8] != ' ' {
-		return nil, eris.Wrapf(strict.ErrGrammar, "status line %.40q", line)
+		return nil, eris.Wrapf(syntax.ErrGrammar, "status line %.40q", line)
 	}
 	status := 0
 	for _, c := range line[9:12] {
 		if c < '0' || c > '9' {
-			return nil, eris.Wrapf(strict.ErrGrammar, "status line %.40q", line)
+			return nil, eris.Wrapf(syntax.ErrGrammar, "status line %.40q", line)
 		}
 		status = status*10 + int(c-'0')
 	}
-	if status < strict.MinStatus || status > strict.MaxStatus || len(line) > minStatusLine && line[minStatusLine] != ' ' || !strict.IsValue(line[minStatusLine:]) {
-		return nil, eris.Wrapf(strict.ErrGrammar, "status line %.40q", line)
+	if status < syntax.MinStatus || status > syntax.MaxStatus || len(line) > minStatusLine && line[minStatusLine] != ' ' || !syntax.IsValue(line[minStatusLine:]) {
+		return nil, eris.Wrapf(syntax.ErrGrammar, "status line %.40q", line)
 	}
 	response := &http.Response{Status: string(line[9:]), StatusCode: status, ProtoMajor: 1, ProtoMinor: int(line[7] - '0'), Proto: "HTTP/1.1"}
 	if response.ProtoMinor == 0 {
@@ -96,7 +96,7 @@
 			return header, nil
 		}
 		if limit -= len(line); limit <= 0 {
-			return nil, eris.Wrap(strict.ErrGrammar, "too many fields")
+			return nil, eris.Wrap(syntax.ErrGrammar, "too many fields")
 		}
 		name, value, err := parseField(line)
 		if err != nil {
@@ -122,12 +122,12 @@
 
 func parseField(line []byte) (name, value string, err error) {
 	colon := bytes.IndexByte(line, ':')
-	if colon < 0 || !strict.IsName(line[:colon]) {
-		return "", "", eris.Wrapf(strict.ErrGrammar, "field line %.40q", line)
+	if colon < 0 || !syntax.IsName(line[:colon]) {
+		return "", "", eris.Wrapf(syntax.ErrGrammar, "field line %.40q", line)
 	}
 	text := bytes.Trim(line[colon+1:], " \t")
-	if !strict.IsValue(text) {
-		return "", "", eris.Wrapf(strict.ErrGrammar, "field line %.40q", line)
+	if !syntax.IsValue(text) {
+		return "", "", eris.Wrapf(syntax.ErrGrammar, "field line %.40q", line)
 	}
 	name, found := commonNames[string(line[:colon])]
 	if !found {
@@ -149,11 +149,11 @@
 	}
 	switch {
 	case errors.Is(err, bufio.ErrBufferFull) || err == nil && len(line) > limit+len("\r\n"):
-		return nil, eris.Wrap(strict.ErrGrammar, "a line is too long")
+		return nil, eris.Wrap(syntax.ErrGrammar, "a line is too long")
 	case err != nil:
 		return nil, unexpected(err)
 	case !bytes.HasSuffix(line, []byte("\r\n")):
-		return nil, eris.Wrapf(strict.ErrGrammar, "line %.40q does not end in CRLF", line)
+		return nil, eris.Wrapf(syntax.ErrGrammar, "line %.40q does not end in CRLF", line)
 	}
 	return line[:len(line)-len("\r\n")], nil
 }
@@ -169,11 +169,11 @@
 	bodiless := response.StatusCode < http.StatusOK || response.StatusCode == http.StatusNoContent
 	switch {
 	case chunked && (len(codings) > 1 || !strings.EqualFold(codings[0], "chunked")):
-		return eris.Wrapf(strict.ErrGrammar, "transfer coding %.40q", codings)
+		return eris.Wrapf(syntax.ErrGrammar, "transfer coding %.40q", codings)
 	case chunked && (length >= 0 || response.ProtoMinor == 0):
-		return eris.Wrap(strict.ErrGrammar, "a transfer coding with a length or in HTTP/1.0")
+		return eris.Wrap(syntax.ErrGrammar, "a transfer coding with a length or in HTTP/1.0")
 	case bodiless && (chunked || length > 0):
-		return eris.Wrapf(strict.ErrGrammar, "a body of a response with the status %d", response.StatusCode)
+		return eris.Wrapf(syntax.ErrGrammar, "a body of a response with the status %d", response.StatusCode)
 	}
 	delete(response.Header, "Transfer-Encoding")
 	if chunked {
@@ -207,5 +207,5 @@
 			return int64(n), nil
 		}
 	}
-	return 0, eris.Wrapf(strict.ErrGrammar, "content length %.40q", values)
+	return 0, eris.Wrapf(syntax.ErrGrammar, "content length %.40q", values)
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -14,7 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/auburnwinch/auburnwinch/internal/config"
-	"github.com/auburnwinch/auburnwinch/internal/strict"
+	"github.com/auburnwinch/auburnwinch/internal/syntax"
 	"github.com/auburnwinch/auburnwinch/internal/timer"
 )
 
@@ -103,7 +103,7 @@
 func (c *Config) newHTTPClient() *http.Client {
 	return &http.Client{
 		Timeout: c.Timeout,
-		Transport: strict.Transport{RoundTripper: &http.Transport{
+		Transport: syntax.Transport{RoundTripper: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: c.Timeout}).DialContext,
 			TLSHandshakeTimeout: c.Timeout,
 			MaxConnsPerHost:     maxConnections,
--- a/internal/strict/doc.go
+++ b/internal/strict/doc.go
@@ -1,5 +1,13 @@
-// Package strict holds the grammar of HTTP fields and a transport that refuses responses which break it.
+// Package strict decodes YAML files and reports every problem with file, line, field and remedy.
 //
-// What a server may not send proves nothing, neither a success nor that a request has not run: the peer is in trouble, or
-// has lost its place in the stream.
+// Usage:
+//
+//	var settings Settings
+//	document, err := strict.Decode("node.yaml", data, &settings)
+//	if err != nil {
+//		return err
+//	}
+//	if problems := settings.problems(); len(problems) > 0 {
+//		return document.Locate(problems)
+//	}
 package strict
--- a/internal/strict/field.go
+++ b/internal/syntax/field.go
@@ -1,4 +1,4 @@
-package strict
+package syntax
 
 // Text is what holds the bytes of a name or a value.
 type Text interface{ ~string | ~[]byte }
--- a/internal/strict/transport.go
+++ b/internal/syntax/transport.go
@@ -1,4 +1,4 @@
-package strict
+package syntax
 
 import (
 	"errors"
--- a/internal/strict/transport_test.go
+++ b/internal/syntax/transport_test.go
@@ -1,4 +1,4 @@
-package strict_test
+package syntax_test
 
 import (
 	"io"
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/auburnwinch/auburnwinch/internal/strict"
+	"github.com/auburnwinch/auburnwinch/internal/syntax"
 )
 
 // get sends a request to a peer that sends the bytes and closes, and reads the whole body.
@@ -27,7 +27,7 @@
 		_, _ = io.WriteString(conn, text)
 		_ = conn.Close()
 	}()
-	client := http.Client{Transport: strict.Transport{RoundTripper: &http.Transport{}}}
+	client := http.Client{Transport: syntax.Transport{RoundTripper: &http.Transport{}}}
 	defer client.CloseIdleConnections()
 	response, err := client.Get("http://" + listener.Addr().String())
 	if err != nil {
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -15,7 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/auburnwinch/auburnwinch/internal/retry"
-	"github.com/auburnwinch/auburnwinch/internal/strict"
+	"github.com/auburnwinch/auburnwinch/internal/syntax"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
@@ -122,7 +122,7 @@
 	if client.http.Transport == nil {
 		client.http.Transport = http.DefaultTransport
 	}
-	client.http.Transport = strict.Transport{RoundTripper: client.http.Transport}
+	client.http.Transport = syntax.Transport{RoundTripper: client.http.Transport}
 	// A redirect is the response of the target to this request; following it would be another request.
 	client.http.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return client, nil
