--- a/internal/fakes/cloud/cloud_test.go
+++ b/internal/fakes/cloud/cloud_test.go
@@ -18,6 +18,8 @@
 	"github.com/aws/aws-sdk-go-v2/service/s3"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/auburnwinch/auburnwinch/internal/store"
 )
 
 type row = map[string]types.AttributeValue
@@ -33,6 +35,7 @@
 func newTableClient(p *Platform, accessKeyID string) *dynamodb.Client {
 	return dynamodb.New(dynamodb.Options{
 		BaseEndpoint: aws.String(p.Settings().TableEndpoint), Region: "r", RetryMaxAttempts: 1,
+		HTTPClient:  &http.Client{Transport: store.PlainBodies{RoundTripper: &http.Transport{}}},
 		Credentials: credentials.NewStaticCredentialsProvider(accessKeyID, "s", ""),
 	})
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -103,13 +103,13 @@
 func (c *Config) newHTTPClient() *http.Client {
 	return &http.Client{
 		Timeout: c.Timeout,
-		Transport: syntax.Transport{RoundTripper: &http.Transport{
+		Transport: syntax.Transport{RoundTripper: PlainBodies{&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: c.Timeout}).DialContext,
 			TLSHandshakeTimeout: c.Timeout,
 			MaxConnsPerHost:     maxConnections,
 			MaxIdleConnsPerHost: maxConnections,
 			IdleConnTimeout:     idleTimeout,
-		}},
+		}}},
 	}
 }
 
