--- a/cmd/standin/standin_test.go
+++ b/cmd/standin/standin_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -141,6 +142,9 @@
 	sendControl(t, s, http.MethodPut, "/fault", `{"stall":true}`)
 	require.Error(t, get("/x"))
 	require.NoError(t, get(pathHealth), "probes are answered while requests stall")
+	require.Eventually(t, func() bool {
+		return strings.Contains(sendControl(t, s, http.MethodGet, "/runs?key=r1", ""), `"in-flight":0,`)
+	}, 2*time.Second, 10*time.Millisecond, "a stalled run ends when its client leaves")
 	sendControl(t, s, http.MethodPut, "/fault", `{"truncate-after":10}`)
 	require.Error(t, get("/x"))
 	sendControl(t, s, http.MethodPut, "/fault", `{"error-ratio":1,"for":"50ms"}`)
@@ -155,3 +159,14 @@
 	sendControl(t, s, http.MethodPost, "/drain", "")
 	require.Equal(t, model.TargetDraining, n.agent.Targets()[0].State)
 }
+
+// Guards against a stalled run that counts as completed because the fault was lifted after its client had left.
+func TestStalledRunOfDepartedClient(t *testing.T) {
+	ctx, leave := context.WithCancel(t.Context())
+	leave()
+	lifted := make(chan struct{})
+	close(lifted)
+	for range 100 {
+		require.False(t, waitForFaultChange(httptest.NewRequestWithContext(ctx, http.MethodGet, "/", nil), lifted))
+	}
+}
--- a/cmd/standin/target_serve.go
+++ b/cmd/standin/target_serve.go
@@ -255,7 +255,7 @@
 func waitForFaultChange(r *http.Request, changed <-chan struct{}) bool {
 	select {
 	case <-changed:
-		return true
+		return r.Context().Err() == nil
 	case <-r.Context().Done():
 		return false
 	}
