--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -14,6 +14,9 @@
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
+// slowTargetWait is the part of its remaining time up to which a request could wait at a target that is too slow for it.
+const slowTargetWait = 4
+
 // ResultAnswered is the result of an attempt whose target answered.
 const ResultAnswered = "answered"
 
@@ -260,8 +263,12 @@
 		f.result, f.kind = retry.NotRun, ResultRefused
 	}
 	switch f.reason {
-	case relay.ReasonPoison, relay.ReasonAccountShare, relay.ReasonDeadline:
+	case relay.ReasonPoison, relay.ReasonAccountShare:
 		f.retryable = false
+	case relay.ReasonDeadline:
+		// With a short wait, it is the target that is too slow, and others may be faster. Long waits are those of an
+		// overloaded service.
+		f.retryable = f.wait > 0 && f.wait < time.Until(x.request.deadline)/slowTargetWait
 	case relay.ReasonTimeout:
 		f.kind, f.retryable = ResultTimeout, false
 	case relay.ReasonSignature:
--- a/internal/picker/leave_test.go
+++ b/internal/picker/leave_test.go
@@ -77,6 +77,20 @@
 	require.Equal(t, 3*time.Second, c.Patience)
 }
 
+// Calls keep a target busy. Guards against a request that queues there because calls wait for a short time only.
+func TestWaitOfMoreUrgentRequestsIsNoEstimate(t *testing.T) {
+	r := newNegotiatingFixture()
+	r.turnDown(0, 20*time.Millisecond, -1)
+	for i := range 12 {
+		if i > 0 {
+			r.turnDown(i, 300*time.Millisecond, 2)
+		}
+	}
+	i, c := r.pick(t, Request{Rank: 2, Remaining: 2 * time.Second, Objective: time.Second})
+	require.Equal(t, 1, i)
+	require.Equal(t, 2*time.Second, c.Patience)
+}
+
 // All regions are overloaded. Guards against a request that crosses regions again and again to be refused.
 func TestQueuesOfOtherRegionsAreBounded(t *testing.T) {
 	r := newNegotiatingFixture()
--- a/internal/picker/negotiate.go
+++ b/internal/picker/negotiate.go
@@ -208,7 +208,7 @@
 	}
 	for i := range s.entries {
 		e := &s.entries[i]
-		wait, known := e.counters.knownWait(r, now)
+		wait, known := e.counters.queueWait(r, now)
 		if !known || skipRemote && e.tier == remoteTier || e.counters.refusesQueue(r, now) || r.excludes(e) || r.refusedBy(e) || !e.counters.mayQueue(now) {
 			continue
 		}
--- a/internal/picker/turndown.go
+++ b/internal/picker/turndown.go
@@ -54,6 +54,15 @@
 	return t.wait - age, true
 }
 
+// queueWait returns the rest of the wait that the agent stated to a request of the same rank. The wait of a more urgent one
+// says only that there is no free slot.
+func (c *counters) queueWait(r Request, now time.Time) (wait time.Duration, known bool) {
+	if t := c.turndown.Load(); t == nil || t.rank != r.Rank {
+		return 0, false
+	}
+	return c.knownWait(r, now)
+}
+
 // refusesQueue reports whether the agent would probably refuse to queue the request. It queues one that misses its objective
 // only with enough time left, while calls wait as long as they can.
 func (c *counters) refusesQueue(r Request, now time.Time) bool {
