--- a/cmd/auburnwinch/hosted.go
+++ b/cmd/auburnwinch/hosted.go
@@ -38,7 +38,7 @@
 		_, err = fmt.Fprintf(out, "%s: settings of node %s are valid\n", c.Settings, settings.Node)
 		return err
 	}
-	configureGC()
+	configureGC(settings.MemoryBytes)
 	lines := spool.New(spool.Config{Out: out})
 	defer lines.Close()
 	n, err := hosted.New(hostedConfig(settings, lines))
@@ -69,6 +69,7 @@
 		Logger:        log.With(log.NewJSONLogger(lines.Ordinary()), "node", s.Node, "ts", log.DefaultTimestampUTC),
 		FailureLogger: log.With(log.NewJSONLogger(lines.Important()), "node", s.Node, "ts", log.DefaultTimestampUTC),
 		Version:       version(),
+		MemoryBytes:   s.MemoryBytes, Descriptors: s.Descriptors,
 	}
 	if s.MetricsPort > 0 {
 		c.Listeners.Metrics = net.JoinHostPort(s.Address, strconv.Itoa(s.MetricsPort))
--- a/cmd/auburnwinch/memory.go
+++ b/cmd/auburnwinch/memory.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"math"
 	"os"
 	"runtime"
 	"runtime/debug"
@@ -19,27 +20,38 @@
 	// heapGrowthDivisor sets the minimum heap growth between two collections to the live heap divided by this number.
 	// Without a minimum, a live heap of 77 MB made the collector use two cores.
 	heapGrowthDivisor = 4
+	// limitShare and ceilingShare bound the soft limit in percent of the memory of the process, if that is limited.
+	limitShare   = 55
+	ceilingShare = 75
 )
 
 // configureGC trades memory within the budget for fewer collections; the environment variables GOGC and GOMEMLIMIT take
 // precedence.
-func configureGC() {
+//
+// memory is the limit of the process in bytes, or 0; the heap must leave room for stacks and for what lives until the next
+// collection.
+func configureGC(memory int64) {
+	limit, ceiling := int64(memoryLimit), int64(math.MaxInt64)
+	if memory > 0 {
+		limit, ceiling = min(limit, memory*limitShare/100), memory*ceilingShare/100
+	}
+
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
 	if os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(memoryLimit)
-		adjustMemoryLimit(memoryLimit)
+		debug.SetMemoryLimit(limit)
+		adjustMemoryLimit(limit, ceiling)
 	}
 }
 
-// adjustMemoryLimit sets the memory limit after each collection to what the live heap requires, but never below limit.
-// The returned function stops the adjustment.
-func adjustMemoryLimit(limit int64) (stop func()) {
+// adjustMemoryLimit sets the memory limit after each collection to what the live heap requires, but never below limit
+// or above ceiling. The returned function stops the adjustment.
+func adjustMemoryLimit(limit, ceiling int64) (stop func()) {
 	var stopped atomic.Bool
 	afterGC(func() bool {
 		if !stopped.Load() {
-			debug.SetMemoryLimit(max(limit, requiredMemory()))
+			debug.SetMemoryLimit(min(ceiling, max(limit, requiredMemory())))
 		}
 		return !stopped.Load()
 	})
--- a/cmd/auburnwinch/memory_test.go
+++ b/cmd/auburnwinch/memory_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"math"
 	"runtime"
 	"runtime/debug"
 	"testing"
@@ -14,7 +15,7 @@
 	const limit, block = 32 << 20, 16 << 10
 	before := debug.SetMemoryLimit(limit)
 	defer debug.SetMemoryLimit(before)
-	defer adjustMemoryLimit(limit)()
+	defer adjustMemoryLimit(limit, math.MaxInt64)()
 	live := make([][]byte, 2*limit/block)
 	for i := range live {
 		live[i] = make([]byte, block)
--- a/cmd/auburnwinch/node.go
+++ b/cmd/auburnwinch/node.go
@@ -32,7 +32,7 @@
 		_, err = fmt.Fprintf(out, "%s: settings of node %s are valid\n", c.Settings, settings.Node.ID)
 		return err
 	}
-	configureGC()
+	configureGC(0)
 	n, err := node.New(node.Config{Settings: settings, Logger: newLogger(settings.LogLevel), Version: version()})
 	if err != nil {
 		return err
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -51,6 +51,8 @@
 	RequestLogger RequestLogger
 	// MaxResponseBytes bounds the body of a response; zero means no bound.
 	MaxResponseBytes int64
+	// MaxUploadBytes bounds the sum of the request bodies at one target, unless there is only one; zero means no bound.
+	MaxUploadBytes int64
 	// SingleTarget means that one target runs on this VM: a new one replaces the previous one.
 	SingleTarget bool
 	// DisableLivenessConns disables the idle connections that distinguish a crash from a broken connection when a
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -46,6 +46,8 @@
 	// source is the body of the request, if it has one; buffered is its start when it was read before the request ran.
 	source   *relay.InboundBody
 	buffered *bufferedBody
+	// upload is the body's share of what the target may hold.
+	upload *upload
 	// record is for the request logger.
 	record RequestRecord
 	// holdsSuspectRun means that this request has set Agent.suspectRuns.
@@ -179,6 +181,13 @@
 		x.refuse(reason, model.OutcomeNotRun)
 		return
 	}
+	upload, ok := x.local.shared.uploads.begin(x.agent.config.MaxUploadBytes, x.r.ContentLength)
+	if !ok {
+		x.refuse(relay.ReasonNoSlot, model.OutcomeNotRun)
+		return
+	}
+	defer upload.end()
+	x.upload = upload
 	if !x.confirm(ctx) {
 		x.refuse(relay.ReasonUnconfirmed, model.OutcomeNotRun)
 		return
@@ -290,12 +299,13 @@
 	r.Accept = func(response *http.Response) bool { return protocol.Matches(x.r, response) }
 	if x.buffered != nil {
 		x.buffered.attach(r)
-		return r
-	}
-	if x.r.ContentLength != 0 {
+	} else if x.r.ContentLength != 0 {
 		x.source = relay.NewInboundBody(x.w, x.r.Body)
 		r.Body, r.InboundBody = x.source, x.source
 	}
+	if x.r.ContentLength < 0 && r.Body != nil && x.agent.config.MaxUploadBytes > 0 {
+		r.Body = &uploadReader{Reader: r.Body, upload: x.upload}
+	}
 	return r
 }
 
--- a/internal/agent/target.go
+++ b/internal/agent/target.go
@@ -30,6 +30,8 @@
 	sequence atomic.Uint64
 	// notice is what the target states about itself.
 	notice noticeState
+	// uploads bounds the request bodies at the target.
+	uploads uploads
 	// liveness tells whether the process of this incarnation has died.
 	liveness *livenessMonitor
 
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -14,6 +14,12 @@
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
 
+// Memory accounts for the memory of the node.
+type Memory interface {
+	// Reserve accounts for bytes until the request of the context ends; without room it returns false.
+	Reserve(ctx context.Context, bytes int64) bool
+}
+
 // Config configures an Edge; all fields except View are optional.
 type Config struct {
 	// View holds the candidate targets. Routes are set by SetRoutes.
@@ -74,6 +80,8 @@
 	Accounts Accounts
 	// Quotas bounds the requests of client accounts; without it they are not bounded.
 	Quotas Quotas
+	// Memory bounds the response bodies that are buffered; without it only BufferBytes does.
+	Memory Memory
 }
 
 // Accounts identifies client accounts by their keys.
--- a/internal/edge/deliver.go
+++ b/internal/edge/deliver.go
@@ -31,6 +31,8 @@
 	written  int64
 	sum      relay.Checksum
 	idle     time.Duration
+	// unbuffered means that the node has no room to buffer the body.
+	unbuffered bool
 }
 
 // deliver copies the response to the caller; the failure is nil if the caller has the complete response.
@@ -106,7 +108,7 @@
 		if err != nil {
 			return err
 		}
-		if buffered == len(buffer) && d.sum.Length != d.length && d.mustBuffer() {
+		if buffered == len(buffer) && d.sum.Length != d.length && d.mustBuffer() && d.reserve(len(buffer)) {
 			buffer = append(buffer, make([]byte, len(buffer))...)
 			continue
 		}
@@ -126,10 +128,21 @@
 	return ctx.Err()
 }
 
+// reserve accounts for the growth of the buffer. Without room the body is delivered as it arrives.
+func (d *delivery) reserve(bytes int) bool {
+	if m := d.request.edge.config.Memory; m != nil && !m.Reserve(d.request.r.Context(), int64(bytes)) {
+		d.unbuffered = true
+	}
+	return !d.unbuffered
+}
+
 // mustBuffer reports whether the bytes read so far must be buffered until the body is complete. If a buffered response
 // fails, the caller has received nothing of it and another target can serve the request.
 func (d *delivery) mustBuffer() bool {
 	limit := int64(d.request.edge.config.BufferBytes)
+	if d.unbuffered {
+		return d.length >= 0 && d.sum.Length >= d.length
+	}
 	if d.length < 0 {
 		return limit > relay.BlockBytes && d.sum.Length < limit
 	}
--- a/internal/feed/doc.go
+++ b/internal/feed/doc.go
@@ -4,7 +4,7 @@
 // Usage:
 //
 //	t := feed.NewTable(feed.Config{Store: nodes, Self: self.Ref.ID, Domain: self.Domain})
-//	server, err := feed.NewServer(self.PeerAddress, t)
+//	server, err := feed.NewServer(feed.ServerConfig{Address: self.PeerAddress, Table: t})
 //	if err != nil {
 //		return err
 //	}
--- a/internal/feed/rpc.go
+++ b/internal/feed/rpc.go
@@ -81,17 +81,27 @@
 	return nil
 }
 
+// ServerConfig configures a Server; Wrap is optional and wraps the listener.
+type ServerConfig struct {
+	Address string
+	Table   *Table
+	Wrap    func(net.Listener) net.Listener
+}
+
 // NewServer listens on the address and serves the table to followers.
-func NewServer(address string, t *Table) (*Server, error) {
+func NewServer(c ServerConfig) (*Server, error) {
 	service := rpc.NewServer()
-	if err := service.RegisterName(serviceName, &Feed{table: t}); err != nil {
+	if err := service.RegisterName(serviceName, &Feed{table: c.Table}); err != nil {
 		return nil, eris.Wrap(err, "register the feed service")
 	}
-	listener, err := listen.Socket("peer", address)
+	listener, err := listen.Socket("peer", c.Address)
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{table: t, listener: listener, conns: make(map[net.Conn]struct{})}
+	if c.Wrap != nil {
+		listener = c.Wrap(listener)
+	}
+	s := &Server{table: c.Table, listener: listener, conns: make(map[net.Conn]struct{})}
 	s.group.Go(func() {
 		for {
 			conn, err := listener.Accept()
--- a/internal/feed/table_test.go
+++ b/internal/feed/table_test.go
@@ -109,7 +109,7 @@
 		Store: disconnectableStore{Store: store.Table("nodes"), disconnected: &n.disconnected}, Self: id, Domain: n.domain, BatchDelay: 10 * time.Millisecond,
 		Configurations: &n.numbers,
 	})
-	server, err := feed.NewServer("127.0.0.1:0", n.table)
+	server, err := feed.NewServer(feed.ServerConfig{Address: "127.0.0.1:0", Table: n.table})
 	require.NoError(f.t, err)
 	n.server = server
 	record := roster.Record{Node: model.Node{
--- a/internal/hosted/config.go
+++ b/internal/hosted/config.go
@@ -40,6 +40,9 @@
 	Logger        log.Logger
 	FailureLogger log.Logger
 	Version       string
+	// MemoryBytes and Descriptors are the limits of the process, from which the budget for clients follows; 0 means none.
+	MemoryBytes int64
+	Descriptors int
 }
 
 // Listeners holds the `host:port` addresses on which the node listens. Metrics and Peer may be empty; without Peer, no
--- a/internal/hosted/listen.go
+++ b/internal/hosted/listen.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/auburnwinch/auburnwinch/internal/edge"
 	"github.com/auburnwinch/auburnwinch/internal/feed"
 	"github.com/auburnwinch/auburnwinch/internal/listen"
+	"github.com/auburnwinch/auburnwinch/internal/purse"
 )
 
 const (
@@ -18,40 +20,57 @@
 	closeTimeout = 150 * time.Millisecond
 	// serviceHeaderTimeout bounds the time to read the header of a request from the platform or a target.
 	serviceHeaderTimeout = 5 * time.Second
+	// serviceHeaderBytes, serviceReadTimeout and serviceIdleTimeout bound these requests on a node with a budget. They come
+	// once in a second or two, with some hundred bytes.
+	serviceHeaderBytes = 4 << 10
+	serviceReadTimeout = 5 * time.Second
+	serviceIdleTimeout = time.Minute
 )
 
 func (n *Node) openListeners() error {
 	callers := edge.NewServer(n.edge, n.config.FailureLogger)
-	callers.Handler = http.HandlerFunc(n.serveCallers)
+	callers.Handler = n.purse.Handler(http.HandlerFunc(n.serveCallers), n.refuseCallerForRoom)
+	relayed := agent.NewServer(n.agent, n.config.FailureLogger)
+	relayed.Handler = n.purse.Handler(relayed.Handler, refuseRelayedForRoom)
 	for _, l := range []struct {
 		name, address string
 		server        *http.Server
 	}{
-		{"callers", n.config.Listeners.Callers, callers},
-		{"relay", n.config.Listeners.Relay, agent.NewServer(n.agent, n.config.FailureLogger)},
-		{"local", n.config.Listeners.Local, plainServer(n.config.LocalHandler(n))},
-		{"ready", n.config.Listeners.Ready, plainServer(n.config.ReadyHandler(n.ready))},
-		{"metrics", n.config.Listeners.Metrics, plainServer(n.metricsHandler())},
+		{purse.Callers, n.config.Listeners.Callers, callers},
+		{purse.Relay, n.config.Listeners.Relay, relayed},
+		{purse.Local, n.config.Listeners.Local, n.plainServer(n.config.LocalHandler(n))},
+		{purse.Ready, n.config.Listeners.Ready, n.plainServer(n.config.ReadyHandler(n.ready))},
+		{purse.Metrics, n.config.Listeners.Metrics, n.plainServer(n.metricsHandler())},
 	} {
 		if l.address == "" {
 			continue
 		}
+		n.purse.Attach(l.server)
 		opened, err := listen.Open(l.name, l.address, l.server)
 		if err != nil {
 			return err
 		}
+		opened.Socket = n.purse.Listener(l.name, opened.Socket)
 		n.listeners = append(n.listeners, opened)
 	}
 	if n.config.Listeners.Peer == "" {
 		return nil
 	}
 	var err error
-	n.feed, err = feed.NewServer(n.config.Listeners.Peer, n.nodes)
+	n.feed, err = feed.NewServer(feed.ServerConfig{
+		Address: n.config.Listeners.Peer, Table: n.nodes,
+		Wrap: func(l net.Listener) net.Listener { return n.purse.RawListener(purse.Peer, l) },
+	})
 	return err
 }
 
-func plainServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: serviceHeaderTimeout}
+func (n *Node) plainServer(handler http.Handler) *http.Server {
+	s := &http.Server{Handler: n.purse.Handler(handler, nil), ReadHeaderTimeout: serviceHeaderTimeout}
+	if n.purse != nil {
+		s.MaxHeaderBytes = serviceHeaderBytes
+		s.ReadTimeout, s.IdleTimeout = serviceReadTimeout, serviceIdleTimeout
+	}
+	return s
 }
 
 func (n *Node) serve(l *listen.Listener) {
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -29,6 +29,9 @@
 	refusals        map[string]*atomic.Int64
 	attempts        atomic.Int64
 	turnedUnhealthy atomic.Int64
+	// closedClients and refusedClients count by listener and reason what the purse closed and refused.
+	closedClients  *meter.LabelledCounter
+	refusedClients *meter.LabelledCounter
 }
 
 func newMetrics() (*metrics, error) {
@@ -40,9 +43,11 @@
 		Meter: m, refusals: make(map[string]*atomic.Int64),
 		outcomes: m.LabelledCounter("auburnwinch.edge.answers", "answers to callers by service, kind of request and outcome",
 			"service", "kind", "outcome"),
-		answers: m.Histogram("auburnwinch.edge.answer", "time from a caller's request to its answer"),
-		waits:   m.Histogram("auburnwinch.agent.wait", "time that relayed requests waited for a slot"),
-		runs:    m.Histogram("auburnwinch.agent.run", "time that targets took for relayed requests"),
+		closedClients:  m.LabelledCounter("auburnwinch.clients.closed", "connections closed to make room", "listener", "reason"),
+		refusedClients: m.LabelledCounter("auburnwinch.clients.refused", "connections and requests refused for lack of room", "listener", "reason"),
+		answers:        m.Histogram("auburnwinch.edge.answer", "time from a caller's request to its answer"),
+		waits:          m.Histogram("auburnwinch.agent.wait", "time that relayed requests waited for a slot"),
+		runs:           m.Histogram("auburnwinch.agent.run", "time that targets took for relayed requests"),
 	}
 	for _, reason := range refusalReasons {
 		counter := &atomic.Int64{}
@@ -107,6 +112,8 @@
 		_, members := n.fleet.ages()
 		return members.Milliseconds()
 	})
+	m.Gauge("auburnwinch.clients.held-bytes", "memory held for clients", n.purse.Held)
+	m.Gauge("auburnwinch.clients.connections", "connections counted toward the budget", func() int64 { return int64(n.purse.Open()) })
 	return m.Err()
 }
 
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -17,6 +17,7 @@
 	"github.com/auburnwinch/auburnwinch/internal/listen"
 	"github.com/auburnwinch/auburnwinch/internal/notify"
 	"github.com/auburnwinch/auburnwinch/internal/picker"
+	"github.com/auburnwinch/auburnwinch/internal/purse"
 	"github.com/auburnwinch/auburnwinch/internal/relay"
 	"github.com/auburnwinch/auburnwinch/internal/roster"
 	"github.com/auburnwinch/auburnwinch/internal/trace"
@@ -84,6 +85,8 @@
 	picker        *picker.Picker
 	nodes         *feed.Table
 	feed          *feed.Server
+	purse         *purse.Purse
+	roomLog       roomLog
 	publisher     *roster.Publisher
 	watchers      []*roster.Watcher
 	listeners     []*listen.Listener
@@ -128,6 +131,7 @@
 	if n.metrics, err = newMetrics(); err != nil {
 		return err
 	}
+	n.buildPurse()
 	n.picker = picker.New(picker.Config{
 		Health: noEjections{}, Now: n.config.Clock.Now, Seed: n.config.Self.Ref.Incarnation, Negotiate: true,
 		CheckPaths: true,
@@ -150,7 +154,7 @@
 	n.agent, err = agent.New(agent.Config{
 		Self: n.config.Self.Ref, NewLimiter: n.newLimiter, OnTargets: func([]model.Target) { n.publishDue.Raise() }, Clock: n.config.Clock,
 		Logger: n.config.FailureLogger, Dial: n.config.Dial, InterimInterval: interimInterval, Expiry: targetExpiry,
-		Protocol: n.config.TargetProtocol, RequestLogger: n.requestLogger, PoisonDetector: n.guard, CrashCounter: n.guard, SingleTarget: true, DisableLivenessConns: true, MaxResponseBytes: maxResponseBytes, Configurations: n.fleet,
+		Protocol: n.config.TargetProtocol, RequestLogger: n.requestLogger, PoisonDetector: n.guard, CrashCounter: n.guard, SingleTarget: true, DisableLivenessConns: true, MaxResponseBytes: maxResponseBytes, MaxUploadBytes: n.config.MemoryBytes / uploadShare, Configurations: n.fleet,
 	})
 	return err
 }
@@ -191,7 +195,7 @@
 		Logger: n.config.FailureLogger, Dial: n.config.Dial, DialTimeout: relayDialTimeout, ReusedHeaderTimeout: reusedHeaderTimeout,
 		HeaderTimeout: headerTimeout, BodyIdleTimeout: bodyIdleTimeout, StartupWait: startupWait, StartupPeriod: startupPeriod, Protocol: n.config.CallerProtocol, NegotiateAdmission: true, BufferBytes: bufferBytes,
 		RequestLogger: n.requestLogger, PoisonDetector: n.guard, CrashCounter: n.guard, Parents: n.agent, Configurations: n.fleet,
-		Notices: n.picker,
+		Notices: n.picker, Memory: n.purse,
 	})
 	n.fleet.edge = n.edge
 	return err
--- a/internal/hosted/run.go
+++ b/internal/hosted/run.go
@@ -124,6 +124,7 @@
 	}
 	n.publisher.Close()
 	n.nodes.Close()
+	n.purse.Close()
 	_ = n.edge.Close()  // Only closes idle connections.
 	_ = n.agent.Close() // Only closes idle connections.
 	n.group.Wait()
