--- a/internal/feed/rpc.go
+++ b/internal/feed/rpc.go
@@ -106,19 +106,31 @@
 	return nil
 }
 
+// ServerConfig configures a Server; Further and Wrap are optional. Wrap wraps the listener.
+type ServerConfig struct {
+	Address string
+	Table   *Table
+	// Further are served beside the table.
+	Further []Service
+	Wrap    func(net.Listener) net.Listener
+}
+
 // NewServer listens on the address, serves the table to followers, and serves the further services.
-func NewServer(address string, t *Table, further ...Service) (*Server, error) {
+func NewServer(c ServerConfig) (*Server, error) {
 	service := rpc.NewServer()
-	for _, s := range append(further, Service{Name: serviceName, Receiver: &Feed{table: t}}) {
+	for _, s := range append(c.Further, Service{Name: serviceName, Receiver: &Feed{table: c.Table}}) {
 		if err := service.RegisterName(s.Name, s.Receiver); err != nil {
 			return nil, eris.Wrapf(err, "register the service %q", s.Name)
 		}
 	}
-	listener, err := listen.Socket("peer", address)
+	listener, err := listen.Socket("peer", c.Address)
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{table: t, listener: listener, conns: make(map[net.Conn]struct{})}
+	if c.Wrap != nil {
+		listener = c.Wrap(listener)
+	}
+	s := &Server{table: c.Table, listener: listener, conns: make(map[net.Conn]struct{})}
 	s.group.Go(func() {
 		for {
 			conn, err := listener.Accept()
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -31,6 +31,9 @@
 	left, leftBytes *meter.LabelledCounter
 	attempts        atomic.Int64
 	turnedUnhealthy atomic.Int64
+	// closedClients and refusedClients count by listener and reason what the purse closed and refused.
+	closedClients  *meter.LabelledCounter
+	refusedClients *meter.LabelledCounter
 }
 
 func newMetrics() (*metrics, error) {
@@ -42,8 +45,10 @@
 		Meter: m, refusals: make(map[string]*atomic.Int64),
 		outcomes: m.LabelledCounter("auburnwinch.edge.answers", "answers to callers by service, kind of request and outcome",
 			"service", "kind", "outcome"),
-		answers: m.Histogram("auburnwinch.edge.answer", "time from a caller's request to its answer"),
-		left:    m.LabelledCounter("auburnwinch.edge.left", "attempts sent out of the failure domain by tier and reason", "tier", "reason"),
+		closedClients:  m.LabelledCounter("auburnwinch.clients.closed", "connections closed to make room", "listener", "reason"),
+		refusedClients: m.LabelledCounter("auburnwinch.clients.refused", "connections and requests refused for lack of room", "listener", "reason"),
+		answers:        m.Histogram("auburnwinch.edge.answer", "time from a caller's request to its answer"),
+		left:           m.LabelledCounter("auburnwinch.edge.left", "attempts sent out of the failure domain by tier and reason", "tier", "reason"),
 		leftBytes: m.LabelledCounter("auburnwinch.edge.left-bytes",
 			"expected bytes of requests and responses that were served outside of the failure domain, by tier and reason", "tier", "reason"),
 		waits: m.Histogram("auburnwinch.agent.wait", "time that relayed requests waited for a slot"),
@@ -131,6 +136,8 @@
 		_, members := n.fleet.ages()
 		return members.Milliseconds()
 	})
+	m.Gauge("auburnwinch.clients.held-bytes", "memory held for clients", n.purse.Held)
+	m.Gauge("auburnwinch.clients.connections", "connections counted toward the budget", func() int64 { return int64(n.purse.Open()) })
 	return m.Err()
 }
 
