--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -231,7 +231,10 @@
 			n.refuse(w, r, edge.BodyTooLarge(), "body too large")
 			return
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, limits.BodyBytes)
+		// The server looks at the body of its own request to tell whether the caller waits for permission to send it.
+		limited := *r
+		limited.Body = http.MaxBytesReader(w, r.Body, limits.BodyBytes)
+		r = &limited
 	}
 	if n.refuseCallers.Load() {
 		w.Header()["Connection"] = []string{"close"}
--- a/internal/purse/handler.go
+++ b/internal/purse/handler.go
@@ -51,8 +51,10 @@
 			return
 		}
 		b := &body{ReadCloser: r.Body, conn: conn}
-		r.Body = b
-		next.ServeHTTP(w, r)
+		// The server looks at the body of its own request to tell whether the client waits for permission to send it.
+		counted := *r
+		counted.Body = b
+		next.ServeHTTP(w, &counted)
 		if !b.ended.Load() {
 			// The server reads on to find the next request.
 			conn.enter(PhaseBody, 0)
