--- a/Makefile
+++ b/Makefile
@@ -42,14 +42,14 @@
 SOAK := TestSeeds
 
 # Crowds of clients against a node process that is built without the race detector; its peak of memory is checked.
-CROWDS := TestCrowds
+CROWDS := TestCrowds|TestSingleLargeRequests
 
 unit:
 	@if [ -s KNOWN-RED.txt ]; then echo "skipped as known to be red:"; cat KNOWN-RED.txt; fi
 	go test -count=1 -race -short -timeout 600s -skip '$(KNOWN_RED)|^($(SIMULATED)|$(SOAK)|$(CROWDS))$$' ./...
 	go test -count=1 -short -timeout 600s -run '^$(SIMULATED)$$' -skip '$(KNOWN_RED)' ./internal/member
 	go test -count=1 -timeout 600s -run '^$(SOAK)$$' -skip '$(KNOWN_RED)' ./internal/soak
-	go test -count=1 -timeout 600s -run '^$(CROWDS)$$' -skip '$(KNOWN_RED)' ./internal/crowd
+	go test -count=1 -timeout 600s -run '^($(CROWDS))$$' -skip '$(KNOWN_RED)' ./internal/crowd
 
 long: ## all tests in full length, without the race detector
 	go test -count=1 -timeout 60m ./...
--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -1,6 +1,7 @@
 package crowd
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -92,6 +93,35 @@
 	}
 }
 
+// Guards against bounds that a single request inside the limits meets in calm.
+func TestSingleLargeRequests(t *testing.T) {
+	n := startNode(t)
+	const chunk = 64 << 10
+	for name, request := range map[string][]string{
+		"4,000 fields":      {get("/non_idempotent/")[:len(get("/non_idempotent/"))-2] + strings.Repeat("a:\r\n", 4000) + "\r\n"},
+		"body of a length":  {post("/idempotent/", "shop.example", fmt.Sprintf("Content-Length: %d\r\n", maxBodyBytes)), strings.Repeat("x", chunk)},
+		"order of a length": {post("/non_idempotent/", "shop.example", fmt.Sprintf("Content-Length: %d\r\n", maxBodyBytes)), strings.Repeat("x", chunk)},
+		"order in chunks":   {post("/non_idempotent/", "shop.example", "Transfer-Encoding: chunked\r\n"), fmt.Sprintf("%x\r\n%s\r\n", chunk, strings.Repeat("x", chunk)), "0\r\n\r\n"},
+		"body in chunks":    {post("/idempotent/", "shop.example", "Transfer-Encoding: chunked\r\n"), fmt.Sprintf("%x\r\n%s\r\n", chunk, strings.Repeat("x", chunk)), "0\r\n\r\n"},
+		"many different":    {post("/idempotent/", "shop.example", fields(legalFields)+"Content-Length: 0\r\n")},
+	} {
+		conn, err := net.DialTimeout("tcp", nodeHost(portCallers), 10*time.Second)
+		require.NoError(t, err)
+		write(request[0])(conn)
+		if len(request) > 1 {
+			for range maxBodyBytes / chunk {
+				write(request[1])(conn)
+			}
+			write(strings.Join(request[2:], ""))(conn)
+		}
+		answer, err := bufio.NewReader(conn).ReadString('\n')
+		require.NoError(t, err, name)
+		require.Equal(t, "HTTP/1.1 200 OK\r\n", answer, name)
+		require.NoError(t, conn.Close())
+	}
+	n.requireAlive(n.sockets())
+}
+
 func head(method, path, host, fields string) string {
 	return fmt.Sprintf("%s %sx HTTP/1.1\r\nHost: %s\r\nAuburnwinch-Request-Id: c1\r\nAuburnwinch-Deadline-Ms: 10000\r\n%s\r\n", method, path, host, fields)
 }
--- a/internal/crowd/harness_test.go
+++ b/internal/crowd/harness_test.go
@@ -166,6 +166,10 @@
 func (n *node) requireAlive(sockets int) {
 	n.t.Helper()
 	require.True(n.t, n.process.Running(), "the process has ended")
+	response, err := (&http.Client{Timeout: answerTimeout, Transport: &http.Transport{DisableKeepAlives: true}}).Get("http://" + nodeHost(portReady) + "/api/readiness")
+	require.NoError(n.t, err, "readiness")
+	require.NoError(n.t, response.Body.Close())
+	require.Equal(n.t, http.StatusOK, response.StatusCode, "readiness")
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.process.PID()))
 	require.NoError(n.t, err)
 	_, rest, _ := strings.Cut(string(status), "VmHWM:")
--- a/internal/purse/budget.go
+++ b/internal/purse/budget.go
@@ -14,7 +14,7 @@
 	reservedShare = 8
 )
 
-// Names of the listeners. All but the callers and the relay are service listeners with reserved room.
+// Names of the listeners; all but callers and relay are service listeners with reserved room.
 const (
 	Callers = "callers"
 	Relay   = "relay"
--- a/internal/purse/conn.go
+++ b/internal/purse/conn.go
@@ -35,7 +35,7 @@
 	raw   bool
 }
 
-// Conn is an accepted connection. One goroutine of the server reads, and one writes.
+// Conn is an accepted connection, which one goroutine reads and one writes.
 type Conn struct {
 	*net.TCPConn
 	purse *Purse
@@ -47,6 +47,7 @@
 	// received tells that bytes have arrived since the last request began; ahead counts the requests without.
 	received atomic.Bool
 	ahead    atomic.Int32
+	wasCut   atomic.Bool
 }
 
 // Accept implements net.Listener.
@@ -102,7 +103,7 @@
 		cost := int64(2*n + fieldBytes*bytes.Count(p[:n], []byte{'\n'}))
 		now := c.purse.now()
 		c.purse.update(PhaseMsg{ID: c.id, Phase: PhaseHead, Bytes: n, Now: now}, HeldMsg{ID: c.id, Bytes: cost, Now: now})
-		if !c.known() {
+		if c.wasCut.Load() {
 			return 0, errClosed
 		}
 	}
@@ -147,14 +148,9 @@
 // cut closes the connection at the command of the module. A client in the middle of a message gets a reset, which frees
 // what the kernel holds and can't be mistaken for the end of an answer.
 func (c *Conn) cut() {
+	c.wasCut.Store(true)
 	if Phase(c.phase.Load()) != PhaseIdle {
 		_ = c.SetLinger(0) // It fails if the client has closed the connection.
 	}
 	_ = c.TCPConn.Close() // The server closes it again.
 }
-
-func (c *Conn) known() bool {
-	c.purse.mu.Lock()
-	defer c.purse.mu.Unlock()
-	return c.purse.conns[c.id] != nil
-}
--- a/internal/purse/module.go
+++ b/internal/purse/module.go
@@ -21,7 +21,7 @@
 	outboundClass = "outbound"
 )
 
-// Module decides which connections a node keeps. It keeps no time of its own and is not safe for concurrent use.
+// Module decides which connections a node keeps; it is not safe for concurrent use.
 type Module struct {
 	budget Budget
 	conns  map[uint64]*conn
@@ -56,7 +56,7 @@
 // Open returns the number of connections, outbound ones included.
 func (m *Module) Open() int { return len(m.conns) }
 
-// Update applies the message. Connections in a CloseCmd are forgotten at once.
+// Update applies the message and returns what to do; connections in a CloseCmd are forgotten at once.
 func (m *Module) Update(msg Msg) []Cmd {
 	switch msg := msg.(type) {
 	case OpenedMsg:
