--- a/internal/hosted/room.go
+++ b/internal/hosted/room.go
@@ -43,7 +43,10 @@
 	switch cmd := cmd.(type) {
 	case purse.CloseCmd:
 		n.metrics.closedClients.Add(cmd.Listener, string(cmd.Reason))
-		fields = []any{"msg", "connection closed to make room", "listener", cmd.Listener, "peer", cmd.Peer, "reason", cmd.Reason, "held", cmd.Held, "stall", cmd.Stall}
+		fields = []any{
+			"msg", "connection closed to make room", "listener", cmd.Listener, "peer", cmd.Peer,
+			"reason", cmd.Reason, "held", cmd.Held, "stall", cmd.Stall,
+		}
 	case purse.RefuseCmd:
 		n.metrics.refusedClients.Add(cmd.Listener, string(cmd.Reason))
 		fields = []any{"msg", "client refused for lack of room", "listener", cmd.Listener, "peer", cmd.Peer, "reason", cmd.Reason}
--- a/internal/purse/conn.go
+++ b/internal/purse/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"errors"
 	"net"
+	"os"
 	"sync/atomic"
 
 	"github.com/rotisserie/eris"
@@ -38,16 +40,20 @@
 // Conn is an accepted connection, which one goroutine reads and one writes.
 type Conn struct {
 	*net.TCPConn
-	purse *Purse
-	id    uint64
-	raw   bool
-	phase atomic.Int32
+	purse    *Purse
+	id       uint64
+	listener string
+	peer     string
+	raw      bool
+	phase    atomic.Int32
 	// message is the length of what a raw connection has received since the last answer.
 	message atomic.Int64
 	// received tells that bytes have arrived since the last request began; ahead counts the requests without.
 	received atomic.Bool
 	ahead    atomic.Int32
 	wasCut   atomic.Bool
+	// discarding means that the server reads the rest of a body that no handler wants.
+	discarding atomic.Bool
 }
 
 // Accept implements net.Listener.
@@ -58,24 +64,24 @@
 		if err != nil || !ok {
 			return conn, err
 		}
-		c := &Conn{TCPConn: tcp, purse: l.purse, id: l.purse.nextID(), raw: l.raw}
+		peer, _, _ := net.SplitHostPort(tcp.RemoteAddr().String()) // The address of a TCP connection has a port.
+		c := &Conn{TCPConn: tcp, purse: l.purse, id: l.purse.nextID(), listener: l.name, peer: peer, raw: l.raw}
 		if !c.raw {
 			c.phase.Store(int32(PhaseHead))
 		}
-		peer, _, _ := net.SplitHostPort(tcp.RemoteAddr().String()) // The address of a TCP connection has a port.
-		if c.open(l.name, peer) {
+		if c.open() {
 			return c, nil
 		}
 		_ = tcp.Close() // Nothing was read from it.
 	}
 }
 
-func (c *Conn) open(listener, peer string) bool {
+func (c *Conn) open() bool {
 	p := c.purse
 	p.mu.Lock()
 	p.conns[c.id] = c
 	p.mu.Unlock()
-	if !p.update(OpenedMsg{ID: c.id, Listener: listener, Peer: peer, Now: p.now()}) {
+	if !p.update(OpenedMsg{ID: c.id, Listener: c.listener, Peer: c.peer, Now: p.now()}) {
 		return true
 	}
 	p.mu.Lock()
@@ -88,11 +94,15 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
 	if n == 0 {
+		if errors.Is(err, os.ErrDeadlineExceeded) && c.discarding.Load() {
+			c.report(ReasonUnreadBody)
+		}
 		return n, err
 	}
 	c.received.Store(true)
 	if c.raw {
 		if c.message.Add(int64(n)) > maxRawMessage {
+			c.report(ReasonLongMessage)
 			return 0, errTooLong
 		}
 		c.purse.update(PhaseMsg{ID: c.id, Phase: PhaseIdle, Now: c.purse.now()}, HeldMsg{ID: c.id, Bytes: int64(n), Now: c.purse.now()})
@@ -141,10 +151,18 @@
 	case c.ahead.Load() > 0:
 		c.ahead.Add(-1)
 	}
+	c.discarding.Store(false)
 	c.phase.Store(int32(PhaseWork))
 	c.purse.update(PhaseMsg{ID: c.id, Phase: PhaseWork, Now: c.purse.now()})
 }
 
+// report reports that the connection is closed for a reason that the module does not know.
+func (c *Conn) report(r Reason) {
+	if observe := c.purse.config.Observe; observe != nil {
+		observe(CloseCmd{ID: c.id, Listener: c.listener, Peer: c.peer, Reason: r})
+	}
+}
+
 // cut closes the connection at the command of the module. A client in the middle of a message gets a reset, which frees
 // what the kernel holds and can't be mistaken for the end of an answer.
 func (c *Conn) cut() {
--- a/internal/purse/handler.go
+++ b/internal/purse/handler.go
@@ -39,6 +39,7 @@
 		}
 		if conn.ahead.Load() > maxAhead {
 			w.Header()["Connection"] = []string{"close"}
+			conn.report(ReasonSentAhead)
 		}
 		now := p.now()
 		if p.update(ReleasedMsg{ID: conn.id}, HeldMsg{ID: conn.id, Bytes: costOf(r), MayRefuse: refuse != nil, Starts: refuse != nil, Now: now}) {
@@ -56,6 +57,7 @@
 		if !b.ended.Load() {
 			// The server reads on to find the next request.
 			conn.enter(PhaseBody, 0)
+			conn.discarding.Store(true)
 			_ = conn.SetReadDeadline(time.Now().Add(discardTimeout)) // It fails if the connection is closed.
 		}
 	})
--- a/internal/purse/message.go
+++ b/internal/purse/message.go
@@ -29,6 +29,9 @@
 	ReasonSlowReader  Reason = "slow-reader"
 	ReasonConnections Reason = "connections"
 	ReasonMemory      Reason = "memory"
+	ReasonSentAhead   Reason = "sent-ahead"
+	ReasonUnreadBody  Reason = "unread-body"
+	ReasonLongMessage Reason = "long-message"
 )
 
 // Msg is a message to the Module.
--- a/internal/purse/purse.go
+++ b/internal/purse/purse.go
@@ -99,8 +99,11 @@
 	return &listener{Listener: l, purse: p, name: name, raw: true}
 }
 
+// DialFunc opens a connection, as net.Dialer does.
+type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Dial counts the connections that the function opens.
-func (p *Purse) Dial(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
+func (p *Purse) Dial(dial DialFunc) DialFunc {
 	if p == nil {
 		return dial
 	}
