--- a/cmd/auburnwinch/exit.go
+++ b/cmd/auburnwinch/exit.go
@@ -39,6 +39,9 @@
 		uncertain   *store.UncertainError
 		missing     *store.NotFoundError
 	)
+	if code, ok := configExitCode(err); ok {
+		return code
+	}
 	switch {
 	case err == nil:
 		return exitOK
