--- a/internal/picker/negotiate.go
+++ b/internal/picker/negotiate.go
@@ -54,10 +54,10 @@
 	}
 	fallback := s.pickFallback(r, now)
 	if queued != nil && !s.fallbackBeatsWait(g, fallback, queued, r, now) {
-		return p.commit(Choice{entry: queued, Patience: r.Remaining}, r, now), nil
+		return p.commit(Choice{entry: queued, Patience: r.Remaining, Left: spill.ShortestQueue}, r, now), nil
 	}
 	if fallback != nil {
-		return p.commit(Choice{entry: fallback, Patience: r.Remaining, Forced: true}, r, now), nil
+		return p.commit(Choice{entry: fallback, Patience: r.Remaining, Forced: true, Left: spill.NoTarget}, r, now), nil
 	}
 	return Choice{}, &NoTargetError{Service: r.Service}
 }
@@ -85,7 +85,7 @@
 		return Choice{}
 	}
 	if near := p.pickNearer(s, g, e.tier, r, now); near != nil {
-		return Choice{entry: near, Patience: cost - g.queueCost(r, near.tier), Brief: true}
+		return Choice{entry: near, Patience: cost - g.queueCost(r, near.tier), Brief: true, Left: spill.ShortestQueue}
 	}
 	nearer := queued != nil && queued.tier < e.tier
 	reason := g.decide(spill.Request{
@@ -154,10 +154,9 @@
 func (p *Picker) commit(c Choice, r Request, now time.Time) Choice {
 	c.Candidate, c.rank, c.pickedAt = *c.entry.candidate, r.Rank, now
 	c.Tier = spill.Tier(c.entry.tier)
-	if c.entry.tier >= regionTier {
-		if c.Left == spill.Stays {
-			c.Left = spill.NoRoom
-		}
+	if c.entry.tier < regionTier {
+		c.Left = spill.Stays
+	} else {
 		p.spillOf(r.Service).update(spill.LeftMsg{Now: now, Bytes: r.Bytes})
 	}
 	c.entry.counters.inFlight.Add(1)
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -158,12 +158,8 @@
 	c.entry.counters.inFlight.Add(-1)
 	now := p.config.Now()
 	c.entry.counters.storeReport(l, now)
-	if l.Limit > 0 && p.config.Negotiate {
-		p.observeReply(c, l.IncludesRequest, now)
-	}
-	if l.IncludesRequest {
-		c.entry.counters.forget(l)
-		c.entry.counters.health.markServed()
+	if p.config.Negotiate {
+		p.learn(c, l, now)
 	}
 	if c.Probation {
 		c.entry.counters.probing.Store(false)
--- a/internal/picker/turndown.go
+++ b/internal/picker/turndown.go
@@ -27,6 +27,17 @@
 	c.entry.counters.turndown.Store(&turndown{at: p.config.Now(), wait: wait, rank: c.rank})
 }
 
+// learn records what a response or a refusal with a report says about the target and its tier.
+func (p *Picker) learn(c Choice, l Load, now time.Time) {
+	if l.Limit > 0 {
+		p.observeReply(c, l.IncludesRequest, now)
+	}
+	if l.IncludesRequest {
+		c.entry.counters.forget(l)
+		c.entry.counters.health.markServed()
+	}
+}
+
 // observeReply tells the module of the service how an agent outside of the failure domain answered. A request that may wait
 // says nothing about free slots, and the time of one that ran nothing about the link.
 func (p *Picker) observeReply(c Choice, admitted bool, now time.Time) {
--- a/internal/spill/spill.go
+++ b/internal/spill/spill.go
@@ -27,6 +27,9 @@
 	NoRoom Reason = "no-room"
 	// ShorterWait means that the caller gains more time than the transfer is worth.
 	ShorterWait Reason = "shorter-wait"
+	// ShortestQueue means that no target seems to have room and the queue there costs the caller least. Decide never returns
+	// it.
+	ShortestQueue Reason = "shortest-queue"
 )
 
 const (
