--- a/internal/hosted/keyring.go
+++ b/internal/hosted/keyring.go
@@ -16,6 +16,8 @@
 const (
 	// fetchTimeout bounds one round of calls to other nodes for a configuration.
 	fetchTimeout = 2 * time.Second
+	// storeAnswerTime is the time in which the store usually responds; other nodes are asked after it.
+	storeAnswerTime = 100 * time.Millisecond
 	// confirmationCheckInterval is the interval at which a node checks whether its keys need a confirmation by other nodes.
 	confirmationCheckInterval = 500 * time.Millisecond
 )
@@ -72,11 +74,10 @@
 	return b.row, b.config != nil
 }
 
-// fetchConfiguration asks other nodes for a newer configuration, and reports whether one of them had it. The store may
-// refuse this node while it serves the others.
-func (b *fleetState) fetchConfiguration() bool {
+// fetchConfiguration asks other nodes for a newer configuration. The store may refuse this node while it serves the others.
+func (b *fleetState) fetchConfiguration() {
 	if b.fetching.Swap(true) {
-		return false
+		return
 	}
 	defer b.fetching.Store(false)
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
@@ -84,16 +85,15 @@
 	before := b.number.Load()
 	row, err := b.fetch(ctx)
 	if err != nil {
-		return false
+		return
 	}
 	b.applyConfiguration(roster.Page{Rows: []roster.Row{row}})
 	number := b.number.Load()
 	if number <= before {
-		return false
+		return
 	}
 	b.keys.fetched.Add(1)
 	_ = level.Info(b.logger).Log("msg", "configuration received from another node", "number", number, "before", before)
-	return true
 }
 
 // checkConfirmations asks other nodes when the store has not confirmed the keys for long.
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -161,12 +161,14 @@
 	return b.heard.Load() > b.number.Load()
 }
 
-// refreshUnless asks other nodes, and then the store, unless the configuration has arrived meanwhile.
+// refreshUnless asks the store again, and then other nodes, unless the configuration has arrived meanwhile.
 func (b *fleetState) refreshUnless(number uint64) {
 	if known := b.number.Load(); known < number {
 		_ = level.Info(b.logger).Log("msg", "another node has a newer configuration", "number", known, "heard", number)
-		if !b.fetchConfiguration() {
-			b.refreshConfiguration()
+		b.refreshConfiguration()
+		time.Sleep(storeAnswerTime)
+		if b.number.Load() < number {
+			b.fetchConfiguration()
 		}
 	}
 }
