--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -28,8 +28,12 @@
 	waits           *meter.DurationHistogram
 	runs            *meter.DurationHistogram
 	refusals        map[string]*atomic.Int64
+	left, leftBytes *meter.LabelledCounter
 	attempts        atomic.Int64
 	turnedUnhealthy atomic.Int64
+	// closedClients and refusedClients count by listener and reason what the purse closed and refused.
+	closedClients  *meter.LabelledCounter
+	refusedClients *meter.LabelledCounter
 }
 
 func newMetrics() (*metrics, error) {
@@ -41,9 +45,14 @@
 		Meter: m, refusals: make(map[string]*atomic.Int64),
 		outcomes: m.LabelledCounter("auburnwinch.edge.answers", "answers to callers by service, kind of request and outcome",
 			"service", "kind", "outcome"),
-		answers: m.Histogram("auburnwinch.edge.answer", "time from a caller's request to its answer"),
-		waits:   m.Histogram("auburnwinch.agent.wait", "time that relayed requests waited for a slot"),
-		runs:    m.Histogram("auburnwinch.agent.run", "time that targets took for relayed requests"),
+		closedClients:  m.LabelledCounter("auburnwinch.clients.closed", "connections closed to make room", "listener", "reason"),
+		refusedClients: m.LabelledCounter("auburnwinch.clients.refused", "connections and requests refused for lack of room", "listener", "reason"),
+		answers:        m.Histogram("auburnwinch.edge.answer", "time from a caller's request to its answer"),
+		left:           m.LabelledCounter("auburnwinch.edge.left", "attempts sent out of the failure domain by tier and reason", "tier", "reason"),
+		leftBytes: m.LabelledCounter("auburnwinch.edge.left-bytes",
+			"expected bytes of requests and responses that were served outside of the failure domain, by tier and reason", "tier", "reason"),
+		waits: m.Histogram("auburnwinch.agent.wait", "time that relayed requests waited for a slot"),
+		runs:  m.Histogram("auburnwinch.agent.run", "time that targets took for relayed requests"),
 	}
 	for _, reason := range refusalReasons {
 		counter := &atomic.Int64{}
@@ -60,6 +69,15 @@
 	t.answers.Record(s.Duration)
 	t.outcomes.Add(s.Service, kindOf(s), string(s.Outcome))
 	t.attempts.Add(int64(len(s.Attempts)))
+	for _, a := range s.Attempts {
+		if a.Left == "" {
+			continue
+		}
+		t.left.Add(a.Tier, a.Left)
+		if a.Result == edge.ResultAnswered {
+			t.leftBytes.AddN(a.Bytes, a.Tier, a.Left)
+		}
+	}
 }
 
 // kindOf returns the value of the `kind` label for a request.
@@ -118,6 +136,8 @@
 		_, members := n.fleet.ages()
 		return members.Milliseconds()
 	})
+	m.Gauge("auburnwinch.clients.held-bytes", "memory held for clients", n.purse.Held)
+	m.Gauge("auburnwinch.clients.connections", "connections counted toward the budget", func() int64 { return int64(n.purse.Open()) })
 	return m.Err()
 }
 
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -17,6 +17,7 @@
 	"github.com/auburnwinch/auburnwinch/internal/listen"
 	"github.com/auburnwinch/auburnwinch/internal/notify"
 	"github.com/auburnwinch/auburnwinch/internal/picker"
+	"github.com/auburnwinch/auburnwinch/internal/purse"
 	"github.com/auburnwinch/auburnwinch/internal/quota"
 	"github.com/auburnwinch/auburnwinch/internal/relay"
 	"github.com/auburnwinch/auburnwinch/internal/roster"
@@ -89,6 +90,8 @@
 	nodes         *feed.Table
 	quotas        *quota.Client
 	feed          *feed.Server
+	purse         *purse.Purse
+	roomLog       roomLog
 	publisher     *roster.Publisher
 	watchers      []*roster.Watcher
 	listeners     []*listen.Listener
@@ -110,6 +113,8 @@
 	admissions []*admission
 	// held is the heartbeat that waits until the earlier record is restored, or nil.
 	held *heldHeartbeat
+	// published is set once the record has been handed to the publisher.
+	published bool
 }
 
 // New builds the node and opens its listeners; Run serves.
@@ -136,6 +141,7 @@
 	if n.metrics, err = newMetrics(); err != nil {
 		return err
 	}
+	n.buildPurse()
 	n.picker = picker.New(picker.Config{
 		Health: noEjections{}, Now: n.config.Clock.Now, Seed: n.config.Self.Ref.Incarnation, Negotiate: true,
 		CheckPaths: true,
@@ -167,7 +173,7 @@
 	n.agent, err = agent.New(agent.Config{
 		Self: n.config.Self.Ref, NewLimiter: n.newLimiter, OnTargets: func([]model.Target) { n.publishDue.Raise() }, Clock: n.config.Clock,
 		Logger: n.config.FailureLogger, Dial: n.config.Dial, InterimInterval: interimInterval, Expiry: targetExpiry,
-		Protocol: n.config.TargetProtocol, RequestLogger: n.requestLogger, PoisonDetector: n.guard, CrashCounter: n.guard, SingleTarget: true, DisableLivenessConns: true, MaxResponseBytes: maxResponseBytes, Configurations: n.fleet,
+		Protocol: n.config.TargetProtocol, RequestLogger: n.requestLogger, PoisonDetector: n.guard, CrashCounter: n.guard, SingleTarget: true, DisableLivenessConns: true, MaxResponseBytes: maxResponseBytes, MaxUploadBytes: n.config.MemoryBytes / uploadShare, Configurations: n.fleet,
 	})
 	return err
 }
@@ -208,7 +214,7 @@
 		Logger: n.config.FailureLogger, Dial: n.config.Dial, DialTimeout: relayDialTimeout, ReusedHeaderTimeout: reusedHeaderTimeout,
 		HeaderTimeout: headerTimeout, BodyIdleTimeout: bodyIdleTimeout, StartupWait: startupWait, StartupPeriod: startupPeriod, Protocol: n.config.CallerProtocol, NegotiateAdmission: true, BufferBytes: bufferBytes,
 		RequestLogger: n.requestLogger, PoisonDetector: n.guard, CrashCounter: n.guard, Parents: n.agent, Configurations: n.fleet,
-		Notices: n.picker, Accounts: &n.fleet.keys, Quotas: quotaTaker{n.quotas},
+		Notices: n.picker, Accounts: &n.fleet.keys, Quotas: quotaTaker{n.quotas}, Memory: n.purse,
 	})
 	n.fleet.edge = n.edge
 	return err
@@ -295,7 +301,12 @@
 }
 
 func (n *Node) membersChanged(p roster.Page) {
+	n.observeEra(p)
 	for _, row := range p.Rows {
+		if row.Forgotten {
+			n.recall(row)
+			continue
+		}
 		n.publisher.ObserveRow(row)
 	}
 	if p.Whole {
