--- a/internal/purse/handler.go
+++ b/internal/purse/handler.go
@@ -39,6 +39,7 @@
 		}
 		if conn.ahead.Load() > maxAhead {
 			w.Header()["Connection"] = []string{"close"}
+			conn.report(ReasonSentAhead)
 		}
 		now := p.now()
 		if p.update(ReleasedMsg{ID: conn.id}, HeldMsg{ID: conn.id, Bytes: costOf(r), MayRefuse: refuse != nil, Starts: refuse != nil, Now: now}) {
@@ -51,11 +52,14 @@
 			return
 		}
 		b := &body{ReadCloser: r.Body, conn: conn}
-		r.Body = b
-		next.ServeHTTP(w, r)
+		// The server looks at the body of its own request to tell whether the client waits for permission to send it.
+		counted := *r
+		counted.Body = b
+		next.ServeHTTP(w, &counted)
 		if !b.ended.Load() {
 			// The server reads on to find the next request.
 			conn.enter(PhaseBody, 0)
+			conn.discarding.Store(true)
 			_ = conn.SetReadDeadline(time.Now().Add(discardTimeout)) // It fails if the connection is closed.
 		}
 	})
