--- a/internal/purse/module.go
+++ b/internal/purse/module.go
@@ -11,7 +11,8 @@
 	connBytes = 16 << 10
 	// leastRate is the rate in bytes per second below which a client counts as slow.
 	leastRate = 4 << 10
-	// leastStall protects connections that have only just begun to wait for their client.
+	// leastStall protects connections that have only just begun to wait for their client, but for those of service listeners:
+	// their requests are over within milliseconds, and a flood must not keep a new one out.
 	leastStall = 100 * time.Millisecond
 	// longestStall bounds the wait for a client that does not read, also while there is room.
 	longestStall = 30 * time.Second
@@ -200,7 +201,8 @@
 func (m *Module) victims(now time.Time, eligible func(*conn) bool) []*conn {
 	var found []*conn
 	for _, c := range m.conns {
-		if !c.outbound && c.phase != PhaseWork && c.stall(now) >= leastStall && eligible(c) {
+		waits := !c.outbound && c.phase != PhaseWork
+		if waits && (c.stall(now) >= leastStall || isService(c.listener)) && eligible(c) {
 			found = append(found, c)
 		}
 	}
--- a/internal/purse/module_test.go
+++ b/internal/purse/module_test.go
@@ -66,7 +66,7 @@
 	require.Equal(t, []Cmd{RefuseCmd{ID: 2000, Listener: Callers, Peer: "p", Reason: ReasonConnections}},
 		m.Update(OpenedMsg{ID: 2000, Listener: Callers, Peer: "p", Now: at(0)}))
 	for i := range 100 {
-		now := at(time.Duration(i) * time.Second)
+		now := at(time.Duration(i) * time.Microsecond)
 		for _, cmd := range m.Update(OpenedMsg{ID: uint64(3000 + i), Listener: Ready, Peer: "p", Now: now}) {
 			require.Less(t, cmd.(CloseCmd).ID, uint64(3000+i))
 			require.Equal(t, Ready, cmd.(CloseCmd).Listener)
