--- a/cmd/auburnwinch/memory.go
+++ b/cmd/auburnwinch/memory.go
@@ -14,6 +14,8 @@
 	// megabytes; with the default GOGC it would run a collection every couple of hundred requests, which is visible in
 	// their 99th percentile latency.
 	gcPercent = 400
+	// limitedPercent is used by a process whose memory is limited: its peak matters more there than a few more collections.
+	limitedPercent = 100
 	// memoryLimit is the soft memory limit of the Go runtime, in bytes; near it the collector runs more often. A node has
 	// a memory budget of 128 MB, and the remainder is left for the binary itself.
 	memoryLimit = 100 << 20
@@ -31,13 +33,12 @@
 // memory is the limit of the process in bytes, or 0; the heap must leave room for stacks and for what lives until the next
 // collection.
 func configureGC(memory int64) {
-	limit, ceiling := int64(memoryLimit), int64(math.MaxInt64)
+	percent, limit, ceiling := gcPercent, int64(memoryLimit), int64(math.MaxInt64)
 	if memory > 0 {
-		limit, ceiling = min(limit, memory*limitShare/100), memory*ceilingShare/100
+		percent, limit, ceiling = limitedPercent, min(limit, memory*limitShare/100), memory*ceilingShare/100
 	}
-
 	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(gcPercent)
+		debug.SetGCPercent(percent)
 	}
 	if os.Getenv("GOMEMLIMIT") == "" {
 		debug.SetMemoryLimit(limit)
