--- a/cmd/auburnwinch/config_check.go
+++ b/cmd/auburnwinch/config_check.go
@@ -38,7 +38,7 @@
 type usageError struct{ error }
 
 func (e foundError) Error() string {
-	return "the configuration has findings, the worst is a " + string(e.worst)
+	return "the configuration has findings; the worst one: " + string(e.worst)
 }
 
 // Unwrap returns the cause.
