--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -20,7 +20,7 @@
 	// maxPatience bounds the wait of a request for a token; it is more than calls to two pools that do not reply.
 	maxPatience = time.Second
 	// patienceParts is the fraction of the time left that a request waits at most.
-	patienceParts = 10
+	patienceParts = 5
 	// joinDelay is the time after which all nodes in touch count a new node. It creates no tokens before.
 	joinDelay = 3 * time.Second
 	// maxSleep bounds the sleep of a node without need.
@@ -160,7 +160,7 @@
 	c.share.Update(FractionMsg{Now: now, Fraction: fraction})
 }
 
-// Take takes a token for a request of the account, and waits for one up to a tenth of the time left. Unless ok, the quota is
+// Take takes a token for a request of the account, and waits for one up to a fifth of the time left. Unless ok, the quota is
 // exceeded, and retryAfter is the expected time until a token.
 func (c *Client) Take(ctx context.Context, account string) (token Token, retryAfter time.Duration, ok bool) {
 	patience := maxPatience
