--- a/internal/hosted/era_test.go
+++ b/internal/hosted/era_test.go
@@ -31,6 +31,7 @@
 // Pattern: the store comes back from a copy that lacks a node, the leaving of a target and a configuration. Guards against
 // forgetting what the nodes know, and against rows and configurations that are dropped because their versions went back.
 func TestStoreThatComesBackFromACopy(t *testing.T) {
+	t.Parallel() // It waits most of the time.
 	f, caller := withCaller(t, 2)
 	f.nodes[1].target.keepAlive()
 	leaving := f.nodes[0]
@@ -65,8 +66,10 @@
 // Pattern: a target leaves, the store comes back from a copy that lacks this, and its node is killed before it has written its
 // row again. Guards against a new process that uses the target, whatever node it reads the rows from.
 func TestLostLeavingSurvivesRestart(t *testing.T) {
+	t.Parallel() // It waits most of the time.
 	for name, index := range map[string]int{"first": 0, "second": 1} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			f, caller := withCaller(t, 3)
 			for i, n := range f.nodes[:3] {
 				if i != index {
@@ -98,6 +101,7 @@
 // Pattern: the store comes back while a write that it was sent before is still under way, and applies it afterwards because
 // its version was given out again. Guards against a row that keeps the older value.
 func TestLateWriteOfAnEarlierEra(t *testing.T) {
+	t.Parallel() // It waits most of the time.
 	f, caller := withCaller(t, 2)
 	f.nodes[1].target.keepAlive()
 	n := f.nodes[0]
--- a/internal/hosted/odd_head_test.go
+++ b/internal/hosted/odd_head_test.go
@@ -11,6 +11,7 @@
 // Pattern: a target in trouble sends a head, an interim head or a trailer that no target may send. Guards against passing
 // it on, and against believing a refusal that states that an order has not run (MIXED, REFUSED, TWICE).
 func TestOddHeadsProveNothing(t *testing.T) {
+	t.Parallel() // It waits most of the time.
 	const (
 		id     = "Auburnwinch-Request-Id: ID\r\n"
 		fields = id + "Auburnwinch-Server-Seal: s\r\n"
