--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -32,6 +32,7 @@
 
 // Guards against clients that end or block a node: each row names what they send.
 func TestCrowds(t *testing.T) {
+	program := build(t)
 	for _, c := range []crowd{
 		{"bodies that stop short", portCallers, stopShort("/idempotent/", "shop.example")},
 		{"orders that stop short", portCallers, stopShort("/non_idempotent/", "shop.example")},
@@ -56,7 +57,7 @@
 		{"messages of peers without end", portPeer, write("\xfc\x30\x00\x00\x00" + strings.Repeat("x", 1<<20))},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			n := startNode(t)
+			n := startNode(t, program)
 			sockets := c.visit(t, n)
 			n.requireAnswer()
 			n.requireAlive(max(sockets, n.sockets()))
@@ -95,7 +96,7 @@
 
 // Guards against bounds that a single request inside the limits meets in calm.
 func TestSingleLargeRequests(t *testing.T) {
-	n := startNode(t)
+	n := startNode(t, build(t))
 	const chunk = 64 << 10
 	for name, request := range map[string][]string{
 		"4,000 fields":      {get("/non_idempotent/")[:len(get("/non_idempotent/"))-2] + strings.Repeat("a:\r\n", 4000) + "\r\n"},
--- a/internal/crowd/harness_test.go
+++ b/internal/crowd/harness_test.go
@@ -11,7 +11,6 @@
 	"path/filepath"
 	"strconv"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -38,19 +37,17 @@
 	answerTimeout = 90 * time.Second
 )
 
-// build builds the program once for all tests.
-var build = sync.OnceValues(func() (string, error) {
-	directory, err := os.MkdirTemp("", "crowd")
-	if err != nil {
-		return "", err
+// build builds the program, unless AUBURNWINCH_CROWD_PROGRAM names an earlier build to test.
+func build(t *testing.T) string {
+	t.Helper()
+	if program := os.Getenv("AUBURNWINCH_CROWD_PROGRAM"); program != "" {
+		return program
 	}
-	program := filepath.Join(directory, "auburnwinch")
+	program := filepath.Join(t.TempDir(), "auburnwinch")
 	out, err := exec.Command("go", "build", "-o", program, "github.com/auburnwinch/auburnwinch/cmd/auburnwinch").CombinedOutput()
-	if err != nil {
-		return "", fmt.Errorf("%w: %s", err, out)
-	}
-	return program, nil
-})
+	require.NoError(t, err, string(out))
+	return program
+}
 
 // node is a node process with its target and the fake store.
 type node struct {
@@ -58,14 +55,8 @@
 	process *procs.Process
 }
 
-func startNode(t *testing.T) *node {
+func startNode(t *testing.T, program string) *node {
 	t.Helper()
-	program := os.Getenv("AUBURNWINCH_CROWD_PROGRAM")
-	if program == "" {
-		var err error
-		program, err = build()
-		require.NoError(t, err)
-	}
 	store := fake.NewStore(fake.Config{})
 	var resources []string
 	for _, kind := range []string{"idempotent", "non_idempotent", "download"} {
