--- a/internal/feed/rpc.go
+++ b/internal/feed/rpc.go
@@ -112,7 +112,7 @@
 				time.Sleep(dialTimeout) // File descriptors may be exhausted for a moment; followers use other nodes meanwhile.
 			case s.add(conn):
 				s.group.Go(func() {
-					service.ServeConn(conn)
+					service.ServeConn(&boundedConn{Conn: conn})
 					s.remove(conn)
 				})
 			}
