--- a/internal/picker/negotiate.go
+++ b/internal/picker/negotiate.go
@@ -309,7 +309,7 @@
 		if successRatio < MinSuccessRatio {
 			continue
 		}
-		if sickFor == 0 && (skipRemote && e.tier == remoteTier) {
+		if sickFor == 0 && (e.counters.refusesQueue(r, now) || skipRemote && e.tier == remoteTier) {
 			continue
 		}
 		rank := [5]float64{0, 0, -successRatio, sickFor.Seconds(), float64(e.tier)}
