--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -185,9 +186,11 @@
 	f.store.Put("op", "", "config", fmt.Appendf(nil, `{"version":"r%d","resources":[%s]}`, number, strings.Join(resources, ",")))
 }
 
+// freeAddress returns a free address of the loopback network other than 127.0.0.1, from which connections of other processes
+// come: one of them could take the port while a node is stopped.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254)))
 	require.NoError(t, err)
 	defer func() { _ = l.Close() }()
 	return l.Addr().String()
