--- a/internal/procs/fleet.go
+++ b/internal/procs/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"os/exec"
 	"path/filepath"
@@ -12,11 +13,15 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/auburnwinch/auburnwinch/internal/admin"
+	"github.com/auburnwinch/auburnwinch/internal/timer"
 )
 
 const (
 	readyTimeout  = 30 * time.Second
 	readyInterval = 50 * time.Millisecond
+	// platformTimeout bounds the start of the platform stand-in; platformPause is the time between two connections to it.
+	platformTimeout = 15 * time.Second
+	platformPause   = 10 * time.Millisecond
 )
 
 // Fleet is a running deployment; Nodes and Targets are in the order of the plan.
@@ -166,12 +171,34 @@
 	return count
 }
 
-func (f *Fleet) startPlatform(context.Context) (err error) {
+func (f *Fleet) startPlatform(ctx context.Context) (err error) {
 	f.Platform, err = startProcess("platform", f.Plan.Directory, f.program("standin"), "platform",
 		"--table-address", f.Plan.address(0, tablePort),
 		"--object-address", f.Plan.address(0, objectPort),
 		"--control-address", f.Plan.PlatformControl())
-	return err
+	if err != nil {
+		return err
+	}
+	return f.awaitPlatform(ctx)
+}
+
+// awaitPlatform waits until the platform accepts connections: the first ticket is refused before, and nodes go into backoff.
+func (f *Fleet) awaitPlatform(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	for _, port := range []int{tablePort, objectPort} {
+		for {
+			conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", f.Plan.address(0, port))
+			if err == nil {
+				_ = conn.Close() // Nothing was sent.
+				break
+			}
+			if !f.Platform.Running() || !timer.Sleep(ctx, platformPause) {
+				return eris.Wrap(err, "the platform stand-in does not listen; see its log")
+			}
+		}
+	}
+	return nil
 }
 
 func (f *Fleet) startNodes(context.Context) error {
