--- a/internal/hosted/admission.go
+++ b/internal/hosted/admission.go
@@ -86,7 +86,7 @@
 func (a *admission) Acquire(ctx context.Context, r agent.AdmitRequest) (agent.Permit, error) {
 	request := limit.Request{
 		Deadline: r.Deadline, Patience: r.Patience, HasPatience: r.HasPatience, Rank: rankOf(r.Class), Objective: r.Objective,
-		Route: r.Route, Account: r.Account,
+		Route: r.Route, Account: r.Account, RunsOnce: !r.Class.Idempotent,
 	}
 	if r.Class.Nested {
 		// The latency objective applies to the request that makes the call, not to the call itself.
--- a/internal/limit/module.go
+++ b/internal/limit/module.go
@@ -11,6 +11,8 @@
 	contentionWindow = time.Second
 	// A request that will miss its objective must have at least lateMargin times its expected wait left.
 	lateMargin = 2
+	// onceMargin is the multiple of its usual duration that a request which must not run twice needs after a wait.
+	onceMargin = 2
 	// reservedSlots stay free under contention.
 	reservedSlots = 1
 	minRetryAfter = 10 * time.Millisecond
@@ -158,7 +160,7 @@
 	expires = m.now.Add(patience)
 	latest := expires
 	if !msg.Deadline.IsZero() {
-		latest = msg.Deadline.Add(-m.durationOf(msg.Route))
+		latest = msg.Deadline.Add(-m.timeToRun(msg))
 	}
 	switch {
 	case m.queue.len() > places,
@@ -180,6 +182,14 @@
 	}
 }
 
+// timeToRun returns the time that a waiting request must have left when it starts.
+func (m *Module) timeToRun(msg AcquireMsg) time.Duration {
+	if msg.RunsOnce {
+		return onceMargin * m.durationOf(msg.Route)
+	}
+	return m.durationOf(msg.Route)
+}
+
 // rateRefuses reports whether the request would wait too long for the rate limit of the target. Other targets may take it.
 // A request that would miss its objective gets no place: the limit lets through a fixed number of requests, so that it would
 // only take the place of one that can meet its objective.
--- a/internal/limit/rank_test.go
+++ b/internal/limit/rank_test.go
@@ -240,3 +240,21 @@
 	refused = m.Update(msg)[0].(RefuseCmd)
 	require.GreaterOrEqual(t, refused.RetryAfter, 2500*time.Millisecond)
 }
+
+// Pattern: orders wait at a target whose runs take up to twice their usual time. Guards against starting an order whose
+// deadline then cuts it, which leaves its caller without knowing whether it ran, and against refusing reads that early.
+func TestOrderStartsWithTimeToFinish(t *testing.T) {
+	for name, c := range map[string]struct {
+		once    bool
+		expires time.Duration
+	}{"order": {true, 800 * time.Millisecond}, "read": {false, 900 * time.Millisecond}} {
+		t.Run(name, func(t *testing.T) {
+			m := newBusyModule()
+			msg := acquireWithPatience(10, 1, time.Minute)
+			msg.Deadline, msg.RunsOnce = rankStart.Add(time.Second), c.once
+			cmds := m.Update(msg)
+			require.IsType(t, WaitCmd{}, cmds[0])
+			require.Equal(t, rankStart.Add(c.expires), cmds[0].(WaitCmd).Until, "requests take 100 ms")
+		})
+	}
+}
--- a/internal/limit/settings.go
+++ b/internal/limit/settings.go
@@ -55,6 +55,8 @@
 	Rank int
 	// Route groups requests of similar durations; it may be empty.
 	Route string
+	// RunsOnce means that the request must not run twice, so that a run that its deadline cuts is worse than none.
+	RunsOnce bool
 	// Objective is when the response has lost most of its value; a request that can't meet it starts after those that
 	// can. The zero value means never.
 	Objective time.Time
