--- a/internal/access/freshness.go
+++ b/internal/access/freshness.go
@@ -55,6 +55,15 @@
 	return !f.revocation.Strict || !f.confirmedAt.IsZero() && now.Sub(f.confirmedAt) <= f.revocation.Bound
 }
 
+// MaxWait returns how long one call that confirms the configuration may take, so that this node and those that ask it stay
+// within the bound; zero means that it does not matter.
+func (f *Freshness) MaxWait() time.Duration {
+	if !f.revocation.Strict {
+		return 0
+	}
+	return f.revocation.Bound / 4
+}
+
 // Due reports whether the node should ask others for a confirmation, because half of the bound has passed without one.
 func (f *Freshness) Due(now time.Time) bool {
 	return f.revocation.Strict && now.Sub(f.confirmedAt) > f.revocation.Bound/2
--- a/internal/hosted/accounts_test.go
+++ b/internal/hosted/accounts_test.go
@@ -192,6 +192,8 @@
 	for _, n := range f.nodes {
 		n.target.keepAlive()
 		require.Eventually(t, func() bool { return n.callWithKey("warm", "key-maker-1") == http.StatusOK }, 5*time.Second, 20*time.Millisecond)
+		// A node learns of others from the store, which is about to be cut off.
+		require.Eventually(t, func() bool { return n.log.contains("members changed", `"nodes":2`) }, 5*time.Second, 10*time.Millisecond)
 	}
 	near.store.setCut(true)
 	time.Sleep(2 * bound)
--- a/internal/hosted/keyring.go
+++ b/internal/hosted/keyring.go
@@ -46,6 +46,16 @@
 	return k.freshness.Reliable(k.clock.Now())
 }
 
+// boundWait shortens a wait for a newer configuration to what the bound on withdrawn keys permits.
+func (k *keyring) boundWait(wait time.Duration) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if most := k.freshness.MaxWait(); most > 0 {
+		return min(wait, most)
+	}
+	return wait
+}
+
 // needsConfirmation reports whether the node should ask others, because the store does not respond.
 func (k *keyring) needsConfirmation() bool {
 	k.mu.Lock()
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -276,11 +276,11 @@
 func (n *Node) configurationWait() time.Duration {
 	switch left := n.startupLeft(); {
 	case left > 0:
-		return max(readerConfigurationWait, left)
+		return n.fleet.keys.boundWait(max(readerConfigurationWait, left))
 	case n.nodes.Follows():
-		return configurationWait
+		return configurationWait // The node that it follows passes its confirmations on.
 	default:
-		return readerConfigurationWait
+		return n.fleet.keys.boundWait(readerConfigurationWait)
 	}
 }
 
