--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -400,3 +400,13 @@
 		}
 	})
 }
+
+// An account may send one request in fifty seconds. Guards against tokens that all expire before there is a whole one.
+func TestRareTokensAddUp(t *testing.T) {
+	for _, b := range []Bounds{bounds, {Window: 5 * time.Second}} {
+		q := model.Quota{Rate: 0.02, Burst: 1}
+		terms := b.Terms(q)
+		require.GreaterOrEqual(t, terms.Rate*terms.Life.Seconds(), 0.99)
+		require.LessOrEqual(t, terms.Rate*(b.Window+terms.Life).Seconds(), (q.Rate*b.Window.Seconds()+q.Burst)*(1+b.Overage)+b.Slack)
+	}
+}
--- a/internal/quota/terms.go
+++ b/internal/quota/terms.go
@@ -11,8 +11,12 @@
 	defaultWindow = 5 * time.Second
 	// minLife leaves a token the time to reach the node that needs it.
 	minLife = 500 * time.Millisecond
-	// maxLife bounds the tokens that an account can save up far below its rate.
+	// maxLife bounds the tokens that an account can save up far below its rate, unless they are fewer than minSaved.
 	maxLife = 30 * time.Second
+	// minSaved is the number of tokens that even the rarest ones live long enough to add up to; a request needs a whole one.
+	minSaved = 2
+	// longestLife bounds a duration that is computed from a tiny rate.
+	longestLife = 24 * time.Hour
 	// roundingMargin covers the rounding of amounts and times.
 	roundingMargin = time.Millisecond
 )
@@ -39,7 +43,7 @@
 	allowed := (q.Rate*window+q.Burst)*(1+b.Overage) + b.Slack
 	life := seconds((allowed-q.Rate*window)/q.Rate) - roundingMargin
 	if life >= minLife {
-		return Terms{Rate: q.Rate, Life: min(life, maxLife)}
+		return Terms{Rate: q.Rate, Life: min(life, max(maxLife, seconds(minSaved/q.Rate)))}
 	}
 	return Terms{Rate: allowed / (window + (minLife + roundingMargin).Seconds()), Life: minLife}
 }
@@ -52,10 +56,10 @@
 
 func (t Terms) grain() time.Duration { return t.Life / 32 }
 
-// seconds converts to a duration; an excessive value becomes maxLife.
+// seconds converts to a duration; an excessive value becomes longestLife.
 func seconds(s float64) time.Duration {
-	if s > 2*maxLife.Seconds() {
-		return 2 * maxLife
+	if s > longestLife.Seconds() {
+		return longestLife
 	}
 	return time.Duration(s * float64(time.Second))
 }
