--- a/internal/hosted/endless_test.go
+++ b/internal/hosted/endless_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -219,6 +220,8 @@
 	}
 	var next atomic.Int64
 	start := make(chan struct{})
+	begin := sync.OnceFunc(func() { close(start) })
+	t.Cleanup(begin) // After a failure, the fleet ends only when its requests do.
 	faulty.target.set(func(w http.ResponseWriter, r *http.Request) bool {
 		<-start
 		return kinds[int(next.Add(1))%len(kinds)](w, r)
@@ -229,7 +232,7 @@
 		go func() { answers <- discarding(faulty, fmt.Sprintf("endless-%d", i)) }()
 	}
 	require.Eventually(t, func() bool { return faulty.target.total()-before == slots }, 2*time.Second, 5*time.Millisecond, "all slots must be taken")
-	close(start)
+	begin()
 	for served := 0; served < clients; {
 		select {
 		case a := <-answers:
