--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -11,6 +11,7 @@
 // cases are the scripts by name.
 var cases = map[string]func(f *fleet, trouble bool) (int, error){
 	"forgets": runForgets,
+	"reborn":  runReborn,
 }
 
 func main() {
