--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -12,6 +12,7 @@
 var cases = map[string]func(f *fleet, trouble bool) (int, error){
 	"forgets": runForgets,
 	"reborn":  runReborn,
+	"keyless": runKeyless,
 }
 
 func main() {
