--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -10,6 +10,7 @@
 
 // cases are the scripts by name.
 var cases = map[string]func(f *fleet, trouble bool) (int, error){
+	"crowd":   runCrowd,
 	"forgets": runForgets,
 	"reborn":  runReborn,
 	"keyless": runKeyless,
