--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -12,6 +12,8 @@
 var cases = map[string]func(f *fleet, trouble bool) (int, error){
 	"crowd":   runCrowd,
 	"forgets": runForgets,
+	"copy":    runCopy,
+	"slow":    runSlow,
 	"stale":   runStale,
 	"reborn":  runReborn,
 	"keyless": runKeyless,
