Look at the store once the configuration is unconfirmed

Cause: a follower took the absence of a number for the knowledge that there is no newer one. It slept for 12 s between two looks at the store, and gave up a silent node only after the wait of its call and 0.5 s.

Change: responses between nodes already tell when the store last confirmed the configuration. A follower now relies on that instead of on the seven seconds that it has followed: it looks at the store once the latest confirmation is older than 0.8 of the bound on configurations (ConfigurationBound, from the settings), and a node responds early to followers whose confirmation it can renew, so that they need no look in calm. The line "configuration in force" has "unconfirmed-for", and a look without confirmation has a line of its own.

--- a/cmd/auburnwinch/hosted.go
+++ b/cmd/auburnwinch/hosted.go
@@ -68,12 +68,13 @@
 		},
 		LocalHandler: func(h hosted.HeartbeatReceiver) http.Handler { return platform.Heartbeats(h) }, ReadyHandler: platform.Readiness,
 		Grace: s.Grace, RetryBudget: hosted.RetryBudget{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow},
-		Quotas:        quota.Bounds{Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: s.QuotaSlack},
-		Revocation:    access.Revocation{Strict: s.StrictRevoke, Bound: s.RevokeBound},
-		Logger:        log.With(log.NewJSONLogger(lines.Ordinary()), "node", s.Node, "ts", log.DefaultTimestampUTC),
-		FailureLogger: log.With(log.NewJSONLogger(lines.Important()), "node", s.Node, "ts", log.DefaultTimestampUTC),
-		Version:       version(),
-		MemoryBytes:   s.MemoryBytes, Descriptors: s.Descriptors,
+		ConfigurationBound: s.ConfigurationBound,
+		Quotas:             quota.Bounds{Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: s.QuotaSlack},
+		Revocation:         access.Revocation{Strict: s.StrictRevoke, Bound: s.RevokeBound},
+		Logger:             log.With(log.NewJSONLogger(lines.Ordinary()), "node", s.Node, "ts", log.DefaultTimestampUTC),
+		FailureLogger:      log.With(log.NewJSONLogger(lines.Important()), "node", s.Node, "ts", log.DefaultTimestampUTC),
+		Version:            version(),
+		MemoryBytes:        s.MemoryBytes, Descriptors: s.Descriptors,
 	}
 	if s.MetricsPort > 0 {
 		c.Listeners.Metrics = net.JoinHostPort(s.Address, strconv.Itoa(s.MetricsPort))
--- a/cmd/auburnwinch/reload.go
+++ b/cmd/auburnwinch/reload.go
@@ -76,6 +76,7 @@
 	r.current = *next
 	r.node.SetRetryBudget(hosted.RetryBudget{Ratio: next.RetryRatio, Extra: next.RetryExtra, Window: next.RetryWindow})
 	r.node.SetGrace(next.Grace)
+	r.node.SetConfigurationBound(next.ConfigurationBound)
 	r.node.SetRevocation(access.Revocation{Strict: next.StrictRevoke, Bound: next.RevokeBound})
 	r.node.LogReload(cause, nil, ignored)
 }
--- a/internal/feed/configuration.go
+++ b/internal/feed/configuration.go
@@ -17,6 +17,11 @@
 	configurationPeers = 3
 	// configurationTimeout bounds one call for a configuration, which the node answers from memory.
 	configurationTimeout = 500 * time.Millisecond
+	// confirmationStep is by how much an early response must renew a confirmation. It is more than the time between two nodes
+	// of a failure domain, by which the same confirmation seems older to the follower, and less than a long poll.
+	confirmationStep = 500 * time.Millisecond
+	// unconfirmedAge stands for a configuration that was never confirmed.
+	unconfirmedAge = time.Hour
 )
 
 // ErrNoConfiguration means that none of the nodes that were asked has a newer configuration.
@@ -136,6 +141,27 @@
 	return Confirmation{IsConfirmed: !at.IsZero(), Age: received.Sub(at)}
 }
 
+// confirmationAge returns the age of the confirmation of the configuration in force here. It is zero only if the node does not
+// keep any.
+func (t *Table) confirmationAge() time.Duration {
+	if t.config.Confirmations == nil {
+		return 0
+	}
+	if c := t.confirmation(t.config.Clock.Now()); c.IsConfirmed {
+		return max(1, c.Age)
+	}
+	return unconfirmedAge
+}
+
+// renews reports whether a response to the call would renew the caller's confirmation.
+func (t *Table) renews(args WatchArgs, received time.Time) bool {
+	if args.ConfirmationAge <= 0 || args.Number != t.number() {
+		return false
+	}
+	c := t.confirmation(received)
+	return c.IsConfirmed && args.ConfirmationAge-c.Age >= confirmationStep
+}
+
 // observeConfirmation passes on the confirmation of another node. The time that the call took to get there makes it older.
 func (t *Table) observeConfirmation(number uint64, c Confirmation, asked time.Time) {
 	if t.config.Confirmations != nil && c.IsConfirmed {
--- a/internal/feed/rpc.go
+++ b/internal/feed/rpc.go
@@ -42,6 +42,9 @@
 	// don't.
 	Era      uint64
 	KnowsEra bool
+	// ConfirmationAge is the age of the caller's confirmation of its configuration. It is zero if the caller can't use an
+	// early response that only renews the confirmation.
+	ConfirmationAge time.Duration
 }
 
 // WatchReply holds the changed rows.
@@ -81,17 +84,19 @@
 	rpc     *rpc.Client
 }
 
-// Watch returns the rows that changed after the version, or none if none changed within the wait or a configuration newer
-// than the caller knows of is in force.
+// Watch returns the rows that changed after the version. It returns none if none changed within the wait, or as soon as a
+// configuration newer than the caller knows of is in force or the caller's one has been confirmed again.
 func (f *Feed) Watch(args WatchArgs, reply *WatchReply) error {
 	received := f.table.config.Clock.Now()
 	f.table.observeNumber(args.Number)
-	newer := func() bool { return args.Known > 0 && f.table.number() > args.Known }
+	news := func() bool {
+		return args.Known > 0 && f.table.number() > args.Known || f.table.renews(args, received)
+	}
 	after := position{era: args.Era, version: args.After}
 	if !args.KnowsEra {
 		after.era = f.table.cache.eraOf()
 	}
-	page, err := f.table.cache.wait(context.Background(), after, min(args.Wait, maxWait), newer)
+	page, err := f.table.cache.wait(context.Background(), after, min(args.Wait, maxWait), news)
 	if err != nil {
 		return err
 	}
--- a/internal/feed/table.go
+++ b/internal/feed/table.go
@@ -18,7 +18,8 @@
 )
 
 const (
-	// peerWait is how long one call to a node waits for changes. It bounds the time for which a frozen node hides them.
+	// peerWait is how long one call to a node waits for changes. It bounds the time for which a frozen node hides those of
+	// the rows; a configuration is asked for as soon as it has not been confirmed for long.
 	peerWait = 2 * time.Second
 	// storeWait is how long one call to the store waits for changes. It bounds the time for which a call that the store
 	// has lost hides them from a whole failure domain.
@@ -99,9 +100,8 @@
 	source Source
 	// introducer is a node that has told this one of others; it may be zero.
 	introducer Peer
-	// follows is true while another node provides the rows, and followsSince is when it began to.
-	follows      bool
-	followsSince time.Time
+	// follows is true while another node provides the rows.
+	follows bool
 	// recalls counts how often other nodes have been asked for rows that the store has lost, and nextRecall is the earliest
 	// time of the next call.
 	recalls    int
@@ -218,24 +218,11 @@
 	return t.follows
 }
 
-// FollowsFor returns how long another node has provided the rows without a failure; it is zero if none does.
-func (t *Table) FollowsFor() time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !t.follows {
-		return 0
-	}
-	return t.config.Clock.Now().Sub(t.followsSince)
-}
-
 // setFollows records whether another node provides the rows.
 func (t *Table) setFollows(follows bool) {
 	t.mu.Lock()
 	before := t.follows
 	t.follows = follows
-	if !before && follows {
-		t.followsSince = t.config.Clock.Now()
-	}
 	t.mu.Unlock()
 	if before && !follows && t.config.OnUnfollow != nil {
 		t.config.OnUnfollow()
@@ -245,6 +232,9 @@
 // NumberChanged tells the followers that a newer configuration is in force.
 func (t *Table) NumberChanged() { t.cache.wake() }
 
+// Confirmed tells the followers that the configuration in force has been confirmed again.
+func (t *Table) Confirmed() { t.cache.wake() }
+
 // Write stores the row.
 func (t *Table) Write(ctx context.Context, row roster.Row, expected uint64) (uint64, error) {
 	t.storeCalls.Add(1)
@@ -295,6 +285,7 @@
 	asked := t.config.Clock.Now()
 	reply, err := t.client.watch(ctx, t.config.Dial, p.Address, WatchArgs{
 		After: after, Wait: wait, Number: t.number(), Known: max(t.number(), t.heard.Load()), Era: t.cache.eraOf(), KnowsEra: true,
+		ConfirmationAge: t.confirmationAge(),
 	})
 	if err != nil {
 		return roster.Page{}, err
--- a/internal/hosted/config.go
+++ b/internal/hosted/config.go
@@ -36,6 +36,8 @@
 	// Grace is the time between the termination signal and the forced kill of the process.
 	Grace       time.Duration
 	RetryBudget RetryBudget
+	// ConfigurationBound is the time within which a configuration must be in force on all nodes; default 2 s.
+	ConfigurationBound time.Duration
 	// Quotas holds the tolerances for the quotas of client accounts.
 	Quotas quota.Bounds
 	// Revocation bounds how long withdrawn keys of client accounts may work.
--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -42,6 +43,8 @@
 	accounts []string
 	// revocation is a setting of the nodes.
 	revocation access.Revocation
+	// peers holds the nodes by the addresses of their peer listeners.
+	peers sync.Map
 }
 
 // testNode is one node with its local target.
@@ -56,6 +59,8 @@
 	stop      context.CancelFunc
 	done      chan struct{}
 	store     storeLink
+	// frozen is true while other nodes get no responses from the peer listener of this one.
+	frozen atomic.Bool
 }
 
 // storeLink is the path from one node to the store.
@@ -63,6 +68,8 @@
 	mu    sync.Mutex
 	cut   bool
 	conns []net.Conn
+	// silent is true while no response of the store arrives.
+	silent atomic.Bool
 }
 
 // setCut cuts the path or restores it.
@@ -83,10 +90,24 @@
 		return nil, syscall.ECONNREFUSED
 	}
 	conn, err := hosted.Dialer().DialContext(ctx, network, address)
-	if err == nil {
-		l.conns = append(l.conns, conn)
+	if err != nil {
+		return nil, err
+	}
+	conn = &silentConn{Conn: conn, silent: &l.silent}
+	l.conns = append(l.conns, conn)
+	return conn, nil
+}
+
+// dial connects to another node.
+func (f *fleet) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := hosted.Dialer().DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	if n, found := f.peers.Load(address); found {
+		return &silentConn{Conn: conn, silent: &n.(*testNode).frozen}, nil
 	}
-	return conn, err
+	return conn, nil
 }
 
 // target is a fake application instance.
@@ -233,13 +254,14 @@
 		Listeners: n.listeners, Nodes: store.Table("nodes"), Configurations: store.UnpartitionedTable(platform.OperatorTable),
 		Decode: platform.DecodeConfiguration, CallerProtocol: platform.CallerProtocol{Service: n.service}, TargetProtocol: platform.TargetProtocol{},
 		LocalHandler: func(h hosted.HeartbeatReceiver) http.Handler { return platform.Heartbeats(h) }, ReadyHandler: platform.Readiness,
-		Revocation: n.fleet.revocation,
-		Grace:      6 * time.Second, RetryBudget: hosted.RetryBudget{Ratio: 0.2, Extra: 1000, Window: 10 * time.Second}, // A new agent may use only a small part of Extra.
+		Revocation: n.fleet.revocation, Dial: n.fleet.dial,
+		Grace: 6 * time.Second, RetryBudget: hosted.RetryBudget{Ratio: 0.2, Extra: 1000, Window: 10 * time.Second}, // A new agent may use only a small part of Extra.
 		Logger: log.With(log.NewJSONLogger(n.log), "ts", log.DefaultTimestampUTC, "node", n.id),
 	})
 	if err != nil {
 		return err
 	}
+	n.fleet.peers.Store(n.listeners.Peer, n)
 	ctx, stop := context.WithCancel(context.Background())
 	n.node, n.stop, n.done = node, stop, make(chan struct{})
 	go func() {
--- a/internal/hosted/follow_test.go
+++ b/internal/hosted/follow_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
 	"github.com/auburnwinch/auburnwinch/internal/roster"
@@ -28,12 +29,14 @@
 
 // Pattern: configurations follow each other quickly while most nodes follow another one. Guards against a call to the store
 // for each change and node, against a follower that never looks by itself, and against one that is told and does not look.
+// Guards too against a follower that waits on without a confirmation, and against one that calls without pause.
 func TestFollowerDoesNotWaitAtTheStore(t *testing.T) {
 	store := &countingTable{}
-	follows := true
+	follows, confirmed := true, func() time.Time { return time.Now() }
 	table := &configurationTable{
 		Table: store, maxWait: func() time.Duration { return 10 * time.Millisecond }, follows: func() bool { return follows },
-		clock: timer.NewReal(), confirm: func(time.Time) {},
+		clock: timer.NewReal(), logger: log.NewNopLogger(), confirm: func(time.Time) {},
+		confirmedAt: func() time.Time { return confirmed() }, maxAge: func() time.Duration { return time.Minute },
 	}
 	_, err := table.Watch(t.Context(), 7, time.Second)
 	require.NoError(t, err)
@@ -45,6 +48,20 @@
 	cancel()
 	_, err = table.Watch(ctx, 7, time.Second)
 	require.ErrorIs(t, err, context.Canceled, "a refresh ends the wait")
+	begin := time.Now()
+	confirmed = func() time.Time { return begin }
+	table.maxWait, table.maxAge = func() time.Duration { return time.Minute }, func() time.Duration { return 30 * time.Millisecond }
+	table.asked = begin.Add(-time.Second)
+	_, err = table.Watch(t.Context(), 7, time.Minute)
+	require.NoError(t, err)
+	require.Equal(t, [2]int{0, 3}, [2]int{store.waits, store.looks}, "it looks once the confirmation is too old")
+	require.GreaterOrEqual(t, time.Since(begin), 30*time.Millisecond)
+	confirmed = func() time.Time { return time.Time{} }
+	again := table.asked
+	_, err = table.Watch(t.Context(), 7, time.Minute)
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, time.Since(again), 30*time.Millisecond, "it pauses between two looks")
+	store.looks, table.maxWait = 2, func() time.Duration { return 10 * time.Millisecond }
 	follows = false
 	_, err = table.Watch(t.Context(), 7, time.Second)
 	require.NoError(t, err)
--- a/internal/hosted/keyring.go
+++ b/internal/hosted/keyring.go
@@ -74,6 +74,7 @@
 func (b *fleetState) Confirm(number uint64, at time.Time) {
 	if number > 0 && number == b.number.Load() {
 		b.keys.update(access.ConfirmedMsg{Number: number, At: at})
+		b.confirmed()
 	}
 }
 
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -61,16 +61,19 @@
 	// them.
 	peerBatchDelay = 20 * time.Millisecond
 	// configurationWait is the time between two looks at the configuration by a node that follows another one, which tells it
-	// of a newer one. The others poll with readerConfigurationWait and tell their followers of a newer configuration, so that
-	// a response that the store has lost hides one for less than three seconds.
+	// of a newer one and confirms that there is none. The others poll with readerConfigurationWait, or with readerWaitShare of
+	// the bound on configurations if that is less.
 	configurationWait       = 12 * time.Second
 	readerConfigurationWait = 1250 * time.Millisecond
-	// steadyFollowing is the time without failures after which a node relies on the one that it follows; a call that the
-	// store has lost fails earlier.
-	steadyFollowing = 7 * time.Second
+	readerWaitShare         = 0.625
+	// confirmationShare is the share of the bound on configurations after which a follower no longer relies on the latest
+	// confirmation. It is longer than readerWaitShare by several round trips, and the rest suffices for a call to the store.
+	confirmationShare = 0.8
+	// defaultConfigurationBound is the time within which a configuration must be in force unless the settings state one.
+	defaultConfigurationBound = 2 * time.Second
 	// configurationReadTimeout bounds one read of the operator's table, whose response may be lost too.
 	configurationReadTimeout = 1500 * time.Millisecond
-	// configurationBatchDelay is short because a configuration must be in force on all nodes within two seconds.
+	// configurationBatchDelay is short because a configuration must be in force on all nodes within the bound.
 	configurationBatchDelay = 50 * time.Millisecond
 	// retryMargin keeps the retries at one target below its share of the fleet's retry budget, because the count is
 	// lost when a target restarts.
@@ -164,7 +167,7 @@
 		Incarnation: n.config.Self.Ref.Incarnation, Address: n.config.Self.PeerAddress,
 	})
 	n.fleet.introductions.send = n.nodes.Introduce
-	n.fleet.numberChanged, n.fleet.fetch = n.nodes.NumberChanged, n.nodes.FetchConfiguration
+	n.fleet.numberChanged, n.fleet.confirmed, n.fleet.fetch = n.nodes.NumberChanged, n.nodes.Confirmed, n.nodes.FetchConfiguration
 	n.requestLogger = &requestLogger{ordinary: n.config.Logger, failures: n.config.FailureLogger, fleet: n.fleet, metrics: n.metrics}
 	return nil
 }
@@ -257,7 +260,9 @@
 func (n *Node) watch() {
 	configurations := &configurationTable{
 		Table: n.config.Configurations, maxWait: n.configurationWait, follows: n.toldByOthers, clock: n.config.Clock, apply: n.fleet.applyConfiguration,
-		confirm: func(at time.Time) { n.fleet.Confirm(n.fleet.Number(), at) },
+		confirm:     func(at time.Time) { n.fleet.Confirm(n.fleet.Number(), at) },
+		confirmedAt: n.fleet.ConfirmedAt, maxAge: func() time.Duration { return share(n.configurationBound(), confirmationShare) },
+		logger: n.config.FailureLogger,
 	}
 	n.watchers = append(n.watchers,
 		roster.NewWatcher(roster.WatcherConfig{
@@ -274,22 +279,26 @@
 
 // configurationWait bounds the next long poll for the configuration.
 func (n *Node) configurationWait() time.Duration {
+	wait := min(readerConfigurationWait, share(n.configurationBound(), readerWaitShare))
 	switch left := n.startupLeft(); {
 	case left > 0:
-		return n.fleet.keys.boundWait(max(readerConfigurationWait, left))
+		return n.fleet.keys.boundWait(max(wait, left))
 	case n.nodes.Follows():
 		return configurationWait // The node that it follows passes its confirmations on.
 	default:
-		return n.fleet.keys.boundWait(readerConfigurationWait)
+		return n.fleet.keys.boundWait(wait)
 	}
 }
 
-// toldByOthers reports whether another node tells this one of newer configurations. A node that has just begun to follow may
-// have lost its own calls to the store, as may the other one.
+// toldByOthers reports whether another node tells this one of newer configurations. Nodes that start together follow each other
+// by turns until all know the same rows; for that time each waits at the store.
 func (n *Node) toldByOthers() bool {
-	return n.nodes.FollowsFor() >= steadyFollowing
+	return n.startupLeft() <= 0 && n.nodes.Follows()
 }
 
+// share returns the share of the duration.
+func share(d time.Duration, of float64) time.Duration { return time.Duration(of * float64(d)) }
+
 // unfollowed queries the configuration, of which no other node would tell this one. Nodes that start together follow each
 // other by turns until all know the same rows; they poll once for that time.
 func (n *Node) unfollowed() {
--- a/internal/hosted/refresh.go
+++ b/internal/hosted/refresh.go
@@ -5,6 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
 	"github.com/auburnwinch/auburnwinch/internal/roster"
 	"github.com/auburnwinch/auburnwinch/internal/timer"
 )
@@ -51,11 +54,16 @@
 	maxWait func() time.Duration
 	// follows reports whether another node tells this one of newer configurations.
 	follows func() bool
-	clock   timer.Service
+	// confirmedAt returns when the configuration in force was last known to be the newest one. A node that follows another one
+	// looks at the store once that is longer ago than maxAge returns, whatever it has heard since.
+	confirmedAt func() time.Time
+	maxAge      func() time.Duration
+	clock       timer.Service
+	logger      log.Logger
 	// apply puts rows in force, and confirm is called with a time at which the store had no newer ones.
 	apply   func(roster.Page)
 	confirm func(at time.Time)
-	// asked is when the call began whose rows are not applied yet.
+	// asked is when the latest call began; its rows may not be applied yet.
 	asked time.Time
 }
 
@@ -67,11 +75,12 @@
 
 // Watch waits for rows that changed after the version. The store ends a call without changes after the wait. A node that
 // others tell of changes does not wait at the store, which would cost a call for each change and node; it only looks there
-// at the end of the wait, since those others may be cut off.
+// at the end of the wait, or as soon as the others have not confirmed for long that the configuration is the newest one: they
+// may be frozen, or cut off from the store.
 func (t *configurationTable) Watch(ctx context.Context, after uint64, wait time.Duration) (roster.Page, error) {
 	wait = min(wait, t.maxWait())
 	if wait > 0 && t.follows() {
-		if !timer.Sleep(ctx, wait) {
+		if !t.awaitLook(ctx, wait) {
 			return roster.Page{}, ctx.Err()
 		}
 		wait = 0
@@ -88,6 +97,30 @@
 	return page, err
 }
 
+// awaitLook waits until the configuration needs a confirmation by the store, at most for the time; it returns false if the
+// context ends first.
+func (t *configurationTable) awaitLook(ctx context.Context, most time.Duration) bool {
+	for end := t.clock.Now().Add(most); ; {
+		known := t.confirmedAt()
+		if t.asked.After(known) {
+			known = t.asked // Otherwise a confirmation that does not count would let the node call without pause.
+		}
+		now, doubtful := t.clock.Now(), known.Add(t.maxAge())
+		switch {
+		case !now.Before(end):
+			return true
+		case !now.Before(doubtful):
+			_ = level.Info(t.logger).Log("msg", "configuration not confirmed by the followed node", "age", now.Sub(known))
+			return true
+		case doubtful.After(end):
+			doubtful = end
+		}
+		if !timer.Sleep(ctx, doubtful.Sub(now)) {
+			return false
+		}
+	}
+}
+
 // onRows applies the rows of the latest call.
 func (t *configurationTable) onRows(p roster.Page) {
 	t.apply(p)
--- a/internal/hosted/reload.go
+++ b/internal/hosted/reload.go
@@ -15,6 +15,13 @@
 	n.config.RetryBudget = r
 }
 
+// SetConfigurationBound replaces the time within which a configuration must be in force; zero sets the default.
+func (n *Node) SetConfigurationBound(d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.config.ConfigurationBound = d
+}
+
 // SetGrace replaces the time between the termination signal and the forced kill.
 func (n *Node) SetGrace(d time.Duration) {
 	n.mu.Lock()
@@ -33,6 +40,15 @@
 	return n.config.RetryBudget
 }
 
+func (n *Node) configurationBound() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.config.ConfigurationBound <= 0 {
+		return defaultConfigurationBound
+	}
+	return n.config.ConfigurationBound
+}
+
 func (n *Node) grace() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/hosted/state.go
+++ b/internal/hosted/state.go
@@ -43,8 +43,8 @@
 	fetch         func(context.Context) (roster.Row, error)
 	fetching      atomic.Bool
 	introductions introductions
-	// numberChanged is called when a newer configuration is in force.
-	numberChanged func()
+	// numberChanged is called when a newer configuration is in force, and confirmed when the one in force has been confirmed.
+	numberChanged, confirmed func()
 	// refresh makes the configuration watcher query the store again, rate-limited by backoff.
 	refresh atomic.Pointer[func()]
 	backoff refreshBackoff
@@ -109,6 +109,10 @@
 		_ = level.Error(b.logger).Log("msg", "configuration rejected", "number", config.Configuration.Number, "err", err)
 		return
 	}
+	unconfirmed := time.Duration(0)
+	if at := b.ConfirmedAt(); !at.IsZero() {
+		unconfirmed = b.clock.Now().Sub(at)
+	}
 	before := b.number.Swap(config.Configuration.Number)
 	invar.Check(before < config.Configuration.Number, "hosted", "configuration went from %d to %d", before, config.Configuration.Number)
 	b.config, b.row, b.configuredAt = config, row, b.clock.Now()
@@ -119,7 +123,7 @@
 	b.edge.SetRoutes(table)
 	b.numberChanged()
 	_ = level.Info(b.logger).Log("msg", "configuration in force", "number", config.Configuration.Number, "before", before,
-		"row-version", row.Version, "services", len(config.Configuration.Services), "routes", table.Len(), "accounts", accounts.Accounts())
+		"row-version", row.Version, "unconfirmed-for", unconfirmed, "services", len(config.Configuration.Services), "routes", table.Len(), "accounts", accounts.Accounts())
 }
 
 func (b *fleetState) publishView() {
