Restore an earlier process only from recent rows

A node acknowledged the deregistration of its target, was killed, and started while the store turned its VM away.

Cause: a starting process took any whole page of rows for all that its predecessor had acknowledged. The page came from another node that had not read the store since the acknowledgement.

Change: a page tells up to which time it holds all changes (Page.AsOf), and a response between nodes tells how old its rows are. feed.Table reports the rows of the failure domain (OnDomainRows) once they are more recent than the table itself, from wherever they came, and only that ends the wait for the past. A starting node asks for such rows; the node that it asks looks at the store if need be. Departures in an outdated row of an earlier process hold too, as they are final. The line "record of the earlier process restored" tells what was found and in which version of the row.

Cost: none in calm; where the store turns a starting node away, one call of another node in place of its own.

--- a/internal/feed/cache.go
+++ b/internal/feed/cache.go
@@ -27,6 +27,8 @@
 	forgotten map[rowKey]roster.Row
 	// minDeltaVersion is the version from which all deletions are known; followers of an older version need a whole page.
 	minDeltaVersion uint64
+	// asOf is a time up to which the rows hold all changes.
+	asOf time.Time
 	// reading tells that the rows come directly from the store.
 	reading bool
 	closed  bool
@@ -64,6 +66,9 @@
 		c.add(row)
 	}
 	c.version, c.reading = max(c.version, p.Version), reading
+	if p.AsOf.After(c.asOf) {
+		c.asOf = p.AsOf
+	}
 	if fresh {
 		c.notify()
 	}
@@ -114,6 +119,20 @@
 	return c.reading
 }
 
+// recentSince reports whether the rows hold all changes up to the time.
+func (c *rowCache) recentSince(at time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.asOf.Before(at)
+}
+
+// position returns how far the rows have been read.
+func (c *rowCache) position() position {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return position{era: c.era, version: c.version}
+}
+
 // eraOf returns the era of the rows.
 func (c *rowCache) eraOf() uint64 {
 	c.mu.Lock()
@@ -194,7 +213,7 @@
 		return roster.Page{}, nil, ErrNotReading
 	}
 	anew := after.era < c.era
-	page := roster.Page{Version: max(after.version, c.version), Whole: anew || after.version < c.minDeltaVersion, Era: c.era}
+	page := roster.Page{Version: max(after.version, c.version), Whole: anew || after.version < c.minDeltaVersion, Era: c.era, AsOf: c.asOf}
 	if anew {
 		page.Version = c.version
 	}
--- a/internal/feed/configuration.go
+++ b/internal/feed/configuration.go
@@ -46,7 +46,7 @@
 	Confirmation
 }
 
-// Confirmation tells when the configuration in force at a node was last known to be the newest one.
+// Confirmation tells when the configuration in force at a node, or its rows, were last known to be as the store has them.
 type Confirmation struct {
 	IsConfirmed bool
 	// Age is the time from then until the node received the call, negative if it was during the call.
@@ -137,7 +137,11 @@
 	if t.config.Confirmations == nil {
 		return Confirmation{}
 	}
-	at := t.config.Confirmations.ConfirmedAt()
+	return confirmationOf(t.config.Confirmations.ConfirmedAt(), received)
+}
+
+// confirmationOf returns the confirmation of the time, which is zero if there is none, for a call that was received then.
+func confirmationOf(at, received time.Time) Confirmation {
 	return Confirmation{IsConfirmed: !at.IsZero(), Age: received.Sub(at)}
 }
 
--- a/internal/feed/rpc.go
+++ b/internal/feed/rpc.go
@@ -45,6 +45,8 @@
 	// ConfirmationAge is the age of the caller's confirmation of its configuration. It is zero if the caller can't use an
 	// early response that only renews the confirmation.
 	ConfirmationAge time.Duration
+	// MaxRowAge is how old the rows may be that the caller needs; it is zero if any will do.
+	MaxRowAge time.Duration
 }
 
 // WatchReply holds the changed rows.
@@ -53,6 +55,8 @@
 	// Number is the number of the configuration in force at the responding node.
 	Number uint64
 	Confirmation
+	// Rows tells how recent the rows are, with the changes in Page.
+	Rows Confirmation
 }
 
 // Feed serves the rows to followers over net/rpc.
@@ -89,8 +93,13 @@
 func (f *Feed) Watch(args WatchArgs, reply *WatchReply) error {
 	received := f.table.config.Clock.Now()
 	f.table.observeNumber(args.Number)
+	needsRecentRows, since := args.MaxRowAge > 0, received.Add(-args.MaxRowAge)
+	if needsRecentRows {
+		f.table.look(since)
+	}
 	news := func() bool {
-		return args.Known > 0 && f.table.number() > args.Known || f.table.renews(args, received)
+		return args.Known > 0 && f.table.number() > args.Known || f.table.renews(args, received) ||
+			needsRecentRows && f.table.cache.recentSince(since)
 	}
 	after := position{era: args.Era, version: args.After}
 	if !args.KnowsEra {
@@ -101,6 +110,7 @@
 		return err
 	}
 	reply.Confirmation = f.table.confirmation(received)
+	reply.Rows, page.AsOf = confirmationOf(page.AsOf, received), time.Time{} // The clocks of two nodes differ.
 	reply.Page, reply.Number = page, f.table.number()
 	return nil
 }
--- a/internal/feed/table.go
+++ b/internal/feed/table.go
@@ -28,6 +28,8 @@
 	// startupPause is the time between two attempts.
 	startupWait  = 700 * time.Millisecond
 	startupPause = 100 * time.Millisecond
+	// lookTimeout bounds a look at the store for another node, which waits for responseSlack.
+	lookTimeout = 300 * time.Millisecond
 	// recallPeers is the number of nodes that must tell which rows the store has lost, at most maxRecalls times.
 	recallPeers = 2
 	maxRecalls  = 4
@@ -61,7 +63,8 @@
 	// Self is the key of this node's row, and Domain the partition that contains it.
 	Self   string
 	Domain string
-	// OnDomainRows is called with the rows of the failure domain that a starting node first reads directly from the store.
+	// OnDomainRows is called once, with the rows of the failure domain as the store held them after the table was made. What
+	// earlier processes of the node wrote is among them; rows of another node may be older.
 	OnDomainRows func(rows []roster.Row)
 	// OnUnfollow is called when the node stops following another node, which would have told it of a new configuration.
 	OnUnfollow func()
@@ -106,6 +109,12 @@
 	// time of the next call.
 	recalls    int
 	nextRecall time.Time
+	// createdAt is when the table was made, and domainKnown is true once the rows are known to be more recent.
+	createdAt   time.Time
+	domainKnown bool
+
+	// lookMu is held during a look, whose answer serves all callers that wait for it.
+	lookMu sync.Mutex
 }
 
 // NewTable returns a table that does not know any other node yet.
@@ -122,7 +131,7 @@
 	if c.Logger == nil {
 		c.Logger = log.NewNopLogger()
 	}
-	return &Table{config: c, cache: newRowCache(), selector: NewSourceSelector(c.Self)}
+	return &Table{config: c, cache: newRowCache(), selector: NewSourceSelector(c.Self), createdAt: c.Clock.Now()}
 }
 
 // Read returns all rows, from another node if one is known or found in the partition of the failure domain.
@@ -136,7 +145,10 @@
 			return t.readPeer(ctx, s.Peer, retryUntil)
 		}
 		t.storeCalls.Add(1)
-		return t.checkEra(t.config.Store.Read(ctx))
+		asked := t.config.Clock.Now()
+		page, err := t.config.Store.Read(ctx)
+		page.AsOf = asked
+		return t.checkEra(page, err)
 	})
 }
 
@@ -153,7 +165,9 @@
 			return roster.Page{}, err
 		}
 		t.storeCalls.Add(1)
+		asked := t.config.Clock.Now()
 		page, err := t.config.Store.Watch(ctx, after, min(wait, storeWait))
+		page.AsOf = asked
 		if known := t.cache.eraOf(); err == nil && page.Era > known {
 			return roster.Page{}, eris.Wrapf(roster.ErrHistoryLost, "the store is in era %d instead of %d", page.Era, known)
 		}
@@ -285,7 +299,7 @@
 	asked := t.config.Clock.Now()
 	reply, err := t.client.watch(ctx, t.config.Dial, p.Address, WatchArgs{
 		After: after, Wait: wait, Number: t.number(), Known: max(t.number(), t.heard.Load()), Era: t.cache.eraOf(), KnowsEra: true,
-		ConfirmationAge: t.confirmationAge(),
+		ConfirmationAge: t.confirmationAge(), MaxRowAge: t.maxRowAge(asked),
 	})
 	if err != nil {
 		return roster.Page{}, err
@@ -295,9 +309,42 @@
 	}
 	t.observeNumber(reply.Number)
 	t.observeConfirmation(reply.Number, reply.Confirmation, asked)
+	if reply.Rows.IsConfirmed {
+		reply.Page.AsOf = asked.Add(-reply.Rows.Age)
+	}
 	return t.checkEra(reply.Page, nil)
 }
 
+// maxRowAge returns how old the rows of another node may be for this one: as old as its process, until it has read such rows,
+// and zero afterwards.
+func (t *Table) maxRowAge(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.domainKnown {
+		return 0
+	}
+	return max(1, now.Sub(t.createdAt))
+}
+
+// look asks the store for changes unless the rows hold all up to the time. It fails silently, as the rows tell how recent they
+// are.
+func (t *Table) look(since time.Time) {
+	t.lookMu.Lock()
+	defer t.lookMu.Unlock()
+	if !t.cache.isReading() || t.cache.recentSince(since) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), lookTimeout)
+	defer cancel()
+	t.storeCalls.Add(1)
+	asked, after := t.config.Clock.Now(), t.cache.position()
+	page, err := t.config.Store.Watch(ctx, after.version, 0)
+	if err == nil && page.Era == after.era {
+		page.AsOf = asked
+		t.cache.merge(page, t.cache.isReading())
+	}
+}
+
 // readPeer reads all rows of a node; until retryUntil it calls again if the node does not read the store yet.
 func (t *Table) readPeer(ctx context.Context, p Peer, retryUntil time.Time) (roster.Page, error) {
 	for {
@@ -322,6 +369,7 @@
 
 func (t *Table) sourceSucceeded(source Source, page roster.Page) {
 	t.cache.merge(page, source.Store)
+	t.learnDomain()
 	t.setFollows(!source.Store)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -367,14 +415,30 @@
 		_ = level.Info(t.config.Logger).Log("msg", "cannot read the nodes of the failure domain; reading all rows", "err", err)
 		return
 	}
-	if t.config.OnDomainRows != nil {
-		t.config.OnDomainRows(page.Rows)
-	}
+	t.domainRead(page.Rows)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.selector.Update(PeersMsg{Peers: peersFromRows(page.Rows)})
 }
 
+// learnDomain reports the rows of the failure domain once they are more recent than the table.
+func (t *Table) learnDomain() {
+	if t.cache.recentSince(t.createdAt) {
+		t.domainRead(t.cache.partitionRows(t.config.Domain))
+	}
+}
+
+// domainRead reports rows of the failure domain that are more recent than the table, unless that was done before.
+func (t *Table) domainRead(rows []roster.Row) {
+	t.mu.Lock()
+	before := t.domainKnown
+	t.domainKnown = true
+	t.mu.Unlock()
+	if !before && t.config.OnDomainRows != nil {
+		t.config.OnDomainRows(rows)
+	}
+}
+
 func (t *Table) number() uint64 {
 	if t.config.Configurations == nil {
 		return 0
--- a/internal/hosted/era.go
+++ b/internal/hosted/era.go
@@ -7,7 +7,6 @@
 
 	"github.com/go-kit/log/level"
 
-	"github.com/auburnwinch/auburnwinch/internal/agent"
 	"github.com/auburnwinch/auburnwinch/internal/roster"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 )
@@ -54,16 +53,12 @@
 
 // recall restores the departures in a record of an earlier process of this node that the store has lost.
 func (n *Node) recall(row roster.Row) {
-	if row.Part != n.config.Self.Domain || row.Key != n.config.Self.Ref.ID {
-		return
-	}
-	earlier, err := roster.DecodeRecord(row)
-	if err != nil || earlier.Node.Ref.Incarnation == n.config.Self.Ref.Incarnation {
+	earlier := n.restoreDepartures(row)
+	if earlier == nil {
 		return
 	}
 	_ = level.Info(n.config.FailureLogger).Log("msg", "lost record restored", "era", row.Era, "version", row.Version,
 		"draining", len(earlier.Draining()), "withdrawn", len(earlier.Withdrawn))
-	n.agent.Restore(agent.EarlierTargets{Registered: earlier.Registered(), Draining: earlier.Draining(), Withdrawn: earlier.Withdrawn})
 	n.guard.restore(earlier.Crashes)
 	n.publishDue.Raise()
 }
--- a/internal/hosted/leave_test.go
+++ b/internal/hosted/leave_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"net/http"
+	"net/rpc"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/auburnwinch/auburnwinch/internal/feed"
 	"github.com/auburnwinch/auburnwinch/internal/roster"
 	"github.com/auburnwinch/auburnwinch/pkg/model"
 	"github.com/auburnwinch/auburnwinch/platform/fake"
@@ -152,6 +154,62 @@
 	require.Contains(t, n.storedRecord().Withdrawn, n.target.ref())
 }
 
+// introduce tells the node of others, as one of them does after a response that shows that it knows none.
+func (n *testNode) introduce(others []*testNode) {
+	client, err := rpc.Dial("tcp", n.listeners.Peer)
+	if err != nil {
+		return
+	}
+	defer func() { _ = client.Close() }()
+	args := feed.IntroduceArgs{Number: 1}
+	for _, other := range others {
+		args.Peers = append(args.Peers, feed.Peer{ID: other.id, Incarnation: 1, Address: other.listeners.Peer})
+	}
+	args.From = args.Peers[0]
+	_ = client.Call("Feed.Introduce", args, &feed.IntroduceReply{}) // The caller checks whether it had an effect.
+}
+
+// Pattern: a target leaves, its node ends and starts again while the store turns its VM away, it gets the rows from another
+// node that has not heard of the leaving, and a delayed heartbeat arrives. Guards against a process that takes outdated rows of
+// another node for all that its predecessor has acknowledged (DRAIN, review case 6).
+func TestOutdatedRowsDoNotEndTheWaitForThePast(t *testing.T) {
+	deregisters, drains := (*target).deregister, func(g *target) bool { return g.sendHeartbeat("draining") }
+	for name, c := range map[string]struct {
+		leave func(*target) bool
+		// served reports whether the store responds to a call that reads changes.
+		served func(fake.Call) bool
+	}{
+		"deregisters":                  {deregisters, func(c fake.Call) bool { return c.Wait == 0 }},
+		"drains":                       {drains, func(c fake.Call) bool { return c.Wait == 0 }},
+		"no node hears from the store": {deregisters, func(fake.Call) bool { return false }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel() // It waits most of the time.
+			f, _ := withCaller(t, 3)
+			for _, other := range f.nodes[1:] {
+				other.target.keepAlive()
+			}
+			n := f.nodes[0]
+			f.store.SetFault(func(call fake.Call) fake.Fault {
+				return fake.Fault{Hang: call.Name == "rows-feed" && !c.served(call)}
+			})
+			f.store.Put("nodes", "b", "row", nil) // Ends the pending long polls, and the next ones get no response.
+			time.Sleep(100 * time.Millisecond)
+			require.True(t, c.leave(n.target))
+			n.stop()
+			<-n.done
+			n.store.setCut(true)
+			require.NoError(t, n.start("a"))
+			started := len(n.log.String())
+			require.Eventually(t, func() bool {
+				n.introduce(f.nodes[1:])
+				return strings.Contains(n.log.String()[started:], "members changed") && n.ready()
+			}, 3*time.Second, 10*time.Millisecond)
+			n.requireUnused(n)
+		})
+	}
+}
+
 // Pattern: a target leaves, its node is killed and starts while the store is away, other nodes have not heard of the leaving,
 // and a delayed heartbeat arrives. Guards against using the target because the node can't read what it knew, and against never
 // using a target that has not left.
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -320,9 +320,7 @@
 			continue
 		}
 		n.publisher.ObserveRow(row)
-	}
-	if p.Whole {
-		n.restore(p.Rows)
+		n.restoreDepartures(row)
 	}
 	n.fleet.applyMembers(p)
 }
--- a/internal/hosted/record.go
+++ b/internal/hosted/record.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/auburnwinch/auburnwinch/internal/agent"
 	"github.com/auburnwinch/auburnwinch/internal/roster"
 	"github.com/auburnwinch/auburnwinch/internal/timer"
@@ -54,25 +56,37 @@
 	}
 }
 
-// restore loads what an earlier process of this node published about its targets. The rows must be all those of the
-// failure domain. It is called by one goroutine.
-func (n *Node) restore(rows []roster.Row) {
-	if n.isRestored() {
-		return
+// restoreDepartures restores the departures in a row that an earlier process of this node wrote, and returns its record. It
+// returns nil for another row. A departure is final, so that it holds even if the row is outdated.
+func (n *Node) restoreDepartures(row roster.Row) *roster.Record {
+	if row.Part != n.config.Self.Domain || row.Key != n.config.Self.Ref.ID || row.Deleted {
+		return nil
+	}
+	earlier, err := roster.DecodeRecord(row)
+	if err != nil || earlier.Node.Ref.Incarnation == n.config.Self.Ref.Incarnation {
+		return nil // Malformed rows are logged by fleetState.
 	}
+	n.agent.Restore(agent.EarlierTargets{Registered: earlier.Registered(), Draining: earlier.Draining(), Withdrawn: earlier.Withdrawn})
+	return earlier
+}
+
+// restore loads what an earlier process of this node published about its targets. The rows must be all those of the failure
+// domain, as the store held them after this process started: an older row may lack a departure that the earlier process has
+// acknowledged since. It is called once.
+func (n *Node) restore(rows []roster.Row) {
 	for _, row := range rows {
-		if row.Key != n.config.Self.Ref.ID || row.Deleted {
-			continue
-		}
 		if !row.Forgotten {
 			n.publisher.ObserveRow(row)
 		}
-		if earlier, err := roster.DecodeRecord(row); err == nil { // Malformed rows are logged by fleetState.
-			n.agent.Restore(agent.EarlierTargets{Registered: earlier.Registered(), Draining: earlier.Draining(), Withdrawn: earlier.Withdrawn})
-			n.guard.restore(earlier.Crashes)
-			if earlier.Serving() {
-				n.quotas.Resume()
-			}
+		earlier := n.restoreDepartures(row)
+		if earlier == nil {
+			continue
+		}
+		_ = level.Info(n.config.FailureLogger).Log("msg", "record of the earlier process restored", "version", row.Version,
+			"draining", len(earlier.Draining()), "withdrawn", len(earlier.Withdrawn))
+		n.guard.restore(earlier.Crashes)
+		if earlier.Serving() {
+			n.quotas.Resume()
 		}
 	}
 	n.mu.Lock()
--- a/internal/roster/table.go
+++ b/internal/roster/table.go
@@ -30,6 +30,8 @@
 	Version uint64
 	// Whole is true when Rows holds all rows of the table.
 	Whole bool
+	// AsOf is a time up to which the page holds all changes, by the clock of this node; it is zero if that is unknown.
+	AsOf time.Time
 	// Era counts how often the store came back from a copy. It then lacks what was written last before, and gives out the
 	// versions of that again. A store that does not tell has the era 0.
 	Era uint64
