Bound the looks of a node that can't reach the store

A look for a starting node that fails is not repeated for a second: the calls that wait for it would otherwise each wait for a timeout of their own, at a node that is cut off from the store. Pages that are read beside those of the source no longer change whether the node counts as reading the store. The tests of internal/feed, TestOutdatedRows, TestLostLeaving and TestSilent of internal/hosted pass.

--- a/internal/feed/cache.go
+++ b/internal/feed/cache.go
@@ -51,6 +51,17 @@
 func (c *rowCache) merge(p roster.Page, reading bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.mergeLocked(p, reading)
+}
+
+// mergeMore adds a page that was read beside those of the source of this node.
+func (c *rowCache) mergeMore(p roster.Page) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.mergeLocked(p, c.reading)
+}
+
+func (c *rowCache) mergeLocked(p roster.Page, reading bool) {
 	if p.Era < c.era || p.Era > c.era && !p.Whole {
 		p = roster.Page{} // It only shows that the source responds.
 	}
--- a/internal/feed/table.go
+++ b/internal/feed/table.go
@@ -28,8 +28,10 @@
 	// startupPause is the time between two attempts.
 	startupWait  = 700 * time.Millisecond
 	startupPause = 100 * time.Millisecond
-	// lookTimeout bounds a look at the store for another node, which waits for responseSlack.
+	// lookTimeout bounds a look at the store for another node, which waits for responseSlack; lookPause is the time without
+	// looks after one that failed.
 	lookTimeout = 300 * time.Millisecond
+	lookPause   = time.Second
 	// recallPeers is the number of nodes that must tell which rows the store has lost, at most maxRecalls times.
 	recallPeers = 2
 	maxRecalls  = 4
@@ -113,8 +115,10 @@
 	createdAt   time.Time
 	domainKnown bool
 
-	// lookMu is held during a look, whose answer serves all callers that wait for it.
-	lookMu sync.Mutex
+	// lookMu is held during a look, whose answer serves all callers that wait for it. nextLook is the earliest time of the next
+	// one.
+	lookMu   sync.Mutex
+	nextLook time.Time
 }
 
 // NewTable returns a table that does not know any other node yet.
@@ -200,7 +204,7 @@
 		if err != nil {
 			continue // Another node may remember the same rows.
 		}
-		t.cache.merge(roster.Page{Rows: rows, Era: t.cache.eraOf()}, t.cache.isReading())
+		t.cache.mergeMore(roster.Page{Rows: rows, Era: t.cache.eraOf()})
 		if asked++; asked == recallPeers {
 			break
 		}
@@ -331,18 +335,20 @@
 func (t *Table) look(since time.Time) {
 	t.lookMu.Lock()
 	defer t.lookMu.Unlock()
-	if !t.cache.isReading() || t.cache.recentSince(since) {
+	asked, after := t.config.Clock.Now(), t.cache.position()
+	if !t.cache.isReading() || t.cache.recentSince(since) || asked.Before(t.nextLook) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), lookTimeout)
 	defer cancel()
 	t.storeCalls.Add(1)
-	asked, after := t.config.Clock.Now(), t.cache.position()
 	page, err := t.config.Store.Watch(ctx, after.version, 0)
-	if err == nil && page.Era == after.era {
-		page.AsOf = asked
-		t.cache.merge(page, t.cache.isReading())
+	if err != nil || page.Era != after.era {
+		t.nextLook = t.config.Clock.Now().Add(lookPause)
+		return
 	}
+	page.AsOf = asked
+	t.cache.mergeMore(page)
 }
 
 // readPeer reads all rows of a node; until retryUntil it calls again if the node does not read the store yet.
