Let the test of outdated rows wait until its nodes have their roles

The part of the test that starts a node failed in some plays beside load, as no node served it rows: two of the nodes had not yet become those that read the store.

--- a/internal/hosted/leave_test.go
+++ b/internal/hosted/leave_test.go
@@ -18,6 +18,9 @@
 // slowWrite is the time that a slow store takes for a write. A process that is killed in it leaves nothing behind.
 const slowWrite = 200 * time.Millisecond
 
+// membersPause is more than the time that a node waits after a response of the store with changes.
+const membersPause = 1500 * time.Millisecond
+
 // storedRecord returns the record of the node in the store.
 func (n *testNode) storedRecord() *roster.Record {
 	n.fleet.t.Helper()
@@ -190,6 +193,8 @@
 				other.target.keepAlive()
 			}
 			n := f.nodes[0]
+			require.Eventually(t, func() bool { return len(f.readers()) == 2 }, 15*time.Second, 10*time.Millisecond) // Long polls of 5 s end before.
+			time.Sleep(membersPause) // The readers wait for the next change.
 			f.store.SetFault(func(call fake.Call) fake.Fault {
 				return fake.Fault{Hang: call.Name == "rows-feed" && !c.served(call)}
 			})
