Ask nodes of other domains for rows that the store lost

When the store comes back from a copy, a node that starts asks others for what the copy lacks, but only those of its own failure domain.

Two nodes of other domains are now asked too, as often as those of the own one: eight more calls of a starting node, only after the store came back from a copy.

TestLostLeavingSurvivesRestartOfItsDomain failed on the code before and passes in 3 of 3.

--- a/internal/feed/table.go
+++ b/internal/feed/table.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,7 +33,8 @@
 	// looks after one that failed.
 	lookTimeout = 300 * time.Millisecond
 	lookPause   = time.Second
-	// recallPeers is the number of nodes that must tell which rows the store has lost, at most maxRecalls times.
+	// recallPeers is the number of nodes of the failure domain, and then of others, that must tell which rows the store has lost,
+	// at most maxRecalls times.
 	recallPeers = 2
 	maxRecalls  = 4
 	recallPause = 2500 * time.Millisecond
@@ -179,8 +181,9 @@
 	})
 }
 
-// recall returns the rows that the store has lost and other nodes of the failure domain remember. It asks a few times after the
-// first rows have been read: the others may hear of the era later than a node that starts.
+// recall returns the rows that the store has lost and other nodes remember. Those of the failure domain may have restarted with
+// this one and remember nothing, so nodes of others are asked too. It asks a few times after the first rows have been read: the
+// others may hear of the era later than a node that starts.
 func (t *Table) recall(ctx context.Context) []roster.Row {
 	if t.cache.eraOf() == 0 {
 		return nil
@@ -192,11 +195,18 @@
 		t.recalls++
 		t.nextRecall = now.Add(recallPause)
 	}
-	peers := t.selector.Others()
+	own := t.selector.Others()
 	t.mu.Unlock()
 	if !due {
 		return nil
 	}
+	t.recallFrom(ctx, own)
+	t.recallFrom(ctx, t.peersOfOtherDomains())
+	return t.cache.forgottenRows()
+}
+
+// recallFrom takes the rows that the store has lost from the first recallPeers nodes that respond.
+func (t *Table) recallFrom(ctx context.Context, peers []Peer) {
 	asked := 0
 	for _, p := range peers {
 		t.peerCalls.Add(1)
@@ -206,10 +216,15 @@
 		}
 		t.cache.mergeMore(roster.Page{Rows: rows, Era: t.cache.eraOf()})
 		if asked++; asked == recallPeers {
-			break
+			return
 		}
 	}
-	return t.cache.forgottenRows()
+}
+
+// peersOfOtherDomains returns some nodes of other failure domains in random order.
+func (t *Table) peersOfOtherDomains() []Peer {
+	rows := slices.DeleteFunc(t.cache.allRows(), func(row roster.Row) bool { return row.Part == t.config.Domain })
+	return sample(peersFromRows(rows), Peer{})
 }
 
 // checkEra fails for a page that the store returned before it came back from a copy.
--- a/internal/hosted/era_test.go
+++ b/internal/hosted/era_test.go
@@ -98,6 +98,33 @@
 	}
 }
 
+// Pattern: a target leaves, the store comes back from a copy that lacks this, and all nodes of its failure domain start again
+// meanwhile. Guards against a process that asks only nodes which have forgotten it too (DRAIN).
+func TestLostLeavingSurvivesRestartOfItsDomain(t *testing.T) {
+	t.Parallel() // It waits most of the time.
+	f := newFleet(t)
+	f.configure(1, "kassa", "vitrine")
+	n := f.add("kassa", "a")
+	f.add("kassa", "b").target.keepAlive()
+	caller := f.add("vitrine", "b")
+	caller.await("kassa", "/read/x")
+	lost := f.store.Copy()
+	require.True(t, n.target.deregister())
+	version := fmt.Sprintf(`"version":%d,`, f.store.Get("nodes", "a", n.id).Version)
+	for _, other := range f.nodes[1:] {
+		require.Eventually(t, func() bool { return other.log.contains("members changed", version) }, rewriteBound, 10*time.Millisecond)
+	}
+	f.store.SetFault(func(fake.Call) fake.Fault { return fake.Fault{Status: http.StatusServiceUnavailable} })
+	f.store.Put("other", "", "row", nil) // Ends the pending long polls.
+	n.stop()
+	<-n.done
+	f.store.ComeBack(lost)
+	f.store.SetFault(nil)
+	require.NoError(t, n.start("a"))
+	require.Eventually(t, func() bool { return n.log.contains("lost record restored") }, recallBound, 10*time.Millisecond)
+	n.requireUnused(caller)
+}
+
 // Pattern: the store comes back while a write that it was sent before is still under way, and applies it afterwards because
 // its version was given out again. Guards against a row that keeps the older value.
 func TestLateWriteOfAnEarlierEra(t *testing.T) {
--- a/internal/hosted/leave_test.go
+++ b/internal/hosted/leave_test.go
@@ -194,7 +194,7 @@
 			}
 			n := f.nodes[0]
 			require.Eventually(t, func() bool { return len(f.readers()) == 2 }, 15*time.Second, 10*time.Millisecond) // Long polls of 5 s end before.
-			time.Sleep(membersPause) // The readers wait for the next change.
+			time.Sleep(membersPause)                                                                                 // The readers wait for the next change.
 			f.store.SetFault(func(call fake.Call) fake.Fault {
 				return fake.Fault{Hang: call.Name == "rows-feed" && !c.served(call)}
 			})
