Read the failure domain again until it is known

A starting node whose first call to the store fails follows another node and then waits for rows that are more recent than its start. A node of an older build doesn't tell how recent its rows are, and one that is cut off from the store has none to give: the starting node could wait, and not publish its record, for as long as it followed such a node. It now tries its own partition again, at most once a second and only until it is known.

--- a/internal/feed/table.go
+++ b/internal/feed/table.go
@@ -29,8 +29,8 @@
 	// startupPause is the time between two attempts.
 	startupWait  = 700 * time.Millisecond
 	startupPause = 100 * time.Millisecond
-	// lookTimeout bounds a look at the store for another node, which waits for responseSlack; lookPause is the time without
-	// looks after one that failed.
+	// lookTimeout bounds a look at the store for another node, which waits for responseSlack, and one between two calls to
+	// another node; lookPause is the time without looks after one that failed.
 	lookTimeout = 300 * time.Millisecond
 	lookPause   = time.Second
 	// recallPeers is the number of nodes of the failure domain, and then of others, that must tell which rows the store has lost,
@@ -116,6 +116,8 @@
 	// createdAt is when the table was made, and domainKnown is true once the rows are known to be more recent.
 	createdAt   time.Time
 	domainKnown bool
+	// nextDomainRead is the earliest time of the next attempt to read the failure domain directly.
+	nextDomainRead time.Time
 
 	// lookMu is held during a look, whose answer serves all callers that wait for it. nextLook is the earliest time of the next
 	// one.
@@ -163,6 +165,7 @@
 	if rows := t.recall(ctx); len(rows) > 0 {
 		return roster.Page{Rows: rows, Version: after, Era: t.cache.eraOf()}, nil
 	}
+	t.retryDomain(ctx)
 	return t.fetch(ctx, func(s Source) (roster.Page, error) {
 		if !s.Store {
 			return t.watchPeer(ctx, s.Peer, after, min(wait, peerWait))
@@ -433,7 +436,7 @@
 	t.storeCalls.Add(1)
 	page, err := t.config.Store.ReadPartition(ctx, t.config.Domain)
 	if err != nil {
-		_ = level.Info(t.config.Logger).Log("msg", "cannot read the nodes of the failure domain; reading all rows", "err", err)
+		_ = level.Info(t.config.Logger).Log("msg", "cannot read the nodes of the failure domain", "err", err)
 		return
 	}
 	t.domainRead(page.Rows)
@@ -442,6 +445,23 @@
 	t.selector.Update(PeersMsg{Peers: peersFromRows(page.Rows)})
 }
 
+// retryDomain reads the failure domain directly if the followed node has not provided recent rows: it may not reach the store, or
+// run a build that does not tell.
+func (t *Table) retryDomain(ctx context.Context) {
+	t.mu.Lock()
+	now := t.config.Clock.Now()
+	due := !t.domainKnown && !now.Before(t.nextDomainRead)
+	if due {
+		t.nextDomainRead = now.Add(lookPause)
+	}
+	t.mu.Unlock()
+	if due {
+		ctx, cancel := context.WithTimeout(ctx, lookTimeout)
+		defer cancel()
+		t.findPeers(ctx)
+	}
+}
+
 // learnDomain reports the rows of the failure domain once they are more recent than the table.
 func (t *Table) learnDomain() {
 	if t.cache.recentSince(t.createdAt) {
