--- a/internal/soak/harness_test.go
+++ b/internal/soak/harness_test.go
@@ -23,6 +23,8 @@
 	portReady   = 18302
 	portLocal   = 18306
 	portMetrics = 18310
+	// portPeer lets the nodes of a failure domain follow each other; without it each reads the store.
+	portPeer = 18311
 )
 
 const (
@@ -154,7 +156,7 @@
 	text := fmt.Sprintf("node=%s\nip=%s\nzone=%s\nregion=region\nservice=%s\nlisten.outbound=%s\nlisten.inbound=%s\nlisten.readyAddr=%s\n"+
 		"listen.control=%s\nportRange=%d,%d\nplatform.address=%s\nbounds=graceS=%d,retryBudgetRatio=%v,budgetExtra=%d,budgetWindowS=%d\n",
 		n.name, n.ip, n.domain, n.service, n.address(portCallers), n.address(portRelay), n.address(portReady), n.address(portLocal),
-		portMetrics, portMetrics, n.storeProxy.address(), int(shutdownGrace.Seconds()), retryRatio, retryExtra, int(retryWindow.Seconds()))
+		portMetrics, portPeer, n.storeProxy.address(), int(shutdownGrace.Seconds()), retryRatio, retryExtra, int(retryWindow.Seconds()))
 	return os.WriteFile(n.settings, []byte(text), 0o600)
 }
 
