Let tests of outages end the long polls that wait

The test set the fault and wrote a row of another table, "to end the pending long polls", but a watch of the fake store goes on waiting if the row is not of its own table. Where the nodes had opened their long polls before the fault was set, as happens if the first request of the test waits 50 ms for its retry, the polls ended only after up to five seconds, the bound of the test. Ruled out: the store's fault (the next call of each node got 503 at once).

TestUnknownPastHoldsTheTargetBack and the tests of a store that comes back from a copy relied on the same row.

--- a/internal/feed/era_test.go
+++ b/internal/feed/era_test.go
@@ -40,7 +40,7 @@
 	f.waitForValue("k", "4", eraBound)
 	f.waitForValue("gone", string(recordIn(0, 1, "gone", left)), eraBound)
 	f.store.SetFault(func(fake.Call) fake.Fault { return fake.Fault{Status: http.StatusServiceUnavailable} })
-	f.store.Put("other", "", "row", nil) // Ends the pending long polls.
+	f.store.EndWatches()
 	f.store.ComeBack(lost)
 	f.store.SetFault(nil)
 	f.waitForValue("k", "1", eraBound)
--- a/internal/hosted/era_test.go
+++ b/internal/hosted/era_test.go
@@ -1,8 +1,9 @@
 package hosted_test
 
 import (
-	"fmt"
 	"net/http"
+	"regexp"
+	"strconv"
 	"testing"
 	"time"
 
@@ -22,12 +23,44 @@
 // comeBack makes the store go away for a second and come back from the copy.
 func (f *fleet) comeBack(c fake.Copy) {
 	f.store.SetFault(func(fake.Call) fake.Fault { return fake.Fault{Status: http.StatusServiceUnavailable} })
-	f.store.Put("other", "", "row", nil) // Ends the pending long polls.
+	f.store.EndWatches()
 	time.Sleep(time.Second)
 	f.store.ComeBack(c)
 	f.store.SetFault(nil)
 }
 
+// loseLeaving lets the target of the node leave and kills the node. The store then comes back from a copy that lacks the leaving,
+// of which all other nodes have heard.
+func (n *testNode) loseLeaving() {
+	f := n.fleet
+	f.t.Helper()
+	lost := f.store.Copy()
+	require.True(f.t, n.target.deregister())
+	version := f.store.Get("nodes", "a", n.id).Version
+	for _, other := range f.nodes {
+		require.Eventually(f.t, func() bool { return other == n || other.membersVersion() >= version }, rewriteBound, 10*time.Millisecond)
+	}
+	f.store.SetFault(func(fake.Call) fake.Fault { return fake.Fault{Status: http.StatusServiceUnavailable} })
+	f.store.EndWatches()
+	n.stop()
+	<-n.done
+	f.store.ComeBack(lost)
+	f.store.SetFault(nil)
+}
+
+// membersVersion returns the version of the latest rows that the node has applied; changes that follow each other closely arrive
+// together with the version of the last one.
+func (n *testNode) membersVersion() uint64 {
+	n.fleet.t.Helper()
+	all := regexp.MustCompile(`"msg":"members changed".*"version":(\d+),`).FindAllStringSubmatch(n.log.String(), -1)
+	if len(all) == 0 {
+		return 0
+	}
+	version, err := strconv.ParseUint(all[len(all)-1][1], 10, 64)
+	require.NoError(n.fleet.t, err)
+	return version
+}
+
 // Pattern: the store comes back from a copy that lacks a node, the leaving of a target and a configuration. Guards against
 // forgetting what the nodes know, and against rows and configurations that are dropped because their versions went back.
 func TestStoreThatComesBackFromACopy(t *testing.T) {
@@ -77,18 +110,7 @@
 				}
 			}
 			n := f.nodes[index]
-			lost := f.store.Copy()
-			require.True(t, n.target.deregister())
-			version := fmt.Sprintf(`"version":%d,`, f.store.Get("nodes", "a", n.id).Version)
-			for _, other := range f.nodes {
-				require.Eventually(t, func() bool { return other == n || other.log.contains("members changed", version) }, rewriteBound, 10*time.Millisecond)
-			}
-			f.store.SetFault(func(fake.Call) fake.Fault { return fake.Fault{Status: http.StatusServiceUnavailable} })
-			f.store.Put("other", "", "row", nil) // Ends the pending long polls.
-			n.stop()
-			<-n.done
-			f.store.ComeBack(lost)
-			f.store.SetFault(nil)
+			n.loseLeaving()
 			require.NoError(t, n.start("a"))
 			require.Eventually(t, n.ready, 5*time.Second, 10*time.Millisecond)
 			require.Eventually(t, func() bool { return n.log.contains("lost record restored") }, recallBound, 10*time.Millisecond)
@@ -108,18 +130,7 @@
 	f.add("kassa", "b").target.keepAlive()
 	caller := f.add("vitrine", "b")
 	caller.await("kassa", "/read/x")
-	lost := f.store.Copy()
-	require.True(t, n.target.deregister())
-	version := fmt.Sprintf(`"version":%d,`, f.store.Get("nodes", "a", n.id).Version)
-	for _, other := range f.nodes[1:] {
-		require.Eventually(t, func() bool { return other.log.contains("members changed", version) }, rewriteBound, 10*time.Millisecond)
-	}
-	f.store.SetFault(func(fake.Call) fake.Fault { return fake.Fault{Status: http.StatusServiceUnavailable} })
-	f.store.Put("other", "", "row", nil) // Ends the pending long polls.
-	n.stop()
-	<-n.done
-	f.store.ComeBack(lost)
-	f.store.SetFault(nil)
+	n.loseLeaving()
 	require.NoError(t, n.start("a"))
 	require.Eventually(t, func() bool { return n.log.contains("lost record restored") }, recallBound, 10*time.Millisecond)
 	n.requireUnused(caller)
--- a/internal/hosted/explain_test.go
+++ b/internal/hosted/explain_test.go
@@ -65,7 +65,7 @@
 	f, caller := withCaller(t, 1)
 	gone := f.nodes[0]
 	f.store.SetFault(func(fake.Call) fake.Fault { return fake.Fault{Status: http.StatusServiceUnavailable} })
-	f.store.Put("other", "", "row", nil) // Ends the pending long polls.
+	f.store.EndWatches()
 	require.Eventually(t, func() bool { return strings.Contains(caller.log.String(), "store lost") }, 5*time.Second, 10*time.Millisecond)
 	require.False(t, gone.target.sendHeartbeat("draining"), "the store does not hold it, but the node knows")
 	a := caller.callAs("outage", http.MethodPost, "kassa", "/order/1")
--- a/internal/hosted/leave_test.go
+++ b/internal/hosted/leave_test.go
@@ -225,7 +225,7 @@
 	n := f.nodes[0]
 	// The watchers of other nodes hear of nothing from here on.
 	f.store.SetFault(func(c fake.Call) fake.Fault { return fake.Fault{Hang: c.Name == "rows-feed"} })
-	f.store.Put("other", "", "row", nil) // Ends the pending long polls.
+	f.store.EndWatches()
 	require.True(t, n.target.deregister())
 	f.store.SetFault(func(fake.Call) fake.Fault { return fake.Fault{Status: http.StatusServiceUnavailable} })
 	n.stop()
