Stop counting as a follower before a call to the store

A node that followed another one and reads the store itself from now on still counted as a follower until its first call there returned, up to five seconds later. Meanwhile it waited for another node to tell it of a newer configuration and confirmed nothing to its own followers, although no node told it anything; only the bound on unconfirmed configurations made it look at the store, after 1.6 s instead of at once. Seen in the log of a failed TestExplainStoreOutage.

It now stops to follow when the call begins; the query of the configuration that this causes is the one that came after the call before: no more calls.

--- a/internal/feed/domain_test.go
+++ b/internal/feed/domain_test.go
@@ -25,6 +25,15 @@
 	return nil
 }
 
+// introduce tells the node at the address of another one.
+func introduce(t *testing.T, address string, other feed.Peer) {
+	t.Helper()
+	caller, err := rpc.Dial("tcp", address)
+	require.NoError(t, err)
+	defer func() { _ = caller.Close() }()
+	require.NoError(t, caller.Call("Feed.Introduce", feed.IntroduceArgs{From: other, Peers: []feed.Peer{other}}, &feed.IntroduceReply{}))
+}
+
 // Pattern: the store fails at a starting node for a moment, and the node follows one of a build that does not tell how recent its
 // rows are. Guards against a node that takes such rows for recent ones, and against one that waits for recent ones forever and
 // never publishes its record.
@@ -50,11 +59,7 @@
 	own, err := feed.NewServer(feed.ServerConfig{Address: "127.0.0.1:0", Table: table})
 	require.NoError(t, err)
 	defer own.Close()
-	peer := feed.Peer{ID: "older", Incarnation: 1, Address: listener.Addr().String()}
-	caller, err := rpc.Dial("tcp", own.Address())
-	require.NoError(t, err)
-	defer func() { _ = caller.Close() }()
-	require.NoError(t, caller.Call("Feed.Introduce", feed.IntroduceArgs{From: peer, Peers: []feed.Peer{peer}}, &feed.IntroduceReply{}))
+	introduce(t, own.Address(), feed.Peer{ID: "older", Incarnation: 1, Address: listener.Addr().String()})
 	watcher := roster.NewWatcher(roster.WatcherConfig{Table: table, OnRows: func(roster.Page) {}})
 	defer watcher.Close()
 	require.Eventually(t, table.Follows, 2*time.Second, 10*time.Millisecond)
--- a/internal/feed/table.go
+++ b/internal/feed/table.go
@@ -293,6 +293,9 @@
 func (t *Table) fetch(ctx context.Context, call func(Source) (roster.Page, error)) (roster.Page, error) {
 	last := errNoSource
 	for _, source := range t.sources() {
+		if source.Store {
+			t.setFollows(false) // A call to the store may wait for long, and meanwhile no other node tells this one of anything.
+		}
 		page, err := call(source)
 		if ctx.Err() != nil {
 			return page, err
