Obey a draining run of a target whose clock went back

A target started again under its id after the time of day had jumped back, so that it stated a lower start.

Ruled out: that the heartbeats of the run could be told apart by their sequence, which starts anew.

A draining heartbeat of a run with a lower start now always takes effect. If it was a late one of a run that has ended, the live run shows this by two heartbeats a second apart without one of the other run between them (the rule by which a node that can't read its past already judges heartbeats; the two share it), and is used again after some 3 s. Late heartbeats of the run before, alone or several at once, do not undo the acknowledgement, and a deregistration counts for both runs. Not covered: the process of the node restarts in between and a late heartbeat of the higher run comes first.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -39,6 +39,7 @@
 	suspectRuns atomic.Bool
 	running     running
 	departures  departures
+	supplanted  supplanted
 	parents     parents
 	pauses      *pauseDetector
 	publishing  sync.Mutex
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -35,6 +35,13 @@
 	if a.departures.isWithdrawn(ref) {
 		return ErrStaleHeartbeat
 	}
+	if a.supplanted.holds(ref, h.Sequence, a.config.Clock.Now()) {
+		if h.Draining {
+			a.departures.addDraining(ref)
+		}
+		return ErrStaleHeartbeat
+	}
+	a.supplant(ref, h)
 	known := a.registry.find(h.Service, h.ID)
 	if known != nil && known.target.Ref.Incarnation == h.Incarnation && h.Sequence < known.shared.sequence.Load() {
 		if h.Draining { // Draining is final, so that the order of the heartbeats does not matter.
@@ -108,6 +115,10 @@
 		known = true
 		a.departures.addWithdrawn(ref, now)
 	}
+	if ref := a.supplanted.get(); ref.ID == id && (service == "" || ref.Service == service) {
+		known = true
+		a.departures.addWithdrawn(ref, now)
+	}
 	for _, l := range a.registry.all() {
 		if l.target.Ref.ID != id || service != "" && l.target.Ref.Service != service {
 			continue
--- a/internal/hosted/heartbeat.go
+++ b/internal/hosted/heartbeat.go
@@ -15,9 +15,6 @@
 const (
 	// ackTimeout bounds the time until the store holds what an acknowledgement promises. Targets wait for one second.
 	ackTimeout = 800 * time.Millisecond
-	// minHeartbeatSpacing is the least time between two heartbeats that show that a target is alive; targets send one every
-	// 1.5 s.
-	minHeartbeatSpacing = time.Second
 	// maxClockSkew is the most by which clocks of VMs and targets are assumed to differ; they jump by seconds.
 	maxClockSkew = 24 * time.Hour
 )
@@ -48,7 +45,7 @@
 // heldHeartbeat is a heartbeat that waits until the node knows whether its sender has left.
 type heldHeartbeat struct {
 	agent.Announcement
-	arrived time.Time
+	sign agent.LifeSign
 }
 
 // hold keeps a heartbeat back while the process does not know whether its sender has left under the earlier process, and
@@ -62,10 +59,10 @@
 	}
 	now, held := n.config.Clock.Now(), n.held
 	if held != nil && held.ID == h.ID && held.Incarnation == h.Incarnation {
-		return h.Sequence <= held.Sequence || now.Sub(held.arrived) < minHeartbeatSpacing
+		return !held.sign.IsConfirmedBy(h.Sequence, now)
 	}
 	if held == nil || h.Incarnation > held.Incarnation {
-		n.held = &heldHeartbeat{Announcement: h, arrived: now}
+		n.held = &heldHeartbeat{Announcement: h, sign: agent.LifeSign{Sequence: h.Sequence, Arrived: now}}
 	}
 	return true
 }
