Take only requests of the own target for calls without a key

But such a call serves nobody: the response to the request that makes it went through the earlier process and was lost with it. Now only a request whose parent runs under this process needs no key; others of that form are refused unrun (503), as they were after the minute.

TestCallsNeedNoKey demanded that a call passes after the restart by its id alone, which is the fault. It now demands that ten orders whose ids look like calls are refused right after both starts, that none runs, and that a call of a request which runs under the new process passes.

Not mended: a client that names a request which runs at the target of the same node can still pass for a call (docs/design/accounts.md).

--- a/internal/edge/account.go
+++ b/internal/edge/account.go
@@ -12,8 +12,6 @@
 const (
 	// behindRetryAfter is longer than a newer configuration usually takes to reach all nodes.
 	behindRetryAfter = 500 * time.Millisecond
-	// parentMemory bounds how long a target may still make calls for a request that an earlier process of the node relayed.
-	parentMemory = time.Minute
 	// rankScale is the number of ranks of routes within each rank of client accounts; higher ranks count as the last one.
 	rankScale = 1 << 8
 )
@@ -27,7 +25,9 @@
 	Confirmed() bool
 }
 
-// identify determines the client account of the request, and refuses the request if it needs one and has none.
+// identify determines the client account of the request, and refuses the request if it needs one and has none. Only calls of the
+// target on this VM need none, while it runs the request that makes them. An earlier process of the node may have relayed that
+// request, but its response was lost with that process, so nobody gains by calls for it.
 func (q *request) identify() (relay.Refusal, bool) {
 	accounts := q.edge.config.Accounts
 	if accounts == nil {
@@ -43,7 +43,7 @@
 		q.rank = rankWith(account, q.match.Route.Rank)
 	}
 	switch {
-	case key == "" && q.parent != "" && q.mayBeCall():
+	case key == "" && q.parentRuns:
 		return relay.Refusal{}, true
 	case q.match.Route.Public && account == nil:
 		return relay.Refusal{}, true
@@ -79,15 +79,6 @@
 	return bounded(first)*rankScale + bounded(route)
 }
 
-// mayBeCall reports whether the target on this VM may have made the request while it ran the parent. An earlier process of
-// this node may have relayed the parent.
-func (q *request) mayBeCall() bool {
-	if q.parentRuns {
-		return true
-	}
-	return q.edge.config.Clock.Now().Sub(q.edge.startedAt) < parentMemory
-}
-
 // addAccountFields tells the agent the client account, which callers can't state themselves where accounts have keys. A
 // nested call takes turns with the requests of its parent's account, but does not belong to it.
 func (q *request) addAccountFields() {
--- a/internal/hosted/accounts_test.go
+++ b/internal/hosted/accounts_test.go
@@ -115,8 +115,9 @@
 	f.noKeyIn("key-maker-1", "key-maker-2", "key-buyer-1", "key-of-nobody")
 }
 
-// Guards against calls of targets that are refused for want of a key although the request that makes them runs, also after
-// a restart of the node beside their target, and against an account that is shown to the target of such a call.
+// Guards against calls of targets that are refused for want of a key although the request that makes them runs, against an
+// account that is shown to the target of such a call, and against a node that takes any request for a call because its id has
+// the form of one, right after its start (ROUTE) or later.
 func TestCallsNeedNoKey(t *testing.T) {
 	f := newFleet(t)
 	f.accounts = []string{accountEntry("maker", "key-maker-1")}
@@ -136,10 +137,21 @@
 	require.Equal(t, http.StatusOK, <-nested)
 	require.Equal(t, "maker", <-accounts)
 	require.Empty(t, <-accounts)
+	requireRefused := func() {
+		t.Helper()
+		for i := range 10 {
+			id := fmt.Sprintf("till-7.%d", i)
+			require.Equal(t, http.StatusServiceUnavailable, served.callWith(id, "/read/2"))
+			require.Zero(t, served.target.ran(id))
+		}
+		require.Equal(t, http.StatusUnauthorized, served.callWith("plain", "/read/2"))
+	}
+	requireRefused()
 	served.restart("a")
 	served.target.heartbeat("ready")
-	require.Eventually(t, func() bool { return served.callWith("parent.2", "/read/2") == http.StatusOK }, 5*time.Second, 20*time.Millisecond)
-	require.Equal(t, http.StatusUnauthorized, served.callWith("plain", "/read/2"))
+	require.Eventually(t, func() bool { return served.callWithKey("parent", "key-maker-1") == http.StatusOK }, 5*time.Second, 20*time.Millisecond)
+	require.Equal(t, http.StatusOK, <-nested, "the new process knows what runs under it")
+	requireRefused()
 }
 
 // Guards against keys that are refused as unknown by a node that knows no configuration.
