Keep downloads and ordinary heads beside a crowd that returns

The debt for slow clients did not help: bytes that were read quickly earned nothing for later.

Unfinished heads now have half of the budget and make room for each other first, those over 64 KB without the protection of the young. A client that has read quickly may pause for a second for each 64 KB, up to 3 s; one that has stopped goes after that.

TestCrowdThatReturnsDoesNotCutOffDownloads plays two such crowds in simulated time; the heads failed on the code before (all six downloads cut off). Without the credit the bodies fail, without the part for heads idle connections are closed.

Not mended: 900 clients that return with bodies still have most ordinary requests refused (503, not run) in that simulation.

--- a/internal/purse/budget.go
+++ b/internal/purse/budget.go
@@ -12,6 +12,8 @@
 	serviceShare = 16
 	// reservedShare is the fraction of the memory that only these listeners may take.
 	reservedShare = 8
+	// headShare is the fraction of the memory that unfinished heads of callers and other nodes may take together.
+	headShare = 2
 )
 
 // Names of the listeners; all but callers and relay are service listeners with reserved room.
@@ -50,6 +52,9 @@
 	return b.Bytes - b.Bytes/reservedShare
 }
 
+// headBytes returns how much the unfinished heads of callers and other nodes may hold together.
+func (b Budget) headBytes() int64 { return b.Bytes / headShare }
+
 // serviceSockets returns the connections that each service listener may have.
 func (b Budget) serviceSockets() int { return max(1, b.Sockets/serviceShare) }
 
--- a/internal/purse/module_test.go
+++ b/internal/purse/module_test.go
@@ -56,6 +56,111 @@
 	require.Zero(t, m.conns[1].stall(at(10*time.Second)))
 }
 
+// Pattern: clients begin a head of short fields, or a body, don't end it, and return 0.1 s after the node has closed the
+// connection, while others download at 1 MB/s, keep idle connections and send requests. Guards against a crowd that is always too
+// young to go, so that downloads are cut off, whose writes wait for a second at a time although their clients read, and ordinary
+// requests are refused (LOST).
+func TestCrowdThatReturnsDoesNotCutOffDownloads(t *testing.T) {
+	for name, c := range map[string]struct {
+		phase  Phase
+		size   int
+		bytes  int64
+		piece  int64 // The bytes that arrive at once.
+		isIdle bool  // Whether connections without a request stay too, and no ordinary request is refused.
+	}{
+		"heads":  {phase: PhaseHead, size: 300, bytes: 2*16384 + 3200*fieldBytes, piece: 16 << 10, isIdle: true},
+		"bodies": {phase: PhaseBody, size: 900, bytes: requestBytes + bodyBytes, piece: requestBytes + bodyBytes},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const downloads, ordinary, first = 6, 20, 1000
+			m := NewModule(NewBudget(184<<20, 4100))
+			id, refused, closed := uint64(first), 0, make(map[Phase]int)
+			update := func(msg Msg) (isRefused bool) {
+				for _, cmd := range m.Update(msg) {
+					switch cmd := cmd.(type) {
+					case RefuseCmd:
+						isRefused = true
+					case CloseCmd:
+						if cmd.ID < downloads {
+							closed[PhaseWrite]++
+						} else if cmd.ID < first {
+							closed[PhaseIdle]++
+						}
+					}
+				}
+				return isRefused
+			}
+			open(m, 0, ordinary, at(0))
+			for k := range uint64(ordinary) {
+				phase := PhaseIdle
+				if k < downloads {
+					phase = PhaseWrite
+				}
+				update(PhaseMsg{ID: k, Phase: phase, Now: at(0)})
+			}
+			sent, returns := make([]uint64, c.size), make([]time.Duration, c.size)
+			for now := time.Duration(0); now < 10*time.Second; now += 10 * time.Millisecond {
+				for k := uint64(0); k < downloads && now%time.Second == 0; k++ {
+					update(PhaseMsg{ID: k, Phase: PhaseWork, Bytes: 1 << 20, Now: at(now)})
+					update(PhaseMsg{ID: k, Phase: PhaseWrite, Now: at(now)})
+				}
+				for i := range sent {
+					switch {
+					case sent[i] > 0 && m.conns[sent[i]] == nil:
+						sent[i], returns[i] = 0, now+100*time.Millisecond
+					case sent[i] == 0 && now >= returns[i]:
+						id++
+						sent[i] = id
+						update(OpenedMsg{ID: id, Listener: Callers, Peer: "10.0.0.1", Now: at(now)})
+						update(PhaseMsg{ID: id, Phase: c.phase, Now: at(now)})
+						for held := int64(0); held < c.bytes; held += c.piece {
+							if update(HeldMsg{ID: id, Bytes: c.piece, MayRefuse: c.phase == PhaseBody, Now: at(now)}) {
+								update(ClosedMsg{ID: id})
+							}
+						}
+					}
+				}
+				id++
+				update(OpenedMsg{ID: id, Listener: Callers, Peer: "10.0.0.2", Now: at(now)})
+				update(HeldMsg{ID: id, Bytes: 2*500 + 10*fieldBytes, Now: at(now)})
+				update(PhaseMsg{ID: id, Phase: PhaseWork, Now: at(now)})
+				update(ReleasedMsg{ID: id})
+				if update(HeldMsg{ID: id, Bytes: requestBytes, MayRefuse: true, Starts: true, Now: at(now)}) || m.conns[id] == nil {
+					refused++
+				}
+				update(ClosedMsg{ID: id})
+			}
+			require.Zero(t, closed[PhaseWrite], "downloads that were cut off")
+			if c.isIdle {
+				require.Zero(t, closed[PhaseIdle], "idle connections that were closed")
+				require.Zero(t, refused, "ordinary requests that were refused")
+			}
+			t.Logf("refused %d of 1000 ordinary requests, closed %v", refused, closed)
+		})
+	}
+}
+
+// Guards against a client that reads quickly once and then holds its connection for long under pressure.
+func TestStoppedReadersGoInTheEnd(t *testing.T) {
+	m := NewModule(Budget{Bytes: 1 << 20})
+	open(m, 0, 9, at(0))
+	for id := range uint64(8) {
+		m.Update(HeldMsg{ID: id, Bytes: 64 << 10, Now: at(0)})
+		m.Update(PhaseMsg{ID: id, Phase: PhaseWrite, Now: at(0)})
+		m.Update(PhaseMsg{ID: id, Phase: PhaseWork, Bytes: 1 << 20, Now: at(0)})
+		m.Update(PhaseMsg{ID: id, Phase: PhaseWrite, Now: at(time.Second)})
+	}
+	m.Update(PhaseMsg{ID: 8, Phase: PhaseWork, Now: at(0)})
+	require.Equal(t, maxCredit, m.conns[0].credit)
+	require.True(t, m.conns[0].isProtected(at(time.Second+maxCredit/2)))
+	require.False(t, m.conns[0].isProtected(at(time.Second+maxCredit)))
+	cmds := m.Update(HeldMsg{ID: 8, Bytes: 256 << 10, MayRefuse: true, Now: at(time.Second + maxCredit)})
+	require.NotEmpty(t, cmds)
+	for _, cmd := range cmds {
+		require.Equal(t, ReasonSlowReader, cmd.(CloseCmd).Reason)
+	}
+}
+
 // Guards against a flood of connections that keeps probes and heartbeats out: their listeners have room of their own, in
 // which the connection that waits longest goes.
 func TestServiceListenersHaveRoom(t *testing.T) {
@@ -108,15 +213,18 @@
 			case 4:
 				m.Update(ReleasedMsg{ID: known})
 			}
-			held, peers := int64(0), int64(0)
+			held, heads, peers := int64(0), int64(0), int64(0)
 			for _, c := range m.conns {
 				held += c.held
+				if c.isHead() {
+					heads += c.held
+				}
 			}
 			for _, p := range m.peers {
 				peers += p
 			}
-			if held != m.held || peers != held {
-				t.Fatalf("connections hold %d, sum %d, by peer %d", held, m.held, peers)
+			if held != m.held || heads != m.heads || peers != held {
+				t.Fatalf("connections hold %d, sum %d, by peer %d; heads hold %d, sum %d", held, m.held, peers, heads, m.heads)
 			}
 		}
 	})
