Pass requests on to the target of a node that stops

While nodes were stopped and started in turn, their targets got nothing for four to five seconds each.

Ruled out: edges that remember refusals for too long; the first request came 0.1 to 0.7 s after the heartbeat.

A node now passes requests on for two of these 2.5 s and publishes that it leaves only then; the rest is for requests on their way, which are refused and go elsewhere. Its part of the quotas stays counted as long. At its end nothing changes: what runs has the grace, what waits is refused unrun.

The tests of internal/hosted about stops, leaving, drains, restarts and quotas pass with the race detector.

--- a/internal/drain/doc.go
+++ b/internal/drain/doc.go
@@ -7,6 +7,6 @@
 //		run(cmd)
 //	}
 //
-// The steps, in order: announce the shutdown, close the listeners, wait for the requests in flight, hand over the
+// The steps, in order: announce the shutdown, stop relaying, close the listeners, wait for the requests in flight, hand over the
 // idempotency keys, exit.
 package drain
--- a/internal/drain/message.go
+++ b/internal/drain/message.go
@@ -23,9 +23,12 @@
 // Cmd is a step that the caller of Update must carry out.
 type Cmd interface{ isCmd() }
 
-// AnnounceLeavingCmd publishes the leaving record and makes the relay refuse new requests.
+// AnnounceLeavingCmd tells callers that the node leaves. It also does what StopRelayingCmd does unless Config.RelayLinger is set.
 type AnnounceLeavingCmd struct{}
 
+// StopRelayingCmd publishes the leaving record and makes the relay refuse new requests.
+type StopRelayingCmd struct{}
+
 // CloseListenersCmd stops accepting connections from callers.
 type CloseListenersCmd struct{}
 
@@ -43,6 +46,7 @@
 func (HandedOverMsg) isMsg() {}
 
 func (AnnounceLeavingCmd) isCmd() {}
+func (StopRelayingCmd) isCmd()    {}
 func (CloseListenersCmd) isCmd()  {}
 func (StopAdmittingCmd) isCmd()   {}
 func (HandOverKeysCmd) isCmd()    {}
--- a/internal/drain/shutdown.go
+++ b/internal/drain/shutdown.go
@@ -33,6 +33,8 @@
 	Timeout time.Duration
 	// Linger is how long the listeners accept requests after the announcement, 3 s by default.
 	Linger time.Duration
+	// RelayLinger is how long the relay takes requests after the announcement; zero means not at all.
+	RelayLinger time.Duration
 	// MinRunTime is the time before the end of Timeout in which no request is started any more; zero means none.
 	MinRunTime time.Duration
 }
@@ -43,8 +45,8 @@
 	state   State
 	since   time.Time
 	stopped time.Time
-	// refusing is set once requests that wait are refused.
-	refusing bool
+	// refusing is set once requests that wait are refused, and relayStopped once the relay refuses requests.
+	refusing, relayStopped bool
 }
 
 // New returns a Shutdown in the serving state.
@@ -85,15 +87,30 @@
 	return []Cmd{AnnounceLeavingCmd{}}
 }
 
-func (s *Shutdown) tick(msg TickMsg) []Cmd {
-	if s.isRunning() && msg.Now.Sub(s.stopped) >= s.config.Timeout {
+func (s *Shutdown) tick(msg TickMsg) (cmds []Cmd) {
+	if !s.isRunning() {
+		return s.advance(msg)
+	}
+	after := msg.Now.Sub(s.stopped)
+	if after >= s.config.Timeout {
 		return s.exit(msg.Now, msg.InFlight)
 	}
-	if s.isRunning() && !s.refusing && s.config.MinRunTime > 0 && msg.Now.Sub(s.stopped) >= s.config.Timeout-s.config.MinRunTime {
-		s.refusing = true
-		return append([]Cmd{StopAdmittingCmd{}}, s.advance(msg)...)
+	if isDue(&s.relayStopped, s.config.RelayLinger, after, s.config.RelayLinger) {
+		cmds = append(cmds, StopRelayingCmd{})
+	}
+	if isDue(&s.refusing, s.config.MinRunTime, after, s.config.Timeout-s.config.MinRunTime) {
+		cmds = append(cmds, StopAdmittingCmd{})
+	}
+	return append(cmds, s.advance(msg)...)
+}
+
+// isDue reports once that the time after the signal is over; it never does for a step whose setting is zero.
+func isDue(done *bool, setting, after, due time.Duration) bool {
+	if *done || setting <= 0 || after < due {
+		return false
 	}
-	return s.advance(msg)
+	*done = true
+	return true
 }
 
 // advance enters the next phase when it is due.
--- a/internal/drain/shutdown_test.go
+++ b/internal/drain/shutdown_test.go
@@ -39,6 +39,25 @@
 	require.Equal(t, StateExited, s.State())
 }
 
+// Guards against a relay that refuses requests while other nodes are not told, more than once, or never.
+func TestRelayStopsOnceBeforeTheListenersClose(t *testing.T) {
+	s := New(Config{Timeout: 20 * time.Second, Linger: 3 * time.Second, RelayLinger: 2 * time.Second})
+	var steps []Cmd
+	for after := time.Duration(0); s.State() != StateExited; after += 250 * time.Millisecond {
+		cmds := s.Update(TickMsg{Now: start.Add(after)})
+		if after == 0 {
+			cmds = s.Update(StopMsg{Now: start})
+		}
+		for _, cmd := range cmds {
+			if _, stops := cmd.(StopRelayingCmd); stops {
+				require.Equal(t, 2*time.Second, after)
+			}
+			steps = append(steps, cmd)
+		}
+	}
+	require.Equal(t, []Cmd{AnnounceLeavingCmd{}, StopRelayingCmd{}, CloseListenersCmd{}, HandOverKeysCmd{}, ExitCmd{}}, steps)
+}
+
 func drawMsg(t *rapid.T, now time.Time) Msg {
 	switch rapid.IntRange(0, 9).Draw(t, "kind") {
 	case 0:
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -101,6 +101,8 @@
 	cancel        context.CancelFunc
 	group         conc.WaitGroup
 	stopping      atomic.Bool
+	// relayStopped is set during shutdown once requests of other nodes are refused.
+	relayStopped atomic.Bool
 	// refuseCallers is set during shutdown once new requests could no longer be completed.
 	refuseCallers atomic.Bool
 
--- a/internal/hosted/record.go
+++ b/internal/hosted/record.go
@@ -38,7 +38,7 @@
 	// A target moves from the targets to the departures, so in this order none is missed.
 	n.record.Targets = n.agent.Targets()
 	n.record.Withdrawn, n.record.KnownDraining = n.agent.Withdrawn(), n.agent.Draining()
-	n.record.Leaving = n.stopping.Load()
+	n.record.Leaving = n.relayStopped.Load()
 	n.record.Crashes = n.guard.localEntries()
 	n.record.Era, n.published = n.nodes.Era(), true
 	if !n.record.Serving() {
--- a/internal/hosted/run.go
+++ b/internal/hosted/run.go
@@ -15,6 +15,10 @@
 	// shutdownLinger is how long requests are still accepted after the termination signal. The platform probes
 	// readiness once a second and stops sending requests after two failed probes.
 	shutdownLinger = 2500 * time.Millisecond
+	// relayLinger is how long the target beside the node still gets requests of other nodes after the signal. Only the node can pass
+	// them on, so that without it the target is idle until the next process has its heartbeat. The rest of shutdownLinger is for
+	// requests on their way; other nodes hear of the end at the first refusal.
+	relayLinger = 2 * time.Second
 	// drainShare is the fraction of the grace period in which requests in flight may complete.
 	drainShare = 0.84
 	// minRunTime is the time before the end of drainShare in which requests that have not run are refused instead of started.
@@ -63,7 +67,7 @@
 // shutDown performs the graceful shutdown.
 func (n *Node) shutDown() {
 	drain.Run(drain.RunConfig{
-		Limits: drain.Config{Timeout: time.Duration(drainShare * float64(n.grace())), Linger: shutdownLinger, MinRunTime: minRunTime},
+		Limits: drain.Config{Timeout: time.Duration(drainShare * float64(n.grace())), Linger: shutdownLinger, RelayLinger: relayLinger, MinRunTime: minRunTime},
 		Clock:  n.config.Clock, Tick: shutdownTick, InFlight: n.inFlight, Step: n.shutdownStep,
 	})
 }
@@ -72,6 +76,8 @@
 	switch cmd := cmd.(type) {
 	case drain.AnnounceLeavingCmd:
 		n.announceLeaving()
+	case drain.StopRelayingCmd:
+		n.stopRelaying()
 	case drain.CloseListenersCmd:
 		// A request accepted now could not be completed. The listeners stay open so that it receives a response.
 		n.refuseCallers.Store(true)
@@ -86,15 +92,20 @@
 	return nil
 }
 
-// announceLeaving refuses relayed requests at once, because other targets can run them, and continues to serve callers.
+// announceLeaving has callers and followers go elsewhere. Requests that arrive nevertheless are still served.
 func (n *Node) announceLeaving() {
 	n.stopping.Store(true)
-	n.agent.SetLeaving(true)
 	n.edge.SetLeaving(true)
 	n.nodes.StopServing()
+	_ = level.Info(n.config.FailureLogger).Log("msg", "node leaving", "in-flight", n.inFlight())
+}
+
+// stopRelaying refuses relayed requests, because other targets can run them, and continues to serve callers.
+func (n *Node) stopRelaying() {
+	n.relayStopped.Store(true)
+	n.agent.SetLeaving(true)
 	n.quotas.Leave()
 	n.publish()
-	_ = level.Info(n.config.FailureLogger).Log("msg", "node leaving", "in-flight", n.inFlight())
 }
 
 // abortInFlight answers callers whose requests did not complete in time. Most of these requests still wait for a slot
