--- a/internal/feed/table.go
+++ b/internal/feed/table.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,15 +28,6 @@
 	// startupPause is the time between two attempts.
 	startupWait  = 700 * time.Millisecond
 	startupPause = 100 * time.Millisecond
-	// lookTimeout bounds a look at the store for another node, which waits for responseSlack, and one between two calls to
-	// another node; lookPause is the time without looks after one that failed.
-	lookTimeout = 300 * time.Millisecond
-	lookPause   = time.Second
-	// recallPeers is the number of nodes of the failure domain, and then of others, that must tell which rows the store has lost,
-	// at most maxRecalls times.
-	recallPeers = 2
-	maxRecalls  = 4
-	recallPause = 2500 * time.Millisecond
 	// defaultBatchDelay batches the changes of nodes that start or stop together into one response of the store.
 	defaultBatchDelay = time.Second
 )
@@ -184,52 +174,6 @@
 	})
 }
 
-// recall returns the rows that the store has lost and other nodes remember. Those of the failure domain may have restarted with
-// this one and remember nothing, so nodes of others are asked too. It asks a few times after the first rows have been read: the
-// others may hear of the era later than a node that starts.
-func (t *Table) recall(ctx context.Context) []roster.Row {
-	if t.cache.eraOf() == 0 {
-		return nil
-	}
-	t.mu.Lock()
-	now := t.config.Clock.Now()
-	due := t.recalls < maxRecalls && !now.Before(t.nextRecall)
-	if due {
-		t.recalls++
-		t.nextRecall = now.Add(recallPause)
-	}
-	own := t.selector.Others()
-	t.mu.Unlock()
-	if !due {
-		return nil
-	}
-	t.recallFrom(ctx, own)
-	t.recallFrom(ctx, t.peersOfOtherDomains())
-	return t.cache.forgottenRows()
-}
-
-// recallFrom takes the rows that the store has lost from the first recallPeers nodes that respond.
-func (t *Table) recallFrom(ctx context.Context, peers []Peer) {
-	asked := 0
-	for _, p := range peers {
-		t.peerCalls.Add(1)
-		rows, err := t.client.forgotten(ctx, t.config.Dial, p.Address)
-		if err != nil {
-			continue // Another node may remember the same rows.
-		}
-		t.cache.mergeMore(roster.Page{Rows: rows, Era: t.cache.eraOf()})
-		if asked++; asked == recallPeers {
-			return
-		}
-	}
-}
-
-// peersOfOtherDomains returns some nodes of other failure domains in random order.
-func (t *Table) peersOfOtherDomains() []Peer {
-	rows := slices.DeleteFunc(t.cache.allRows(), func(row roster.Row) bool { return row.Part == t.config.Domain })
-	return sample(peersFromRows(rows), Peer{})
-}
-
 // checkEra fails for a page that the store returned before it came back from a copy.
 func (t *Table) checkEra(page roster.Page, err error) (roster.Page, error) {
 	if err == nil && page.Era < t.cache.eraOf() {
@@ -340,38 +284,6 @@
 	return t.checkEra(reply.Page, nil)
 }
 
-// maxRowAge returns how old the rows of another node may be for this one: as old as its process, until it has read such rows,
-// and zero afterwards.
-func (t *Table) maxRowAge(now time.Time) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.domainKnown {
-		return 0
-	}
-	return max(1, now.Sub(t.createdAt))
-}
-
-// look asks the store for changes unless the rows hold all up to the time. It fails silently, as the rows tell how recent they
-// are.
-func (t *Table) look(since time.Time) {
-	t.lookMu.Lock()
-	defer t.lookMu.Unlock()
-	asked, after := t.config.Clock.Now(), t.cache.position()
-	if !t.cache.isReading() || t.cache.recentSince(since) || asked.Before(t.nextLook) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), lookTimeout)
-	defer cancel()
-	t.storeCalls.Add(1)
-	page, err := t.config.Store.Watch(ctx, after.version, 0)
-	if err != nil || page.Era != after.era {
-		t.nextLook = t.config.Clock.Now().Add(lookPause)
-		return
-	}
-	page.AsOf = asked
-	t.cache.mergeMore(page)
-}
-
 // readPeer reads all rows of a node; until retryUntil it calls again if the node does not read the store yet.
 func (t *Table) readPeer(ctx context.Context, p Peer, retryUntil time.Time) (roster.Page, error) {
 	for {
@@ -448,41 +360,6 @@
 	t.selector.Update(PeersMsg{Peers: peersFromRows(page.Rows)})
 }
 
-// retryDomain reads the failure domain directly if the followed node has not provided recent rows: it may not reach the store, or
-// run a build that does not tell.
-func (t *Table) retryDomain(ctx context.Context) {
-	t.mu.Lock()
-	now := t.config.Clock.Now()
-	due := !t.domainKnown && !now.Before(t.nextDomainRead)
-	if due {
-		t.nextDomainRead = now.Add(lookPause)
-	}
-	t.mu.Unlock()
-	if due {
-		ctx, cancel := context.WithTimeout(ctx, lookTimeout)
-		defer cancel()
-		t.findPeers(ctx)
-	}
-}
-
-// learnDomain reports the rows of the failure domain once they are more recent than the table.
-func (t *Table) learnDomain() {
-	if t.cache.recentSince(t.createdAt) {
-		t.domainRead(t.cache.partitionRows(t.config.Domain))
-	}
-}
-
-// domainRead reports rows of the failure domain that are more recent than the table, unless that was done before.
-func (t *Table) domainRead(rows []roster.Row) {
-	t.mu.Lock()
-	before := t.domainKnown
-	t.domainKnown = true
-	t.mu.Unlock()
-	if !before && t.config.OnDomainRows != nil {
-		t.config.OnDomainRows(rows)
-	}
-}
-
 func (t *Table) number() uint64 {
 	if t.config.Configurations == nil {
 		return 0
