Say that the node leaves before it ends, also with a short grace

With a grace of under 2.4 s a stopping node would have ended before it refused relayed requests, and other nodes would have met closed connections instead of refusals. The time in which it still relays now ends a second before its last one, and 0.05 s after the signal at the earliest.

--- a/internal/hosted/run.go
+++ b/internal/hosted/run.go
@@ -66,9 +66,12 @@
 
 // shutDown performs the graceful shutdown.
 func (n *Node) shutDown() {
+	timeout := share(n.grace(), drainShare)
 	drain.Run(drain.RunConfig{
-		Limits: drain.Config{Timeout: time.Duration(drainShare * float64(n.grace())), Linger: shutdownLinger, RelayLinger: relayLinger, MinRunTime: minRunTime},
-		Clock:  n.config.Clock, Tick: shutdownTick, InFlight: n.inFlight, Step: n.shutdownStep,
+		Limits: drain.Config{
+			Timeout: timeout, Linger: shutdownLinger, RelayLinger: max(shutdownTick, min(relayLinger, timeout-minRunTime)), MinRunTime: minRunTime,
+		},
+		Clock: n.config.Clock, Tick: shutdownTick, InFlight: n.inFlight, Step: n.shutdownStep,
 	})
 }
 
--- a/internal/hosted/stop_test.go
+++ b/internal/hosted/stop_test.go
@@ -20,8 +20,6 @@
 	lateSend = 3 * time.Second
 	// lateWork is the time after the termination signal from which a request that is still running may be cut.
 	lateWork = testGrace * 5 / 6
-	// relayLinger is the time after the signal in which the target beside the node still gets requests of other nodes.
-	relayLinger = 2 * time.Second
 	// closingTime is the time that a node takes to close its connections before it ends. Requests may cross that.
 	closingTime = 500 * time.Millisecond
 )
@@ -103,37 +101,48 @@
 // a target that gets nothing from the signal until the next process has its heartbeat, which is over two seconds later (FLOOR),
 // and against a request that is cut or runs twice because the target gets it so late.
 func TestTargetOfAStoppingNodeIsUsed(t *testing.T) {
-	f, caller := withCaller(t, 1)
-	n := f.nodes[0]
-	n.target.keepAlive()
-	stopped := time.Now()
-	n.stop()
-	var last time.Time
-	for i, ended := 0, false; !ended; i++ {
-		id := fmt.Sprintf("late-%d", i)
-		a := caller.callAs(id, http.MethodPost, "kassa", "/order/1")
-		ran := n.target.ran(id)
-		switch a.status {
-		case http.StatusOK:
-			require.Equal(t, 1, ran, id)
-			last = time.Now()
-		case http.StatusServiceUnavailable:
-			require.Zero(t, ran, id)
-		default:
-			require.Fail(t, "neither served nor refused", "%s: status %d, ran %d times:\n%s", id, a.status, ran, f.logOf(id))
-		}
-		select {
-		case <-n.done:
-			ended = true
-		case <-time.After(10 * time.Millisecond):
-		}
+	for name, c := range map[string]struct{ grace, used time.Duration }{
+		"usual grace": {testGrace, 2 * time.Second},
+		"short grace": {1500 * time.Millisecond, 200 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, caller := withCaller(t, 1)
+			n := f.nodes[0]
+			n.target.keepAlive()
+			n.node.SetGrace(c.grace)
+			stopped := time.Now()
+			n.stop()
+			var last time.Time
+			refused := 0
+			for i, ended := 0, false; !ended; i++ {
+				id := fmt.Sprintf("late-%d", i)
+				a := caller.callAs(id, http.MethodPost, "kassa", "/order/1")
+				ran := n.target.ran(id)
+				switch a.status {
+				case http.StatusOK:
+					require.Equal(t, 1, ran, id)
+					last = time.Now()
+				case http.StatusServiceUnavailable:
+					require.Zero(t, ran, id)
+					refused++
+				default:
+					require.Fail(t, "neither served nor refused", "%s: status %d, ran %d times:\n%s", id, a.status, ran, f.logOf(id))
+				}
+				select {
+				case <-n.done:
+					ended = true
+				case <-time.After(10 * time.Millisecond):
+				}
+			}
+			require.Greater(t, last.Sub(stopped), c.used-300*time.Millisecond)
+			require.NotZero(t, refused, "the node says that it leaves before it ends")
+			require.NoError(t, n.start("a"))
+			require.Eventually(t, func() bool {
+				return caller.callAs(fmt.Sprintf("again-%d", time.Now().UnixNano()), http.MethodPost, "kassa", "/order/1").status == http.StatusOK
+			}, 5*time.Second, 10*time.Millisecond)
+			t.Logf("nothing for %v", time.Since(last))
+		})
 	}
-	require.Greater(t, last.Sub(stopped), relayLinger-300*time.Millisecond)
-	require.NoError(t, n.start("a"))
-	require.Eventually(t, func() bool {
-		return caller.callAs(fmt.Sprintf("again-%d", time.Now().UnixNano()), http.MethodPost, "kassa", "/order/1").status == http.StatusOK
-	}, 5*time.Second, 10*time.Millisecond)
-	t.Logf("nothing for %v", time.Since(last))
 }
 
 // Pattern: a node stops while orders of its callers wait, and slots become free in the last second before it cuts what runs.
