Do not depend on seeing a short phase in TestNodeDoesNotFollowWhileItWaitsAtTheStore

The phase in which the node follows lasts a quarter of a second, which a busy machine can hide. That the node stops to follow shows that it followed.

--- a/internal/feed/unfollow_test.go
+++ b/internal/feed/unfollow_test.go
@@ -52,12 +52,11 @@
 	introduce(t, server.Address(), feed.Peer{ID: "node-0", Incarnation: 1, Address: f.nodes[0].server.Address()})
 	watcher := roster.NewWatcher(roster.WatcherConfig{Table: table, OnRows: func(roster.Page) {}})
 	defer watcher.Close()
-	require.Eventually(t, table.Follows, 2*time.Second, time.Millisecond)
 	select {
 	case <-store.watched:
 	case <-time.After(10 * time.Second):
 		require.Fail(t, "the node never read the store")
 	}
 	require.False(t, table.Follows())
-	require.Len(t, unfollowed, 1)
+	require.Len(t, unfollowed, 1, "it followed the other node before")
 }
